--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,112 @@
+// Package cloud is the client of the cloud that rents machines.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"honeylock/internal/jsonhttp"
+	"honeylock/internal/wire"
+)
+
+// ErrNoCapacity: the cloud has no such machine now; nothing was rented.
+var ErrNoCapacity = errors.New("no capacity")
+
+// Client talks to the cloud under its rate limit.
+type Client struct {
+	base    string
+	http    *jsonhttp.Client
+	reqs    *rate.Limiter
+	timeout time.Duration
+}
+
+// New returns a client that makes at most rps calls a second.
+func New(addr string, rps float64, timeout time.Duration) *Client {
+	return &Client{base: "http://" + addr, http: jsonhttp.New(4, 2*time.Second), reqs: rate.NewLimiter(rate.Limit(rps), 1), timeout: timeout}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := c.reqs.Wait(ctx); err != nil {
+		return 0, nil, fmt.Errorf("rate: %w", err)
+	}
+	return c.http.Do(ctx, method, c.base+path, in, out)
+}
+
+func unexpected(status int, body []byte) error {
+	return fmt.Errorf("cloud: status %d: %.200s", status, body)
+}
+
+// Catalog returns the machine types with their current prices.
+func (c *Client) Catalog(ctx context.Context) (*wire.Catalog, error) {
+	var cat wire.Catalog
+	status, body, err := c.call(ctx, http.MethodGet, "/catalog", nil, &cat)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, unexpected(status, body)
+	}
+	return &cat, nil
+}
+
+// Rent asks for machines and returns the names of those rented.
+func (c *Client) Rent(ctx context.Context, r wire.Rental) ([]string, error) {
+	var n wire.MachineNames
+	status, body, err := c.call(ctx, http.MethodPost, "/rentals", r, &n)
+	switch {
+	case err != nil:
+		return nil, err
+	case status == http.StatusOK:
+		return n.Machines, nil
+	case status == http.StatusServiceUnavailable:
+		// Also an outage of the cloud ("trouble"): nothing was rented either.
+		return nil, ErrNoCapacity
+	}
+	return nil, unexpected(status, body)
+}
+
+// Return gives machines back. On nil they and all on them are gone.
+func (c *Client) Return(ctx context.Context, names []string) error {
+	status, body, err := c.call(ctx, http.MethodPost, "/rentals/return", wire.MachineNames{Machines: names}, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return unexpected(status, body)
+	}
+	return nil
+}
+
+// List returns the machine list, which lags.
+func (c *Client) List(ctx context.Context) ([]wire.ListedMachine, error) {
+	var all []wire.ListedMachine
+	from := ""
+	for {
+		q := url.Values{"Page": {strconv.Itoa(500)}}
+		if from != "" {
+			q.Set("From", from)
+		}
+		var l wire.Listing
+		status, body, err := c.call(ctx, http.MethodGet, "/rentals?"+q.Encode(), nil, &l)
+		if err != nil {
+			return nil, err
+		}
+		if status != http.StatusOK {
+			return nil, unexpected(status, body)
+		}
+		all = append(all, l.Machines...)
+		if !l.More || len(l.Machines) == 0 {
+			return all, nil
+		}
+		from = l.Machines[len(l.Machines)-1].Name
+	}
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,83 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"honeylock/internal/config/settingspb"
+)
+
+// Settings are the operator's own, with defaults filled in.
+type Settings struct {
+	SampleSize   int
+	PaybackLimit time.Duration
+	DemotionStep float64
+	DealAhead    int
+	IdleReturn   time.Duration
+	RentHorizon  time.Duration
+}
+
+// DefaultSettings are in force where the operator says nothing.
+func DefaultSettings() *Settings {
+	return &Settings{SampleSize: 2, PaybackLimit: time.Minute, DemotionStep: 2, DealAhead: 16,
+		IdleReturn: 40 * time.Second, RentHorizon: 30 * time.Second}
+}
+
+// LoadSettings reads the operator's settings; "" means none.
+func LoadSettings(path string) (*Settings, error) {
+	if path == "" {
+		return DefaultSettings(), nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's settings: %w", err)
+	}
+	s, err := ParseSettings(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseSettings parses protobuf text. Unknown fields and values out of range
+// are refused.
+func ParseSettings(b []byte) (*Settings, error) {
+	var p settingspb.Settings
+	if err := prototext.Unmarshal(b, &p); err != nil {
+		return nil, err
+	}
+	s := DefaultSettings()
+	var errs []error
+	num := func(field string, v *float64, lo, hi float64, set func(float64)) {
+		if v == nil {
+			return
+		}
+		if !(*v >= lo && *v <= hi) {
+			errs = append(errs, fmt.Errorf("%s = %v: must be from %v to %v", field, *v, lo, hi))
+			return
+		}
+		set(*v)
+	}
+	whole := func(v *int32) *float64 {
+		if v == nil {
+			return nil
+		}
+		f := float64(*v)
+		return &f
+	}
+	if c := p.Scheduling; c != nil {
+		num("scheduling.sample_size", whole(c.SampleSize), 1, 64, func(v float64) { s.SampleSize = int(v) })
+		num("scheduling.payback_limit_s", c.PaybackLimitS, 0, 3600, func(v float64) { s.PaybackLimit = Seconds(v) })
+		num("scheduling.demotion_step", c.DemotionStep, 1, 10, func(v float64) { s.DemotionStep = v })
+		num("scheduling.deal_ahead", whole(c.DealAhead), 0, 1000, func(v float64) { s.DealAhead = int(v) })
+	}
+	if c := p.Fleet; c != nil {
+		num("fleet.idle_return_s", c.IdleReturnS, 1, 86400, func(v float64) { s.IdleReturn = Seconds(v) })
+		num("fleet.rent_horizon_s", c.RentHorizonS, 1, 86400, func(v float64) { s.RentHorizon = Seconds(v) })
+	}
+	return s, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/core/election/election.go
@@ -0,0 +1,242 @@
+// Package election decides whether this controller is the leader, and until
+// when by its own steady clock. It asks for store operations and is told their
+// results; it reads no clock and opens no socket.
+package election
+
+import "time"
+
+// Verb of a store operation that the election asks for.
+type Verb uint8
+
+// Operations.
+const (
+	Read    Verb = iota // read the leader's key and the term's key
+	Grant               // ask for a lease
+	Acquire             // one transaction: leader's key absent, term as read; put both
+	Renew               // extend the lease
+	End                 // end a lease
+)
+
+// Op is an operation to run; its result comes back through Done.
+type Op struct {
+	Verb        Verb
+	Lease       uint64
+	Term        uint64 // Acquire: the new term
+	TermVersion uint64
+	SentAt      time.Duration
+}
+
+// Record is what the leader's key held when it was read.
+type Record struct {
+	Present bool
+	Host    string
+	Term    uint64
+	Lease   uint64
+	Version uint64
+}
+
+// Result is an operation's outcome.
+type Result struct {
+	Op  Op
+	OK  bool
+	Not bool // surely not executed: guard failed, lease unknown
+	// Read:
+	Leader      Record
+	Term        uint64
+	TermVersion uint64
+	// Grant: the lease. Acquire: the leader key's version.
+	Lease, Version uint64
+}
+
+// Election is the state machine.
+type Election struct {
+	host    string
+	ttl     time.Duration
+	margin  time.Duration
+	stagger time.Duration
+
+	busy     bool
+	next     time.Duration
+	seen     Record
+	lease    uint64
+	sentAt   time.Duration // of the lease's last successful renewal or grant
+	leading  bool
+	term     uint64
+	version  uint64
+	renewing bool
+	nextTry  time.Duration // of the next renewal
+	orphans  []uint64      // leases of ours that must end
+}
+
+// New returns a follower. ttl is the lease's length; stagger sets apart
+// controllers that find the key free at the same moment.
+func New(host string, ttl, stagger time.Duration) *Election {
+	return &Election{host: host, ttl: ttl, margin: ttl/500 + 150*time.Millisecond, stagger: stagger}
+}
+
+// Deadline is when authority ends unless it is renewed: counted from sending
+// the last successful renewal, less the clocks' drift and late timers.
+func (e *Election) Deadline() time.Duration { return e.sentAt + e.ttl - e.margin }
+
+// Leading tells whether this controller may act as the leader now.
+func (e *Election) Leading(now time.Duration) bool { return e.leading && now < e.Deadline() }
+
+// Term is the current term while leading.
+func (e *Election) Term() uint64 { return e.term }
+
+// Version is the leader key's version, the guard of every leader's write.
+func (e *Election) Version() uint64 { return e.version }
+
+// Holder is the last seen holder of the leader's key, "" if none.
+func (e *Election) Holder() string {
+	if e.leading {
+		return e.host
+	}
+	if !e.seen.Present {
+		return ""
+	}
+	return e.seen.Host
+}
+
+// See takes news of the leader's key from a watch.
+func (e *Election) See(now time.Duration, r Record) {
+	if r.Version < e.seen.Version && r.Present {
+		return
+	}
+	e.seen = r
+	if !r.Present && !e.leading {
+		e.next = min(e.next, now+e.stagger)
+	}
+}
+
+// Resign gives leadership up at once: from here on nothing more is done under
+// this term, and the lease is ended so that another need not wait for it.
+func (e *Election) Resign(now, pause time.Duration) {
+	if !e.leading {
+		return
+	}
+	e.drop()
+	e.next = now + pause
+}
+
+func (e *Election) drop() {
+	if e.lease != 0 {
+		e.orphans = append(e.orphans, e.lease)
+	}
+	e.leading, e.lease, e.renewing = false, 0, false
+	e.seen = Record{}
+}
+
+// Step returns the operations to run now.
+func (e *Election) Step(now time.Duration) []Op {
+	var ops []Op
+	if e.leading && now >= e.Deadline() {
+		e.drop()
+		e.next = now
+	}
+	if e.leading {
+		if !e.renewing && now >= e.nextTry {
+			e.renewing = true
+			ops = append(ops, Op{Verb: Renew, Lease: e.lease, SentAt: now})
+		}
+		return ops
+	}
+	if !e.busy && now >= e.next {
+		e.busy = true
+		if n := len(e.orphans); n > 0 {
+			ops = append(ops, Op{Verb: End, Lease: e.orphans[n-1], SentAt: now})
+		} else {
+			ops = append(ops, Op{Verb: Read, SentAt: now})
+		}
+	}
+	return ops
+}
+
+const (
+	retry = 250 * time.Millisecond
+	idle  = 2 * time.Second
+)
+
+// Done takes an operation's result and returns what follows at once.
+func (e *Election) Done(now time.Duration, r Result) []Op {
+	if r.Op.Verb == Renew {
+		return e.renewed(now, r)
+	}
+	e.busy = false
+	e.next = now + retry
+	switch r.Op.Verb {
+	case End:
+		if r.OK || r.Not {
+			e.orphans = remove(e.orphans, r.Op.Lease)
+			e.next = now
+		}
+	case Read:
+		if !r.OK {
+			break
+		}
+		e.seen = r.Leader
+		if r.Leader.Present {
+			if r.Leader.Host == e.host {
+				// An earlier incarnation's, or a late transaction's: one
+				// process per controller, so nobody acts under it.
+				e.orphans = append(remove(e.orphans, r.Leader.Lease), r.Leader.Lease)
+				e.next = now
+			} else {
+				e.next = now + idle
+			}
+			break
+		}
+		e.busy = true
+		return []Op{{Verb: Grant, Term: r.Term + 1, TermVersion: r.TermVersion, SentAt: now}}
+	case Grant:
+		if !r.OK {
+			break
+		}
+		e.busy = true
+		e.lease = r.Lease
+		return []Op{{Verb: Acquire, Lease: r.Lease, Term: r.Op.Term, TermVersion: r.Op.TermVersion, SentAt: r.Op.SentAt}}
+	case Acquire:
+		if !r.OK {
+			// In doubt, it may yet be applied late: ending its lease makes it
+			// fail for ever.
+			e.orphans = append(e.orphans, e.lease)
+			e.lease = 0
+			break
+		}
+		e.leading, e.term, e.version = true, r.Op.Term, r.Version
+		e.sentAt = r.Op.SentAt // the lease was asked for then
+		e.nextTry = now
+		e.renewing = false
+	}
+	return nil
+}
+
+func (e *Election) renewed(now time.Duration, r Result) []Op {
+	if !e.leading || r.Op.Lease != e.lease {
+		return nil
+	}
+	e.renewing = false
+	switch {
+	case r.OK:
+		if r.Op.SentAt > e.sentAt {
+			e.sentAt = r.Op.SentAt
+		}
+		e.nextTry = r.Op.SentAt + max(e.ttl/8, 300*time.Millisecond)
+	case r.Not:
+		e.drop()
+		e.next = now
+	default:
+		e.nextTry = now + retry
+	}
+	return nil
+}
+
+func remove(s []uint64, v uint64) []uint64 {
+	out := s[:0]
+	for _, x := range s {
+		if x != v {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,375 @@
+// Package fleet decides what machines to rent and which to give back. It is a
+// state machine of the leader's; the cloud's answers come in as inputs.
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/model"
+)
+
+// Params of a fleet.
+type Params struct {
+	Term       uint64
+	ListLag    time.Duration
+	IdleReturn time.Duration // an unneeded machine is given back after so long
+	Horizon    time.Duration // waiting work should be done within so long
+	Probe      time.Duration // a kind that was refused is asked for again after
+}
+
+type kind struct {
+	typ, zone model.Name
+	spot      bool
+}
+
+type unit struct {
+	kind
+	since  time.Duration // known since
+	heard  bool          // its worker has reported
+	listed time.Duration // last time that it was listed
+	failed bool
+	silent time.Duration // since when it is silent, 0: it is not
+	drop   bool          // being returned
+}
+
+// Action for the cloud. Its outcome comes back through Rented or Returned.
+type Action struct {
+	Rent    string // the request's name; "": a return
+	Type    model.Name
+	Zone    model.Name
+	Spot    bool
+	Count   int
+	Machine []model.MachineID
+}
+
+// Fleet is the state machine.
+type Fleet struct {
+	p       Params
+	types   []model.MachineType
+	units   map[model.MachineID]*unit
+	listed  bool
+	refused map[kind]time.Duration
+	renting bool
+	giving  bool
+	again   *Action
+	n       uint64
+	want    time.Duration
+}
+
+// New returns a fleet that knows no machines.
+func New(p Params) *Fleet {
+	return &Fleet{p: p, units: map[model.MachineID]*unit{}, refused: map[kind]time.Duration{}}
+}
+
+// SetTypes takes the catalog with its current prices.
+func (f *Fleet) SetTypes(t []model.MachineType) { f.types = t }
+
+func (f *Fleet) typeOf(n model.Name) *model.MachineType {
+	for i := range f.types {
+		if f.types[i].Name == n {
+			return &f.types[i]
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) unit(now time.Duration, id model.MachineID, k kind) *unit {
+	u := f.units[id]
+	if u == nil {
+		u = &unit{kind: k, since: now}
+		f.units[id] = u
+	}
+	return u
+}
+
+// Listed is an entry of the machine list.
+type Listed struct {
+	ID     model.MachineID
+	Type   model.Name
+	Zone   model.Name
+	Spot   bool
+	Failed bool
+	Age    time.Duration
+}
+
+// List takes the machine list. It lags, so absence from it proves nothing yet.
+func (f *Fleet) List(now time.Duration, l []Listed) {
+	f.listed = true
+	for _, e := range l {
+		u := f.units[e.ID]
+		if u == nil {
+			u = f.unit(now, e.ID, kind{e.Type, e.Zone, e.Spot})
+			u.since = now - e.Age
+		}
+		u.listed = now
+		u.failed = u.failed || e.Failed
+	}
+}
+
+// Rented takes the outcome of a rental: the machines, or why there are none.
+func (f *Fleet) Rented(now time.Duration, a Action, got []model.MachineID, refused, doubt bool) {
+	f.renting = false
+	k := kind{a.Type, a.Zone, a.Spot}
+	switch {
+	case doubt:
+		// It may have been carried out: the same request again tells.
+		f.again = &a
+	case refused || len(got) < a.Count:
+		f.refused[k] = now + f.p.Probe
+	}
+	for _, id := range got {
+		f.unit(now, id, k)
+	}
+}
+
+// Returned takes the outcome of a return.
+func (f *Fleet) Returned(a Action, ok bool) {
+	f.giving = false
+	for _, id := range a.Machine {
+		if ok {
+			delete(f.units, id)
+		} else if u := f.units[id]; u != nil {
+			u.drop = false
+		}
+	}
+}
+
+// Demand is what the dealer needs.
+type Demand struct {
+	Need   dealer.Need
+	Placed int32 // of its tasks are on machines
+}
+
+// Observe brings the fleet up to date with the shards' machines.
+func (f *Fleet) Observe(now time.Duration, status []model.MachineStatus, silent func(model.MachineID) bool) {
+	for i := range status {
+		m := &status[i].Machine
+		u := f.unit(now, m.ID, kind{m.Type, m.Zone, m.Spot})
+		if !silent(m.ID) {
+			u.heard, u.silent = true, 0
+		} else if u.silent == 0 {
+			u.silent = now
+		}
+	}
+}
+
+// Step returns what to ask of the cloud now.
+func (f *Fleet) Step(now time.Duration, status []model.MachineStatus, demand []Demand, limit func(model.Name) model.Resources) []Action {
+	if !f.listed || len(f.types) == 0 {
+		return nil
+	}
+	var out []Action
+	rooms := f.rooms(now, status)
+	unmet := f.unmet(rooms, demand, limit)
+	if !f.renting {
+		if f.again != nil {
+			out = append(out, *f.again)
+			f.again, f.renting = nil, true
+		} else if a, ok := f.rent(now, unmet); ok {
+			out = append(out, a)
+			f.renting = true
+		}
+	}
+	if len(unmet) > 0 {
+		f.want = now
+	}
+	if !f.giving {
+		if ids := f.surplus(now, status, rooms); len(ids) > 0 {
+			out = append(out, Action{Machine: ids})
+			f.giving = true
+		}
+	}
+	return out
+}
+
+type room struct {
+	m      model.Machine
+	avail  model.Resources
+	used   bool // by demand
+	status *model.MachineStatus
+}
+
+// rooms are the machines that are or will be up, with what they have free.
+func (f *Fleet) rooms(now time.Duration, status []model.MachineStatus) []room {
+	var out []room
+	up := map[model.MachineID]bool{}
+	for i := range status {
+		s := &status[i]
+		up[s.Machine.ID] = true
+		if !s.Draining && !s.Bad && f.units[s.Machine.ID].silent == 0 {
+			out = append(out, room{m: s.Machine, avail: s.Avail, status: s})
+		}
+	}
+	for id, u := range f.units {
+		t := f.typeOf(u.typ)
+		if up[id] || u.drop || u.failed || t == nil || now-u.since > 2*t.Boot+10*time.Second {
+			continue
+		}
+		out = append(out, room{m: model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot, Cap: t.Cap}, avail: t.Cap})
+	}
+	slices.SortFunc(out, func(a, b room) int { return int(int64(a.m.ID) - int64(b.m.ID)) })
+	return out
+}
+
+type lack struct {
+	spec *model.Spec
+	n    int64
+}
+
+// unmet is the waiting work for which there is no room, now or soon.
+func (f *Fleet) unmet(rooms []room, demand []Demand, limit func(model.Name) model.Resources) []lack {
+	left := map[model.Name]int64{}
+	for _, d := range demand {
+		t := d.Need.Spec.Team
+		if _, ok := left[t]; !ok {
+			left[t] = 1 << 50
+			if l := limit(t).CPU; l > 0 {
+				left[t] = l
+			}
+		}
+		left[t] -= int64(d.Placed) * d.Need.Spec.Each.CPU
+	}
+	var out []lack
+	for _, d := range demand {
+		sp := d.Need.Spec
+		n := int64(d.Need.Open - d.Placed)
+		n = min(n, max(0, left[sp.Team]/max(1, sp.Each.CPU)))
+		if n <= 0 {
+			continue
+		}
+		left[sp.Team] -= n * sp.Each.CPU
+		for i := range rooms {
+			r := &rooms[i]
+			if n <= 0 {
+				break
+			}
+			if !sp.Allows(&r.m) {
+				continue
+			}
+			if k := min(n, sp.Each.Count(r.avail)); k > 0 {
+				r.avail = r.avail.Sub(sp.Each.Times(k))
+				r.used = true
+				n -= k
+			}
+		}
+		if n <= 0 {
+			continue
+		}
+		// Short work waits for room rather than for a machine to boot.
+		if est := sp.Estimate; est > 0 && est < f.p.Horizon {
+			n = (n*int64(est) + int64(f.p.Horizon) - 1) / int64(f.p.Horizon)
+		}
+		out = append(out, lack{sp, n})
+	}
+	return out
+}
+
+// rent picks the cheapest kind of machine, by task, for the work that lacks
+// room.
+func (f *Fleet) rent(now time.Duration, unmet []lack) (Action, bool) {
+	for _, l := range unmet {
+		var best *kind
+		var bestCost float64
+		var bestPer int64
+		for i := range f.types {
+			t := &f.types[i]
+			per := l.spec.Each.Count(t.Cap)
+			if per == 0 {
+				continue
+			}
+			for _, z := range t.Zones {
+				for _, spot := range []bool{true, false} {
+					k := kind{t.Name, z, spot}
+					m := model.Machine{Type: t.Name, Zone: z, Spot: spot}
+					if !l.spec.Allows(&m) || now < f.refused[k] {
+						continue
+					}
+					p := t.Price
+					if spot {
+						p = t.SpotPrice
+					}
+					cost := p / float64(t.Cap.CPU) * (1 + t.Boot.Minutes()/4)
+					// Among equals spread over the zones.
+					cost *= 1 + 0.02*float64(f.count(k))
+					if best == nil || cost < bestCost {
+						best, bestCost, bestPer = &k, cost, per
+					}
+				}
+			}
+		}
+		if best == nil {
+			continue
+		}
+		var need int64
+		for _, o := range unmet {
+			m := model.Machine{Type: best.typ, Zone: best.zone, Spot: best.spot}
+			if o.spec.Allows(&m) {
+				need += o.n * o.spec.Each.CPU
+			}
+		}
+		per := max(1, bestPer*l.spec.Each.CPU)
+		count := min((need+per-1)/per, 4)
+		f.n++
+		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(count)}, true
+	}
+	return Action{}, false
+}
+
+func (f *Fleet) count(k kind) int {
+	n := 0
+	for _, u := range f.units {
+		if u.kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+// surplus picks machines to give back: those that never came up, failed, or
+// went silent for good, and those that stand idle.
+func (f *Fleet) surplus(now time.Duration, status []model.MachineStatus, rooms []room) []model.MachineID {
+	var out []model.MachineID
+	for id, u := range f.units {
+		if u.drop {
+			continue
+		}
+		t := f.typeOf(u.typ)
+		switch {
+		case u.failed,
+			!u.heard && t != nil && now-u.since > 4*t.Boot+20*time.Second,
+			u.silent != 0 && now-u.silent > 20*time.Second && now-u.listed > 2*f.p.ListLag,
+			u.silent != 0 && now-u.silent > 90*time.Second:
+			out = append(out, id)
+		}
+	}
+	for i := range rooms {
+		r := &rooms[i]
+		if r.status == nil || r.used || r.status.Slots > 0 || now-r.status.IdleSince < f.p.IdleReturn || now-f.want < f.p.IdleReturn/2 {
+			continue
+		}
+		if u := f.units[r.m.ID]; u != nil && !u.drop && u.silent == 0 {
+			out = append(out, r.m.ID)
+		}
+	}
+	for i := range status {
+		s := &status[i]
+		if u := f.units[s.Machine.ID]; u != nil && !u.drop && s.Bad && s.Slots == 0 {
+			out = append(out, s.Machine.ID)
+		}
+	}
+	slices.Sort(out)
+	out = slices.Compact(out)
+	if len(out) > 100 {
+		out = out[:100]
+	}
+	for _, id := range out {
+		f.units[id].drop = true
+	}
+	return out
+}
+
+// Taken forgets a machine that is surely gone.
+func (f *Fleet) Taken(id model.MachineID) { delete(f.units, id) }
--- /dev/null
+++ b/internal/core/model/messages.go
@@ -0,0 +1,90 @@
+package model
+
+import "time"
+
+// Deal gives a task to a shard.
+type Deal struct {
+	Task  Task
+	Spec  *Spec
+	Price float64
+	Zone  Name // pinned zone, or None
+	// Since is when the task began to wait.
+	Since time.Duration
+	// Adopted: the task was found on this machine in this attempt.
+	Machine MachineID
+	Attempt uint64 // 0: not adopted
+}
+
+// Order is what the dealer tells a shard.
+type Order struct {
+	Kind    OrderKind
+	Machine Machine   // Own
+	Token   uint64    // Own
+	Usable  bool      // Own, Use: tasks may be placed there
+	ID      MachineID // Disown, Use, Clear, Kill, Drain
+	Deal    Deal      // Deal
+	Task    Task      // Recall, Clear, Kill
+	Attempt uint64    // Clear, Kill
+	Job     JobID     // EndJob, Price
+	Price   float64   // Price
+}
+
+// OrderKind tells orders apart.
+type OrderKind uint8
+
+// Orders.
+const (
+	Own     OrderKind = iota // this shard owns the machine under the token
+	Disown                   // the machine is surely gone
+	Use                      // Usable changed
+	Drain                    // place nothing there, move what is there
+	Give                     // Deal
+	Recall                   // give the task back: stop it where it runs
+	ClearIt                  // the attempt's exit is accounted for: clear it
+	KillIt                   // an attempt that must not be
+	EndJob                   // the job is over: stop all, then clear all
+	Reprice                  // the job's tasks have a new price
+)
+
+// Event is what a shard tells the dealer.
+type Event struct {
+	Kind    EventKind
+	Machine MachineID
+	Report  *Report // Unowned
+	Task    Task
+	Attempt uint64
+	Cell    Cell          // Found
+	Cause   Cause         // Gone
+	Ran     time.Duration // Done: time that it ran, if known
+	Token   uint64        // Superseded
+	Held    bool          // Finished: the task held here ended with it
+}
+
+// EventKind tells events apart.
+type EventKind uint8
+
+// Events.
+const (
+	Unowned    EventKind = iota // a worker that nobody here owns reports
+	Fenced                      // the worker has shown our token; all it holds was told
+	Silent                      // its lease is surely over: nothing is there
+	NeedToken                   // a launch is in doubt: the worker's token must rise
+	Superseded                  // the worker has seen a higher token
+	Found                       // an attempt that the shard doesn't know
+	Finished                    // a task completed
+	Gone                        // a task is nowhere, and this shard holds it no more
+	AlienGone                   // a found attempt that was not adopted is nowhere now
+	Bad                         // the machine fails tasks
+)
+
+// MachineStatus is a shard's summary of a machine.
+type MachineStatus struct {
+	Machine   Machine
+	Avail     Resources
+	Ready     bool // may get tasks now
+	Draining  bool
+	Slots     int
+	IdleSince time.Duration
+	Bad       bool
+	Heard     time.Duration // last time its lease was renewed
+}
--- /dev/null
+++ b/internal/core/model/model.go
@@ -0,0 +1,207 @@
+// Package model holds the terms that honeylock's cores share: jobs, tasks,
+// machines, attempts, reports and commands. Every name from outside is a dense
+// index here; the wire package turns names into indices and back.
+package model
+
+import (
+	"math"
+	"time"
+)
+
+// JobID is the number in a job's name.
+type JobID uint64
+
+// MachineID is the number in a machine's name.
+type MachineID uint64
+
+// Name is a dense index for a name met at the door; None means "not given".
+type Name int32
+
+// None is the Name of what was not given.
+const None Name = -1
+
+// Rank orders jobs by importance.
+type Rank uint8
+
+// Ranks, least important first.
+const (
+	Idle Rank = iota
+	Standard
+	Urgent
+	Prod
+)
+
+// Resources are amounts in thousandths, so that sums are exact.
+type Resources struct{ CPU, GPU, Mem int64 }
+
+// Request rounds up: a task never takes more than it is charged for.
+func Request(cpu, gpu, mem float64) Resources {
+	up := func(v float64) int64 { return int64(math.Ceil(v*1000 - 1e-6)) }
+	return Resources{up(cpu), up(gpu), up(mem)}
+}
+
+// Capacity rounds down: a machine never offers more than it has.
+func Capacity(cpu, gpu, mem float64) Resources {
+	down := func(v float64) int64 { return int64(math.Floor(v*1000 + 1e-6)) }
+	return Resources{down(cpu), down(gpu), down(mem)}
+}
+
+// Add returns r+o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.GPU + o.GPU, r.Mem + o.Mem}
+}
+
+// Sub returns r-o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPU - o.CPU, r.GPU - o.GPU, r.Mem - o.Mem}
+}
+
+// Times returns n*r.
+func (r Resources) Times(n int64) Resources { return Resources{r.CPU * n, r.GPU * n, r.Mem * n} }
+
+// Fits tells whether r fits into room.
+func (r Resources) Fits(room Resources) bool {
+	return r.CPU <= room.CPU && r.GPU <= room.GPU && r.Mem <= room.Mem
+}
+
+// Count tells how many requests of size r fit into room.
+func (r Resources) Count(room Resources) int64 {
+	n := int64(math.MaxInt64)
+	for _, p := range [3][2]int64{{r.CPU, room.CPU}, {r.GPU, room.GPU}, {r.Mem, room.Mem}} {
+		if p[0] > 0 {
+			n = min(n, max(0, p[1]/p[0]))
+		}
+	}
+	if n == math.MaxInt64 {
+		return 0
+	}
+	return n
+}
+
+// Spec is an accepted job.
+type Spec struct {
+	ID                     JobID
+	Class, Team, Image     Name
+	Daemon                 bool
+	Rank                   Rank
+	Tasks                  int32
+	Each                   Resources
+	ImageGB                float64
+	Types                  []Name // nil: any
+	Zone                   Name
+	Together, Spread, Spot bool
+	Estimate               time.Duration
+	Checkpoint             time.Duration
+	Save                   time.Duration
+	Deadline               time.Duration // from submission; 0: none
+	SubmittedMS            int64         // time of day at acceptance; ordering and deadlines only, never a rule
+}
+
+// Allows tells whether the job's tasks may run on such a machine.
+func (s *Spec) Allows(m *Machine) bool {
+	if m.Spot && !s.Spot || s.Zone != None && s.Zone != m.Zone {
+		return false
+	}
+	if s.Types == nil {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == m.Type {
+			return true
+		}
+	}
+	return false
+}
+
+// Task names one task of a job.
+type Task struct {
+	Job JobID
+	No  int32
+}
+
+// Machine is what is fixed about a machine.
+type Machine struct {
+	ID         MachineID
+	Addr       string
+	Type, Zone Name
+	Spot       bool
+	Cap        Resources
+	FetchRate  float64 // GB/s
+}
+
+// MachineType is an entry of the cloud's catalog.
+type MachineType struct {
+	Name             Name
+	Cap              Resources
+	FetchRate        float64
+	Price, SpotPrice float64
+	Boot             time.Duration
+	Zones            []Name
+}
+
+// Stage of an attempt on a machine.
+type Stage uint8
+
+// Stages of an attempt.
+const (
+	Fetching Stage = iota
+	Running
+	Saving
+	Exited
+)
+
+// Cause of an attempt's exit.
+type Cause uint8
+
+// Causes of an exit.
+const (
+	CauseOther Cause = iota
+	CauseDone
+	CauseStopped
+	CauseError
+	CauseNoRoom
+	CauseBusy
+	CauseUnknown
+)
+
+// Cell is one attempt in a worker's report.
+type Cell struct {
+	Task    Task
+	Attempt uint64
+	Stage   Stage
+	Cause   Cause
+	Saved   bool
+}
+
+// Report is a worker's account of itself.
+type Report struct {
+	Machine Machine // Cap and FetchRate are not filled in
+	Session uint64
+	Seq     uint64
+	Token   uint64
+	Notice  time.Duration // until the cloud takes the machine; <0: no notice
+	Cells   []Cell
+}
+
+// Newer orders messages of one worker.
+func (r *Report) Newer(session, seq uint64) bool {
+	return r.Session > session || r.Session == session && r.Seq > seq
+}
+
+// Verb of a command.
+type Verb uint8
+
+// Verbs.
+const (
+	Launch Verb = iota
+	Kill
+	Clear
+)
+
+// Command tells a worker what to do with an attempt.
+type Command struct {
+	Verb    Verb
+	Task    Task
+	Attempt uint64
+	Grace   time.Duration
+}
--- /dev/null
+++ b/internal/core/shard/place.go
@@ -0,0 +1,202 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+func (s *Shard) ready(now time.Duration, m *machine) bool {
+	return m.fenced && m.usable && !m.draining && !m.silent && m.noticeAt == 0 && now >= m.badUntil && !m.needToken && !s.quiet(now, m)
+}
+
+// level is the lowest price that runs on the machine. A machine that runs
+// nothing counts as running the lowest there is.
+func (m *machine) level() float64 {
+	low, any := 0.0, false
+	for _, sl := range m.slots {
+		if sl.t != nil && sl.state != exited && (!any || sl.t.price < low) {
+			low, any = sl.t.price, true
+		}
+	}
+	return low
+}
+
+func (g *group) score(now time.Duration) float64 {
+	return g.price * (now - g.since + time.Second/10).Seconds()
+}
+
+// Place puts waiting tasks on machines, the highest price times wait first.
+func (s *Shard) Place(now time.Duration) {
+	if len(s.queue) == 0 || !s.Granted(now) {
+		return
+	}
+	groups := make([]*group, 0, len(s.queue))
+	for _, g := range s.queue {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b *group) int {
+		switch x, y := a.score(now), b.score(now); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return int(int64(a.job) - int64(b.job))
+	})
+	for _, g := range groups {
+		for len(g.tasks) > 0 {
+			t := g.tasks[0]
+			m := s.roomFor(now, g)
+			if m == nil {
+				if m = s.evict(now, g); m == nil {
+					break
+				}
+			}
+			g.tasks = g.tasks[1:]
+			s.put(now, m, t)
+		}
+		if len(g.tasks) == 0 {
+			delete(s.queue, groupKey{g.job, g.zone})
+		}
+	}
+}
+
+func (s *Shard) allows(now time.Duration, g *group, m *machine) bool {
+	return s.ready(now, m) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap)
+}
+
+// roomFor picks among the machines with the full request free the one that
+// runs the lowest priority; among equals one that has the image, then the
+// fullest.
+func (s *Shard) roomFor(now time.Duration, g *group) *machine {
+	var best *machine
+	var bestLevel float64
+	for _, m := range s.order {
+		avail := m.Cap.Sub(m.used)
+		if !g.spec.Each.Fits(avail) || !s.allows(now, g, m) {
+			continue
+		}
+		l := m.level()
+		if best != nil {
+			if l > bestLevel {
+				continue
+			}
+			if l == bestLevel {
+				a, b := m.images[g.spec.Image], best.images[g.spec.Image]
+				if !a && b || a == b && avail.CPU >= best.Cap.CPU-best.used.CPU {
+					continue
+				}
+			}
+		}
+		best, bestLevel = m, l
+	}
+	return best
+}
+
+// payback is the time until the new task's price has made up for the victim's
+// lost work.
+func payback(now time.Duration, sl *slot, price float64) time.Duration {
+	var ran time.Duration
+	if sl.runSince != 0 {
+		ran = now - sl.runSince
+	}
+	if cp := sl.t.Spec.Checkpoint; cp > 0 {
+		// What is saved is not lost: a victim that saves loses the stop itself.
+		ran = min(ran, sl.t.Spec.Save)
+	}
+	p := sl.t.price
+	return time.Duration(float64(ran) * p / (price - p))
+}
+
+// evict samples machines for the victims of shortest payback; without any
+// within the limit the group is requeued one step lower.
+func (s *Shard) evict(now time.Duration, g *group) *machine {
+	if now < g.nextEvict {
+		return nil
+	}
+	var eligible []*machine
+	for _, m := range s.order {
+		if s.allows(now, g, m) && m.inReach(g.price) {
+			eligible = append(eligible, m)
+		}
+	}
+	var best *machine
+	var bestVictims []*slot
+	var bestCost time.Duration
+	for range min(s.p.Sample, len(eligible)) {
+		i := s.rng.IntN(len(eligible))
+		m := eligible[i]
+		eligible = slices.Delete(eligible, i, i+1)
+		victims, cost, ok := s.victims(now, m, g)
+		if ok && cost <= s.p.PaybackLimit && (best == nil || cost < bestCost) {
+			best, bestVictims, bestCost = m, victims, cost
+		}
+	}
+	if best == nil {
+		g.nextEvict = now + time.Second
+		if g.price > 1 {
+			s.Stats.Demoted++
+			g.price = max(1, g.price/s.p.DemoteStep)
+		}
+		return nil
+	}
+	for _, v := range bestVictims {
+		s.Stats.Evicted++
+		s.stop(now, best, v, graceOf(v.t.Spec))
+	}
+	return best
+}
+
+func (m *machine) inReach(price float64) bool {
+	for _, sl := range m.slots {
+		if sl.t != nil && sl.state != exited && !sl.stop && sl.t.price < price {
+			return true
+		}
+	}
+	return false
+}
+
+// victims picks lower-priced tasks whose stop frees the room, cheapest first.
+func (s *Shard) victims(now time.Duration, m *machine, g *group) ([]*slot, time.Duration, bool) {
+	var cands []*slot
+	for _, sl := range sorted(m.slots) {
+		if sl.t != nil && sl.state != exited && !sl.stop && !sl.t.recalled && sl.t.price < g.price {
+			cands = append(cands, sl)
+		}
+	}
+	slices.SortStableFunc(cands, func(a, b *slot) int {
+		return int(payback(now, a, g.price) - payback(now, b, g.price))
+	})
+	// What is being stopped already is spoken for by the reservations it was
+	// stopped for, so only room beyond them counts.
+	room := m.Cap.Sub(m.used)
+	for _, sl := range m.slots {
+		if sl.stop && sl.state != exited {
+			room = room.Add(sl.each)
+		}
+	}
+	var out []*slot
+	var cost time.Duration
+	for _, c := range cands {
+		if g.spec.Each.Fits(room) {
+			break
+		}
+		room = room.Add(c.each)
+		out = append(out, c)
+		cost += payback(now, c, g.price)
+	}
+	return out, cost, g.spec.Each.Fits(room)
+}
+
+func (s *Shard) put(now time.Duration, m *machine, t *task) {
+	s.attempt++
+	sl := &slot{key: key{t.Task, s.attempt}, t: t, each: t.Spec.Each, since: now}
+	m.slots[sl.key] = sl
+	m.used = m.used.Add(sl.each)
+	m.images[t.Spec.Image] = true
+	m.wake = true
+	t.on, t.slot = m, sl
+	s.Stats.Placed++
+}
--- /dev/null
+++ b/internal/core/shard/shard.go
@@ -0,0 +1,858 @@
+// Package shard places tasks on the machines that one controller owns:
+// placement where there is room, payback eviction, demotion, and the commands
+// that carry it out. It is a state machine: every input comes with the steady
+// clock's time, outputs are collected and taken away.
+package shard
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Params of a shard.
+type Params struct {
+	SureLease    time.Duration // a worker not answered for so long holds nothing
+	Report       time.Duration
+	Sample       int           // machines sampled for a victim
+	PaybackLimit time.Duration // no eviction pays back later than this
+	DemoteStep   float64       // a task that found no victim has its price divided by this
+	DoubtPause   time.Duration // no direct commands for so long after one went unanswered
+}
+
+// Direct is a command to be sent straight to a worker. Its outcome comes back
+// through DirectDone.
+type Direct struct {
+	ID       uint64
+	Machine  model.MachineID
+	Addr     string
+	Token    uint64
+	Session  uint64
+	Commands []model.Command
+}
+
+type key struct {
+	task    model.Task
+	attempt uint64
+}
+
+type slotState uint8
+
+const (
+	starting slotState = iota // not seen on the worker yet
+	live
+	exited // seen exited, not cleared yet
+)
+
+// slot is an attempt that is, or may be, on a machine.
+type slot struct {
+	key
+	t        *task // nil: an attempt that nobody here holds
+	each     model.Resources
+	state    slotState
+	stage    model.Stage
+	sent     bool
+	sentSeq  uint64 // the report in whose answer the launch last went out
+	direct   int    // direct commands in flight that carry the launch
+	doubt    uint64 // token of a direct launch that went unanswered
+	stop     bool
+	grace    time.Duration
+	hardAt   time.Duration // a saving task is ended then
+	clear    bool
+	alien    bool          // found, and not adopted
+	since    time.Duration // placed
+	runSince time.Duration // first seen running
+}
+
+type machine struct {
+	model.Machine
+	token, shown uint64
+	first        uint64 // the token whose showing fences the worker
+	fenced       bool
+	usable       bool
+	draining     bool
+	session, seq uint64
+	answered     time.Duration
+	silent       bool
+	slots        map[key]*slot
+	used         model.Resources // of all slots not exited, reservations included
+	images       map[model.Name]bool
+	noticeAt     time.Duration // 0: none
+	inFlight     int
+	quietUntil   time.Duration
+	needToken    bool
+	idleSince    time.Duration
+	errors       []jobError
+	badUntil     time.Duration
+	wake         bool // has commands that should go out directly
+}
+
+type jobError struct {
+	job model.JobID
+	at  time.Duration
+}
+
+type task struct {
+	model.Deal
+	price  float64 // after demotions
+	on     *machine
+	slot   *slot
+	queued time.Duration
+	// recalled: give it back instead of placing it again.
+	recalled bool
+}
+
+type group struct {
+	job       model.JobID
+	zone      model.Name
+	spec      *model.Spec
+	price     float64
+	since     time.Duration
+	tasks     []*task
+	nextEvict time.Duration
+}
+
+type groupKey struct {
+	job  model.JobID
+	zone model.Name
+}
+
+// Shard is the state machine.
+type Shard struct {
+	p        Params
+	rng      *rand.Rand
+	until    time.Duration
+	attempt  uint64
+	directID uint64
+	machines map[model.MachineID]*machine
+	order    []*machine // by id, so that decisions repeat under one seed
+	tasks    map[model.Task]*task
+	queue    map[groupKey]*group
+	pending  map[uint64][]*slot
+	events   []model.Event
+	directs  []Direct
+	Stats    Stats
+}
+
+// Stats count what the shard has done.
+type Stats struct{ Placed, Evicted, Demoted, Lost, Refused, Errors uint64 }
+
+// New returns a shard without a grant.
+func New(p Params, rng *rand.Rand) *Shard {
+	return &Shard{p: p, rng: rng, machines: map[model.MachineID]*machine{}, tasks: map[model.Task]*task{},
+		queue: map[groupKey]*group{}, pending: map[uint64][]*slot{}}
+}
+
+// Grant lets the shard act until the given time. attempts is the first of a
+// range of attempt numbers that is this grant's alone; it is taken up only by
+// a shard without one.
+func (s *Shard) Grant(until time.Duration, attempts uint64) {
+	s.until = until
+	if s.attempt == 0 {
+		s.attempt = attempts
+	}
+}
+
+// Granted tells whether the shard may act.
+func (s *Shard) Granted(now time.Duration) bool { return now < s.until }
+
+// Events takes away what the dealer must be told.
+func (s *Shard) Events() []model.Event {
+	e := s.events
+	s.events = nil
+	return e
+}
+
+// Directs takes away the commands to send.
+func (s *Shard) Directs() []Direct {
+	d := s.directs
+	s.directs = nil
+	return d
+}
+
+func (s *Shard) emit(e model.Event) { s.events = append(s.events, e) }
+
+// Order takes an order of the dealer.
+func (s *Shard) Order(now time.Duration, o model.Order) {
+	switch o.Kind {
+	case model.Own:
+		s.own(now, o)
+	case model.Disown:
+		if m := s.machines[o.ID]; m != nil {
+			s.loseAll(now, m)
+			delete(s.machines, o.ID)
+			s.order = slices.DeleteFunc(s.order, func(x *machine) bool { return x == m })
+		}
+	case model.Use:
+		if m := s.machines[o.ID]; m != nil {
+			m.usable = o.Usable
+		}
+	case model.Drain:
+		if m := s.machines[o.ID]; m != nil {
+			m.draining = true
+		}
+	case model.Give:
+		s.give(now, o.Deal)
+	case model.Recall:
+		if t := s.tasks[o.Task]; t != nil {
+			s.recall(now, t)
+		}
+	case model.ClearIt:
+		if m := s.machines[o.ID]; m != nil {
+			if sl := m.slots[key{o.Task, o.Attempt}]; sl != nil {
+				sl.clear = true
+			}
+		}
+	case model.KillIt:
+		if m := s.machines[o.ID]; m != nil {
+			if sl := m.slots[key{o.Task, o.Attempt}]; sl != nil {
+				s.stop(now, m, sl, 0)
+			}
+		}
+	case model.EndJob:
+		s.endJob(now, o.Job)
+	case model.Reprice:
+		s.reprice(o.Job, o.Price)
+	}
+}
+
+func (s *Shard) own(now time.Duration, o model.Order) {
+	m := s.machines[o.Machine.ID]
+	if m == nil {
+		m = &machine{Machine: o.Machine, first: o.Token, answered: now, idleSince: now,
+			slots: map[key]*slot{}, images: map[model.Name]bool{}}
+		s.machines[m.ID] = m
+		i, _ := slices.BinarySearchFunc(s.order, m, func(a, b *machine) int { return int(int64(a.ID) - int64(b.ID)) })
+		s.order = slices.Insert(s.order, i, m)
+	}
+	m.Machine = o.Machine
+	m.token = max(m.token, o.Token)
+	m.needToken = false
+	m.usable = o.Usable
+	m.wake = true
+}
+
+func (s *Shard) give(now time.Duration, d model.Deal) {
+	if s.tasks[d.Task] != nil {
+		return
+	}
+	t := &task{Deal: d, price: d.Price}
+	s.tasks[d.Task] = t
+	if d.Attempt != 0 {
+		if m := s.machines[d.Machine]; m != nil {
+			if sl := m.slots[key{d.Task, d.Attempt}]; sl != nil && sl.state == live {
+				sl.t, t.on, t.slot, sl.alien = t, m, sl, false
+				if sl.stage == model.Running {
+					sl.runSince = now
+				}
+				m.used = m.used.Sub(sl.each).Add(d.Spec.Each)
+				sl.each = d.Spec.Each
+				m.images[d.Spec.Image] = true
+				return
+			}
+		}
+		// It has gone since it was found.
+	}
+	s.enqueue(now, t)
+}
+
+func (s *Shard) enqueue(now time.Duration, t *task) {
+	t.on, t.slot, t.queued = nil, nil, now
+	k := groupKey{t.Task.Job, t.Zone}
+	g := s.queue[k]
+	if g == nil {
+		g = &group{job: t.Task.Job, zone: t.Zone, spec: t.Spec, price: t.price, since: t.Since}
+		s.queue[k] = g
+	}
+	g.since = min(g.since, t.Since)
+	g.tasks = append(g.tasks, t)
+}
+
+func (s *Shard) dequeue(t *task) {
+	k := groupKey{t.Task.Job, t.Zone}
+	if g := s.queue[k]; g != nil {
+		g.tasks = slices.DeleteFunc(g.tasks, func(x *task) bool { return x == t })
+		if len(g.tasks) == 0 {
+			delete(s.queue, k)
+		}
+	}
+}
+
+func (s *Shard) recall(now time.Duration, t *task) {
+	t.recalled = true
+	if t.on == nil {
+		s.dequeue(t)
+		s.release(t, model.CauseStopped)
+		return
+	}
+	s.stop(now, t.on, t.slot, graceOf(t.Spec))
+}
+
+// release gives a task that is nowhere back to the dealer.
+func (s *Shard) release(t *task, c model.Cause) {
+	delete(s.tasks, t.Task)
+	s.emit(model.Event{Kind: model.Gone, Task: t.Task, Cause: c})
+}
+
+func (s *Shard) endJob(now time.Duration, job model.JobID) {
+	for k, g := range s.queue {
+		if k.job == job {
+			delete(s.queue, k)
+			for _, t := range g.tasks {
+				s.release(t, model.CauseStopped)
+			}
+		}
+	}
+	for _, m := range s.order {
+		for k, sl := range m.slots {
+			if k.task.Job != job {
+				continue
+			}
+			if sl.t != nil {
+				sl.t.recalled = true
+			}
+			if sl.state == exited {
+				sl.clear = true
+			} else {
+				s.stop(now, m, sl, 0)
+			}
+		}
+	}
+}
+
+func (s *Shard) reprice(job model.JobID, price float64) {
+	for k, g := range s.queue {
+		if k.job == job {
+			g.price = price
+		}
+	}
+	for _, m := range s.order {
+		for k, sl := range m.slots {
+			if k.task.Job == job && sl.t != nil {
+				sl.t.price = price
+			}
+		}
+	}
+}
+
+// graceOf is the time that a task gets to save, with some room for timers.
+func graceOf(sp *model.Spec) time.Duration {
+	if sp == nil || sp.Checkpoint == 0 {
+		return 0
+	}
+	return sp.Save + sp.Save/10 + 100*time.Millisecond
+}
+
+func (s *Shard) stop(now time.Duration, m *machine, sl *slot, grace time.Duration) {
+	if sl.state == exited || sl.stop && grace >= sl.grace {
+		return
+	}
+	if !sl.sent {
+		// Never on its way: it is nowhere.
+		s.drop(now, m, sl)
+		s.landed(now, sl, model.CauseStopped)
+		return
+	}
+	sl.stop, sl.grace = true, grace
+	sl.hardAt = now + grace + s.p.Report + 2*time.Second
+	m.wake = true
+}
+
+// drop removes a slot from its machine's books.
+func (s *Shard) drop(now time.Duration, m *machine, sl *slot) {
+	if sl.state != exited {
+		m.used = m.used.Sub(sl.each)
+	}
+	delete(m.slots, sl.key)
+	if len(m.slots) == 0 {
+		m.idleSince = now
+	}
+}
+
+// landed settles the task of an attempt that is surely not on a machine.
+func (s *Shard) landed(now time.Duration, sl *slot, c model.Cause) {
+	t := sl.t
+	if t == nil || t.slot != sl {
+		s.alienGone(sl)
+		return
+	}
+	sl.t = nil
+	if t.recalled || c == model.CauseError || c == model.CauseUnknown {
+		t.on, t.slot = nil, nil
+		s.release(t, c)
+		return
+	}
+	s.enqueue(now, t)
+}
+
+func (s *Shard) alienGone(sl *slot) {
+	if sl.alien {
+		sl.alien = false
+		s.emit(model.Event{Kind: model.AlienGone, Task: sl.task, Attempt: sl.attempt})
+	}
+}
+
+func (s *Shard) loseAll(now time.Duration, m *machine) {
+	for _, sl := range sorted(m.slots) {
+		s.drop(now, m, sl)
+		if sl.t != nil {
+			s.Stats.Lost++
+		}
+		s.landed(now, sl, model.CauseStopped)
+	}
+}
+
+func sorted(slots map[key]*slot) []*slot {
+	out := make([]*slot, 0, len(slots))
+	for _, sl := range slots {
+		out = append(out, sl)
+	}
+	slices.SortFunc(out, func(a, b *slot) int {
+		if a.task != b.task {
+			if a.task.Job != b.task.Job {
+				return int(int64(a.task.Job) - int64(b.task.Job))
+			}
+			return int(a.task.No - b.task.No)
+		}
+		return int(int64(a.attempt) - int64(b.attempt))
+	})
+	return out
+}
+
+// Answer to a report.
+type Answer struct {
+	OK       bool // false: not entitled
+	Token    uint64
+	Commands []model.Command
+}
+
+// Report takes a worker's report and tells whether this shard is entitled to
+// answer it.
+func (s *Shard) Report(now time.Duration, r *model.Report) bool {
+	if !s.Granted(now) {
+		return false
+	}
+	m := s.machines[r.Machine.ID]
+	if m == nil {
+		s.emit(model.Event{Kind: model.Unowned, Machine: r.Machine.ID, Report: r})
+		return false
+	}
+	if r.Token > m.token {
+		// Somebody has been entitled after us: an answer would be dropped.
+		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
+		return false
+	}
+	if r.Session < m.session {
+		return false
+	}
+	if r.Newer(m.session, m.seq) {
+		s.take(now, m, r, true)
+	}
+	// An older message of the same session was overtaken by the answer to a
+	// direct command; it still wants its own answer.
+	return true
+}
+
+// Answer returns what a report that was taken is answered with. From here the
+// worker's lease counts as renewed.
+func (s *Shard) Answer(now time.Duration, r *model.Report) Answer {
+	m := s.machines[r.Machine.ID]
+	if m == nil || !s.Granted(now) {
+		return Answer{}
+	}
+	m.answered = now
+	m.silent = false
+	cmds := s.commands(now, m, r.Seq, false)
+	// A worker that is not fenced yet shows the token sooner when it is told
+	// directly as well.
+	m.wake = !m.fenced
+	return Answer{OK: true, Token: m.token, Commands: cmds}
+}
+
+// take brings a machine's books in line with a newer message of its worker.
+// isReport tells a report from the answer to a direct command: only a report
+// proves that the answer to the report before it has arrived or never will.
+func (s *Shard) take(now time.Duration, m *machine, r *model.Report, isReport bool) {
+	if r.Session > m.session && m.session != 0 {
+		// The worker has killed and forgotten all of its earlier session.
+		s.loseAll(now, m)
+	}
+	m.session, m.seq, m.shown = r.Session, r.Seq, r.Token
+	if m.Addr == "" {
+		m.Addr = r.Machine.Addr
+	}
+	if r.Notice >= 0 {
+		if m.noticeAt == 0 {
+			m.noticeAt = now + r.Notice
+		}
+	} else {
+		m.noticeAt = 0
+	}
+	if r.Token < m.first {
+		// Not fenced: an earlier owner's commands may still take effect.
+		m.wake = true
+		return
+	}
+	seen := make(map[key]bool, len(r.Cells))
+	for _, c := range r.Cells {
+		k := key{c.Task, c.Attempt}
+		seen[k] = true
+		s.cell(now, m, k, c)
+	}
+	for _, sl := range sorted(m.slots) {
+		if !seen[sl.key] {
+			s.absent(now, m, sl, r, isReport)
+		}
+	}
+	if !m.fenced {
+		m.fenced = true
+		s.emit(model.Event{Kind: model.Fenced, Machine: m.ID})
+	}
+}
+
+func (s *Shard) cell(now time.Duration, m *machine, k key, c model.Cell) {
+	sl := m.slots[k]
+	if sl == nil {
+		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, since: now, alien: true}
+		m.slots[k] = sl
+		if c.Stage == model.Exited {
+			sl.state, sl.alien = exited, false
+		}
+		s.emit(model.Event{Kind: model.Found, Machine: m.ID, Task: k.task, Attempt: k.attempt, Cell: c})
+		return
+	}
+	if sl.state == exited {
+		return
+	}
+	sl.stage = c.Stage
+	if c.Stage != model.Exited {
+		sl.state = live
+		if c.Stage == model.Running && sl.runSince == 0 {
+			sl.runSince = now
+		}
+		return
+	}
+	m.used = m.used.Sub(sl.each)
+	sl.state = exited
+	t := sl.t
+	switch c.Cause {
+	case model.CauseDone:
+		held := t != nil && t.slot == sl
+		if held {
+			sl.t = nil
+			delete(s.tasks, t.Task)
+		}
+		s.alienGone(sl)
+		var ran time.Duration
+		if sl.runSince != 0 {
+			ran = now - sl.runSince
+		}
+		// Cleared once its completion is stored.
+		s.emit(model.Event{Kind: model.Finished, Machine: m.ID, Task: k.task, Attempt: k.attempt, Ran: ran, Held: held})
+		return
+	case model.CauseError:
+		s.Stats.Errors++
+		s.blame(now, m, k.task.Job)
+	case model.CauseNoRoom, model.CauseBusy:
+		s.Stats.Refused++
+		// Our books were wrong about this machine: let reports catch up.
+		m.badUntil = max(m.badUntil, now+s.p.Report)
+	}
+	sl.clear = true
+	m.wake = true
+	s.landed(now, sl, c.Cause)
+}
+
+// blame notes an error. A machine that fails several jobs is faulty; a job
+// that fails on several machines is the dealer's business.
+func (s *Shard) blame(now time.Duration, m *machine, job model.JobID) {
+	m.errors = slices.DeleteFunc(m.errors, func(e jobError) bool { return now-e.at > 5*time.Minute })
+	m.errors = append(m.errors, jobError{job, now})
+	jobs := map[model.JobID]bool{}
+	for _, e := range m.errors {
+		jobs[e.job] = true
+	}
+	m.badUntil = max(m.badUntil, now+5*time.Second)
+	if len(jobs) >= 2 || len(m.errors) >= 4 {
+		m.badUntil = now + 2*time.Minute
+		s.emit(model.Event{Kind: model.Bad, Machine: m.ID})
+	}
+}
+
+// absent settles a slot that a newer message does not show.
+func (s *Shard) absent(now time.Duration, m *machine, sl *slot, r *model.Report, isReport bool) {
+	switch sl.state {
+	case exited: // cleared
+		delete(m.slots, sl.key)
+		if len(m.slots) == 0 {
+			m.idleSince = now
+		}
+	case live: // the worker knew it and knows it no more
+		s.drop(now, m, sl)
+		s.landed(now, sl, model.CauseStopped)
+	case starting:
+		if !sl.sent {
+			return
+		}
+		// A direct launch without an answer may yet be executed, until the
+		// worker has seen a higher token than it bears. A launch in an answer
+		// is over once a later report was made.
+		over := sl.direct == 0 && (sl.doubt == 0 || r.Token > sl.doubt) &&
+			(sl.sentSeq == 0 || isReport && r.Seq > sl.sentSeq)
+		if over && sl.stop {
+			s.drop(now, m, sl)
+			s.landed(now, sl, model.CauseStopped)
+		} else if over {
+			sl.sent, sl.doubt, sl.sentSeq = false, 0, 0
+		}
+	}
+}
+
+// commands returns what the worker must be told. They may be repeated until
+// its reports show their effect.
+func (s *Shard) commands(now time.Duration, m *machine, seq uint64, direct bool) []model.Command {
+	if !m.fenced {
+		return nil
+	}
+	var cmds []model.Command
+	room := m.Cap
+	slots := sorted(m.slots)
+	for _, sl := range slots {
+		if sl.state != exited && sl.sent {
+			room = room.Sub(sl.each)
+		}
+	}
+	for _, sl := range slots {
+		switch {
+		case sl.state == exited:
+			if sl.clear && (sl.doubt == 0 || m.shown > sl.doubt) && sl.direct == 0 {
+				cmds = append(cmds, model.Command{Verb: model.Clear, Task: sl.task, Attempt: sl.attempt})
+			} else if sl.clear && sl.doubt != 0 {
+				s.wantToken(m)
+			}
+		case sl.stop:
+			g := sl.grace
+			if sl.stage == model.Saving && now < sl.hardAt && g > 0 {
+				continue
+			}
+			if now >= sl.hardAt {
+				g = 0
+			}
+			if sl.state == starting && sl.doubt != 0 {
+				s.wantToken(m)
+			}
+			cmds = append(cmds, model.Command{Verb: model.Kill, Task: sl.task, Attempt: sl.attempt, Grace: g})
+		case sl.state == starting && sl.direct == 0:
+			if !sl.sent {
+				// A reservation waits until its victims are gone.
+				if !sl.each.Fits(room) || !m.usable {
+					continue
+				}
+				room = room.Sub(sl.each)
+			}
+			sl.sent = true
+			if !direct {
+				sl.sentSeq = seq
+			}
+			cmds = append(cmds, model.Command{Verb: model.Launch, Task: sl.task, Attempt: sl.attempt})
+		}
+	}
+	return cmds
+}
+
+func (s *Shard) wantToken(m *machine) {
+	if !m.needToken && m.token == m.shown {
+		m.needToken = true
+		s.emit(model.Event{Kind: model.NeedToken, Machine: m.ID})
+	}
+}
+
+// Flush sends commands that should not wait for the next report.
+func (s *Shard) Flush(now time.Duration) {
+	if !s.Granted(now) {
+		return
+	}
+	for _, m := range s.order {
+		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent {
+			continue
+		}
+		m.wake = false
+		cmds := s.commands(now, m, 0, true)
+		if len(cmds) == 0 && m.fenced {
+			continue
+		}
+		s.directID++
+		d := Direct{ID: s.directID, Machine: m.ID, Addr: m.Addr, Token: m.token, Session: max(1, m.session), Commands: cmds}
+		var launched []*slot
+		for _, c := range cmds {
+			if c.Verb == model.Launch {
+				sl := m.slots[key{c.Task, c.Attempt}]
+				sl.direct++
+				launched = append(launched, sl)
+			}
+		}
+		s.pending[d.ID] = launched
+		m.inFlight++
+		s.directs = append(s.directs, d)
+	}
+}
+
+// DirectDone takes the outcome of a direct command: the worker's report after
+// it (nil: no answer) and whether it was executed.
+func (s *Shard) DirectDone(now time.Duration, d Direct, r *model.Report, executed bool) {
+	launched := s.pending[d.ID]
+	delete(s.pending, d.ID)
+	for _, sl := range launched {
+		sl.direct--
+		if r == nil {
+			// It may be executed minutes later, as long as token and session match.
+			sl.doubt = max(sl.doubt, d.Token)
+		}
+	}
+	m := s.machines[d.Machine]
+	if m == nil {
+		return
+	}
+	m.inFlight--
+	if r == nil {
+		m.quietUntil = now + s.p.DoubtPause
+		return
+	}
+	if !executed && r.Token <= m.token && r.Session >= m.session && !m.fenced {
+		m.wake = true // the session was unknown: once more, with it
+	}
+	if r.Machine.ID != m.ID {
+		return
+	}
+	if r.Token > m.token {
+		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
+		return
+	}
+	if r.Newer(m.session, m.seq) && s.Granted(now) {
+		s.take(now, m, r, false)
+	}
+}
+
+// Tick settles what time alone decides.
+func (s *Shard) Tick(now time.Duration) {
+	for _, m := range s.order {
+		if !m.silent && now-m.answered > s.p.SureLease {
+			// Its lease is over, whatever it does now.
+			m.silent = true
+			s.loseAll(now, m)
+			s.emit(model.Event{Kind: model.Silent, Machine: m.ID})
+		}
+		if m.noticeAt != 0 || m.draining {
+			s.evacuate(now, m)
+		}
+		if s.quiet(now, m) {
+			for _, sl := range sorted(m.slots) {
+				if !sl.sent {
+					s.stop(now, m, sl, 0)
+				}
+			}
+		}
+	}
+	if s.Granted(now) {
+		s.Place(now)
+	}
+	// A task pinned to a zone without room goes back, to be pinned anew.
+	for _, g := range s.queue {
+		if g.zone == model.None {
+			continue
+		}
+		for _, t := range slices.Clone(g.tasks) {
+			if now-t.queued > pinPatience {
+				s.dequeue(t)
+				s.release(t, model.CauseStopped)
+			}
+		}
+	}
+}
+
+const pinPatience = 15 * time.Second
+
+// quiet tells whether a worker's report is overdue: nothing new goes there.
+func (s *Shard) quiet(now time.Duration, m *machine) bool {
+	return now-m.answered > s.p.Report*5/2+500*time.Millisecond
+}
+
+// evacuate moves tasks off a machine that will be taken: those that save, just
+// in time; those that would not finish, at once.
+func (s *Shard) evacuate(now time.Duration, m *machine) {
+	for _, sl := range sorted(m.slots) {
+		if sl.t == nil || sl.state == exited || sl.stop {
+			continue
+		}
+		sp := sl.t.Spec
+		if !sl.sent {
+			s.stop(now, m, sl, 0)
+			continue
+		}
+		if m.noticeAt == 0 { // a drain without haste
+			if sp.Daemon || sp.Checkpoint > 0 {
+				s.stop(now, m, sl, graceOf(sp))
+			}
+			continue
+		}
+		left := m.noticeAt - now
+		var ran time.Duration
+		if sl.runSince != 0 {
+			ran = now - sl.runSince
+		}
+		switch {
+		case sp.Checkpoint > 0 || sp.Daemon:
+			// The notice may be half its nominal value: do not cut it fine.
+			if left/2 < graceOf(sp)+s.p.Report {
+				s.stop(now, m, sl, graceOf(sp))
+			}
+		case sl.stage == model.Fetching || sp.Estimate-ran > left:
+			s.stop(now, m, sl, 0)
+		}
+	}
+}
+
+// Status summarises the machines.
+func (s *Shard) Status(now time.Duration) []model.MachineStatus {
+	out := make([]model.MachineStatus, 0, len(s.order))
+	for _, m := range s.order {
+		out = append(out, model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
+			Draining: m.draining || m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince,
+			Bad: now < m.badUntil, Heard: m.answered})
+	}
+	return out
+}
+
+// Waiting returns how many tasks wait, and what they ask for together.
+func (s *Shard) Waiting() (int, model.Resources) {
+	n, sum := 0, model.Resources{}
+	for _, g := range s.queue {
+		n += len(g.tasks)
+		sum = sum.Add(g.spec.Each.Times(int64(len(g.tasks))))
+	}
+	return n, sum
+}
+
+// WaitingByJob counts the waiting tasks of each job.
+func (s *Shard) WaitingByJob() map[model.JobID]int {
+	n := map[model.JobID]int{}
+	for k, g := range s.queue {
+		n[k.job] += len(g.tasks)
+	}
+	return n
+}
+
+// JobRunning counts a job's tasks that are on machines, for display.
+func (s *Shard) JobRunning(job model.JobID) int {
+	n := 0
+	for _, m := range s.order {
+		for k, sl := range m.slots {
+			if k.task.Job == job && sl.state == live && sl.stage == model.Running {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/node/lead.go
@@ -0,0 +1,555 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"honeylock/internal/config"
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/fleet"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/shard"
+	"honeylock/internal/state"
+	"honeylock/internal/wire"
+)
+
+// leadership is all that a controller keeps while it leads one term. It is
+// dropped whole when the term ends.
+type leadership struct {
+	n      *Node
+	ctx    context.Context
+	cancel context.CancelFunc
+	term   uint64
+	guard  wire.Guard
+	d      *dealer.Dealer
+	s      *shard.Shard
+	f      *fleet.Fleet
+	ready  chan struct{} // closed once the store has been read
+	loaded bool
+	// fresh is when the last question about open jobs that was answered was
+	// asked: a leader that hears of no cancellations must not go on.
+	fresh   time.Duration
+	writes  *rate.Limiter
+	dealt   time.Duration
+	fleeted time.Duration
+	healed  bool
+}
+
+// followLeadership starts and drops the leader's part as the election says.
+func (n *Node) followLeadership(ctx context.Context, now time.Duration) {
+	leading := n.el.Leading(now)
+	if n.lead != nil && (!leading || n.lead.term != n.el.Term()) {
+		n.log.Info("leadership over", "term", n.lead.term)
+		n.lead.cancel()
+		n.lead = nil
+	}
+	if leading && n.lead == nil {
+		n.lead = n.newLeadership(ctx, now)
+		go n.lead.load()
+	}
+}
+
+func (n *Node) newLeadership(ctx context.Context, now time.Duration) *leadership {
+	lctx, cancel := context.WithCancel(ctx)
+	c := &n.cfg.Cluster
+	teams := make([]dealer.Team, len(c.Teams))
+	for i, t := range c.Teams {
+		teams[i] = dealer.Team{Guarantee: model.Capacity(t.CPUs, t.GPUs, 0), Limit: model.Capacity(t.CPUsMax, t.GPUsMax, 0)}
+	}
+	l := &leadership{n: n, ctx: lctx, cancel: cancel, term: n.el.Term(), guard: wire.Guard{Key: keyLeader, Version: n.el.Version()},
+		ready: make(chan struct{}), fresh: now,
+		writes: rate.NewLimiter(rate.Limit(c.State.WriteRPS*0.4), max(4, int(c.State.WriteRPS*0.2)))}
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: teams, ChunkSize: chunkSize(c.State.ValueKB), Progress: 2 * time.Second, Ahead: n.set.DealAhead})
+	l.s = shard.New(shard.Params{SureLease: c.SureLease(), Report: config.Seconds(c.Workers.ReportS), Sample: n.set.SampleSize,
+		PaybackLimit: n.set.PaybackLimit, DemoteStep: n.set.DemotionStep, DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second}, n.rng)
+	l.s.Grant(n.el.Deadline(), l.term<<36)
+	l.f = fleet.New(fleet.Params{Term: l.term, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
+		Horizon: n.set.RentHorizon, Probe: 15 * time.Second})
+	l.setTypes(n.types)
+	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
+	return l
+}
+
+// chunkSize is how many tasks' bits fit into a value, as base64 in JSON.
+func chunkSize(valueKB float64) int32 {
+	bytes := (valueKB*1024 - 64) * 3 / 4
+	return int32(max(64, min(bytes, 8192))) * 8
+}
+
+func (l *leadership) setTypes(t []model.MachineType) {
+	if len(t) == 0 {
+		return
+	}
+	l.d.SetTypes(t)
+	l.f.SetTypes(t)
+}
+
+// load reads the store, then follows it.
+func (l *leadership) load() {
+	for l.ctx.Err() == nil {
+		rev, err := l.read()
+		if err == nil {
+			l.follow(rev)
+			return
+		}
+		l.n.log.Info("store not read", "term", l.term, "err", err)
+		sleep(l.ctx, 200*time.Millisecond)
+	}
+}
+
+type stored struct {
+	sub     *wire.Submission
+	version uint64
+}
+
+// readOpen lists the open jobs.
+func (l *leadership) readOpen() (map[model.JobID]stored, uint64, error) {
+	open := map[model.JobID]stored{}
+	rev, err := l.n.state.List(state.Urgent(l.ctx), openKeys, func(it *wire.Item) error {
+		id, sub, err := openRecord(it.Key, it.Value)
+		if err != nil {
+			return err
+		}
+		open[id] = stored{sub, it.Version}
+		return nil
+	})
+	return open, rev, err
+}
+
+func openRecord(key string, v json.RawMessage) (model.JobID, *wire.Submission, error) {
+	id, err := wire.ParseJob(strings.TrimPrefix(key, openKeys))
+	if err != nil {
+		return 0, nil, fmt.Errorf("open record: %w", err)
+	}
+	if v == nil {
+		return id, nil, nil
+	}
+	var sub wire.Submission
+	if err := json.Unmarshal(v, &sub); err != nil {
+		return 0, nil, fmt.Errorf("open record %s: %w", key, err)
+	}
+	return id, &sub, nil
+}
+
+func (l *leadership) read() (uint64, error) {
+	ctx := state.Urgent(l.ctx)
+	type rec struct {
+		id      model.MachineID
+		m       wire.StoredMachine
+		version uint64
+	}
+	var recs []rec
+	if _, err := l.n.state.List(ctx, recordKeys, func(it *wire.Item) error {
+		id, err := wire.ParseMachine(strings.TrimPrefix(it.Key, recordKeys))
+		if err != nil {
+			return fmt.Errorf("machine record: %w", err)
+		}
+		r := rec{id: id, version: it.Version}
+		if err := json.Unmarshal(it.Value, &r.m); err != nil {
+			return fmt.Errorf("machine record %s: %w", it.Key, err)
+		}
+		recs = append(recs, r)
+		return nil
+	}); err != nil {
+		return 0, err
+	}
+	asked := l.n.now()
+	open, rev, err := l.readOpen()
+	if err != nil {
+		return 0, err
+	}
+	type part struct {
+		id    model.JobID
+		chunk int32
+		bits  []byte
+	}
+	var parts []part
+	var orphans []string
+	if _, err := l.n.state.List(ctx, doneKeys, func(it *wire.Item) error {
+		var id model.JobID
+		var c int32
+		name, no, _ := strings.Cut(strings.TrimPrefix(it.Key, doneKeys), "/")
+		id, err := wire.ParseJob(name)
+		if err != nil {
+			return fmt.Errorf("done record: %w", err)
+		}
+		if _, err := fmt.Sscanf(no, "%d", &c); err != nil {
+			return fmt.Errorf("done record %s: %w", it.Key, err)
+		}
+		if _, ok := open[id]; !ok {
+			orphans = append(orphans, it.Key)
+			return nil
+		}
+		var ch wire.Chunk
+		if err := json.Unmarshal(it.Value, &ch); err != nil {
+			return fmt.Errorf("done record %s: %w", it.Key, err)
+		}
+		parts = append(parts, part{id, c, ch.Bits})
+		return nil
+	}); err != nil {
+		return 0, err
+	}
+	n := l.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	for _, r := range recs {
+		l.d.Recorded(model.Machine{ID: r.id, Addr: r.m.Addr, Type: n.names.Types.ID(r.m.Type), Zone: n.names.Zones.ID(r.m.Zone), Spot: r.m.Spot}, r.version)
+	}
+	for _, st := range open {
+		l.add(now, st)
+	}
+	for _, p := range parts {
+		l.d.AddDone(p.id, p.chunk, p.bits)
+	}
+	l.fresh = asked
+	l.loaded = true
+	close(l.ready)
+	n.log.Info("store read", "term", l.term, "open", len(open), "machines", len(recs))
+	if len(orphans) > 0 {
+		go l.dropOrphans(orphans)
+	}
+	go l.runCloud()
+	l.pump(now)
+	return rev, nil
+}
+
+func (l *leadership) dropOrphans(keys []string) {
+	for _, k := range keys {
+		if _, err := l.n.state.Txn(l.ctx, wire.Txn{Guards: []wire.Guard{l.guard}, Then: []wire.Op{{Delete: k}}}); err != nil {
+			l.n.log.Debug("orphan not dropped", "key", k, "err", err)
+		}
+	}
+}
+
+// add takes an open record. What was stored before this term's key may have
+// tasks on machines.
+func (l *leadership) add(now time.Duration, st stored) {
+	waited := time.Duration(max(0, time.Now().UnixMilli()-st.sub.SubmittedMS)) * time.Millisecond
+	l.d.AddJob(now, st.sub.Spec(l.n.names), st.version, min(waited, time.Hour), st.version <= l.guard.Version)
+}
+
+// follow watches the open jobs.
+func (l *leadership) follow(rev uint64) {
+	n := l.n
+	for l.ctx.Err() == nil {
+		asked := n.now()
+		ev, err := n.state.Watch(l.ctx, openKeys, rev, 2*time.Second)
+		if errors.Is(err, state.ErrCompacted) {
+			asked = n.now()
+			open, r, lerr := l.readOpen()
+			if lerr == nil {
+				n.mu.Lock()
+				now := n.now()
+				known := map[model.JobID]bool{}
+				for id, st := range open {
+					known[id] = true
+					l.add(now, st)
+				}
+				l.d.Sync(known, r)
+				l.fresh = asked
+				l.pump(now)
+				n.mu.Unlock()
+				rev = r
+				continue
+			}
+			err = lerr
+		}
+		if err != nil {
+			if l.ctx.Err() == nil {
+				n.log.Info("open jobs not followed", "err", err)
+			}
+			sleep(l.ctx, 300*time.Millisecond)
+			continue
+		}
+		rev = ev.Revision
+		n.mu.Lock()
+		now := n.now()
+		for _, e := range ev.Events {
+			key := e.Put + e.Delete
+			id, sub, err := openRecord(key, e.Value)
+			switch {
+			case err != nil:
+				n.log.Error("open record unreadable", "key", key, "err", err)
+			case e.Put != "":
+				l.add(now, stored{sub, e.Version})
+			default:
+				l.d.Withdrawn(id)
+			}
+		}
+		l.fresh = asked
+		if len(ev.Events) > 0 {
+			l.deal(now)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// tick is called a few times a second.
+func (l *leadership) tick(now time.Duration) {
+	if now-l.fresh > l.n.ttl {
+		l.n.log.Error("no news of open jobs: giving leadership up", "term", l.term)
+		l.n.el.Resign(now, time.Second)
+		return
+	}
+	l.s.Grant(min(l.n.el.Deadline(), l.fresh+l.n.ttl), 0)
+	if !l.loaded {
+		return
+	}
+	if !l.healed && l.d.Recovered() {
+		l.healed = true
+		l.n.log.Info("all machines of earlier terms accounted for", "term", l.term)
+	}
+	if now-l.dealt >= 100*time.Millisecond {
+		l.s.Tick(now)
+		l.deal(now)
+		l.store(now)
+	}
+	if now-l.fleeted >= 500*time.Millisecond {
+		l.fleeted = now
+		l.runFleet(now)
+	}
+}
+
+// deal deals tasks and sends what follows from it.
+func (l *leadership) deal(now time.Duration) {
+	l.dealt = now
+	l.exchange(now)
+	l.d.Deal(now, l.s.Status(now), l.s.WaitingByJob())
+	l.pump(now)
+}
+
+// exchange carries orders and events between dealer and shard.
+func (l *leadership) exchange(now time.Duration) {
+	for {
+		orders, events := l.d.Orders(), l.s.Events()
+		if len(orders) == 0 && len(events) == 0 {
+			return
+		}
+		for _, o := range orders {
+			l.s.Order(now, o)
+		}
+		for _, e := range events {
+			l.d.Event(now, e)
+		}
+	}
+}
+
+// pump lets dealer and shard settle, and sends the direct commands.
+func (l *leadership) pump(now time.Duration) {
+	l.exchange(now)
+	l.s.Place(now)
+	l.exchange(now)
+	l.s.Flush(now)
+	for _, d := range l.s.Directs() {
+		go l.direct(d)
+	}
+}
+
+func (l *leadership) direct(d shard.Direct) {
+	raw, executed, err := l.n.work.Send(l.ctx, d.Addr, d.Token, d.Session, d.Commands)
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	now := l.n.now()
+	var rep *model.Report
+	if err == nil {
+		rep, err = raw.Report(l.n.names)
+	}
+	if err != nil {
+		l.n.log.Debug("direct command unanswered", "machine", wire.MachineName(d.Machine), "err", err)
+		rep = nil
+	}
+	l.s.DirectDone(now, d, rep, executed)
+	if l.n.lead == l {
+		l.pump(now)
+	}
+}
+
+// report answers a worker's report.
+func (l *leadership) report(now time.Duration, r *model.Report) shard.Answer {
+	ok := l.s.Report(now, r)
+	l.exchange(now)
+	if !ok { // it may be ours by now
+		ok = l.s.Report(now, r)
+		l.exchange(now)
+	}
+	if !ok {
+		return shard.Answer{}
+	}
+	l.d.Deal(now, l.s.Status(now), l.s.WaitingByJob())
+	l.exchange(now)
+	l.s.Place(now)
+	a := l.s.Answer(now, r)
+	l.pump(now)
+	return a
+}
+
+// store writes what must last.
+func (l *leadership) store(now time.Duration) {
+	budget := int(l.writes.TokensAt(time.Now()))
+	if budget < 1 {
+		return
+	}
+	var batch []dealer.Write
+	flush := func() {
+		if len(batch) > 0 {
+			go l.write(batch)
+			batch = nil
+		}
+	}
+	for _, w := range l.d.Writes(now, min(budget, 32)) {
+		l.writes.AllowN(time.Now(), 1)
+		if w.Kind == dealer.Finish || w.Kind == dealer.DropMachine {
+			go l.write([]dealer.Write{w})
+			continue
+		}
+		if batch = append(batch, w); len(batch) >= min(l.n.cfg.Cluster.State.TxnOps, 4) {
+			flush()
+		}
+	}
+	flush()
+}
+
+func chunkKey(id model.JobID, c int32) string {
+	return fmt.Sprintf("%s%s/%d", doneKeys, wire.JobName(id), c)
+}
+
+func (l *leadership) write(batch []dealer.Write) {
+	n := l.n
+	t := wire.Txn{Guards: []wire.Guard{l.guard}}
+	n.mu.Lock()
+	for _, w := range batch {
+		key := recordKeys + wire.MachineName(w.Machine.ID)
+		switch w.Kind {
+		case dealer.PutMachine:
+			t.Then = append(t.Then, wire.Op{Put: key, Value: encode(wire.StoredMachine{Addr: w.Machine.Addr,
+				Type: n.names.Types.Name(w.Machine.Type), Zone: n.names.Zones.Name(w.Machine.Zone), Spot: w.Machine.Spot})})
+		case dealer.DropMachine:
+			// Its version: applied late, this must not drop a later record.
+			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: w.Version})
+			t.Then = append(t.Then, wire.Op{Delete: key})
+		case dealer.PutChunk:
+			t.Then = append(t.Then, wire.Op{Put: chunkKey(w.Job, w.Chunk), Value: encode(wire.Chunk{Bits: w.Bits})})
+		case dealer.Finish:
+			t.Guards = append(t.Guards, wire.Guard{Key: openKeys + wire.JobName(w.Job), Version: w.Version})
+			t.Then = append(t.Then, finalOps(w.Job, "done")...)
+			for c := range w.Chunks {
+				t.Then = append(t.Then, wire.Op{Delete: chunkKey(w.Job, c)})
+			}
+		}
+	}
+	n.mu.Unlock()
+	ctx := state.Urgent(l.ctx)
+	rev, err := n.state.Txn(ctx, t)
+	lost := false
+	if errors.Is(err, state.ErrConflict) && len(t.Guards) > 1 {
+		// Ours is the leader's key still, or else nothing matters any more.
+		_, gerr := n.state.Get(ctx, t.Guards[1].Key)
+		lost = errors.Is(gerr, state.ErrNotFound)
+	}
+	if err != nil {
+		n.log.Debug("not stored", "writes", len(batch), "err", err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	for _, w := range batch {
+		l.d.Stored(now, w, rev, err == nil, lost)
+	}
+	if n.lead == l {
+		l.pump(now)
+	}
+}
+
+// finalOps ends a job: from its open record to its final one.
+func finalOps(id model.JobID, stage string) []wire.Op {
+	name := wire.JobName(id)
+	return []wire.Op{{Delete: openKeys + name}, {Put: finalKeys + name, Value: encode(wire.Final{Stage: stage})}}
+}
+
+func (l *leadership) runFleet(now time.Duration) {
+	status := l.s.Status(now)
+	l.f.Observe(now, status, l.d.Silent)
+	waiting := l.s.WaitingByJob()
+	var demand []fleet.Demand
+	for _, need := range l.d.Needs() {
+		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(waiting[need.Spec.ID])})
+	}
+	for _, a := range l.f.Step(now, status, demand, l.d.Limit) {
+		if a.Rent == "" {
+			for _, id := range a.Machine {
+				l.d.Use(id, false)
+			}
+		}
+		go l.cloudAction(a)
+	}
+	l.pump(now)
+}
+
+func (l *leadership) cloudAction(a fleet.Action) {
+	n := l.n
+	if a.Rent == "" {
+		names := make([]string, len(a.Machine))
+		for i, id := range a.Machine {
+			names[i] = wire.MachineName(id)
+		}
+		err := n.cloud.Return(l.ctx, names)
+		n.log.Info("machines returned", "machines", names, "err", err)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		now := n.now()
+		l.f.Returned(a, err == nil)
+		for _, id := range a.Machine {
+			if err == nil {
+				l.d.Gone(id)
+			} else {
+				l.d.Use(id, true)
+			}
+		}
+		if n.lead == l {
+			l.pump(now)
+		}
+		return
+	}
+	n.mu.Lock()
+	r := wire.Rental{Request: a.Rent, Type: n.names.Types.Name(a.Type), Zone: n.names.Zones.Name(a.Zone), Spot: a.Spot, Count: a.Count}
+	n.mu.Unlock()
+	got, refused, doubt := n.rent(l.ctx, r)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l.f.Rented(n.now(), a, got, refused, doubt)
+}
+
+// runCloud keeps the machine list.
+func (l *leadership) runCloud() {
+	n := l.n
+	for l.ctx.Err() == nil {
+		list, err := n.cloud.List(l.ctx)
+		if err != nil {
+			n.log.Info("machine list not read", "err", err)
+			sleep(l.ctx, time.Second)
+			continue
+		}
+		n.mu.Lock()
+		var out []fleet.Listed
+		for _, m := range list {
+			id, err := wire.ParseMachine(m.Name)
+			if err != nil {
+				continue
+			}
+			out = append(out, fleet.Listed{ID: id, Type: n.names.Types.ID(m.Type), Zone: n.names.Zones.ID(m.Zone), Spot: m.Spot,
+				Failed: m.Stage == "failed", Age: config.Seconds(m.AgeS)})
+		}
+		slices.SortFunc(out, func(a, b fleet.Listed) int { return int(int64(a.ID) - int64(b.ID)) })
+		l.f.List(n.now(), out)
+		n.mu.Unlock()
+		sleep(l.ctx, 4*time.Second)
+	}
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,50 @@
+package node
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Register adds the controller's metrics to a registry.
+func (n *Node) Register(reg *prometheus.Registry) {
+	gauge := func(name, help string, f func() float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "honeylock_" + name, Help: help}, func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return f()
+		}))
+	}
+	counter := func(name, help string, f func() uint64) {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "honeylock_" + name + "_total", Help: help}, func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return float64(f())
+		}))
+	}
+	gauge("leading", "1 while this controller leads.", func() float64 {
+		if n.lead != nil {
+			return 1
+		}
+		return 0
+	})
+	gauge("term", "The term this controller last led.", func() float64 { return float64(n.el.Term()) })
+	gauge("tasks_waiting", "Dealt tasks that wait for room.", func() float64 {
+		if n.lead == nil {
+			return 0
+		}
+		w, _ := n.lead.s.Waiting()
+		return float64(w)
+	})
+	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
+	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
+	stat := func(f func() uint64) func() uint64 {
+		return func() uint64 {
+			if n.lead == nil {
+				return 0
+			}
+			return f()
+		}
+	}
+	counter("tasks_placed", "Tasks placed on machines in this term.", stat(func() uint64 { return n.lead.s.Stats.Placed }))
+	counter("tasks_evicted", "Tasks evicted for higher-priced ones in this term.", stat(func() uint64 { return n.lead.s.Stats.Evicted }))
+	counter("tasks_demoted", "Demotions in this term.", stat(func() uint64 { return n.lead.s.Stats.Demoted }))
+	counter("tasks_lost", "Tasks lost with their machines in this term.", stat(func() uint64 { return n.lead.s.Stats.Lost }))
+	counter("task_errors", "Tasks that ended with an error in this term.", stat(func() uint64 { return n.lead.s.Stats.Errors }))
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,269 @@
+// Package node runs the cores of one controller: it feeds them messages and
+// time, and carries out what they ask for.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"honeylock/internal/cloud"
+	"honeylock/internal/config"
+	"honeylock/internal/core/election"
+	"honeylock/internal/core/jobs"
+	"honeylock/internal/core/model"
+	"honeylock/internal/state"
+	"honeylock/internal/wire"
+	"honeylock/internal/worker"
+)
+
+// Keys of the state service.
+const (
+	keyLeader  = "leader"
+	keyTerm    = "term"
+	openKeys   = "open/"
+	finalKeys  = "final/"
+	doneKeys   = "done/"
+	recordKeys = "machine/"
+)
+
+// Node is one controller.
+type Node struct {
+	cfg   *config.Platform
+	set   *config.Settings
+	log   *slog.Logger
+	rng   *rand.Rand
+	state *state.Client
+	cloud *cloud.Client
+	work  *worker.Client
+	start time.Time
+	ttl   time.Duration
+
+	mu     sync.Mutex
+	names  *wire.Names
+	el     *election.Election
+	lead   *leadership
+	types  []model.MachineType
+	finals map[model.JobID]jobs.Stage
+	order  []model.JobID // of finals, oldest first
+	stats  Stats
+}
+
+// Stats are counts for operators.
+type Stats struct {
+	Reports, Redirected uint64
+}
+
+const maxFinals = 20_000
+
+// New builds a controller. The random numbers' seed is injected, so that a
+// test can repeat a run.
+func New(cfg *config.Platform, set *config.Settings, log *slog.Logger, rng *rand.Rand) *Node {
+	teams := make([]string, len(cfg.Cluster.Teams))
+	for i, t := range cfg.Cluster.Teams {
+		teams[i] = t.Name
+	}
+	share := 0.6 // one controller's part of the service's rates; the leader needs most
+	n := &Node{
+		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
+		state: state.New(cfg.Services.State, state.Limits{RPS: cfg.Cluster.State.RPS * share, WriteRPS: cfg.Cluster.State.WriteRPS * share}, 1500*time.Millisecond),
+		cloud: cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.7, 5*time.Second),
+		work:  worker.New(2 * time.Second),
+		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
+			Images: wire.NewTable(), Classes: wire.NewTable()},
+		finals: map[model.JobID]jobs.Stage{},
+	}
+	index := 0
+	for _, s := range cfg.Siblings {
+		if s.HostName < cfg.HostName {
+			index++
+		}
+	}
+	n.el = election.New(cfg.HostName, n.ttl, time.Duration(index)*150*time.Millisecond)
+	return n
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Run works until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.fetchCatalog(ctx)
+	go n.watchLeader(ctx)
+	t := time.NewTicker(50 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.tick(ctx)
+		}
+	}
+}
+
+func (n *Node) tick(ctx context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	n.runElection(ctx, n.el.Step(now))
+	n.followLeadership(ctx, now)
+	if n.lead != nil {
+		n.lead.tick(now)
+	}
+}
+
+func (n *Node) runElection(ctx context.Context, ops []election.Op) {
+	for _, op := range ops {
+		go func() {
+			res := n.electionOp(state.Urgent(ctx), op)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			now := n.now()
+			n.runElection(ctx, n.el.Done(now, res))
+			n.followLeadership(ctx, now)
+		}()
+	}
+}
+
+func (n *Node) electionOp(ctx context.Context, op election.Op) election.Result {
+	res := election.Result{Op: op}
+	switch op.Verb {
+	case election.Read:
+		rec, err := n.readLeader(ctx)
+		if err != nil {
+			n.log.Debug("leader's key not read", "err", err)
+			return res
+		}
+		res.Leader = rec
+		it, err := n.state.Get(ctx, keyTerm)
+		if err != nil && !errors.Is(err, state.ErrNotFound) {
+			return res
+		}
+		if it != nil {
+			var t wire.Term
+			if err := json.Unmarshal(it.Value, &t); err != nil {
+				n.log.Error("stored term is unreadable", "err", err)
+				return res
+			}
+			res.Term, res.TermVersion = t.Term, it.Version
+		}
+		res.OK = true
+	case election.Grant:
+		id, err := n.state.Grant(ctx, n.ttl)
+		res.Lease, res.OK = id, err == nil
+	case election.Acquire:
+		rev, err := n.state.Txn(ctx, wire.Txn{
+			Guards: []wire.Guard{{Key: keyLeader}, {Key: keyTerm, Version: op.TermVersion}},
+			Then: []wire.Op{
+				{Put: keyLeader, Value: encode(wire.Leader{Host: n.cfg.HostName, Term: op.Term, Lease: op.Lease}), Lease: op.Lease},
+				{Put: keyTerm, Value: encode(wire.Term{Term: op.Term})},
+			}})
+		res.Version, res.OK = rev, err == nil
+	case election.Renew:
+		err := n.state.Extend(ctx, op.Lease)
+		res.OK, res.Not = err == nil, errors.Is(err, state.ErrNotFound)
+		if err != nil {
+			n.log.Info("leader's lease not renewed", "err", err)
+		}
+	case election.End:
+		res.OK = n.state.End(ctx, op.Lease) == nil
+	}
+	return res
+}
+
+func (n *Node) readLeader(ctx context.Context) (election.Record, error) {
+	it, err := n.state.Get(ctx, keyLeader)
+	if errors.Is(err, state.ErrNotFound) {
+		return election.Record{}, nil
+	}
+	if err != nil {
+		return election.Record{}, err
+	}
+	return leaderRecord(it.Value, it.Version)
+}
+
+func leaderRecord(v json.RawMessage, version uint64) (election.Record, error) {
+	var l wire.Leader
+	if err := json.Unmarshal(v, &l); err != nil {
+		return election.Record{}, fmt.Errorf("leader's key: %w", err)
+	}
+	return election.Record{Present: true, Host: l.Host, Term: l.Term, Lease: l.Lease, Version: version}, nil
+}
+
+// watchLeader learns quickly when the leader's key goes or changes.
+func (n *Node) watchLeader(ctx context.Context) {
+	var rev uint64
+	for ctx.Err() == nil {
+		ev, err := n.state.Watch(ctx, keyLeader, rev, 10*time.Second)
+		if errors.Is(err, state.ErrCompacted) || rev == 0 && err == nil {
+			// Start from now; the election's own reading covers what was before.
+			it, gerr := n.state.List(ctx, keyTerm, func(*wire.Item) error { return nil })
+			if gerr == nil {
+				rev = max(1, it)
+				continue
+			}
+			err = gerr
+		}
+		if err != nil {
+			sleep(ctx, 500*time.Millisecond)
+			continue
+		}
+		rev = ev.Revision
+		for _, e := range ev.Events {
+			rec := election.Record{Version: e.Version}
+			if e.Put == keyLeader {
+				if rec, err = leaderRecord(e.Value, e.Version); err != nil {
+					continue
+				}
+			} else if e.Delete != keyLeader {
+				continue
+			}
+			n.mu.Lock()
+			n.el.See(n.now(), rec)
+			n.mu.Unlock()
+		}
+	}
+}
+
+// fetchCatalog gets the machine types, without which no submission can be
+// judged, and keeps the prices fresh.
+func (n *Node) fetchCatalog(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := time.Minute
+		cat, err := n.cloud.Catalog(ctx)
+		if err != nil {
+			n.log.Info("catalog not read", "err", err)
+			pause = time.Second
+		} else {
+			n.mu.Lock()
+			n.types = cat.MachineTypes(n.names)
+			if n.lead != nil {
+				n.lead.setTypes(n.types)
+			}
+			n.mu.Unlock()
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err)) // plain structs always encode
+	}
+	return b
+}
--- /dev/null
+++ b/internal/node/users.go
@@ -0,0 +1,271 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"honeylock/internal/cloud"
+	"honeylock/internal/core/jobs"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/shard"
+	"honeylock/internal/state"
+	"honeylock/internal/wire"
+)
+
+// Reply to a user.
+type Reply struct {
+	Status int
+	State  *wire.JobState
+	Err    string
+}
+
+func unavailable(why string) Reply { return Reply{Status: http.StatusServiceUnavailable, Err: why} }
+
+func (n *Node) stateReply(status int, id model.JobID, st jobs.Stage) Reply {
+	s := &wire.JobState{NameID: wire.JobName(id), Stage: string(st)}
+	if !st.Ended() {
+		n.mu.Lock()
+		if l := n.lead; l != nil {
+			if done, ok := l.d.Progress(id); ok {
+				running := l.s.JobRunning(id)
+				s.Done, s.Running = &done, &running
+				if running > 0 {
+					s.Stage = string(jobs.Running)
+				}
+			}
+		}
+		n.mu.Unlock()
+	}
+	return Reply{Status: status, State: s}
+}
+
+// Submit takes a submission.
+func (n *Node) Submit(ctx context.Context, body []byte) Reply {
+	sub, err := wire.ParseSubmission(body)
+	if err != nil {
+		return Reply{Status: http.StatusBadRequest, Err: err.Error()}
+	}
+	id, _ := wire.ParseJob(*sub.NameID) // it was checked
+	if st, ok := n.final(id); ok {
+		return n.stateReply(http.StatusOK, id, st)
+	}
+	ok, why := n.feasible(sub)
+	if why != "" && !ok {
+		// Should it have been accepted in spite of that, it stays accepted.
+		r := n.Poll(ctx, id)
+		if r.Status == http.StatusNotFound {
+			return Reply{Status: http.StatusUnprocessableEntity, Err: why}
+		}
+		return r
+	}
+	if !ok {
+		return unavailable("the machine types are not known yet")
+	}
+	sub.SubmittedMS = time.Now().UnixMilli()
+	return n.run(ctx, jobs.Submit, id, sub)
+}
+
+// feasible tells whether a job can ever run. Without a reason it can't be told
+// yet.
+func (n *Node) feasible(s *wire.Submission) (ok bool, why string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	team, known := n.names.Teams.Lookup(*s.Team)
+	if !known {
+		return false, "unknown team"
+	}
+	t := n.cfg.Cluster.Teams[team]
+	count := 1.0
+	if *s.Shape == "daemon" {
+		count = float64(*s.Tasks)
+	}
+	if t.CPUsMax > 0 && *s.CPUs*count > t.CPUsMax || t.GPUsMax > 0 && *s.GPUs*count > t.GPUsMax {
+		return false, "above the team's limit"
+	}
+	if len(n.types) == 0 {
+		return false, ""
+	}
+	each := model.Request(*s.CPUs, *s.GPUs, *s.MemGB)
+	for i := range n.types {
+		mt := &n.types[i]
+		if !each.Fits(mt.Cap) {
+			continue
+		}
+		allowed := s.Types == nil
+		for _, name := range s.Types {
+			allowed = allowed || n.names.Types.Name(mt.Name) == name
+		}
+		if !allowed {
+			continue
+		}
+		if s.Zone == nil {
+			return true, ""
+		}
+		for _, z := range mt.Zones {
+			if n.names.Zones.Name(z) == *s.Zone {
+				return true, ""
+			}
+		}
+	}
+	return false, "a task fits no allowed machine type"
+}
+
+// Poll answers with a job's state.
+func (n *Node) Poll(ctx context.Context, id model.JobID) Reply { return n.run(ctx, jobs.Poll, id, nil) }
+
+// Withdraw cancels a job.
+func (n *Node) Withdraw(ctx context.Context, id model.JobID) Reply {
+	return n.run(ctx, jobs.Withdraw, id, nil)
+}
+
+func (n *Node) run(ctx context.Context, k jobs.Kind, id model.JobID, sub *wire.Submission) Reply {
+	if st, ok := n.final(id); ok {
+		return n.stateReply(http.StatusOK, id, st)
+	}
+	req, op := jobs.New(k)
+	for {
+		next, ans := req.Next(op, n.jobOp(ctx, id, op, sub))
+		if ans == nil {
+			op = next
+			continue
+		}
+		switch {
+		case ans.Status == http.StatusServiceUnavailable:
+			return unavailable("the state service does not answer")
+		case ans.Status == http.StatusNotFound:
+			return Reply{Status: ans.Status, Err: "no such job"}
+		}
+		if ans.Stage.Ended() {
+			n.keepFinal(id, ans.Stage)
+		}
+		return n.stateReply(ans.Status, id, ans.Stage)
+	}
+}
+
+func (n *Node) jobOp(ctx context.Context, id model.JobID, op jobs.Op, sub *wire.Submission) jobs.Result {
+	name := wire.JobName(id)
+	openKey, finalKey := openKeys+name, finalKeys+name
+	switch op.Kind {
+	case jobs.ReadOpen, jobs.ReadFinal:
+		key := openKey
+		if op.Kind == jobs.ReadFinal {
+			key = finalKey
+		}
+		it, err := n.state.Get(ctx, key)
+		if errors.Is(err, state.ErrNotFound) {
+			return jobs.Result{Outcome: jobs.Missing}
+		}
+		if err != nil {
+			return jobs.Result{Outcome: jobs.Failed}
+		}
+		res := jobs.Result{Version: it.Version}
+		if op.Kind == jobs.ReadFinal {
+			var f wire.Final
+			if json.Unmarshal(it.Value, &f) != nil || !jobs.Stage(f.Stage).Ended() {
+				return jobs.Result{Outcome: jobs.Failed}
+			}
+			res.Stage = jobs.Stage(f.Stage)
+		}
+		return res
+	}
+	t := wire.Txn{}
+	if op.Kind == jobs.Create {
+		t.Guards = []wire.Guard{{Key: openKey}, {Key: finalKey}}
+		t.Then = []wire.Op{{Put: openKey, Value: encode(sub)}}
+	} else {
+		t.Guards = []wire.Guard{{Key: openKey, Version: op.Version}}
+		t.Then = finalOps(id, string(jobs.Cancelled))
+	}
+	_, err := n.state.Txn(state.Urgent(ctx), t)
+	switch {
+	case err == nil:
+		return jobs.Result{}
+	case errors.Is(err, state.ErrConflict):
+		return jobs.Result{Outcome: jobs.Conflict}
+	}
+	return jobs.Result{Outcome: jobs.Failed}
+}
+
+// final answers from the bounded cache of final states, which never change.
+func (n *Node) final(id model.JobID) (jobs.Stage, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	st, ok := n.finals[id]
+	return st, ok
+}
+
+func (n *Node) keepFinal(id model.JobID, st jobs.Stage) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.finals[id]; ok {
+		return
+	}
+	if len(n.order) >= maxFinals {
+		delete(n.finals, n.order[0])
+		n.order = n.order[1:]
+	}
+	n.finals[id] = st
+	n.order = append(n.order, id)
+}
+
+// Report answers a worker: its commands, or (not ok) where to report instead.
+func (n *Node) Report(ctx context.Context, raw *wire.RawReport) (a shard.Answer, keeper string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r, err := raw.Report(n.names)
+	if err != nil {
+		return a, "", err
+	}
+	n.stats.Reports++
+	if l := n.lead; l != nil && !l.loaded {
+		// The store is being read: worth a moment, for the next node would
+		// only send the worker back here.
+		n.mu.Unlock()
+		t := time.NewTimer(2 * time.Second)
+		select {
+		case <-l.ready:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		n.mu.Lock()
+	}
+	now := n.now()
+	if l := n.lead; l != nil && l.loaded && n.el.Leading(now) {
+		if a = l.report(now, r); a.OK {
+			return a, "", nil
+		}
+	}
+	n.stats.Redirected++
+	if h := n.el.Holder(); h != n.cfg.HostName {
+		keeper = h
+	}
+	return a, keeper, nil
+}
+
+// Healthy tells whether users' requests can be taken.
+func (n *Node) Healthy() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.types) > 0
+}
+
+func (n *Node) rent(ctx context.Context, r wire.Rental) (ids []model.MachineID, refused, doubt bool) {
+	names, err := n.cloud.Rent(ctx, r)
+	n.log.Info("rental", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count, "got", len(names), "err", err)
+	if errors.Is(err, cloud.ErrNoCapacity) {
+		return nil, true, false
+	}
+	if err != nil {
+		return nil, false, true
+	}
+	for _, s := range names {
+		if id, err := wire.ParseMachine(s); err == nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids, false, false
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,214 @@
+// Package server is the HTTP door for users, workers and health checks.
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/net/netutil"
+
+	"honeylock/internal/core/model"
+	"honeylock/internal/node"
+	"honeylock/internal/wire"
+)
+
+const (
+	maxBody      = 64 << 10
+	maxUserCalls = 64 // at once; more are told to come back
+	userTimeout  = 1800 * time.Millisecond
+)
+
+// Server is the door.
+type Server struct {
+	node  *node.Node
+	http  *http.Server
+	limit int
+	users *userConns
+	calls atomic.Int32
+	shed  prometheus.Counter
+}
+
+// userConns counts the connections that have carried a user's request, so that
+// users can't crowd out workers, who come through the same port.
+type userConns struct {
+	mu   sync.Mutex
+	max  int
+	open map[net.Conn]bool
+}
+
+type connKey struct{}
+
+func (u *userConns) admit(c net.Conn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open[c] {
+		return true
+	}
+	if len(u.open) >= u.max {
+		return false
+	}
+	u.open[c] = true
+	return true
+}
+
+func (u *userConns) drop(c net.Conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.open, c)
+}
+
+// New builds the door. fdLimit is what the process may open; a part of it is
+// kept for its own connections, and another for workers.
+func New(n *node.Node, fdLimit int, log *slog.Logger, reg *prometheus.Registry) *Server {
+	own := min(fdLimit/4, 160)
+	s := &Server{node: n, limit: fdLimit - own, users: &userConns{max: (fdLimit - own) * 6 / 10, open: map[net.Conn]bool{}},
+		shed: prometheus.NewCounter(prometheus.CounterOpts{Name: "honeylock_requests_shed_total", Help: "Users' requests refused for overload."})}
+	reg.MustRegister(s.shed)
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		status, msg := http.StatusInternalServerError, "internal error"
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			status, msg = he.Code, http.StatusText(he.Code)
+		} else {
+			log.Error("request failed", "path", c.Path(), "err", err)
+		}
+		if !c.Response().Committed {
+			if err := c.JSON(status, errorBody{msg}); err != nil {
+				log.Debug("answer not written", "err", err)
+			}
+		}
+	}
+	e.POST("/agent/beat", s.report)
+	e.POST("/v1/jobs", s.user(s.submit))
+	e.GET("/v1/jobs/:id", s.user(s.poll))
+	e.POST("/v1/jobs/:id/withdraw", s.user(s.withdraw))
+	e.GET("/healthz", s.health)
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(reg, promhttp.HandlerOpts{})))
+	s.http = &http.Server{
+		Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10,
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnState: func(c net.Conn, st http.ConnState) {
+			if st == http.StateClosed || st == http.StateHijacked {
+				s.users.drop(c)
+			}
+		},
+	}
+	return s
+}
+
+// Serve listens until the context ends. A port that is taken is tried again:
+// the service never ends by itself.
+func (s *Server) Serve(ctx context.Context, addr string, log *slog.Logger) {
+	go func() {
+		<-ctx.Done()
+		s.http.Close()
+	}()
+	for ctx.Err() == nil {
+		l, err := net.Listen("tcp4", addr)
+		if err == nil {
+			log.Info("serving", "addr", addr)
+			err = s.http.Serve(netutil.LimitListener(l, s.limit))
+		}
+		if ctx.Err() == nil {
+			log.Error("not serving; trying again", "addr", addr, "err", err)
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func (s *Server) user(h echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		conn, _ := c.Request().Context().Value(connKey{}).(net.Conn)
+		over := s.calls.Add(1) > maxUserCalls
+		defer s.calls.Add(-1)
+		crowded := conn != nil && !s.users.admit(conn)
+		if crowded {
+			c.Response().Header().Set("Connection", "close")
+		}
+		if over || crowded {
+			s.shed.Inc()
+			return reply(c, node.Reply{Status: http.StatusServiceUnavailable, Err: "overloaded"})
+		}
+		ctx, cancel := context.WithTimeout(c.Request().Context(), userTimeout)
+		defer cancel()
+		c.SetRequest(c.Request().WithContext(ctx))
+		return h(c)
+	}
+}
+
+func reply(c echo.Context, r node.Reply) error {
+	if r.Status == http.StatusServiceUnavailable {
+		c.Response().Header().Set("Retry-After", "1")
+	}
+	if r.State != nil {
+		return c.JSON(r.Status, r.State)
+	}
+	return c.JSON(r.Status, errorBody{r.Err})
+}
+
+func body(c echo.Context) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
+}
+
+func (s *Server) submit(c echo.Context) error {
+	b, err := body(c)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, errorBody{"the body is over 64 KiB or could not be read"})
+	}
+	return reply(c, s.node.Submit(c.Request().Context(), b))
+}
+
+func (s *Server) job(c echo.Context, f func(context.Context, model.JobID) node.Reply) error {
+	id, err := wire.ParseJob(c.Param("id"))
+	if err != nil {
+		return c.JSON(http.StatusNotFound, errorBody{"no such job"})
+	}
+	return reply(c, f(c.Request().Context(), id))
+}
+
+func (s *Server) poll(c echo.Context) error { return s.job(c, s.node.Poll) }
+
+func (s *Server) withdraw(c echo.Context) error { return s.job(c, s.node.Withdraw) }
+
+func (s *Server) report(c echo.Context) error {
+	b, err := body(c)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, errorBody{"the body is over 64 KiB or could not be read"})
+	}
+	raw, err := wire.ParseReport(b)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, errorBody{err.Error()})
+	}
+	a, keeper, err := s.node.Report(c.Request().Context(), raw)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, errorBody{err.Error()})
+	}
+	if !a.OK {
+		return c.JSON(http.StatusMisdirectedRequest, wire.Redirect{Keeper: keeper})
+	}
+	return c.JSON(http.StatusOK, wire.ReportAnswer(a.Token, a.Commands))
+}
+
+func (s *Server) health(c echo.Context) error {
+	if s.node.Healthy() {
+		return c.NoContent(http.StatusOK)
+	}
+	return c.NoContent(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/wire/names.go
@@ -0,0 +1,86 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+
+	"honeylock/internal/core/model"
+)
+
+// Table gives names dense indices. It is not safe for concurrent use.
+type Table struct {
+	ids   map[string]model.Name
+	names []string
+}
+
+// NewTable returns a table that holds the given names first.
+func NewTable(names ...string) *Table {
+	t := &Table{ids: map[string]model.Name{}}
+	for _, n := range names {
+		t.ID(n)
+	}
+	return t
+}
+
+// ID returns the index of a name, giving it one if it is new.
+func (t *Table) ID(name string) model.Name {
+	if id, ok := t.ids[name]; ok {
+		return id
+	}
+	id := model.Name(len(t.names))
+	t.ids[name] = id
+	t.names = append(t.names, name)
+	return id
+}
+
+// Lookup returns the index of a name that the table has.
+func (t *Table) Lookup(name string) (model.Name, bool) {
+	id, ok := t.ids[name]
+	return id, ok
+}
+
+// Name returns the name of an index.
+func (t *Table) Name(id model.Name) string {
+	if id < 0 || int(id) >= len(t.names) {
+		return ""
+	}
+	return t.names[id]
+}
+
+// numbered parses names such as job-000412. A number has one spelling only, so
+// that two names never share an index.
+func numbered(prefix, s string) (uint64, error) {
+	if len(s) < len(prefix)+6 || s[:len(prefix)] != prefix {
+		return 0, fmt.Errorf("%q is not of the form %s000000", s, prefix)
+	}
+	n, err := strconv.ParseUint(s[len(prefix):], 10, 63)
+	if err != nil || format(prefix, n) != s {
+		return 0, fmt.Errorf("%q is not of the form %s000000", s, prefix)
+	}
+	return n, nil
+}
+
+func format(prefix string, n uint64) string { return fmt.Sprintf("%s%06d", prefix, n) }
+
+// ParseJob parses a job's name.
+func ParseJob(s string) (model.JobID, error) {
+	n, err := numbered("job-", s)
+	return model.JobID(n), err
+}
+
+// JobName is the name of a job.
+func JobName(id model.JobID) string { return format("job-", uint64(id)) }
+
+// ParseMachine parses a machine's name.
+func ParseMachine(s string) (model.MachineID, error) {
+	n, err := numbered("m-", s)
+	return model.MachineID(n), err
+}
+
+// MachineName is the name of a machine.
+func MachineName(id model.MachineID) string { return format("m-", uint64(id)) }
+
+// Names holds the tables of one process.
+type Names struct {
+	Teams, Types, Zones, Images, Classes *Table
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,299 @@
+// Package wire maps the protocols' JSON to the cores' terms and back. The
+// words of the wire (Hive, Cell, Brood, ...) stop here.
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Submission is the body of POST /v1/jobs, and what the state service keeps.
+type Submission struct {
+	NameID      *string  `json:"NameId"`
+	Class       *string  `json:"Comb"`
+	Team        *string  `json:"Colony"`
+	Shape       *string  `json:"Shape"`
+	Rank        *string  `json:"Rank"`
+	Tasks       *int64   `json:"Cells"`
+	CPUs        *float64 `json:"Cpus"`
+	GPUs        *float64 `json:"Accelerators"`
+	MemGB       *float64 `json:"MemGb"`
+	Image       *string  `json:"Wax"`
+	ImageGB     *float64 `json:"ImageGb"`
+	Types       []string `json:"Breeds,omitempty"`
+	Zone        *string  `json:"Yard,omitempty"`
+	Together    *bool    `json:"Together"`
+	Spread      *bool    `json:"Spread"`
+	Spot        *bool    `json:"SwarmBoxes"`
+	EstimateS   *float64 `json:"ForageS"`
+	CheckpointS *float64 `json:"CapIntervalS"`
+	SaveS       *float64 `json:"CapS"`
+	DeadlineS   *float64 `json:"HarvestS,omitempty"`
+	SubmittedMS int64    `json:"SubmittedMs,omitempty"`
+	VettedTypes bool     `json:"-"`
+}
+
+const (
+	maxTasks  = 100_000
+	maxAmount = 1e9
+	maxName   = 200
+)
+
+// ParseSubmission reads and checks a submission. Its error is for the user.
+func ParseSubmission(body []byte) (*Submission, error) {
+	trimmed := bytes.TrimLeft(body, " \t\r\n")
+	if len(trimmed) == 0 || trimmed[0] != '{' {
+		return nil, errors.New("the body must be a JSON object")
+	}
+	var s Submission
+	if err := json.Unmarshal(body, &s); err != nil {
+		return nil, fmt.Errorf("malformed: %w", err)
+	}
+	s.SubmittedMS = 0
+	return &s, s.check()
+}
+
+func (s *Submission) check() error {
+	str := func(f string, v *string) error {
+		if v == nil || *v == "" || len(*v) > maxName {
+			return fmt.Errorf("%s is missing or invalid", f)
+		}
+		return nil
+	}
+	num := func(f string, v *float64, zero bool) error {
+		if v == nil || math.IsNaN(*v) || *v < 0 || *v > maxAmount || (!zero && *v == 0) {
+			return fmt.Errorf("%s is missing or out of range", f)
+		}
+		return nil
+	}
+	flag := func(f string, v *bool) error {
+		if v == nil {
+			return fmt.Errorf("%s is missing", f)
+		}
+		return nil
+	}
+	for _, err := range []error{
+		str("NameId", s.NameID), str("Comb", s.Class), str("Colony", s.Team),
+		str("Shape", s.Shape), str("Rank", s.Rank), str("Wax", s.Image),
+		num("Cpus", s.CPUs, false), num("Accelerators", s.GPUs, true), num("MemGb", s.MemGB, false),
+		num("ImageGb", s.ImageGB, true), num("ForageS", s.EstimateS, true),
+		num("CapIntervalS", s.CheckpointS, true), num("CapS", s.SaveS, true),
+		flag("Together", s.Together), flag("Spread", s.Spread), flag("SwarmBoxes", s.Spot),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	if s.DeadlineS != nil {
+		if err := num("HarvestS", s.DeadlineS, false); err != nil {
+			return err
+		}
+	}
+	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > maxTasks {
+		return errors.New("Cells is missing or out of range")
+	}
+	if _, err := ParseJob(*s.NameID); err != nil {
+		return fmt.Errorf("NameId: %w", err)
+	}
+	if *s.Shape != "batch" && *s.Shape != "daemon" {
+		return fmt.Errorf("Shape %q is unknown", *s.Shape)
+	}
+	if _, ok := ranks[*s.Rank]; !ok {
+		return fmt.Errorf("Rank %q is unknown", *s.Rank)
+	}
+	if s.Types != nil && len(s.Types) == 0 {
+		return errors.New("Breeds is empty")
+	}
+	for _, t := range s.Types {
+		if t == "" || len(t) > maxName {
+			return errors.New("Breeds holds an invalid name")
+		}
+	}
+	if s.Zone != nil && (*s.Zone == "" || len(*s.Zone) > maxName) {
+		return errors.New("Yard is invalid")
+	}
+	return nil
+}
+
+var ranks = map[string]model.Rank{"idle": model.Idle, "standard": model.Standard, "urgent": model.Urgent, "prod": model.Prod}
+
+// Spec turns an accepted submission into the cores' terms.
+func (s *Submission) Spec(n *Names) *model.Spec {
+	id, _ := ParseJob(*s.NameID)
+	sp := &model.Spec{
+		ID: id, Class: n.Classes.ID(*s.Class), Team: n.Teams.ID(*s.Team), Image: n.Images.ID(*s.Image),
+		Daemon: *s.Shape == "daemon", Rank: ranks[*s.Rank], Tasks: int32(*s.Tasks),
+		Each: model.Request(*s.CPUs, *s.GPUs, *s.MemGB), ImageGB: *s.ImageGB, Zone: model.None,
+		Together: *s.Together, Spread: *s.Spread, Spot: *s.Spot,
+		Estimate: Duration(*s.EstimateS), Checkpoint: Duration(*s.CheckpointS), Save: Duration(*s.SaveS),
+		SubmittedMS: s.SubmittedMS,
+	}
+	if s.DeadlineS != nil {
+		sp.Deadline = Duration(*s.DeadlineS)
+	}
+	if s.Zone != nil {
+		sp.Zone = n.Zones.ID(*s.Zone)
+	}
+	for _, t := range s.Types {
+		sp.Types = append(sp.Types, n.Types.ID(t))
+	}
+	return sp
+}
+
+// Duration turns seconds into a duration, without overflow.
+func Duration(s float64) time.Duration {
+	return time.Duration(min(s, maxAmount) * float64(time.Second))
+}
+
+// JobState is the answer about a job.
+type JobState struct {
+	NameID  string `json:"NameId"`
+	Stage   string `json:"Stage"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+type cell struct {
+	Cell  string `json:"Cell"`
+	Brood uint64 `json:"Brood"`
+	Stage string `json:"Stage"`
+	Cause string `json:"Cause"`
+	Saved bool   `json:"Saved"`
+}
+
+type beat struct {
+	Hive       string   `json:"Hive"`
+	Addr       string   `json:"Addr"`
+	Breed      string   `json:"Breed"`
+	Yard       string   `json:"Yard"`
+	SwarmBoxes bool     `json:"SwarmBoxes"`
+	Flight     uint64   `json:"Flight"`
+	Buzz       uint64   `json:"Buzz"`
+	QueenMark  uint64   `json:"QueenMark"`
+	SmokeS     *float64 `json:"SmokeS"`
+	Cells      []cell   `json:"Cells"`
+}
+
+var stages = map[string]model.Stage{"fetching": model.Fetching, "running": model.Running, "saving": model.Saving, "exited": model.Exited}
+
+var causes = map[string]model.Cause{"done": model.CauseDone, "stopped": model.CauseStopped, "error": model.CauseError,
+	"no_room": model.CauseNoRoom, "busy": model.CauseBusy, "unknown": model.CauseUnknown}
+
+// RawReport is a worker's report before its names are looked up, so that the
+// costly parsing needs no lock.
+type RawReport struct{ b beat }
+
+// ParseReport parses a report's JSON.
+func ParseReport(body []byte) (*RawReport, error) {
+	var r RawReport
+	if err := json.Unmarshal(body, &r.b); err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	return &r, nil
+}
+
+// Report maps the names of a report.
+func (r *RawReport) Report(n *Names) (*model.Report, error) {
+	b := &r.b
+	id, err := ParseMachine(b.Hive)
+	if err != nil {
+		return nil, err
+	}
+	if b.Flight == 0 {
+		return nil, errors.New("report without a session")
+	}
+	out := &model.Report{
+		Machine: model.Machine{ID: id, Addr: b.Addr, Type: n.Types.ID(b.Breed), Zone: n.Zones.ID(b.Yard), Spot: b.SwarmBoxes},
+		Session: b.Flight, Seq: b.Buzz, Token: b.QueenMark, Notice: -1,
+		Cells: make([]model.Cell, 0, len(b.Cells)),
+	}
+	if b.SmokeS != nil {
+		out.Notice = Duration(max(0, *b.SmokeS))
+	}
+	for _, c := range b.Cells {
+		t, err := parseTask(c.Cell)
+		if err != nil {
+			return nil, err
+		}
+		st, ok := stages[c.Stage]
+		if !ok {
+			// A stage of other days' protocols still occupies the machine.
+			st = model.Running
+		}
+		out.Cells = append(out.Cells, model.Cell{Task: t, Attempt: c.Brood, Stage: st, Cause: causes[c.Cause], Saved: c.Saved})
+	}
+	return out, nil
+}
+
+func parseTask(s string) (model.Task, error) {
+	j, no, ok := strings.Cut(s, "/")
+	if !ok {
+		return model.Task{}, fmt.Errorf("task %q", s)
+	}
+	id, err := ParseJob(j)
+	if err != nil {
+		return model.Task{}, err
+	}
+	k, err := strconv.ParseInt(no, 10, 32)
+	if err != nil || k < 0 {
+		return model.Task{}, fmt.Errorf("task %q", s)
+	}
+	return model.Task{Job: id, No: int32(k)}, nil
+}
+
+// TaskName is the name of a task.
+func TaskName(t model.Task) string { return JobName(t.Job) + "/" + strconv.Itoa(int(t.No)) }
+
+type dance struct {
+	Dance   string   `json:"Dance"`
+	Cell    string   `json:"Cell"`
+	Brood   uint64   `json:"Brood"`
+	SettleS *float64 `json:"SettleS,omitempty"`
+}
+
+func dances(cmds []model.Command) []dance {
+	out := make([]dance, 0, len(cmds))
+	for _, c := range cmds {
+		d := dance{Cell: TaskName(c.Task), Brood: c.Attempt}
+		switch c.Verb {
+		case model.Launch:
+			d.Dance = "launch"
+		case model.Kill:
+			g := c.Grace.Seconds()
+			d.Dance, d.SettleS = "kill", &g
+		case model.Clear:
+			d.Dance = "clear"
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// ReportAnswer is the body of a 200 to a report.
+func ReportAnswer(token uint64, cmds []model.Command) any {
+	return struct {
+		QueenMark uint64
+		Dances    []dance
+	}{token, dances(cmds)}
+}
+
+// Redirect is the body of a 421 to a report.
+type Redirect struct {
+	Keeper string `json:"Keeper,omitempty"`
+}
+
+// Direct is the body of a direct command.
+func Direct(token, session uint64, cmds []model.Command) any {
+	return struct {
+		QueenMark, Flight uint64
+		Dances            []dance
+	}{token, session, dances(cmds)}
+}
