--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -55,13 +55,14 @@
 	renting bool
 	giving  bool
 	again   *Action
+	gone    map[model.MachineID]time.Duration // given back; the list shows them for a while
 	n       uint64
 	want    time.Duration
 }
 
 // New returns a fleet that knows no machines.
 func New(p Params) *Fleet {
-	return &Fleet{p: p, units: map[model.MachineID]*unit{}, refused: map[kind]time.Duration{}}
+	return &Fleet{p: p, units: map[model.MachineID]*unit{}, refused: map[kind]time.Duration{}, gone: map[model.MachineID]time.Duration{}}
 }
 
 // SetTypes takes the catalog with its current prices.
@@ -98,7 +99,15 @@
 // List takes the machine list. It lags, so absence from it proves nothing yet.
 func (f *Fleet) List(now time.Duration, l []Listed) {
 	f.listed = true
+	for id, at := range f.gone {
+		if now-at > 3*f.p.ListLag+time.Minute {
+			delete(f.gone, id)
+		}
+	}
 	for _, e := range l {
+		if _, ok := f.gone[e.ID]; ok {
+			continue
+		}
 		u := f.units[e.ID]
 		if u == nil {
 			u = f.unit(now, e.ID, kind{e.Type, e.Zone, e.Spot})
@@ -126,11 +135,12 @@
 }
 
 // Returned takes the outcome of a return.
-func (f *Fleet) Returned(a Action, ok bool) {
+func (f *Fleet) Returned(now time.Duration, a Action, ok bool) {
 	f.giving = false
 	for _, id := range a.Machine {
 		if ok {
 			delete(f.units, id)
+			f.gone[id] = now
 		} else if u := f.units[id]; u != nil {
 			u.drop = false
 		}
@@ -370,6 +380,3 @@
 	}
 	return out
 }
-
-// Taken forgets a machine that is surely gone.
-func (f *Fleet) Taken(id model.MachineID) { delete(f.units, id) }
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -46,7 +46,8 @@
 		return int(int64(a.job) - int64(b.job))
 	})
 	for _, g := range groups {
-		for len(g.tasks) > 0 {
+		// Each waiting task is tried once a round, whatever evictions put back.
+		for n := len(g.tasks); n > 0 && len(g.tasks) > 0; n-- {
 			t := g.tasks[0]
 			m := s.roomFor(now, g)
 			if m == nil {
@@ -162,7 +163,7 @@
 func (s *Shard) victims(now time.Duration, m *machine, g *group) ([]*slot, time.Duration, bool) {
 	var cands []*slot
 	for _, sl := range sorted(m.slots) {
-		if sl.t != nil && sl.state != exited && !sl.stop && !sl.t.recalled && sl.t.price < g.price {
+		if sl.t != nil && sl.state != exited && !sl.stop && !sl.t.recalled && sl.t.price < g.price && sl.task.Job != g.job {
 			cands = append(cands, sl)
 		}
 	}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -322,17 +322,17 @@
 	}
 }
 
+// reprice changes the price of all of a job's tasks, waiting ones included: a
+// task that kept an older, lower price could fall victim to its own job.
 func (s *Shard) reprice(job model.JobID, price float64) {
 	for k, g := range s.queue {
 		if k.job == job {
 			g.price = price
 		}
 	}
-	for _, m := range s.order {
-		for k, sl := range m.slots {
-			if k.task.Job == job && sl.t != nil {
-				sl.t.price = price
-			}
+	for k, t := range s.tasks {
+		if k.Job == job {
+			t.price = price
 		}
 	}
 }
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -505,7 +505,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		now := n.now()
-		l.f.Returned(a, err == nil)
+		l.f.Returned(now, a, err == nil)
 		for _, id := range a.Machine {
 			if err == nil {
 				l.d.Gone(id)
