--- a/cmd/honeylock/main.go
+++ b/cmd/honeylock/main.go
@@ -101,6 +101,7 @@
 	n.Register(reg)
 	srv := server.New(n, cfg.Cluster.Resources.FDLimit, log, reg)
 	go srv.Serve(ctx, cfg.Bind, log)
+	go n.ServePeers(ctx, cfg.PeerListen)
 	log.Info("starting", "host", cfg.HostName, "zone", cfg.Zone, "version", version)
 	n.Run(ctx)
 	return nil
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -1,6 +1,7 @@
 package dealer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -41,7 +42,7 @@
 		if p := price(j.spec.Rank, j.within); p != j.price {
 			j.price = p
 			if len(j.held) > 0 {
-				d.order(model.Order{Kind: model.Reprice, Job: j.spec.ID, Price: p})
+				d.toAll(model.Order{Kind: model.Reprice, Job: j.spec.ID, Price: p})
 			}
 		}
 	}
@@ -61,8 +62,8 @@
 	for id := range d.suspects {
 		add(id)
 	}
-	for _, id := range d.aliens {
-		add(id)
+	for _, a := range d.aliens {
+		add(a.machine)
 	}
 	return sum
 }
@@ -107,109 +108,160 @@
 	return 0, false
 }
 
-type room struct {
-	model.MachineStatus
-	avail model.Resources
-}
-
 // Deal deals waiting tasks, the highest price times wait first, as far as the
-// machines have room, with a few more for which victims may be found. waiting
-// tells how many of a job's tasks the shard already holds unplaced.
-func (d *Dealer) Deal(now time.Duration, status []model.MachineStatus, waiting map[model.JobID]int) {
+// shards' machines have room, with a few more for which victims may be found.
+func (d *Dealer) Deal(now time.Duration) {
 	jobs := d.sortedJobs()
 	d.reprice(now, jobs)
+	members := d.sortedMembers()
+	d.rebalance(now, jobs, members)
 	jobs = slices.DeleteFunc(jobs, func(j *job) bool { return d.undealt(now, j) <= 0 })
-	if len(jobs) == 0 {
+	if len(jobs) == 0 || len(members) == 0 {
 		return
 	}
 	score := func(j *job) float64 { return j.price * (now - j.since + time.Second/10).Seconds() }
-	slices.SortStableFunc(jobs, func(a, b *job) int {
-		switch x, y := score(a), score(b); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
-	var rooms []room
-	for _, s := range status {
-		if s.Ready && !s.Draining {
-			rooms = append(rooms, room{s, s.Avail})
-		}
-	}
+	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(score(b), score(a)) })
 	exposure := d.exposure()
 	for _, j := range jobs {
-		n := int64(d.undealt(now, j))
-		if h := d.headroom(j.spec.Team, exposure); true {
-			n = min(n, j.spec.Each.Count(h))
-		}
+		n := min(int64(d.undealt(now, j)), j.spec.Each.Count(d.headroom(j.spec.Team, exposure)))
 		if n <= 0 {
 			continue
 		}
 		if j.spec.Together || j.spec.Spread {
-			d.dealPinned(now, j, n, rooms)
+			d.dealPinned(j, n, members)
 			continue
 		}
-		fit := fits(j.spec, rooms, model.None, n)
-		ahead := int64(0)
-		if fit < n {
-			ahead = min(n-fit, max(0, int64(d.p.Ahead-waiting[j.spec.ID])))
+		n -= d.dealFree(j, n, members)
+		if n > 0 {
+			d.dealAhead(j, n, members)
+		}
+	}
+}
+
+// dealFree deals by free room: the shard with the most of it first.
+func (d *Dealer) dealFree(j *job, n int64, members []*member) int64 {
+	var dealt int64
+	for dealt < n {
+		var best *member
+		var most int64
+		for _, m := range members {
+			if f := fits(j.spec, m.status, model.None, n-dealt, false); f > most {
+				best, most = m, f
+			}
+		}
+		if best == nil {
+			break
+		}
+		for range fits(j.spec, best.status, model.None, n-dealt, true) {
+			if !d.dealOne(j, best.id, model.None) {
+				return dealt
+			}
+			dealt++
+		}
+	}
+	return dealt
+}
+
+// dealAhead deals a few tasks without room to the shards with machines for
+// them, in turn: there they may find victims.
+func (d *Dealer) dealAhead(j *job, n int64, members []*member) {
+	ahead := min(n, int64(d.p.Ahead-d.Count(j.spec.ID).Waiting))
+	var able []*member
+	for _, m := range members {
+		if slices.ContainsFunc(m.status, func(s model.MachineStatus) bool { return s.Ready && j.spec.Allows(&s.Machine) }) {
+			able = append(able, m)
+		}
+	}
+	for i := int64(0); i < ahead && len(able) > 0; i++ {
+		m := able[i%int64(len(able))]
+		if !d.dealOne(j, m.id, model.None) {
+			return
+		}
+		// Counted at once: the shard's own count comes later.
+		if m.jobs == nil {
+			m.jobs = map[model.JobID]model.JobCount{}
 		}
-		for range fit + ahead {
-			if !d.dealOne(now, j, model.None) {
-				break
+		c := m.jobs[j.spec.ID]
+		c.Waiting++
+		m.jobs[j.spec.ID] = c
+	}
+}
+
+// rebalance takes waiting tasks back from a shard without room for them while
+// another has some.
+func (d *Dealer) rebalance(now time.Duration, jobs []*job, members []*member) {
+	if len(members) < 2 || now-d.balanced < time.Second {
+		return
+	}
+	d.balanced = now
+	for _, j := range jobs {
+		for _, m := range members {
+			w := m.jobs[j.spec.ID].Waiting
+			if w == 0 || fits(j.spec, m.status, model.None, 1, false) > 0 {
+				continue
+			}
+			var room int64
+			for _, o := range members {
+				if o != m {
+					room += fits(j.spec, o.status, model.None, int64(w), false)
+				}
+			}
+			if room > 0 {
+				d.order(m.id, model.Order{Kind: model.RecallWaiting, Job: j.spec.ID, Count: int(min(room, int64(w)))})
 			}
 		}
 	}
 }
 
-// fits takes room for up to n tasks and tells for how many there is.
-func fits(sp *model.Spec, rooms []room, zone model.Name, n int64) int64 {
+// fits tells for how many of up to n tasks there is room, and takes it.
+func fits(sp *model.Spec, rooms []model.MachineStatus, zone model.Name, n int64, take bool) int64 {
 	var got int64
 	for i := range rooms {
 		r := &rooms[i]
 		if got >= n {
 			break
 		}
-		if zone != model.None && r.Machine.Zone != zone || !sp.Allows(&r.Machine) {
+		if !r.Ready || r.Draining || zone != model.None && r.Machine.Zone != zone || !sp.Allows(&r.Machine) {
 			continue
 		}
-		k := min(n-got, sp.Each.Count(r.avail))
-		if k > 0 {
-			r.avail = r.avail.Sub(sp.Each.Times(k))
+		if k := min(n-got, sp.Each.Count(r.Avail)); k > 0 {
+			if take {
+				r.Avail = r.Avail.Sub(sp.Each.Times(k))
+			}
 			got += k
 		}
 	}
 	return got
 }
 
-func (d *Dealer) dealOne(now time.Duration, j *job, zone model.Name) bool {
+func (d *Dealer) dealOne(j *job, to model.ShardID, zone model.Name) bool {
 	no, ok := d.take(j)
 	if !ok {
 		return false
 	}
-	d.hold(now, j, no, zone)
-	d.order(model.Order{Kind: model.Give, Deal: model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price,
-		Zone: zone, Since: j.since}})
+	d.hold(j, no, zone, to)
+	d.give(to, model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price, Zone: zone, Since: j.since})
 	return true
 }
 
 // dealPinned deals tasks of a job whose tasks' zones depend on each other:
 // every task is charged to a zone before a shard sees it.
-func (d *Dealer) dealPinned(now time.Duration, j *job, n int64, rooms []room) {
+func (d *Dealer) dealPinned(j *job, n int64, members []*member) {
 	perZone := map[model.Name]int64{}
 	for _, h := range j.held {
 		perZone[h.zone]++
 	}
 	var zones []model.Name
-	for _, r := range rooms {
-		if !slices.Contains(zones, r.Machine.Zone) {
-			zones = append(zones, r.Machine.Zone)
+	for _, m := range members {
+		for _, r := range m.status {
+			if !slices.Contains(zones, r.Machine.Zone) {
+				zones = append(zones, r.Machine.Zone)
+			}
 		}
 	}
 	for n > 0 {
-		best, bestFit := model.None, int64(0)
+		var best *member
+		zone, most := model.None, int64(0)
 		for _, z := range zones {
 			can := n
 			if j.spec.Together && len(perZone) > 0 && perZone[z] == 0 {
@@ -218,22 +270,21 @@
 			if j.spec.Spread {
 				can = min(can, int64(j.spec.Tasks+1)/2-perZone[z])
 			}
-			if can <= 0 {
-				continue
-			}
-			if f := fits(j.spec, slices.Clone(rooms), z, can); f > bestFit {
-				best, bestFit = z, f
+			for _, m := range members {
+				if f := fits(j.spec, m.status, z, can, false); f > most {
+					best, zone, most = m, z, f
+				}
 			}
 		}
-		if best == model.None {
+		if best == nil {
 			return
 		}
-		fits(j.spec, rooms, best, bestFit)
-		for range bestFit {
-			if !d.dealOne(now, j, best) {
+		fits(j.spec, best.status, zone, most, true)
+		for range most {
+			if !d.dealOne(j, best.id, zone) {
 				return
 			}
-			perZone[best]++
+			perZone[zone]++
 			n--
 		}
 	}
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -22,14 +22,38 @@
 	ChunkSize int32  // tasks per stored chunk of a job's done set
 	Progress  time.Duration
 	Ahead     int // tasks of a job dealt beyond the free room, to find victims
+	SureLease time.Duration
 }
 
+// hold is a task charged to its team: dealt to a shard, or adrift.
 type hold struct {
-	zone  model.Name
-	since time.Duration
+	zone   model.Name
+	shard  model.ShardID
+	adrift *adrift // nil: a living shard holds it
+}
+
+// adrift is a set of tasks whose shard was lost, or let go of a machine. They
+// may be on any of the machines, and are free once each of those has been
+// accounted for: its worker fenced by a new owner, its lease surely over, or
+// the machine gone. Those found are adopted before that.
+type adrift struct {
+	machines map[model.MachineID]bool
+	tasks    map[model.Task]bool
+}
+
+// member is a shard as the dealer sees it.
+type member struct {
+	id       model.ShardID
+	host     string
+	status   []model.MachineStatus
+	jobs     map[model.JobID]model.JobCount
+	deals    uint64 // sent
+	acked    uint64 // as of its newest status
+	statusAt time.Duration
 }
 
 type clearing struct {
+	shard   model.ShardID
 	machine model.MachineID
 	task    model.Task
 	attempt uint64
@@ -58,12 +82,26 @@
 
 type machine struct {
 	model.Machine
-	token    uint64
-	recorded bool
-	version  uint64
-	writing  bool
-	silent   bool
-	gone     bool
+	token     uint64
+	recorded  bool
+	version   uint64
+	writing   bool
+	silent    bool
+	gone      bool
+	owner     model.ShardID // 0: none
+	next      model.ShardID // gets it once the owner has let go
+	releasing bool          // the owner was asked to let go
+	// authority is when the last shard that was lost as its owner could
+	// answer it for the last time.
+	authority time.Duration
+	lost      time.Duration // authority of this term's lost shards alone
+	groups    []*adrift
+}
+
+// alien is an attempt that must go; it runs unaccounted until it has.
+type alien struct {
+	machine model.MachineID
+	owner   model.ShardID
 }
 
 // Write is a change for the state service.
@@ -97,18 +135,23 @@
 	jobs     map[model.JobID]*job
 	machines map[model.MachineID]*machine
 	suspects map[model.MachineID]bool
-	aliens   map[uint64]model.MachineID
+	aliens   map[uint64]alien
+	members  map[model.ShardID]*member
+	lastID   model.ShardID
+	oldEnd   time.Duration // no authority of an earlier term lasts beyond
 	usage    []model.Resources
 	orders   []model.Order
 	types    map[model.Name]model.MachineType
 	repriced time.Duration
+	balanced time.Duration
 	Bad      map[model.MachineID]bool // machines that fail tasks
 }
 
-// New returns a dealer for a term that has just begun.
-func New(p Params) *Dealer {
-	return &Dealer{p: p, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, suspects: map[model.MachineID]bool{},
-		aliens: map[uint64]model.MachineID{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{},
+// New returns a dealer for a term that begins now. No shard of an earlier term
+// acts beyond oldEnd.
+func New(p Params, oldEnd time.Duration) *Dealer {
+	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, suspects: map[model.MachineID]bool{},
+		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{},
 		Bad: map[model.MachineID]bool{}}
 }
 
@@ -119,7 +162,180 @@
 	return o
 }
 
-func (d *Dealer) order(o model.Order) { d.orders = append(d.orders, o) }
+// order is for one shard; 0 has no shard any more and is dropped.
+func (d *Dealer) order(to model.ShardID, o model.Order) {
+	if to != 0 {
+		o.To = to
+		d.orders = append(d.orders, o)
+	}
+}
+
+func (d *Dealer) toAll(o model.Order) {
+	for _, m := range d.sortedMembers() {
+		d.order(m.id, o)
+	}
+}
+
+func (d *Dealer) sortedMembers() []*member {
+	out := make([]*member, 0, len(d.members))
+	for _, m := range d.members {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *member) int { return int(a.id) - int(b.id) })
+	return out
+}
+
+// Join takes a new shard and returns its id.
+func (d *Dealer) Join(host string) model.ShardID {
+	d.lastID++
+	d.members[d.lastID] = &member{id: d.lastID, host: host}
+	return d.lastID
+}
+
+// Attempts is the first of the attempt numbers that are a shard's alone.
+func (d *Dealer) Attempts(id model.ShardID) uint64 { return d.p.Term<<36 | uint64(id)<<22 }
+
+// Lost takes the loss of a shard, which may have acted, unseen, until end. Its
+// tasks stay charged until each of its machines is accounted for.
+func (d *Dealer) Lost(id model.ShardID, end time.Duration) {
+	if d.members[id] == nil {
+		return
+	}
+	delete(d.members, id)
+	g := &adrift{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
+	for _, m := range d.sortedMachines() {
+		if m.next == id {
+			m.next = 0
+		}
+		if m.owner == id {
+			m.owner, m.next, m.releasing = 0, 0, false
+			m.lost = max(m.lost, end)
+			m.authority = max(m.authority, end)
+			m.silent = false
+			g.machines[m.ID] = true
+			m.groups = append(m.groups, g)
+		}
+	}
+	for _, j := range d.sortedJobs() {
+		for no, h := range j.held {
+			if h.shard == id && h.adrift == nil {
+				d.setAdrift(j, no, g)
+			}
+		}
+	}
+	d.settle(g)
+}
+
+func (d *Dealer) setAdrift(j *job, no int32, g *adrift) {
+	h := j.held[no]
+	h.shard, h.adrift = 0, g
+	j.held[no] = h
+	g.tasks[model.Task{Job: j.spec.ID, No: no}] = true
+}
+
+// settle frees what is still adrift once no machine is left to look at.
+func (d *Dealer) settle(g *adrift) {
+	if len(g.machines) > 0 {
+		return
+	}
+	tasks := make([]model.Task, 0, len(g.tasks))
+	for t := range g.tasks {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(a, b model.Task) int {
+		if a.Job != b.Job {
+			return int(int64(a.Job) - int64(b.Job))
+		}
+		return int(a.No - b.No)
+	})
+	for _, t := range tasks {
+		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
+			d.freed(j, t.No)
+		}
+	}
+	g.tasks = nil
+}
+
+// resolve accounts for a machine: all that an earlier owner left there has
+// been found, or is gone.
+func (d *Dealer) resolve(m *machine) {
+	delete(d.suspects, m.ID)
+	for id, a := range d.aliens {
+		if a.machine == m.ID && a.owner != m.owner {
+			delete(d.aliens, id) // its owner has found it again, or it is gone
+		}
+	}
+	groups := m.groups
+	m.groups = nil
+	for _, g := range groups {
+		delete(g.machines, m.ID)
+		d.settle(g)
+	}
+}
+
+// EveryoneHere tells that all controllers have joined this term: nobody acts
+// for an earlier one.
+func (d *Dealer) EveryoneHere(now time.Duration) { d.oldEnd = min(d.oldEnd, now) }
+
+// Tick settles what time alone decides.
+func (d *Dealer) Tick(now time.Duration) {
+	for _, m := range d.sortedMachines() {
+		if d.suspects[m.ID] {
+			m.authority = max(d.oldEnd, m.lost)
+		}
+		unresolved := len(m.groups) > 0 || d.suspects[m.ID]
+		if unresolved && m.owner == 0 && now > m.authority+d.p.SureLease {
+			d.resolve(m)
+		}
+	}
+}
+
+// Dealt counts the deals made to a shard.
+func (d *Dealer) Dealt(id model.ShardID) uint64 {
+	if m := d.members[id]; m != nil {
+		return m.deals
+	}
+	return 0
+}
+
+// Status takes a shard's summary of its machines.
+func (d *Dealer) Status(now time.Duration, id model.ShardID, status []model.MachineStatus, jobs map[model.JobID]model.JobCount, acked uint64) {
+	m := d.members[id]
+	if m == nil {
+		return
+	}
+	m.jobs = jobs
+	// Rooms as of before the newest deals would be dealt twice.
+	if acked < m.deals && now-m.statusAt < time.Second {
+		return
+	}
+	m.status, m.acked, m.statusAt = status[:0:0], acked, now
+	for _, st := range status {
+		if r := d.machines[st.Machine.ID]; r != nil && r.owner == id {
+			st.Machine = r.Machine
+			m.status = append(m.status, st)
+		}
+	}
+}
+
+// Machines is what all shards last said of their machines.
+func (d *Dealer) Machines() []model.MachineStatus {
+	var out []model.MachineStatus
+	for _, m := range d.sortedMembers() {
+		out = append(out, m.status...)
+	}
+	return out
+}
+
+// Count sums up a job's tasks at the shards.
+func (d *Dealer) Count(id model.JobID) model.JobCount {
+	var c model.JobCount
+	for _, m := range d.members {
+		c.Waiting += m.jobs[id].Waiting
+		c.Running += m.jobs[id].Running
+	}
+	return c
+}
 
 // Sync takes the ids of all open jobs as of a revision: what is not among them
 // and was there by then has ended.
@@ -146,7 +362,9 @@
 	for _, m := range d.sortedMachines() {
 		if t, ok := d.types[m.Type]; ok && m.Cap != t.Cap {
 			m.Cap, m.FetchRate = t.Cap, t.FetchRate
-			d.own(m)
+			if m.owner != 0 {
+				d.own(m, m.owner)
+			}
 		}
 	}
 }
@@ -160,26 +378,31 @@
 	return out
 }
 
-// Recall of the record: machines that an earlier leader may have given tasks.
-// Each is suspect until its worker is fenced or its lease is surely over.
-func (d *Dealer) Recorded(m model.Machine, version uint64) {
+// Recorded takes a machine that an earlier leader may have given tasks. It is
+// suspect until its worker is fenced or its lease is surely over. to is asked
+// to fence it at once.
+func (d *Dealer) Recorded(m model.Machine, version uint64, to model.ShardID) {
 	if d.machines[m.ID] != nil {
 		return
 	}
-	r := &machine{Machine: m, recorded: true, version: version}
+	r := &machine{Machine: m, recorded: true, version: version, authority: d.oldEnd}
 	if t, ok := d.types[m.Type]; ok {
 		r.Cap, r.FetchRate = t.Cap, t.FetchRate
 	}
 	d.machines[m.ID] = r
 	d.suspects[m.ID] = true
-	d.own(r)
+	d.own(r, to)
 }
 
-// own gives the machine to the shard, under a token never used before.
-func (d *Dealer) own(m *machine) {
+// own gives the machine to a shard, under a token never used before.
+func (d *Dealer) own(m *machine, to model.ShardID) {
+	if m.owner != to {
+		m.silent = false
+	}
 	d.owned++
+	m.owner, m.next = to, 0
 	m.token = d.p.Term<<32 | d.owned
-	d.order(model.Order{Kind: model.Own, Machine: m.Machine, Token: m.token, Usable: m.recorded && m.Cap.CPU > 0})
+	d.order(to, model.Order{Kind: model.Own, Machine: m.Machine, Token: m.token, Usable: m.recorded && m.Cap.CPU > 0})
 }
 
 // AddJob takes an open job. done holds its stored chunks; old tells that it
@@ -233,7 +456,7 @@
 
 func (d *Dealer) end(j *job) {
 	j.ended = true
-	d.order(model.Order{Kind: model.EndJob, Job: j.spec.ID})
+	d.toAll(model.Order{Kind: model.EndJob, Job: j.spec.ID})
 	d.forget(j)
 }
 
@@ -260,60 +483,89 @@
 func (d *Dealer) Gone(id model.MachineID) {
 	if m := d.machines[id]; m != nil && !m.gone {
 		m.gone = true
-		delete(d.suspects, id)
-		d.order(model.Order{Kind: model.Disown, ID: id})
+		d.order(m.owner, model.Order{Kind: model.Disown, ID: id})
+		d.resolve(m)
 		if !m.recorded && !m.writing {
 			delete(d.machines, id)
 		}
 	}
 }
 
-// Silent tells whether a machine is known to hold nothing for want of a lease.
+// HasMachines tells whether there is any machine.
+func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
+
+// Silent tells whether no shard has answered a machine for its whole lease.
 func (d *Dealer) Silent(id model.MachineID) bool {
 	m := d.machines[id]
-	return m == nil || m.silent || m.gone
+	return m == nil || m.silent || m.gone || m.owner == 0
 }
 
 // Use lets tasks be placed on a machine, or not.
 func (d *Dealer) Use(id model.MachineID, usable bool) {
 	if m := d.machines[id]; m != nil {
-		d.order(model.Order{Kind: model.Use, ID: id, Usable: usable && m.recorded && m.Cap.CPU > 0})
+		d.order(m.owner, model.Order{Kind: model.Use, ID: id, Usable: usable && m.recorded && m.Cap.CPU > 0})
 	}
 }
 
 // Drain asks the shard to move a machine's tasks away.
-func (d *Dealer) Drain(id model.MachineID) { d.order(model.Order{Kind: model.Drain, ID: id}) }
+func (d *Dealer) Drain(id model.MachineID) {
+	if m := d.machines[id]; m != nil {
+		d.order(m.owner, model.Order{Kind: model.Drain, ID: id})
+	}
+}
 
-// Event takes a shard's event.
-func (d *Dealer) Event(now time.Duration, e model.Event) {
+// Event takes an event of a shard.
+func (d *Dealer) Event(now time.Duration, from model.ShardID, e model.Event) {
+	if d.members[from] == nil {
+		return
+	}
+	m := d.machines[e.Machine]
+	owner := m != nil && m.owner == from
 	switch e.Kind {
 	case model.Unowned:
-		d.unowned(e.Report)
+		d.unowned(now, from, e.Report)
 	case model.Fenced:
-		delete(d.suspects, e.Machine)
-		if m := d.machines[e.Machine]; m != nil {
+		// From a shard that is to let go, neither this nor what it found
+		// counts: orders that follow from it would arrive too late there.
+		if owner && !m.releasing {
+			m.silent = false
+			d.resolve(m)
+		}
+	case model.Heard:
+		if owner {
 			m.silent = false
 		}
 	case model.Silent:
-		delete(d.suspects, e.Machine)
-		if m := d.machines[e.Machine]; m != nil {
-			m.silent = true
+		if !owner || e.Token != m.token {
+			return
+		}
+		m.silent = true
+		// Nobody else may answer it, unless a lost shard still did. The shard
+		// must confirm after that: it may have answered meanwhile.
+		if now > m.authority+d.p.SureLease {
+			d.order(from, model.Order{Kind: model.Lapse, ID: m.ID})
 		}
+	case model.Lapsed:
+		if owner && !m.releasing && e.Token == m.token {
+			d.resolve(m)
+		}
+	case model.Released:
+		d.released(now, from, m, e)
 	case model.NeedToken, model.Superseded:
-		// A token of this term that is higher than the owner's would be ours
-		// too; one of a later term shows that this term is over, and then the
-		// lease says so as well.
-		if m := d.machines[e.Machine]; m != nil && !m.gone {
-			if e.Kind == model.NeedToken || e.Token>>32 == d.p.Term && e.Token > m.token {
-				d.own(m)
-			}
+		// A token of this term that is higher than the owner's was given by
+		// this dealer; one of a later term shows that this term is over, and
+		// then the lease says so as well.
+		if owner && !m.gone && (e.Kind == model.NeedToken || e.Token>>32 == d.p.Term) {
+			d.own(m, from)
 		}
 	case model.Found:
-		d.found(now, e)
+		d.found(now, from, e)
 	case model.Finished:
-		d.finished(now, e)
+		d.finished(now, from, e)
 	case model.Gone:
-		d.returned(now, e)
+		if j := d.jobs[e.Task.Job]; j != nil && d.holds(j, e.Task.No, from) {
+			d.returned(now, j, e)
+		}
 	case model.AlienGone:
 		delete(d.aliens, e.Attempt)
 	case model.Bad:
@@ -321,48 +573,105 @@
 	}
 }
 
-func (d *Dealer) unowned(r *model.Report) {
-	if m := d.machines[r.Machine.ID]; m != nil {
-		if m.gone {
-			return // its record is being dropped: next time
+func (d *Dealer) holds(j *job, no int32, id model.ShardID) bool {
+	h, ok := j.held[no]
+	return ok && h.adrift == nil && h.shard == id
+}
+
+func (d *Dealer) unowned(now time.Duration, from model.ShardID, r *model.Report) {
+	m := d.machines[r.Machine.ID]
+	switch {
+	case m == nil:
+		t, ok := d.types[r.Machine.Type]
+		if !ok {
+			return // the catalog is not known yet
 		}
+		m = &machine{Machine: r.Machine}
+		m.Cap, m.FetchRate = t.Cap, t.FetchRate
+		d.machines[m.ID] = m
+		// It gets tasks only once its record is stored: a later leader must
+		// know every machine that may hold something.
+		d.own(m, from)
+	case m.gone: // its record is being dropped: next time
+	case m.owner == 0:
 		m.Addr = r.Machine.Addr
-		d.own(m)
+		d.own(m, from)
+	case m.owner == from: // the order is on its way
+	case m.releasing:
+		m.next = from
+	default:
+		// The worker has moved. What its owner knows of it must not be lost.
+		m.next, m.releasing = from, true
+		d.order(m.owner, model.Order{Kind: model.Release, ID: m.ID})
+	}
+}
+
+func (d *Dealer) released(now time.Duration, from model.ShardID, m *machine, e model.Event) {
+	if m == nil || m.owner != from {
 		return
 	}
-	m := &machine{Machine: r.Machine}
-	t, ok := d.types[m.Type]
-	if !ok {
-		return // the catalog is not known yet
+	g := &adrift{machines: map[model.MachineID]bool{m.ID: true}, tasks: map[model.Task]bool{}}
+	for _, t := range e.Tasks {
+		if j := d.jobs[t.Job]; j != nil && d.holds(j, t.No, from) {
+			d.setAdrift(j, t.No, g)
+		}
+	}
+	m.groups = append(m.groups, g)
+	m.owner, m.releasing = 0, false
+	// It was answered until now at the latest.
+	m.lost = max(m.lost, now)
+	m.authority = max(m.authority, now)
+	if m.gone {
+		d.resolve(m)
+	} else if d.members[m.next] != nil {
+		d.own(m, m.next)
 	}
-	m.Cap, m.FetchRate = t.Cap, t.FetchRate
-	d.machines[m.ID] = m
-	// It gets tasks only once its record is stored: a later leader must know
-	// every machine that may hold something.
-	d.own(m)
+	m.next = 0
 }
 
-func (d *Dealer) found(now time.Duration, e model.Event) {
+func (d *Dealer) found(now time.Duration, from model.ShardID, e model.Event) {
 	j := d.jobs[e.Task.Job]
 	known := j != nil && !j.ended && e.Task.No < j.spec.Tasks
+	m := d.machines[e.Machine]
 	if e.Cell.Stage == model.Exited {
 		if known && e.Cell.Cause == model.CauseDone && !j.spec.Daemon {
-			e.Held = false
-			d.finished(now, e)
+			d.finished(now, from, e)
 			return
 		}
-		d.order(model.Order{Kind: model.ClearIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
+		d.order(from, model.Order{Kind: model.ClearIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
 		return
 	}
-	if m := d.machines[e.Machine]; known && m != nil && !j.isDone(e.Task.No) && !d.isHeld(j, e.Task.No) && j.spec.Allows(&m.Machine) {
-		d.hold(now, j, e.Task.No, m.Zone)
-		d.order(model.Order{Kind: model.Give, Deal: model.Deal{Task: e.Task, Spec: j.spec, Price: j.price, Zone: j.pin(m.Zone),
-			Since: j.since, Machine: e.Machine, Attempt: e.Attempt}})
+	if m != nil && (m.releasing || m.gone || m.owner != from) {
+		return // the next owner will find it
+	}
+	if m != nil && known && !j.isDone(e.Task.No) && j.spec.Allows(&m.Machine) && d.adoptable(j, e.Task.No, m) {
+		if h, ok := j.held[e.Task.No]; ok {
+			delete(h.adrift.tasks, e.Task)
+			h.shard, h.adrift, h.zone = from, nil, m.Zone
+			j.held[e.Task.No] = h
+		} else {
+			d.hold(j, e.Task.No, m.Zone, from)
+		}
+		d.give(from, model.Deal{Task: e.Task, Spec: j.spec, Price: j.price, Zone: j.pin(m.Zone), Since: j.since,
+			Machine: e.Machine, Attempt: e.Attempt})
 		return
 	}
 	// It takes room, and its team's share, until it is gone.
-	d.aliens[e.Attempt] = e.Machine
-	d.order(model.Order{Kind: model.KillIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
+	d.aliens[e.Attempt] = alien{e.Machine, from}
+	d.order(from, model.Order{Kind: model.KillIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
+}
+
+// adoptable: nobody holds the task, or it was adrift and may be there.
+func (d *Dealer) adoptable(j *job, no int32, m *machine) bool {
+	h, ok := j.held[no]
+	return !ok || h.adrift != nil && h.adrift.machines[m.ID]
+}
+
+func (d *Dealer) give(to model.ShardID, deal model.Deal) {
+	if m := d.members[to]; m != nil {
+		m.deals++
+	}
+	d.order(to, model.Order{Kind: model.Give, Deal: deal})
 }
 
 func (j *job) pin(zone model.Name) model.Name {
@@ -374,8 +683,8 @@
 
 func (d *Dealer) isHeld(j *job, no int32) bool { _, ok := j.held[no]; return ok }
 
-func (d *Dealer) hold(now time.Duration, j *job, no int32, zone model.Name) {
-	j.held[no] = hold{zone, now}
+func (d *Dealer) hold(j *job, no int32, zone model.Name, shard model.ShardID) {
+	j.held[no] = hold{zone: zone, shard: shard}
 	d.usage[j.spec.Team] = d.usage[j.spec.Team].Add(j.spec.Each)
 }
 
@@ -386,30 +695,34 @@
 	}
 }
 
-func (d *Dealer) finished(now time.Duration, e model.Event) {
+func (d *Dealer) finished(now time.Duration, from model.ShardID, e model.Event) {
 	j := d.jobs[e.Task.Job]
-	clear := clearing{e.Machine, e.Task, e.Attempt}
+	clear := clearing{from, e.Machine, e.Task, e.Attempt}
+	if j != nil && e.Held && d.holds(j, e.Task.No, from) {
+		d.release(j, e.Task.No)
+	}
 	if j == nil || j.ended || e.Task.No >= j.spec.Tasks {
-		if j != nil && e.Held {
-			d.release(j, e.Task.No)
+		if j != nil {
 			d.forget(j)
 		}
 		d.clearIt(clear)
 		return
 	}
-	if e.Held {
-		d.release(j, e.Task.No)
-	} else if d.isHeld(j, e.Task.No) {
-		d.order(model.Order{Kind: model.Recall, Task: e.Task})
+	if h, ok := j.held[e.Task.No]; ok && h.adrift == nil {
+		// It is done, yet started again elsewhere.
+		d.order(h.shard, model.Order{Kind: model.Recall, Task: e.Task})
 	}
 	if j.spec.Daemon { // a replica has no end: it runs again
-		j.back = append(j.back, e.Task.No)
+		if _, ok := j.held[e.Task.No]; !ok {
+			j.back = append(j.back, e.Task.No)
+		}
 		d.clearIt(clear)
 		return
 	}
+	c := e.Task.No / d.p.ChunkSize
 	if d.setDone(j, e.Task.No) {
-		j.dirty[e.Task.No/d.p.ChunkSize] = true
-	} else if !j.dirty[e.Task.No/d.p.ChunkSize] && !j.writing {
+		j.dirty[c] = true
+	} else if !j.dirty[c] && !j.writing {
 		d.clearIt(clear)
 		return
 	}
@@ -417,23 +730,21 @@
 }
 
 func (d *Dealer) clearIt(c clearing) {
-	d.order(model.Order{Kind: model.ClearIt, ID: c.machine, Task: c.task, Attempt: c.attempt})
+	d.order(c.shard, model.Order{Kind: model.ClearIt, ID: c.machine, Task: c.task, Attempt: c.attempt})
 }
 
-func (d *Dealer) returned(now time.Duration, e model.Event) {
-	j := d.jobs[e.Task.Job]
-	if j == nil {
-		return
-	}
-	d.release(j, e.Task.No)
+// freed takes the certainty that a held task is nowhere.
+func (d *Dealer) freed(j *job, no int32) {
+	d.release(j, no)
 	if j.ended {
 		d.forget(j)
-		return
+	} else if !j.isDone(no) {
+		j.back = append(j.back, no)
 	}
-	if j.isDone(e.Task.No) {
-		return
-	}
-	j.back = append(j.back, e.Task.No)
+}
+
+func (d *Dealer) returned(now time.Duration, j *job, e model.Event) {
+	d.freed(j, e.Task.No)
 	if e.Cause == model.CauseError {
 		// Mostly the machine; a job that fails everywhere must not hog room.
 		j.errors++
@@ -549,7 +860,7 @@
 		m.writing = false
 		if ok {
 			m.recorded, m.version = true, revision
-			d.order(model.Order{Kind: model.Use, ID: m.ID, Usable: m.Cap.CPU > 0})
+			d.order(m.owner, model.Order{Kind: model.Use, ID: m.ID, Usable: m.Cap.CPU > 0})
 		}
 	case DropMachine:
 		m := d.machines[w.Machine.ID]
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -157,10 +157,12 @@
 func (f *Fleet) Observe(now time.Duration, status []model.MachineStatus, silent func(model.MachineID) bool) {
 	for i := range status {
 		m := &status[i].Machine
-		u := f.unit(now, m.ID, kind{m.Type, m.Zone, m.Spot})
-		if !silent(m.ID) {
+		f.unit(now, m.ID, kind{m.Type, m.Zone, m.Spot})
+	}
+	for id, u := range f.units {
+		if !silent(id) {
 			u.heard, u.silent = true, 0
-		} else if u.silent == 0 {
+		} else if u.heard && u.silent == 0 {
 			u.silent = now
 		}
 	}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -15,8 +15,13 @@
 	Attempt uint64 // 0: not adopted
 }
 
+// ShardID names one incarnation of a controller's shard; ids are never reused
+// within a term.
+type ShardID uint32
+
 // Order is what the dealer tells a shard.
 type Order struct {
+	To      ShardID
 	Kind    OrderKind
 	Machine Machine   // Own
 	Token   uint64    // Own
@@ -27,6 +32,8 @@
 	Attempt uint64    // Clear, Kill
 	Job     JobID     // EndJob, Price
 	Price   float64   // Price
+	Count   int       // RecallWaiting
+	Keeper  string    // Release: where its worker should report instead
 }
 
 // OrderKind tells orders apart.
@@ -34,16 +41,19 @@
 
 // Orders.
 const (
-	Own     OrderKind = iota // this shard owns the machine under the token
-	Disown                   // the machine is surely gone
-	Use                      // Usable changed
-	Drain                    // place nothing there, move what is there
-	Give                     // Deal
-	Recall                   // give the task back: stop it where it runs
-	ClearIt                  // the attempt's exit is accounted for: clear it
-	KillIt                   // an attempt that must not be
-	EndJob                   // the job is over: stop all, then clear all
-	Reprice                  // the job's tasks have a new price
+	Own           OrderKind = iota // this shard owns the machine under the token
+	Disown                         // the machine is surely gone
+	Use                            // Usable changed
+	Drain                          // place nothing there, move what is there
+	Give                           // Deal
+	Recall                         // give the task back: stop it where it runs
+	ClearIt                        // the attempt's exit is accounted for: clear it
+	KillIt                         // an attempt that must not be
+	EndJob                         // the job is over: stop all, then clear all
+	Reprice                        // the job's tasks have a new price
+	RecallWaiting                  // give back up to Count waiting tasks of Job
+	Release                        // another shard is to own the machine: let go of it
+	Lapse                          // its worker's lease is surely over
 )
 
 // Event is what a shard tells the dealer.
@@ -58,6 +68,7 @@
 	Ran     time.Duration // Done: time that it ran, if known
 	Token   uint64        // Superseded
 	Held    bool          // Finished: the task held here ended with it
+	Tasks   []Task        // Released: tasks that were on the machine
 }
 
 // EventKind tells events apart.
@@ -67,7 +78,10 @@
 const (
 	Unowned    EventKind = iota // a worker that nobody here owns reports
 	Fenced                      // the worker has shown our token; all it holds was told
-	Silent                      // its lease is surely over: nothing is there
+	Silent                      // its lease is over, if nobody else has answered it
+	Heard                       // a worker that was told silent reports again
+	Lapsed                      // its lease is surely over: nothing is there
+	Released                    // the machine is let go of
 	NeedToken                   // a launch is in doubt: the worker's token must rise
 	Superseded                  // the worker has seen a higher token
 	Found                       // an attempt that the shard doesn't know
@@ -88,3 +102,6 @@
 	Bad       bool
 	Heard     time.Duration // last time its lease was renewed
 }
+
+// JobCount counts a job's tasks at a shard.
+type JobCount struct{ Waiting, Running int }
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -76,6 +76,7 @@
 	session, seq uint64
 	answered     time.Duration
 	silent       bool
+	told         time.Duration // silence last told to the dealer
 	slots        map[key]*slot
 	used         model.Resources // of all slots not exited, reservations included
 	images       map[model.Name]bool
@@ -119,6 +120,12 @@
 	zone model.Name
 }
 
+// inFlight is a direct command under way, with the launches it carries.
+type inFlight struct {
+	m        *machine
+	launched []*slot
+}
+
 // Shard is the state machine.
 type Shard struct {
 	p        Params
@@ -130,7 +137,9 @@
 	order    []*machine // by id, so that decisions repeat under one seed
 	tasks    map[model.Task]*task
 	queue    map[groupKey]*group
-	pending  map[uint64][]*slot
+	pending  map[uint64]inFlight
+	deals    uint64
+	moved    map[model.MachineID]string
 	events   []model.Event
 	directs  []Direct
 	Stats    Stats
@@ -139,21 +148,15 @@
 // Stats count what the shard has done.
 type Stats struct{ Placed, Evicted, Demoted, Lost, Refused, Errors uint64 }
 
-// New returns a shard without a grant.
-func New(p Params, rng *rand.Rand) *Shard {
-	return &Shard{p: p, rng: rng, machines: map[model.MachineID]*machine{}, tasks: map[model.Task]*task{},
-		queue: map[groupKey]*group{}, pending: map[uint64][]*slot{}}
+// New returns a shard without a grant. attempts is the first of a range of
+// attempt numbers that are this shard's alone.
+func New(p Params, attempts uint64, rng *rand.Rand) *Shard {
+	return &Shard{p: p, rng: rng, attempt: attempts, machines: map[model.MachineID]*machine{}, tasks: map[model.Task]*task{},
+		queue: map[groupKey]*group{}, pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}}
 }
 
-// Grant lets the shard act until the given time. attempts is the first of a
-// range of attempt numbers that is this grant's alone; it is taken up only by
-// a shard without one.
-func (s *Shard) Grant(until time.Duration, attempts uint64) {
-	s.until = until
-	if s.attempt == 0 {
-		s.attempt = attempts
-	}
-}
+// Grant lets the shard act until the given time.
+func (s *Shard) Grant(until time.Duration) { s.until = until }
 
 // Granted tells whether the shard may act.
 func (s *Shard) Granted(now time.Duration) bool { return now < s.until }
@@ -182,8 +185,7 @@
 	case model.Disown:
 		if m := s.machines[o.ID]; m != nil {
 			s.loseAll(now, m)
-			delete(s.machines, o.ID)
-			s.order = slices.DeleteFunc(s.order, func(x *machine) bool { return x == m })
+			s.remove(m)
 		}
 	case model.Use:
 		if m := s.machines[o.ID]; m != nil {
@@ -215,11 +217,75 @@
 		s.endJob(now, o.Job)
 	case model.Reprice:
 		s.reprice(o.Job, o.Price)
+	case model.RecallWaiting:
+		s.recallWaiting(o.Job, o.Count)
+	case model.Release:
+		s.letGo(o.ID, o.Keeper)
+	case model.Lapse:
+		// Only the dealer knows that nobody else has answered the worker; only
+		// this shard, that it has not answered it since it said so.
+		if m := s.machines[o.ID]; m != nil && m.silent {
+			s.loseAll(now, m)
+			s.emit(model.Event{Kind: model.Lapsed, Machine: m.ID, Token: m.token})
+		}
+	}
+}
+
+func (s *Shard) recallWaiting(job model.JobID, n int) {
+	for k, g := range s.queue {
+		if k.job != job {
+			continue
+		}
+		for _, t := range slices.Clone(g.tasks) {
+			if n--; n < 0 {
+				return
+			}
+			s.dequeue(t)
+			s.release(t, model.CauseStopped)
+		}
+	}
+}
+
+// letGo drops a machine from the books. Its tasks are where they are: the
+// dealer waits for the next owner to find them.
+func (s *Shard) letGo(id model.MachineID, keeper string) {
+	e := model.Event{Kind: model.Released, Machine: id}
+	if m := s.machines[id]; m != nil {
+		for _, sl := range sorted(m.slots) {
+			switch t := sl.t; {
+			case t == nil || t.slot != sl:
+			case !sl.sent:
+				sl.t = nil
+				s.release(t, model.CauseStopped)
+			default:
+				delete(s.tasks, t.Task)
+				e.Tasks = append(e.Tasks, t.Task)
+			}
+		}
+		s.remove(m)
+		if keeper != "" {
+			s.moved[id] = keeper
+		}
 	}
+	s.emit(e)
+}
+
+func (s *Shard) remove(m *machine) {
+	delete(s.machines, m.ID)
+	s.order = slices.DeleteFunc(s.order, func(x *machine) bool { return x == m })
+}
+
+// Moved tells where a machine that was let go of should report instead.
+// It is told once: a worker that comes back could not go there, and is welcome.
+func (s *Shard) Moved(id model.MachineID) string {
+	k := s.moved[id]
+	delete(s.moved, id)
+	return k
 }
 
 func (s *Shard) own(now time.Duration, o model.Order) {
 	m := s.machines[o.Machine.ID]
+	delete(s.moved, o.Machine.ID)
 	if m == nil {
 		m = &machine{Machine: o.Machine, first: o.Token, answered: now, idleSince: now,
 			slots: map[key]*slot{}, images: map[model.Name]bool{}}
@@ -235,25 +301,30 @@
 }
 
 func (s *Shard) give(now time.Duration, d model.Deal) {
+	s.deals++
 	if s.tasks[d.Task] != nil {
 		return
 	}
 	t := &task{Deal: d, price: d.Price}
 	s.tasks[d.Task] = t
 	if d.Attempt != 0 {
-		if m := s.machines[d.Machine]; m != nil {
-			if sl := m.slots[key{d.Task, d.Attempt}]; sl != nil && sl.state == live {
-				sl.t, t.on, t.slot, sl.alien = t, m, sl, false
-				if sl.stage == model.Running {
-					sl.runSince = now
-				}
-				m.used = m.used.Sub(sl.each).Add(d.Spec.Each)
-				sl.each = d.Spec.Each
-				m.images[d.Spec.Image] = true
-				return
+		m := s.machines[d.Machine]
+		if m == nil {
+			// The dealer asks no shard to adopt from a machine that it takes
+			// away. Placing the task anew could run it twice.
+			return
+		}
+		if sl := m.slots[key{d.Task, d.Attempt}]; sl != nil && sl.state == live {
+			sl.t, t.on, t.slot, sl.alien = t, m, sl, false
+			if sl.stage == model.Running {
+				sl.runSince = now
 			}
+			m.used = m.used.Sub(sl.each).Add(d.Spec.Each)
+			sl.each = d.Spec.Each
+			m.images[d.Spec.Image] = true
+			return
 		}
-		// It has gone since it was found.
+		// It has exited since it was found.
 	}
 	s.enqueue(now, t)
 }
@@ -436,6 +507,9 @@
 	}
 	m := s.machines[r.Machine.ID]
 	if m == nil {
+		if s.moved[r.Machine.ID] != "" {
+			return false
+		}
 		s.emit(model.Event{Kind: model.Unowned, Machine: r.Machine.ID, Report: r})
 		return false
 	}
@@ -463,7 +537,10 @@
 		return Answer{}
 	}
 	m.answered = now
-	m.silent = false
+	if m.silent {
+		m.silent = false
+		s.emit(model.Event{Kind: model.Heard, Machine: m.ID})
+	}
 	cmds := s.commands(now, m, r.Seq, false)
 	// A worker that is not fenced yet shows the token sooner when it is told
 	// directly as well.
@@ -693,7 +770,7 @@
 				launched = append(launched, sl)
 			}
 		}
-		s.pending[d.ID] = launched
+		s.pending[d.ID] = inFlight{m, launched}
 		m.inFlight++
 		s.directs = append(s.directs, d)
 	}
@@ -702,9 +779,9 @@
 // DirectDone takes the outcome of a direct command: the worker's report after
 // it (nil: no answer) and whether it was executed.
 func (s *Shard) DirectDone(now time.Duration, d Direct, r *model.Report, executed bool) {
-	launched := s.pending[d.ID]
+	sent := s.pending[d.ID]
 	delete(s.pending, d.ID)
-	for _, sl := range launched {
+	for _, sl := range sent.launched {
 		sl.direct--
 		if r == nil {
 			// It may be executed minutes later, as long as token and session match.
@@ -712,8 +789,8 @@
 		}
 	}
 	m := s.machines[d.Machine]
-	if m == nil {
-		return
+	if m == nil || m != sent.m {
+		return // let go of meanwhile
 	}
 	m.inFlight--
 	if r == nil {
@@ -738,11 +815,11 @@
 // Tick settles what time alone decides.
 func (s *Shard) Tick(now time.Duration) {
 	for _, m := range s.order {
-		if !m.silent && now-m.answered > s.p.SureLease {
-			// Its lease is over, whatever it does now.
-			m.silent = true
-			s.loseAll(now, m)
-			s.emit(model.Event{Kind: model.Silent, Machine: m.ID})
+		if now-m.answered > s.p.SureLease && (!m.silent || now-m.told > 5*time.Second) {
+			// Its lease is over, unless another controller has answered it:
+			// the dealer knows.
+			m.silent, m.told = true, now
+			s.emit(model.Event{Kind: model.Silent, Machine: m.ID, Token: m.token})
 		}
 		if m.noticeAt != 0 || m.draining {
 			s.evacuate(now, m)
@@ -835,24 +912,28 @@
 	return n, sum
 }
 
-// WaitingByJob counts the waiting tasks of each job.
-func (s *Shard) WaitingByJob() map[model.JobID]int {
-	n := map[model.JobID]int{}
+// Owns tells whether the machine is this shard's.
+func (s *Shard) Owns(id model.MachineID) bool { return s.machines[id] != nil }
+
+// Deals counts the deals received.
+func (s *Shard) Deals() uint64 { return s.deals }
+
+// Jobs counts the waiting and the running tasks of each job.
+func (s *Shard) Jobs() map[model.JobID]model.JobCount {
+	out := map[model.JobID]model.JobCount{}
 	for k, g := range s.queue {
-		n[k.job] += len(g.tasks)
+		c := out[k.job]
+		c.Waiting += len(g.tasks)
+		out[k.job] = c
 	}
-	return n
-}
-
-// JobRunning counts a job's tasks that are on machines, for display.
-func (s *Shard) JobRunning(job model.JobID) int {
-	n := 0
 	for _, m := range s.order {
 		for k, sl := range m.slots {
-			if k.task.Job == job && sl.state == live && sl.stage == model.Running {
-				n++
+			if sl.t != nil && sl.state == live && sl.stage == model.Running {
+				c := out[k.task.Job]
+				c.Running++
+				out[k.task.Job] = c
 			}
 		}
 	}
-	return n
+	return out
 }
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -15,7 +15,6 @@
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/fleet"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/shard"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -29,13 +28,17 @@
 	term   uint64
 	guard  wire.Guard
 	d      *dealer.Dealer
-	s      *shard.Shard
 	f      *fleet.Fleet
-	ready  chan struct{} // closed once the store has been read
+	local  model.ShardID
+	links  map[model.ShardID]*link
+	hosts  map[string]bool // siblings that have joined this term
+	ready  chan struct{}   // closed once the store has been read
 	loaded bool
 	// fresh is when the last question about open jobs that was answered was
 	// asked: a leader that hears of no cancellations must not go on.
 	fresh   time.Duration
+	began   time.Duration
+	lost    time.Duration // the last member
 	writes  *rate.Limiter
 	dealt   time.Duration
 	fleeted time.Duration
@@ -48,7 +51,7 @@
 	if n.lead != nil && (!leading || n.lead.term != n.el.Term()) {
 		n.log.Info("leadership over", "term", n.lead.term)
 		n.lead.cancel()
-		n.lead = nil
+		n.lead, n.seat = nil, nil
 	}
 	if leading && n.lead == nil {
 		n.lead = n.newLeadership(ctx, now)
@@ -64,12 +67,19 @@
 		teams[i] = dealer.Team{Guarantee: model.Capacity(t.CPUs, t.GPUs, 0), Limit: model.Capacity(t.CPUsMax, t.GPUsMax, 0)}
 	}
 	l := &leadership{n: n, ctx: lctx, cancel: cancel, term: n.el.Term(), guard: wire.Guard{Key: keyLeader, Version: n.el.Version()},
-		ready: make(chan struct{}), fresh: now,
+		ready: make(chan struct{}), fresh: now, began: now, links: map[model.ShardID]*link{}, hosts: map[string]bool{},
 		writes: rate.NewLimiter(rate.Limit(c.State.WriteRPS*0.4), max(4, int(c.State.WriteRPS*0.2)))}
-	l.d = dealer.New(dealer.Params{Term: l.term, Teams: teams, ChunkSize: chunkSize(c.State.ValueKB), Progress: 2 * time.Second, Ahead: n.set.DealAhead})
-	l.s = shard.New(shard.Params{SureLease: c.SureLease(), Report: config.Seconds(c.Workers.ReportS), Sample: n.set.SampleSize,
-		PaybackLimit: n.set.PaybackLimit, DemoteStep: n.set.DemotionStep, DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second}, n.rng)
-	l.s.Grant(n.el.Deadline(), l.term<<36)
+	// Shards of the term before may act on grants that reach to the end of
+	// their leader's lease, even if that lease was ended early: up to one
+	// whole length of it from now, unless they are heard to have stopped.
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: teams, ChunkSize: chunkSize(c.State.ValueKB), Progress: 2 * time.Second,
+		Ahead: n.set.DealAhead, SureLease: c.SureLease()}, now+n.ttl+time.Second)
+	if len(n.cfg.Siblings) == 0 {
+		l.d.EveryoneHere(now)
+	}
+	l.local = l.d.Join(n.cfg.HostName)
+	n.seat = n.newSeat(l.d.Attempts(l.local))
+	n.seat.s.Grant(n.el.Deadline())
 	l.f = fleet.New(fleet.Params{Term: l.term, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
 		Horizon: n.set.RentHorizon, Probe: 15 * time.Second})
 	l.setTypes(n.types)
@@ -201,7 +211,7 @@
 	defer n.mu.Unlock()
 	now := n.now()
 	for _, r := range recs {
-		l.d.Recorded(model.Machine{ID: r.id, Addr: r.m.Addr, Type: n.names.Types.ID(r.m.Type), Zone: n.names.Zones.ID(r.m.Zone), Spot: r.m.Spot}, r.version)
+		l.d.Recorded(model.Machine{ID: r.id, Addr: r.m.Addr, Type: n.names.Types.ID(r.m.Type), Zone: n.names.Zones.ID(r.m.Zone), Spot: r.m.Spot}, r.version, l.local)
 	}
 	for _, st := range open {
 		l.add(now, st)
@@ -292,6 +302,16 @@
 	}
 }
 
+// cutOff tells that this leader still reaches the state service, but hears
+// neither workers nor siblings: another would serve better.
+func (l *leadership) cutOff(now time.Duration) bool {
+	patience := max(3*time.Second, config.Seconds(2.5*l.n.cfg.Cluster.Workers.ReportS))
+	return len(l.n.cfg.Siblings) > 0 && len(l.links) == 0 && now-max(l.n.reported, l.began, l.lost) > patience && l.d.HasMachines()
+}
+
+// until is when this leader's authority ends unless it is renewed.
+func (l *leadership) until() time.Duration { return min(l.n.el.Deadline(), l.fresh+l.n.ttl) }
+
 // tick is called a few times a second.
 func (l *leadership) tick(now time.Duration) {
 	if now-l.fresh > l.n.ttl {
@@ -299,7 +319,12 @@
 		l.n.el.Resign(now, time.Second)
 		return
 	}
-	l.s.Grant(min(l.n.el.Deadline(), l.fresh+l.n.ttl), 0)
+	if l.cutOff(now) {
+		l.n.log.Error("no worker and no sibling heard: giving leadership up", "term", l.term)
+		l.n.el.Resign(now, 4*time.Second)
+		return
+	}
+	l.n.seat.s.Grant(l.until())
 	if !l.loaded {
 		return
 	}
@@ -308,7 +333,8 @@
 		l.n.log.Info("all machines of earlier terms accounted for", "term", l.term)
 	}
 	if now-l.dealt >= 100*time.Millisecond {
-		l.s.Tick(now)
+		l.n.seat.s.Tick(now)
+		l.d.Tick(now)
 		l.deal(now)
 		l.store(now)
 	}
@@ -321,74 +347,46 @@
 // deal deals tasks and sends what follows from it.
 func (l *leadership) deal(now time.Duration) {
 	l.dealt = now
-	l.exchange(now)
-	l.d.Deal(now, l.s.Status(now), l.s.WaitingByJob())
+	l.dealLocal(now)
 	l.pump(now)
 }
 
-// exchange carries orders and events between dealer and shard.
+func (l *leadership) dealLocal(now time.Duration) {
+	s := l.n.seat.s
+	l.exchange(now)
+	l.d.Status(now, l.local, s.Status(now), s.Jobs(), l.d.Dealt(l.local))
+	l.d.Deal(now)
+	l.exchange(now)
+}
+
+// exchange carries orders and events between the dealer and the shards.
 func (l *leadership) exchange(now time.Duration) {
+	s := l.n.seat.s
 	for {
-		orders, events := l.d.Orders(), l.s.Events()
+		orders, events := l.d.Orders(), s.Events()
 		if len(orders) == 0 && len(events) == 0 {
 			return
 		}
-		for _, o := range orders {
-			l.s.Order(now, o)
+		for i := range orders {
+			if o := &orders[i]; o.To == l.local {
+				s.Order(now, *o)
+				l.n.owned(o)
+			} else if k := l.links[o.To]; k != nil {
+				k.out.Send(k.codec.Order(now, o))
+			}
 		}
 		for _, e := range events {
-			l.d.Event(now, e)
+			l.d.Event(now, l.local, e)
 		}
 	}
 }
 
-// pump lets dealer and shard settle, and sends the direct commands.
+// pump lets dealer and shards settle, and sends the direct commands.
 func (l *leadership) pump(now time.Duration) {
 	l.exchange(now)
-	l.s.Place(now)
-	l.exchange(now)
-	l.s.Flush(now)
-	for _, d := range l.s.Directs() {
-		go l.direct(d)
-	}
-}
-
-func (l *leadership) direct(d shard.Direct) {
-	raw, executed, err := l.n.work.Send(l.ctx, d.Addr, d.Token, d.Session, d.Commands)
-	l.n.mu.Lock()
-	defer l.n.mu.Unlock()
-	now := l.n.now()
-	var rep *model.Report
-	if err == nil {
-		rep, err = raw.Report(l.n.names)
-	}
-	if err != nil {
-		l.n.log.Debug("direct command unanswered", "machine", wire.MachineName(d.Machine), "err", err)
-		rep = nil
-	}
-	l.s.DirectDone(now, d, rep, executed)
-	if l.n.lead == l {
-		l.pump(now)
-	}
-}
-
-// report answers a worker's report.
-func (l *leadership) report(now time.Duration, r *model.Report) shard.Answer {
-	ok := l.s.Report(now, r)
-	l.exchange(now)
-	if !ok { // it may be ours by now
-		ok = l.s.Report(now, r)
-		l.exchange(now)
-	}
-	if !ok {
-		return shard.Answer{}
-	}
-	l.d.Deal(now, l.s.Status(now), l.s.WaitingByJob())
+	l.n.seat.s.Place(now)
 	l.exchange(now)
-	l.s.Place(now)
-	a := l.s.Answer(now, r)
-	l.pump(now)
-	return a
+	l.n.flush(now)
 }
 
 // store writes what must last.
@@ -475,12 +473,11 @@
 }
 
 func (l *leadership) runFleet(now time.Duration) {
-	status := l.s.Status(now)
+	status := l.d.Machines()
 	l.f.Observe(now, status, l.d.Silent)
-	waiting := l.s.WaitingByJob()
 	var demand []fleet.Demand
 	for _, need := range l.d.Needs() {
-		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(waiting[need.Spec.ID])})
+		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(l.d.Count(need.Spec.ID).Waiting)})
 	}
 	for _, a := range l.f.Step(now, status, demand, l.d.Limit) {
 		if a.Rent == "" {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -26,25 +26,25 @@
 	})
 	gauge("term", "The term this controller last led.", func() float64 { return float64(n.el.Term()) })
 	gauge("tasks_waiting", "Dealt tasks that wait for room.", func() float64 {
-		if n.lead == nil {
+		if n.seat == nil {
 			return 0
 		}
-		w, _ := n.lead.s.Waiting()
+		w, _ := n.seat.s.Waiting()
 		return float64(w)
 	})
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
 	stat := func(f func() uint64) func() uint64 {
 		return func() uint64 {
-			if n.lead == nil {
+			if n.seat == nil {
 				return 0
 			}
 			return f()
 		}
 	}
-	counter("tasks_placed", "Tasks placed on machines in this term.", stat(func() uint64 { return n.lead.s.Stats.Placed }))
-	counter("tasks_evicted", "Tasks evicted for higher-priced ones in this term.", stat(func() uint64 { return n.lead.s.Stats.Evicted }))
-	counter("tasks_demoted", "Demotions in this term.", stat(func() uint64 { return n.lead.s.Stats.Demoted }))
-	counter("tasks_lost", "Tasks lost with their machines in this term.", stat(func() uint64 { return n.lead.s.Stats.Lost }))
-	counter("task_errors", "Tasks that ended with an error in this term.", stat(func() uint64 { return n.lead.s.Stats.Errors }))
+	counter("tasks_placed", "Tasks placed on machines by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Placed }))
+	counter("tasks_evicted", "Tasks evicted for higher-priced ones by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Evicted }))
+	counter("tasks_demoted", "Demotions by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Demoted }))
+	counter("tasks_lost", "Tasks lost with their machines by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Lost }))
+	counter("task_errors", "Tasks that ended with an error by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Errors }))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,14 +44,19 @@
 	start time.Time
 	ttl   time.Duration
 
-	mu     sync.Mutex
-	names  *wire.Names
-	el     *election.Election
-	lead   *leadership
-	types  []model.MachineType
-	finals map[model.JobID]jobs.Stage
-	order  []model.JobID // of finals, oldest first
-	stats  Stats
+	mu       sync.Mutex
+	names    *wire.Names
+	el       *election.Election
+	lead     *leadership
+	seat     *seat         // this controller's shard, nil while it may not act
+	leader   string        // the leader that this controller is linked to
+	reported time.Duration // the last worker's report
+	tried    string        // the last host whose link ended
+	waits    map[model.MachineID][]chan struct{}
+	types    []model.MachineType
+	finals   map[model.JobID]jobs.Stage
+	order    []model.JobID // of finals, oldest first
+	stats    Stats
 }
 
 // Stats are counts for operators.
@@ -77,6 +82,7 @@
 		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
 			Images: wire.NewTable(), Classes: wire.NewTable()},
 		finals: map[model.JobID]jobs.Stage{},
+		waits:  map[model.MachineID][]chan struct{}{},
 	}
 	index := 0
 	for _, s := range cfg.Siblings {
@@ -94,6 +100,7 @@
 func (n *Node) Run(ctx context.Context) {
 	go n.fetchCatalog(ctx)
 	go n.watchLeader(ctx)
+	go n.runMember(ctx)
 	t := time.NewTicker(50 * time.Millisecond)
 	defer t.Stop()
 	for {
@@ -114,6 +121,8 @@
 	n.followLeadership(ctx, now)
 	if n.lead != nil {
 		n.lead.tick(now)
+	} else if n.seat != nil {
+		n.tickSeat(now)
 	}
 }
 
--- /dev/null
+++ b/internal/node/seat.go
@@ -0,0 +1,399 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"honeylock/internal/config"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/shard"
+	"honeylock/internal/peer"
+	"honeylock/internal/peer/peerpb"
+	"honeylock/internal/wire"
+)
+
+const (
+	askEvery    = 400 * time.Millisecond
+	linkTimeout = 2500 * time.Millisecond // nothing heard for so long: the link is dead
+	statusEvery = 100 * time.Millisecond
+)
+
+// seat is this controller's shard. A member's seat outlives its link until its
+// grant ends: its workers go on being answered.
+type seat struct {
+	s      *shard.Shard
+	out    *peer.Queue // nil: the leader's own, or the link is lost
+	codec  *peer.Codec
+	ticked time.Duration
+	dirty  bool
+	asked  map[uint64]time.Duration
+	seq    uint64
+	askAt  time.Duration
+}
+
+func (n *Node) newSeat(attempts uint64) *seat {
+	c := &n.cfg.Cluster
+	return &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names),
+		s: shard.New(shard.Params{SureLease: c.SureLease(), Report: config.Seconds(c.Workers.ReportS), Sample: n.set.SampleSize,
+			PaybackLimit: n.set.PaybackLimit, DemoteStep: n.set.DemotionStep,
+			DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second}, attempts, n.rng)}
+}
+
+// pump sends what the shard has to say, wherever the dealer is.
+func (n *Node) pump(now time.Duration) {
+	if n.lead != nil {
+		n.lead.pump(now)
+		return
+	}
+	if n.seat == nil {
+		return
+	}
+	n.seat.s.Place(now)
+	n.flush(now)
+	n.tell()
+	n.seat.dirty = true
+}
+
+// tell sends the shard's events to the leader. Without a link they are lost:
+// the next shard of this controller finds out anew what there is.
+func (n *Node) tell() {
+	for _, e := range n.seat.s.Events() {
+		if n.seat.out != nil {
+			n.seat.out.Send(n.seat.codec.Event(&e))
+		}
+	}
+}
+
+func (n *Node) flush(now time.Duration) {
+	st := n.seat
+	st.s.Flush(now)
+	for _, d := range st.s.Directs() {
+		go n.direct(st, d)
+	}
+}
+
+func (n *Node) direct(st *seat, d shard.Direct) {
+	raw, executed, err := n.work.Send(context.Background(), d.Addr, d.Token, d.Session, d.Commands)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	var rep *model.Report
+	if err == nil {
+		rep, err = raw.Report(n.names)
+	}
+	if err != nil {
+		n.log.Debug("direct command unanswered", "machine", wire.MachineName(d.Machine), "err", err)
+		rep = nil
+	}
+	st.s.DirectDone(now, d, rep, executed)
+	if n.seat == st {
+		n.pump(now)
+	}
+}
+
+// tickSeat is called a few times a second on a member.
+func (n *Node) tickSeat(now time.Duration) {
+	st := n.seat
+	if now-st.ticked < statusEvery {
+		return
+	}
+	st.ticked = now
+	st.s.Tick(now)
+	n.flush(now)
+	n.tell()
+	if st.out == nil {
+		return
+	}
+	if now-st.askAt >= askEvery {
+		// The grant counts from here, however late the answer comes.
+		st.seq++
+		st.asked[st.seq] = now
+		st.askAt = now
+		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq}}})
+		st.dirty = true
+	}
+	if st.dirty {
+		st.dirty = false
+		st.out.Send(st.codec.Status(now, st.s.Status(now), st.s.Jobs(), st.s.Deals()))
+	}
+}
+
+// owned wakes reports that wait for their machine's owner.
+func (n *Node) owned(o *model.Order) {
+	if o.Kind != model.Own {
+		return
+	}
+	for _, c := range n.waits[o.Machine.ID] {
+		close(c)
+	}
+	delete(n.waits, o.Machine.ID)
+}
+
+func (n *Node) siblingAddr(host string) string {
+	for _, s := range n.cfg.Siblings {
+		if s.HostName == host {
+			return s.Address
+		}
+	}
+	return ""
+}
+
+// runMember keeps a link to the leader while another controller leads.
+func (n *Node) runMember(ctx context.Context) {
+	dialer := peer.NewDialer()
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		host := n.el.Holder()
+		leading := n.lead != nil
+		n.mu.Unlock()
+		addr := n.siblingAddr(host)
+		if leading || addr == "" {
+			sleep(ctx, 100*time.Millisecond)
+			continue
+		}
+		err := n.member(ctx, dialer, host, addr)
+		n.mu.Lock()
+		n.leader, n.tried = "", host
+		n.mu.Unlock()
+		n.log.Info("link to the leader ended", "leader", host, "err", err)
+		sleep(ctx, 300*time.Millisecond)
+	}
+}
+
+var errSilent = errors.New("nothing heard from the other side")
+
+func (n *Node) member(ctx context.Context, dialer *peer.Dialer, host, addr string) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	pw, body, err := dialer.Open(ctx, addr)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	defer pw.Close()
+	out := peer.NewQueue()
+	go func() { cancel(out.Run(ctx, pw, nil)) }()
+	alive := time.AfterFunc(linkTimeout, func() { cancel(errSilent) })
+	defer alive.Stop()
+	// From here the shard of before acts no more: that is what Hello says.
+	n.mu.Lock()
+	if n.lead != nil {
+		n.mu.Unlock()
+		return errors.New("leading myself")
+	}
+	n.seat = nil
+	n.mu.Unlock()
+	out.Send(&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: n.cfg.HostName}}})
+	in := peer.NewReader(body)
+	var st *seat
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if st != nil {
+			st.out = nil
+		}
+	}()
+	for {
+		var m peerpb.Down
+		if err := in.Next(&m); err != nil {
+			if c := context.Cause(ctx); c != nil {
+				return c
+			}
+			return err
+		}
+		alive.Reset(linkTimeout)
+		n.mu.Lock()
+		now := n.now()
+		if st != nil && n.seat != st {
+			n.mu.Unlock()
+			return errors.New("another shard took over")
+		}
+		switch msg := m.Msg.(type) {
+		case *peerpb.Down_Welcome:
+			if n.lead != nil || st != nil {
+				n.mu.Unlock()
+				return errors.New("unexpected welcome")
+			}
+			st = n.newSeat(msg.Welcome.GetAttempts())
+			st.out = out
+			n.seat, n.leader = st, host
+			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm())
+		case *peerpb.Down_Grant:
+			if st == nil {
+				break
+			}
+			if at, ok := st.asked[msg.Grant.GetSeq()]; ok {
+				delete(st.asked, msg.Grant.GetSeq())
+				d := time.Duration(msg.Grant.GetForUs()) * time.Microsecond
+				// Both clocks may drift, and timers are late.
+				st.s.Grant(at + d - d/500 - 50*time.Millisecond)
+			}
+		case *peerpb.Down_Order:
+			if st == nil {
+				break
+			}
+			o, err := st.codec.FromOrder(now, msg.Order)
+			if err != nil {
+				n.mu.Unlock()
+				return err
+			}
+			st.s.Order(now, o)
+			n.owned(&o)
+			n.pump(now)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// link is the leader's end of a member's stream.
+type link struct {
+	host  string
+	out   *peer.Queue
+	codec *peer.Codec
+	until time.Duration // of the longest grant given
+}
+
+// ServePeers serves the other controllers until the context ends.
+func (n *Node) ServePeers(ctx context.Context, addr string) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+peer.Path, n.serveMember)
+	srv := peer.NewServer(mux)
+	go func() {
+		<-ctx.Done()
+		srv.Close()
+	}()
+	for ctx.Err() == nil {
+		l, err := net.Listen("tcp4", addr)
+		if err == nil {
+			err = srv.Serve(l)
+		}
+		if ctx.Err() == nil {
+			n.log.Error("not serving other controllers; trying again", "addr", addr, "err", err)
+			sleep(ctx, time.Second)
+		}
+	}
+}
+
+func (n *Node) serveMember(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	l := n.lead
+	ready := l != nil && l.loaded
+	n.mu.Unlock()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(l.ctx, func() { cancel(l.ctx.Err()) })
+	defer stop()
+	rc := http.NewResponseController(w)
+	w.WriteHeader(http.StatusOK)
+	if err := rc.Flush(); err != nil {
+		return
+	}
+	k := &link{out: peer.NewQueue(), codec: peer.NewCodec(n.names)}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		cancel(k.out.Run(ctx, w, rc.Flush))
+	}()
+	alive := time.AfterFunc(linkTimeout, func() { cancel(errSilent) })
+	defer alive.Stop()
+	// Reading and writing end when the context does.
+	stopRead := context.AfterFunc(ctx, func() {
+		_ = rc.SetReadDeadline(time.Unix(1, 0))
+		_ = rc.SetWriteDeadline(time.Unix(1, 0))
+	})
+	defer stopRead()
+	id, err := n.readMember(l, k, r.Body, alive)
+	if c := context.Cause(ctx); c != nil {
+		err = c
+	}
+	n.mu.Lock()
+	if id != 0 && n.lead == l {
+		now := n.now()
+		n.log.Info("member lost", "host", k.host, "shard", id, "err", err, "authority_left", k.until-now)
+		delete(l.links, id)
+		l.lost = now
+		l.d.Lost(id, max(now, k.until))
+		l.pump(now)
+	}
+	n.mu.Unlock()
+	cancel(err)
+	<-written
+}
+
+// readMember takes a member's messages until the stream ends.
+func (n *Node) readMember(l *leadership, k *link, body io.Reader, alive *time.Timer) (id model.ShardID, err error) {
+	in := peer.NewReader(body)
+	for {
+		var m peerpb.Up
+		if err := in.Next(&m); err != nil {
+			return id, err
+		}
+		alive.Reset(linkTimeout)
+		n.mu.Lock()
+		if n.lead != l {
+			n.mu.Unlock()
+			return id, errors.New("leadership over")
+		}
+		now := n.now()
+		if h := m.GetHello(); h != nil && id == 0 {
+			id = l.welcome(now, k, h.GetHost())
+		} else if id != 0 && l.links[id] == k {
+			l.heard(now, id, k, &m)
+		} else {
+			n.mu.Unlock()
+			return 0, errors.New("replaced")
+		}
+		n.mu.Unlock()
+	}
+}
+
+func (l *leadership) welcome(now time.Duration, k *link, host string) model.ShardID {
+	k.host = host
+	for id, o := range l.links {
+		if o.host == host {
+			// Its Hello says that the shard before acts no more.
+			delete(l.links, id)
+			l.d.Lost(id, now)
+		}
+	}
+	id := l.d.Join(host)
+	l.links[id] = k
+	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id)}}})
+	l.n.log.Info("member joined", "host", host, "shard", id)
+	l.hosts[host] = true
+	all := true
+	for _, s := range l.n.cfg.Siblings {
+		all = all && l.hosts[s.HostName]
+	}
+	if all {
+		l.d.EveryoneHere(now)
+	}
+	l.pump(now)
+	return id
+}
+
+func (l *leadership) heard(now time.Duration, id model.ShardID, k *link, m *peerpb.Up) {
+	switch msg := m.Msg.(type) {
+	case *peerpb.Up_Ask:
+		if !l.n.el.Leading(now) {
+			return
+		}
+		k.until = max(k.until, l.until())
+		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(), ForUs: max(0, l.until()-now).Microseconds()}}})
+	case *peerpb.Up_Event:
+		l.d.Event(now, id, k.codec.FromEvent(msg.Event))
+		l.exchange(now)
+	case *peerpb.Up_Status:
+		ms, jobs := k.codec.FromStatus(now, msg.Status)
+		l.d.Status(now, id, ms, jobs, msg.Status.GetDeals())
+		l.deal(now)
+	}
+}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -30,7 +30,7 @@
 		n.mu.Lock()
 		if l := n.lead; l != nil {
 			if done, ok := l.d.Progress(id); ok {
-				running := l.s.JobRunning(id)
+				running := l.d.Count(id).Running
 				s.Done, s.Running = &done, &running
 				if running > 0 {
 					s.Stage = string(jobs.Running)
@@ -220,30 +220,72 @@
 		return a, "", err
 	}
 	n.stats.Reports++
+	n.reported = n.now()
 	if l := n.lead; l != nil && !l.loaded {
 		// The store is being read: worth a moment, for the next node would
 		// only send the worker back here.
-		n.mu.Unlock()
-		t := time.NewTimer(2 * time.Second)
-		select {
-		case <-l.ready:
-		case <-t.C:
-		case <-ctx.Done():
+		n.wait(ctx, l.ready, 2*time.Second)
+	}
+	a, keeper, unowned := n.answer(r)
+	if !a.OK && unowned && (n.lead != nil || n.seat.out != nil) {
+		// The leader is asked whose machine it is; that takes a moment.
+		c := make(chan struct{})
+		n.waits[r.Machine.ID] = append(n.waits[r.Machine.ID], c)
+		n.wait(ctx, c, time.Second)
+		delete(n.waits, r.Machine.ID)
+		a, keeper, _ = n.answer(r)
+	}
+	if a.OK {
+		return a, "", nil
+	}
+	n.stats.Redirected++
+	if keeper == "" && n.seat == nil && n.lead == nil {
+		// Nothing can be done for the worker here; the leader, if it lives,
+		// can.
+		if keeper = n.el.Holder(); keeper == n.cfg.HostName || keeper != n.leader && n.tried == keeper {
+			keeper = ""
 		}
-		t.Stop()
-		n.mu.Lock()
 	}
+	return a, keeper, nil
+}
+
+// wait lets go of the lock until c is closed or the time is over.
+func (n *Node) wait(ctx context.Context, c <-chan struct{}, d time.Duration) {
+	n.mu.Unlock()
+	defer n.mu.Lock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// answer takes a report to this controller's shard. unowned tells that the
+// shard may act, but does not own the machine.
+func (n *Node) answer(r *model.Report) (a shard.Answer, keeper string, unowned bool) {
 	now := n.now()
-	if l := n.lead; l != nil && l.loaded && n.el.Leading(now) {
-		if a = l.report(now, r); a.OK {
-			return a, "", nil
+	if n.seat == nil || !n.seat.s.Granted(now) || n.lead != nil && !n.lead.loaded {
+		return a, "", false
+	}
+	s := n.seat.s
+	ok := s.Report(now, r)
+	if n.lead != nil {
+		n.lead.dealLocal(now)
+		if !ok { // it may be ours by now
+			ok = s.Report(now, r)
+			n.lead.exchange(now)
 		}
 	}
-	n.stats.Redirected++
-	if h := n.el.Holder(); h != n.cfg.HostName {
-		keeper = h
+	if ok {
+		s.Place(now)
+		a = s.Answer(now, r)
+	} else {
+		keeper = s.Moved(r.Machine.ID)
 	}
-	return a, keeper, nil
+	n.pump(now)
+	return a, keeper, !ok && keeper == "" && !s.Owns(r.Machine.ID)
 }
 
 // Healthy tells whether users' requests can be taken.
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,183 @@
+// Package peer carries the dealer's orders and the shards' events between
+// controllers: HTTP/2 streams of length-delimited protobuf messages. Names
+// travel as names and become this process's indices at the door.
+package peer
+
+import (
+	"fmt"
+	"time"
+
+	"honeylock/internal/core/model"
+	"honeylock/internal/peer/peerpb"
+	"honeylock/internal/wire"
+)
+
+// Codec maps one stream's messages. It is used under the controller's lock.
+type Codec struct {
+	names *wire.Names
+	specs map[model.JobID]*model.Spec // sent or received on this stream
+}
+
+// NewCodec returns a stream's codec.
+func NewCodec(n *wire.Names) *Codec { return &Codec{names: n, specs: map[model.JobID]*model.Spec{}} }
+
+func task(t model.Task) *peerpb.Task { return &peerpb.Task{Job: uint64(t.Job), No: t.No} }
+
+func fromTask(t *peerpb.Task) model.Task {
+	return model.Task{Job: model.JobID(t.GetJob()), No: t.GetNo()}
+}
+
+func (c *Codec) machine(m *model.Machine) *peerpb.Machine {
+	return &peerpb.Machine{Id: uint64(m.ID), Addr: m.Addr, Type: c.names.Types.Name(m.Type), Zone: c.names.Zones.Name(m.Zone),
+		Spot: m.Spot, Cpu: m.Cap.CPU, Gpu: m.Cap.GPU, Mem: m.Cap.Mem, FetchRate: m.FetchRate}
+}
+
+func (c *Codec) fromMachine(m *peerpb.Machine) model.Machine {
+	return model.Machine{ID: model.MachineID(m.GetId()), Addr: m.GetAddr(), Type: c.names.Types.ID(m.GetType()), Zone: c.names.Zones.ID(m.GetZone()),
+		Spot: m.GetSpot(), Cap: model.Resources{CPU: m.GetCpu(), GPU: m.GetGpu(), Mem: m.GetMem()}, FetchRate: m.GetFetchRate()}
+}
+
+// Event encodes a shard's event.
+func (c *Codec) Event(e *model.Event) *peerpb.Up {
+	p := &peerpb.Event{Kind: uint32(e.Kind), Machine: uint64(e.Machine), Task: task(e.Task), Attempt: e.Attempt,
+		Stage: uint32(e.Cell.Stage), CellCause: uint32(e.Cell.Cause), Cause: uint32(e.Cause), RanUs: e.Ran.Microseconds(),
+		Token: e.Token, Held: e.Held}
+	if e.Report != nil {
+		p.Reporter = c.machine(&e.Report.Machine)
+	}
+	for _, t := range e.Tasks {
+		p.Tasks = append(p.Tasks, task(t))
+	}
+	return &peerpb.Up{Msg: &peerpb.Up_Event{Event: p}}
+}
+
+// FromEvent decodes a shard's event.
+func (c *Codec) FromEvent(p *peerpb.Event) model.Event {
+	t := fromTask(p.GetTask())
+	e := model.Event{Kind: model.EventKind(p.GetKind()), Machine: model.MachineID(p.GetMachine()), Task: t, Attempt: p.GetAttempt(),
+		Cell:  model.Cell{Task: t, Attempt: p.GetAttempt(), Stage: model.Stage(p.GetStage()), Cause: model.Cause(p.GetCellCause())},
+		Cause: model.Cause(p.GetCause()), Ran: time.Duration(p.GetRanUs()) * time.Microsecond, Token: p.GetToken(), Held: p.GetHeld()}
+	if r := p.GetReporter(); r != nil {
+		e.Report = &model.Report{Machine: c.fromMachine(r)}
+	}
+	for _, x := range p.GetTasks() {
+		e.Tasks = append(e.Tasks, fromTask(x))
+	}
+	return e
+}
+
+// Status encodes a shard's summary.
+func (c *Codec) Status(now time.Duration, ms []model.MachineStatus, jobs map[model.JobID]model.JobCount, deals uint64) *peerpb.Up {
+	p := &peerpb.Status{Deals: deals}
+	for i := range ms {
+		m := &ms[i]
+		p.Machines = append(p.Machines, &peerpb.MachineStatus{Id: uint64(m.Machine.ID), Cpu: m.Avail.CPU, Gpu: m.Avail.GPU, Mem: m.Avail.Mem,
+			Ready: m.Ready, Draining: m.Draining, Slots: int32(m.Slots), IdleUs: (now - m.IdleSince).Microseconds(), Bad: m.Bad,
+			HeardUs: (now - m.Heard).Microseconds()})
+	}
+	for id, n := range jobs {
+		p.Jobs = append(p.Jobs, &peerpb.JobStatus{Job: uint64(id), Waiting: int32(n.Waiting), Running: int32(n.Running)})
+	}
+	return &peerpb.Up{Msg: &peerpb.Up_Status{Status: p}}
+}
+
+// FromStatus decodes a shard's summary; its times become this clock's.
+func (c *Codec) FromStatus(now time.Duration, p *peerpb.Status) ([]model.MachineStatus, map[model.JobID]model.JobCount) {
+	ms := make([]model.MachineStatus, 0, len(p.GetMachines()))
+	us := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
+	for _, m := range p.GetMachines() {
+		ms = append(ms, model.MachineStatus{Machine: model.Machine{ID: model.MachineID(m.GetId())},
+			Avail: model.Resources{CPU: m.GetCpu(), GPU: m.GetGpu(), Mem: m.GetMem()}, Ready: m.GetReady(), Draining: m.GetDraining(),
+			Slots: int(m.GetSlots()), IdleSince: now - us(m.GetIdleUs()), Bad: m.GetBad(), Heard: now - us(m.GetHeardUs())})
+	}
+	jobs := make(map[model.JobID]model.JobCount, len(p.GetJobs()))
+	for _, j := range p.GetJobs() {
+		jobs[model.JobID(j.GetJob())] = model.JobCount{Waiting: int(j.GetWaiting()), Running: int(j.GetRunning())}
+	}
+	return ms, jobs
+}
+
+func (c *Codec) spec(s *model.Spec) *peerpb.Spec {
+	p := &peerpb.Spec{Job: uint64(s.ID), Class: c.names.Classes.Name(s.Class), Team: c.names.Teams.Name(s.Team), Image: c.names.Images.Name(s.Image),
+		Daemon: s.Daemon, Rank: uint32(s.Rank), Tasks: s.Tasks, Cpu: s.Each.CPU, Gpu: s.Each.GPU, Mem: s.Each.Mem, ImageGb: s.ImageGB,
+		AnyType: s.Types == nil, Together: s.Together, Spread: s.Spread, Spot: s.Spot, EstimateUs: s.Estimate.Microseconds(),
+		CheckpointUs: s.Checkpoint.Microseconds(), SaveUs: s.Save.Microseconds(), DeadlineUs: s.Deadline.Microseconds(), SubmittedMs: s.SubmittedMS}
+	for _, t := range s.Types {
+		p.Types = append(p.Types, c.names.Types.Name(t))
+	}
+	if s.Zone != model.None {
+		z := c.names.Zones.Name(s.Zone)
+		p.Zone = &z
+	}
+	return p
+}
+
+func (c *Codec) fromSpec(p *peerpb.Spec) *model.Spec {
+	us := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
+	s := &model.Spec{ID: model.JobID(p.GetJob()), Class: c.names.Classes.ID(p.GetClass()), Team: c.names.Teams.ID(p.GetTeam()), Image: c.names.Images.ID(p.GetImage()),
+		Daemon: p.GetDaemon(), Rank: model.Rank(p.GetRank()), Tasks: p.GetTasks(), Each: model.Resources{CPU: p.GetCpu(), GPU: p.GetGpu(), Mem: p.GetMem()},
+		ImageGB: p.GetImageGb(), Zone: model.None, Together: p.GetTogether(), Spread: p.GetSpread(), Spot: p.GetSpot(),
+		Estimate: us(p.GetEstimateUs()), Checkpoint: us(p.GetCheckpointUs()), Save: us(p.GetSaveUs()), Deadline: us(p.GetDeadlineUs()),
+		SubmittedMS: p.GetSubmittedMs()}
+	if !p.GetAnyType() {
+		s.Types = []model.Name{}
+		for _, t := range p.GetTypes() {
+			s.Types = append(s.Types, c.names.Types.ID(t))
+		}
+	}
+	if p.Zone != nil {
+		s.Zone = c.names.Zones.ID(p.GetZone())
+	}
+	return s
+}
+
+// Order encodes an order.
+func (c *Codec) Order(now time.Duration, o *model.Order) *peerpb.Down {
+	p := &peerpb.Order{Kind: uint32(o.Kind), Token: o.Token, Usable: o.Usable, Id: uint64(o.ID), Task: task(o.Task), Attempt: o.Attempt,
+		Job: uint64(o.Job), Price: o.Price, Count: int32(o.Count), Keeper: o.Keeper}
+	switch o.Kind {
+	case model.Own:
+		p.Machine = c.machine(&o.Machine)
+	case model.Give:
+		d := &o.Deal
+		p.Task, p.Price, p.Id, p.Attempt = task(d.Task), d.Price, uint64(d.Machine), d.Attempt
+		p.WaitedUs = (now - d.Since).Microseconds()
+		if d.Zone != model.None {
+			z := c.names.Zones.Name(d.Zone)
+			p.Zone = &z
+		}
+		if c.specs[d.Task.Job] == nil {
+			c.specs[d.Task.Job] = d.Spec
+			p.Spec = c.spec(d.Spec)
+		}
+	case model.EndJob:
+		delete(c.specs, o.Job)
+	}
+	return &peerpb.Down{Msg: &peerpb.Down_Order{Order: p}}
+}
+
+// FromOrder decodes an order.
+func (c *Codec) FromOrder(now time.Duration, p *peerpb.Order) (model.Order, error) {
+	o := model.Order{Kind: model.OrderKind(p.GetKind()), Token: p.GetToken(), Usable: p.GetUsable(), ID: model.MachineID(p.GetId()),
+		Task: fromTask(p.GetTask()), Attempt: p.GetAttempt(), Job: model.JobID(p.GetJob()), Price: p.GetPrice(), Count: int(p.GetCount()), Keeper: p.GetKeeper()}
+	switch o.Kind {
+	case model.Own:
+		o.Machine = c.fromMachine(p.GetMachine())
+	case model.Give:
+		if s := p.GetSpec(); s != nil {
+			c.specs[o.Task.Job] = c.fromSpec(s)
+		}
+		sp := c.specs[o.Task.Job]
+		if sp == nil {
+			return o, fmt.Errorf("a task of %s came without its job", wire.JobName(o.Task.Job))
+		}
+		o.Deal = model.Deal{Task: o.Task, Spec: sp, Price: o.Price, Zone: model.None, Machine: o.ID, Attempt: o.Attempt,
+			Since: now - time.Duration(p.GetWaitedUs())*time.Microsecond}
+		if p.Zone != nil {
+			o.Deal.Zone = c.names.Zones.ID(p.GetZone())
+		}
+	case model.EndJob:
+		delete(c.specs, o.Job)
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// Path of the stream that a member opens.
+const Path = "/peer/shard"
+
+const maxMessage = 4 << 20
+
+var errFull = errors.New("the other side does not keep up")
+
+// Queue is the sending side of a stream: Send never blocks, Run writes.
+type Queue struct {
+	mu   sync.Mutex
+	msgs []proto.Message
+	wake chan struct{}
+	err  error
+}
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue { return &Queue{wake: make(chan struct{}, 1)} }
+
+// Send appends a message. A queue that grows without end is broken off.
+func (q *Queue) Send(m proto.Message) {
+	q.mu.Lock()
+	if len(q.msgs) < 20_000 {
+		q.msgs = append(q.msgs, m)
+	} else {
+		q.err = errFull
+	}
+	q.mu.Unlock()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes what is sent until the context ends or writing fails.
+func (q *Queue) Run(ctx context.Context, w io.Writer, flush func() error) error {
+	bw := bufio.NewWriterSize(w, 16<<10)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-q.wake:
+		}
+		q.mu.Lock()
+		msgs, err := q.msgs, q.err
+		q.msgs = nil
+		q.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		for _, m := range msgs {
+			if _, err := protodelim.MarshalTo(bw, m); err != nil {
+				return fmt.Errorf("write: %w", err)
+			}
+		}
+		if err := bw.Flush(); err != nil {
+			return fmt.Errorf("write: %w", err)
+		}
+		if flush != nil {
+			if err := flush(); err != nil {
+				return fmt.Errorf("flush: %w", err)
+			}
+		}
+	}
+}
+
+// Reader is the receiving side of a stream.
+type Reader struct{ br *bufio.Reader }
+
+// NewReader reads messages from r.
+func NewReader(r io.Reader) *Reader { return &Reader{bufio.NewReaderSize(r, 16<<10)} }
+
+// Next reads one message.
+func (r *Reader) Next(m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(r.br, m)
+}
+
+// Dialer opens streams to other controllers over HTTP/2 without TLS.
+type Dialer struct{ client *http.Client }
+
+// NewDialer returns a dialer.
+func NewDialer() *Dialer {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	d := net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
+	return &Dialer{&http.Client{Transport: &http.Transport{DialContext: d.DialContext, Protocols: &p, DisableCompression: true,
+		ResponseHeaderTimeout: 2 * time.Second,
+		HTTP2:                 &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: 2 * time.Second}, IdleConnTimeout: 5 * time.Second}}}
+}
+
+// Open opens a stream. It returns once the other side has taken it; what is
+// written to the pipe goes there, what it says is read from the body.
+func (d *Dialer) Open(ctx context.Context, addr string) (*io.PipeWriter, io.ReadCloser, error) {
+	pr, pw := io.Pipe()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+Path, pr)
+	if err != nil {
+		return nil, nil, fmt.Errorf("build request: %w", err)
+	}
+	res, err := d.client.Do(req)
+	if err != nil {
+		pw.Close()
+		return nil, nil, fmt.Errorf("open stream: %w", err)
+	}
+	if res.StatusCode != http.StatusOK {
+		pw.Close()
+		res.Body.Close()
+		return nil, nil, fmt.Errorf("open stream: status %d", res.StatusCode)
+	}
+	return pw, res.Body, nil
+}
+
+// NewServer serves the streams of other controllers.
+func NewServer(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: &p, ReadHeaderTimeout: 5 * time.Second}
+}
