--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -192,6 +192,9 @@
 	return d.lastID
 }
 
+// LastID is the newest shard's id.
+func (d *Dealer) LastID() model.ShardID { return d.lastID }
+
 // Attempts is the first of the attempt numbers that are a shard's alone.
 func (d *Dealer) Attempts(id model.ShardID) uint64 { return d.p.Term<<36 | uint64(id)<<22 }
 
--- /dev/null
+++ b/internal/core/sim/ctl_test.go
@@ -0,0 +1,546 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/election"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/shard"
+)
+
+// ctl is a controller: the cores wired as the node wires them.
+type ctl struct {
+	w      *world
+	host   string
+	up     bool
+	life   int
+	rate   float64 // of its steady clock
+	origin time.Duration
+	el     *election.Election
+	lead   *lead
+	seat   *seat
+}
+
+type lead struct {
+	c      *ctl
+	term   uint64
+	guard  uint64
+	d      *dealer.Dealer
+	local  model.ShardID
+	links  map[model.ShardID]*link
+	hosts  map[string]bool
+	loaded bool
+	fresh  time.Duration
+	asking bool
+}
+
+type link struct {
+	host  string
+	peer  *seat
+	until time.Duration
+	heard time.Duration
+	dead  bool
+}
+
+type seat struct {
+	s      *shard.Shard
+	c      *ctl
+	l      *lead // nil once the link is lost; the leader's own seat too
+	lk     *link
+	id     model.ShardID
+	heard  time.Duration
+	asked  time.Duration
+	joined bool
+}
+
+func newCtl(w *world, i int) *ctl {
+	return &ctl{w: w, host: fmt.Sprintf("c%d", i), rate: 1 + (w.rng.Float64()-0.5)*0.001}
+}
+
+func (c *ctl) now() time.Duration { return time.Duration(float64(c.w.now-c.origin) * c.rate) }
+
+func (c *ctl) start() {
+	c.up = true
+	c.life++
+	c.origin = c.w.now
+	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond))
+	c.lead, c.seat = nil, nil
+	c.tick(c.life)
+}
+
+func (c *ctl) crash(d time.Duration) {
+	if !c.up {
+		return
+	}
+	c.up = false
+	c.life++
+	c.lead, c.seat = nil, nil
+	c.w.after(d, c.start)
+}
+
+// storeCall runs op at the store; done gets its result, or nil where there is
+// no answer. Now and then the answer is lost, or the request is late.
+func (c *ctl) storeCall(op func() any, done func(any)) {
+	life, answered := c.life, false
+	finish := func(v any) {
+		if !answered && c.up && c.life == life {
+			answered = true
+			done(v)
+		}
+	}
+	c.w.send(c.host, "store", false, func() {
+		var v any
+		if !c.w.store.out {
+			v = op()
+		}
+		if c.w.rng.IntN(300) > 0 {
+			c.w.send("store", c.host, false, func() { finish(v) })
+		}
+	})
+	c.w.after(1500*time.Millisecond, func() { finish(nil) })
+}
+
+func (c *ctl) runElection(ops []election.Op) {
+	for _, op := range ops {
+		c.storeCall(func() any { return c.w.store.election(c.host, op) }, func(v any) {
+			res, ok := v.(election.Result)
+			if !ok {
+				res = election.Result{Op: op}
+			}
+			c.runElection(c.el.Done(c.now(), res))
+			c.follow()
+		})
+	}
+}
+
+func (c *ctl) newSeat(attempts uint64) *seat {
+	return &seat{c: c, heard: c.now(), s: shard.New(shard.Params{SureLease: c.sureLease(), Report: c.w.p.report, Sample: 2, PaybackLimit: time.Minute,
+		DemoteStep: 2, DoubtPause: 2 * time.Second}, attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
+}
+
+func (c *ctl) sureLease() time.Duration { return c.w.p.lease*1002/1000 + 250*time.Millisecond }
+
+func (c *ctl) follow() {
+	now := c.now()
+	leading := c.el.Leading(now)
+	if c.lead != nil && (!leading || c.lead.term != c.el.Term()) {
+		c.w.note("%s no longer leads term %d", c.host, c.lead.term)
+		c.lead, c.seat = nil, nil
+	}
+	if !leading || c.lead != nil {
+		return
+	}
+	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{}, hosts: map[string]bool{}, fresh: now}
+	c.lead = l
+	c.w.note("%s leads term %d", c.host, l.term)
+	end := now + c.w.p.ttl + time.Second
+	if c.w.p.trustOldEnd {
+		end = now - time.Hour
+	}
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: []dealer.Team{{Limit: teamLimit}, {Limit: teamLimit}}, ChunkSize: 64,
+		Progress: time.Second, Ahead: 4, SureLease: c.sureLease()}, end)
+	l.d.SetTypes([]model.MachineType{theType})
+	l.local = l.d.Join(c.host)
+	c.seat = c.newSeat(l.d.Attempts(l.local))
+	c.seat.id = l.local
+	c.seat.s.Grant(c.el.Deadline())
+	l.load()
+}
+
+type snapshot struct {
+	open    map[model.JobID]openJob
+	done    map[model.JobID]map[int32][]byte
+	records map[model.MachineID]record
+	rev     uint64
+}
+
+func (s *store) snapshot() any {
+	s.expire()
+	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{}, records: map[model.MachineID]record{}, rev: s.rev}
+	for k, x := range s.open {
+		v.open[k] = x
+	}
+	for k, x := range s.done {
+		v.done[k] = map[int32][]byte{}
+		for i, b := range x {
+			v.done[k][i] = b
+		}
+	}
+	for k, x := range s.records {
+		v.records[k] = x
+	}
+	return v
+}
+
+// load reads the store, and goes on reading it in place of a watch.
+func (l *lead) load() {
+	c := l.c
+	asked := c.now()
+	l.asking = true
+	c.storeCall(c.w.store.snapshot, func(v any) {
+		if c.lead != l {
+			return
+		}
+		l.asking = false
+		snap, ok := v.(snapshot)
+		if !ok {
+			return
+		}
+		now := c.now()
+		if !l.loaded && !c.w.p.forgetRecords {
+			for _, m := range c.w.workers { // in a fixed order
+				if r, ok := snap.records[m.ID]; ok {
+					l.d.Recorded(r.m, r.version, l.local)
+				}
+			}
+		}
+		known := map[model.JobID]bool{}
+		for id := range c.w.p.jobs {
+			if o, ok := snap.open[model.JobID(id)]; ok {
+				known[o.spec.ID] = true
+				fresh := !l.d.Knows(o.spec.ID)
+				l.d.AddJob(now, o.spec, o.version, 0, o.version <= l.guard)
+				if fresh {
+					for i, b := range snap.done[o.spec.ID] {
+						l.d.AddDone(o.spec.ID, i, b)
+					}
+				}
+			}
+		}
+		l.d.Sync(known, snap.rev)
+		l.fresh = asked
+		l.loaded = true
+		l.pump()
+	})
+}
+
+func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.fresh+l.c.w.p.ttl) }
+
+func (c *ctl) tick(life int) {
+	if !c.up || c.life != life {
+		return
+	}
+	c.w.after(c.w.between(80*time.Millisecond, 130*time.Millisecond), func() { c.tick(life) })
+	c.runElection(c.el.Step(c.now()))
+	c.follow()
+	if c.lead != nil {
+		c.lead.tick()
+	} else {
+		c.tickMember()
+	}
+}
+
+func (l *lead) tick() {
+	c := l.c
+	now := c.now()
+	if now-l.fresh > c.w.p.ttl {
+		c.el.Resign(now, time.Second)
+		c.follow()
+		return
+	}
+	c.seat.s.Grant(l.until())
+	if !l.asking {
+		l.load()
+	}
+	if !l.loaded {
+		return
+	}
+	for id := model.ShardID(1); id < 10000 && len(l.links) > 0; id++ {
+		k := l.links[id]
+		if k == nil {
+			if id > l.d.LastID() {
+				break
+			}
+			continue
+		}
+		if now-k.heard > 2500*time.Millisecond {
+			c.w.note("%s loses member %s", c.host, k.host)
+			k.dead = true
+			delete(l.links, id)
+			l.lose(id, max(now, k.until))
+		}
+	}
+	c.seat.s.Tick(now)
+	l.d.Tick(now)
+	l.deal()
+	for _, wr := range l.d.Writes(now, 20) {
+		c.storeCall(func() any { return c.w.store.write(l.guard, wr) }, func(v any) {
+			r, _ := v.(written)
+			l.d.Stored(c.now(), wr, r.rev, r.ok, r.lost)
+			if c.lead == l {
+				l.pump()
+			}
+		})
+	}
+}
+
+func (l *lead) lose(id model.ShardID, end time.Duration) {
+	if l.c.w.p.freeOnLoss {
+		end = l.c.now() - time.Hour
+	}
+	l.d.Lost(id, end)
+	l.pump()
+}
+
+func (l *lead) deal() {
+	s := l.c.seat.s
+	now := l.c.now()
+	l.exchange()
+	l.d.Status(now, l.local, s.Status(now), s.Jobs(), l.d.Dealt(l.local))
+	l.d.Deal(now)
+	l.pump()
+}
+
+func (l *lead) exchange() {
+	now := l.c.now()
+	s := l.c.seat.s
+	for {
+		orders, evs := l.d.Orders(), s.Events()
+		if len(orders) == 0 && len(evs) == 0 {
+			return
+		}
+		for _, o := range orders {
+			if o.To == l.local {
+				s.Order(now, o)
+			} else if k := l.links[o.To]; k != nil {
+				l.down(k, func(st *seat) { st.s.Order(st.c.now(), shift(o, now, st.c.now())) })
+			}
+		}
+		for _, e := range evs {
+			l.d.Event(now, l.local, e)
+		}
+	}
+}
+
+// shift brings a deal's times into the receiver's clock.
+func shift(o model.Order, from, to time.Duration) model.Order {
+	o.Deal.Since += to - from
+	return o
+}
+
+func (l *lead) down(k *link, f func(*seat)) {
+	st := k.peer
+	l.c.w.send(l.c.host, k.host, true, func() {
+		if st.c.seat == st && st.l != nil && st.c.up {
+			st.heard = st.c.now()
+			f(st)
+			st.c.pump()
+		}
+	})
+}
+
+func (l *lead) pump() {
+	l.exchange()
+	l.c.seat.s.Place(l.c.now())
+	l.exchange()
+	l.c.flush()
+}
+
+func (c *ctl) pump() {
+	if c.lead != nil {
+		if c.lead.loaded {
+			c.lead.pump()
+		}
+		return
+	}
+	if c.seat == nil {
+		return
+	}
+	c.seat.s.Place(c.now())
+	c.flush()
+	c.tell()
+}
+
+func (c *ctl) flush() {
+	st := c.seat
+	st.s.Flush(c.now())
+	for _, d := range st.s.Directs() {
+		life, answered := c.life, false
+		finish := func(r *model.Report, executed bool) {
+			if answered || !c.up || c.life != life {
+				return
+			}
+			answered = true
+			st.s.DirectDone(c.now(), d, r, executed)
+			if c.seat == st {
+				c.pump()
+			}
+		}
+		m := c.w.workers[d.Machine]
+		c.w.send(c.host, m.host, false, func() {
+			m.direct(d.Token, d.Session, d.Commands, func(r *model.Report, ok bool) {
+				c.w.send(m.host, c.host, false, func() { finish(r, ok) })
+			})
+		})
+		c.w.after(2*time.Second, func() { finish(nil, false) })
+	}
+}
+
+func (st *seat) up(f func(l *lead, k *link)) {
+	l, k := st.l, st.lk
+	st.c.w.send(st.c.host, l.c.host, true, func() {
+		if l.c.lead == l && !k.dead && l.c.up {
+			k.heard = l.c.now()
+			f(l, k)
+		}
+	})
+}
+
+func (c *ctl) tell() {
+	st := c.seat
+	for _, e := range st.s.Events() {
+		if st.l != nil {
+			st.up(func(l *lead, k *link) {
+				l.d.Event(l.c.now(), st.id, e)
+				l.exchange()
+			})
+		}
+	}
+}
+
+func (c *ctl) tickMember() {
+	now := c.now()
+	if st := c.seat; st != nil {
+		st.s.Tick(now)
+		c.flush()
+		c.tell()
+		if st.l != nil && now-st.heard > 2500*time.Millisecond {
+			st.l = nil
+		}
+		if st.l != nil && st.joined && now-st.asked > 400*time.Millisecond {
+			st.asked = now
+			status, counts, deals := st.s.Status(now), st.s.Jobs(), st.s.Deals()
+			st.up(func(l *lead, k *link) {
+				ln := l.c.now()
+				if l.c.el.Leading(ln) {
+					k.until = max(k.until, l.until())
+					d := l.until() - ln
+					l.down(k, func(st *seat) { st.s.Grant(now + d - d/500 - 50*time.Millisecond) })
+				}
+				l.d.Status(ln, st.id, status, counts, deals)
+				l.deal()
+			})
+		}
+		if st.l != nil {
+			return
+		}
+	}
+	c.join()
+}
+
+// join opens a link to whoever leads; the shard of before acts no more.
+func (c *ctl) join() {
+	host := c.el.Holder()
+	if host == "" || host == c.host || c.w.rng.IntN(4) > 0 {
+		return
+	}
+	life := c.life
+	for _, o := range c.ctlsNamed(host) {
+		c.w.send(c.host, host, true, func() {
+			l := o.lead
+			if l == nil || !l.loaded || !o.up {
+				return
+			}
+			c.w.send(host, c.host, true, func() { // taken: Hello, Welcome
+				if !c.up || c.life != life || c.lead != nil || c.seat != nil && c.seat.l != nil {
+					return
+				}
+				k := &link{host: c.host}
+				st := &seat{c: c, l: l, lk: k, heard: c.now()}
+				c.seat = nil
+				c.w.send(c.host, host, true, func() {
+					if o.lead != l || !o.up {
+						return
+					}
+					for id := model.ShardID(1); id <= l.d.LastID(); id++ {
+						if x := l.links[id]; x != nil && x.host == c.host {
+							x.dead = true
+							delete(l.links, id)
+							l.lose(id, o.now())
+						}
+					}
+					id := l.d.Join(c.host)
+					k.heard = o.now()
+					l.hosts[c.host] = true
+					if len(l.hosts) == c.w.p.controllers-1 {
+						l.d.EveryoneHere(o.now())
+					}
+					attempts := l.d.Attempts(id)
+					c.w.send(host, c.host, true, func() {
+						if !c.up || c.life != life || c.lead != nil || c.seat != nil {
+							return
+						}
+						n := c.newSeat(attempts)
+						st.s, st.id, st.joined, st.heard = n.s, id, true, c.now()
+						c.seat = st
+					})
+					k.peer = st
+					l.links[id] = k
+				})
+			})
+		})
+	}
+}
+
+func (c *ctl) ctlsNamed(host string) []*ctl {
+	for _, o := range c.w.ctls {
+		if o.host == host {
+			return []*ctl{o}
+		}
+	}
+	return nil
+}
+
+func (c *ctl) onReport(r *model.Report, answer func(bool, uint64, []model.Command, string)) {
+	if !c.up {
+		return
+	}
+	life := c.life
+	try := func() bool {
+		now := c.now()
+		if !c.up || c.life != life || c.seat == nil || !c.seat.s.Granted(now) || c.lead != nil && !c.lead.loaded {
+			return false
+		}
+		s := c.seat.s
+		ok := s.Report(now, r)
+		if c.lead != nil {
+			c.lead.deal()
+			if !ok {
+				ok = s.Report(now, r)
+			}
+		}
+		if !ok {
+			c.pump()
+			return false
+		}
+		s.Place(now)
+		a := s.Answer(now, r)
+		c.pump()
+		if a.OK {
+			answer(true, a.Token, a.Commands, "")
+		}
+		return a.OK
+	}
+	refuse := func() {
+		keeper := ""
+		if c.up && c.life == life && c.lead == nil && c.seat == nil {
+			keeper = c.el.Holder()
+		}
+		answer(false, 0, nil, keeper)
+	}
+	if try() {
+		return
+	}
+	if c.seat == nil {
+		refuse()
+		return
+	}
+	c.w.after(300*time.Millisecond, func() {
+		if !try() {
+			refuse()
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/sim/rules_test.go
@@ -0,0 +1,186 @@
+package sim
+
+import (
+	"net/http"
+	"time"
+
+	"honeylock/internal/core/jobs"
+	"honeylock/internal/core/model"
+)
+
+var theType = model.MachineType{Name: 0, Cap: model.Capacity(16, 0, 64), FetchRate: 1}
+
+var teamLimit = model.Capacity(48, 0, 0)
+
+// user is one job's user, with what it was told.
+type user struct {
+	spec      *model.Spec
+	submitted bool
+	accepted  bool
+	wants     bool // has asked to cancel
+	ended     jobs.Stage
+	endedAt   time.Duration
+	done      map[int32]bool
+}
+
+func (w *world) submit(id model.JobID) {
+	r := w.rng
+	sp := &model.Spec{ID: id, Team: model.Name(r.IntN(2)), Rank: model.Rank(r.IntN(3)), Tasks: int32(1 + r.IntN(12)),
+		Each: model.Request(float64(1+r.IntN(4)), 0, float64(1+r.IntN(8))), Zone: model.None, Spot: r.IntN(3) > 0,
+		Estimate: w.between(2*time.Second, 20*time.Second)}
+	switch r.IntN(8) {
+	case 0:
+		sp.Together = true
+	case 1:
+		sp.Spread = true
+	case 2:
+		sp.Zone = model.Name(r.IntN(3))
+	}
+	if r.IntN(3) == 0 {
+		sp.Checkpoint, sp.Save = 5*time.Second, time.Second
+	}
+	u := &user{spec: sp, submitted: true, done: map[int32]bool{}}
+	w.users[id] = u
+	w.ask(u, jobs.Submit)
+	if r.IntN(5) == 0 {
+		w.after(w.between(0, 30*time.Second), func() {
+			u.wants = true
+			w.ask(u, jobs.Withdraw)
+		})
+	}
+	w.after(5*time.Second, func() { w.poll(u) })
+}
+
+func (w *world) poll(u *user) {
+	w.ask(u, jobs.Poll)
+	w.after(w.between(2*time.Second, 8*time.Second), func() { w.poll(u) })
+}
+
+// ask sends a request through a random controller, again and again until it
+// has an answer.
+func (w *world) ask(u *user, k jobs.Kind) {
+	c := w.ctls[w.rng.IntN(len(w.ctls))]
+	before := *u
+	answered := false
+	if c.up {
+		req, op := jobs.New(k)
+		var step func(op jobs.Op)
+		step = func(op jobs.Op) {
+			c.storeCall(func() any { return w.store.job(u, op) }, func(res any) {
+				out := jobs.Result{Outcome: jobs.Failed}
+				if r, ok := res.(jobs.Result); ok {
+					out = r
+				}
+				next, ans := req.Next(op, out)
+				if ans == nil {
+					step(next)
+					return
+				}
+				if !answered {
+					answered = true
+					w.told(u, k, &before, ans)
+				}
+			})
+		}
+		step(op)
+	}
+	w.after(3*time.Second, func() {
+		if !answered {
+			answered = true
+			if k != jobs.Poll {
+				w.ask(u, k)
+			}
+		}
+	})
+}
+
+// told checks an answer against what the user had been told before asking.
+func (w *world) told(u *user, k jobs.Kind, before *user, a *jobs.Answer) {
+	switch a.Status {
+	case http.StatusServiceUnavailable:
+		if k != jobs.Poll {
+			w.after(time.Second, func() { w.ask(u, k) })
+		}
+		return
+	case http.StatusNotFound:
+		if before.accepted {
+			w.fail("forgotten", "job %d", u.spec.ID)
+		}
+		if k == jobs.Withdraw {
+			w.after(time.Second, func() { w.ask(u, k) })
+		}
+		return
+	}
+	u.accepted = true
+	if before.ended != "" && a.Stage != before.ended {
+		w.fail("went_back", "job %d was %s and is %s", u.spec.ID, before.ended, a.Stage)
+	}
+	switch a.Stage {
+	case jobs.Done:
+		if len(u.done) < int(u.spec.Tasks) {
+			w.fail("not_done", "job %d has %d of %d tasks", u.spec.ID, len(u.done), u.spec.Tasks)
+		}
+	case jobs.Cancelled:
+		if !u.wants {
+			w.fail("went_back", "job %d was never cancelled by its user", u.spec.ID)
+		}
+	}
+	if a.Stage.Ended() && u.ended == "" {
+		u.ended, u.endedAt = a.Stage, w.now
+		if a.Stage == jobs.Cancelled {
+			w.after(w.p.cancel, func() {
+				for _, m := range w.workers {
+					for k, at := range m.cells {
+						if k.t.Job == u.spec.ID && at.on && w.now >= m.hungUntil && w.now-m.leaseFrom <= w.p.lease {
+							w.fail("ran_cancelled", "task %v on %s", k.t, m.host)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+func (w *world) completed(t model.Task) { w.users[t.Job].done[t.No] = true }
+
+// starts checks a task that has just started on a machine.
+func (w *world) starts(m *machine, t model.Task) {
+	w.started++
+	u := w.users[t.Job]
+	if u.ended == jobs.Cancelled && w.now > u.endedAt+w.p.cancel {
+		w.fail("ran_cancelled", "task %v starts on %s", t, m.host)
+	}
+	at := m.Machine
+	if !u.spec.Allows(&at) {
+		w.fail("wrong_place", "task %v on %s", t, m.host)
+	}
+	used := make([]int64, 2)
+	zones := map[model.Name]int{}
+	for _, o := range w.workers {
+		if w.now-o.leaseFrom > w.p.lease {
+			continue // it hangs, and will find its lease over
+		}
+		for k, a := range o.cells {
+			if !a.on {
+				continue
+			}
+			x := w.users[k.t.Job]
+			used[x.spec.Team] += x.spec.Each.CPU
+			if k.t == t && o != m {
+				w.fail("ran_twice", "task %v starts on %s and is on %s", t, m.host, o.host)
+			}
+			if k.t.Job == t.Job {
+				zones[o.Zone]++
+			}
+		}
+	}
+	if used[u.spec.Team] > teamLimit.CPU {
+		w.fail("quota", "team %d uses %d of %d", u.spec.Team, used[u.spec.Team], teamLimit.CPU)
+	}
+	if u.spec.Together && len(zones) > 1 {
+		w.fail("wrong_place", "job %d is in %d zones", t.Job, len(zones))
+	}
+	if u.spec.Spread && zones[m.Zone] > (int(u.spec.Tasks)+1)/2 {
+		w.fail("wrong_place", "job %d has %d of %d tasks in a zone", t.Job, zones[m.Zone], u.spec.Tasks)
+	}
+}
--- /dev/null
+++ b/internal/core/sim/sim_test.go
@@ -0,0 +1,78 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func almatyLike() params {
+	return params{controllers: 3, machines: 9, jobs: 60, report: time.Second, lease: 10 * time.Second, cancel: 40 * time.Second,
+		ttl: 20 * time.Second, length: 4 * time.Minute, faults: true}
+}
+
+func longLease() params {
+	p := almatyLike()
+	p.report, p.lease, p.cancel, p.ttl, p.length = 3*time.Second, 42*time.Second, 67*time.Second, 20*time.Second, 6*time.Minute
+	return p
+}
+
+// TestRulesHold plays random days with every kind of failure; no rule may break.
+func TestRulesHold(t *testing.T) {
+	for name, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease()} {
+		for seed := range uint64(25) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(seed, p)
+				w.run()
+				if len(w.broken) > 0 {
+					t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
+				}
+				if w.started == 0 {
+					t.Fatal("no task was started")
+				}
+			})
+		}
+	}
+}
+
+// TestQuietDayCompletes: without failures all jobs end, each task is started
+// hardly more than once, and nobody waits for ever.
+func TestQuietDayCompletes(t *testing.T) {
+	p := almatyLike()
+	p.faults = false
+	w := newWorld(1, p)
+	w.run()
+	if len(w.broken) > 0 {
+		t.Fatal(strings.Join(w.broken, "\n"))
+	}
+	for id, u := range w.users {
+		if u.accepted && u.ended == "" {
+			t.Errorf("job %d (%+v) has not ended", id, u.spec)
+		}
+	}
+}
+
+// TestChecksCatchBrokenGuards proves the checks: with a guard broken, some day
+// must break a rule.
+func TestChecksCatchBrokenGuards(t *testing.T) {
+	for name, breakIt := range map[string]func(*params){
+		"a new leader ignores the records of machines": func(p *params) { p.forgetRecords = true },
+		"a lost shard's authority is taken for over":   func(p *params) { p.freeOnLoss = true; p.trustOldEnd = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(60) {
+				p := almatyLike()
+				breakIt(&p)
+				w := newWorld(seed, p)
+				w.run()
+				if len(w.broken) > 0 {
+					t.Logf("seed %d: %s", seed, w.broken[0])
+					return
+				}
+			}
+			t.Fatal("no day broke a rule: the checks see nothing")
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/sim/store_test.go
@@ -0,0 +1,169 @@
+package sim
+
+import (
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/election"
+	"honeylock/internal/core/jobs"
+	"honeylock/internal/core/model"
+)
+
+type openJob struct {
+	spec    *model.Spec
+	version uint64
+}
+
+type record struct {
+	m       model.Machine
+	version uint64
+}
+
+// store is the state service, as far as the cores use it.
+type store struct {
+	w       *world
+	out     bool
+	rev     uint64
+	leases  map[uint64]time.Duration // end
+	leader  election.Record
+	term    uint64
+	termRev uint64
+	open    map[model.JobID]openJob
+	done    map[model.JobID]map[int32][]byte
+	final   map[model.JobID]jobs.Stage
+	records map[model.MachineID]record
+}
+
+func newStore(w *world) *store {
+	return &store{w: w, rev: 1, leases: map[uint64]time.Duration{}, open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{},
+		final: map[model.JobID]jobs.Stage{}, records: map[model.MachineID]record{}}
+}
+
+// back ends an outage: every lease has its full time again.
+func (s *store) back() {
+	s.out = false
+	for id := range s.leases {
+		s.leases[id] = s.w.now + s.w.p.ttl
+	}
+}
+
+func (s *store) expire() {
+	if s.out {
+		return
+	}
+	for id, end := range s.leases {
+		if s.w.now > end {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *store) endLease(id uint64) {
+	delete(s.leases, id)
+	if s.leader.Present && s.leader.Lease == id {
+		s.rev++
+		s.leader = election.Record{}
+	}
+}
+
+func (s *store) election(host string, op election.Op) any {
+	s.expire()
+	res := election.Result{Op: op}
+	switch op.Verb {
+	case election.Read:
+		res.OK, res.Leader, res.Term, res.TermVersion = true, s.leader, s.term, s.termRev
+	case election.Grant:
+		s.rev++
+		s.leases[s.rev] = s.w.now + s.w.p.ttl
+		res.Lease, res.OK = s.rev, true
+	case election.Acquire:
+		if _, ok := s.leases[op.Lease]; ok && !s.leader.Present && s.termRev == op.TermVersion {
+			s.rev++
+			s.leader = election.Record{Present: true, Host: host, Term: op.Term, Lease: op.Lease, Version: s.rev}
+			s.term, s.termRev = op.Term, s.rev
+			res.Version, res.OK = s.rev, true
+		}
+	case election.Renew:
+		if _, ok := s.leases[op.Lease]; ok {
+			s.leases[op.Lease] = s.w.now + s.w.p.ttl
+			res.OK = true
+		} else {
+			res.Not = true
+		}
+	case election.End:
+		s.endLease(op.Lease)
+		res.OK = true
+	}
+	return res
+}
+
+func (s *store) job(u *user, op jobs.Op) any {
+	s.expire()
+	id := u.spec.ID
+	o, open := s.open[id]
+	st, final := s.final[id]
+	switch op.Kind {
+	case jobs.ReadOpen:
+		if !open {
+			return jobs.Result{Outcome: jobs.Missing}
+		}
+		return jobs.Result{Version: o.version}
+	case jobs.ReadFinal:
+		if !final {
+			return jobs.Result{Outcome: jobs.Missing}
+		}
+		return jobs.Result{Stage: st}
+	case jobs.Create:
+		if open || final {
+			return jobs.Result{Outcome: jobs.Conflict}
+		}
+		s.rev++
+		s.open[id] = openJob{u.spec, s.rev}
+		return jobs.Result{}
+	case jobs.Cancel:
+		if !open || o.version != op.Version {
+			return jobs.Result{Outcome: jobs.Conflict}
+		}
+		s.rev++
+		delete(s.open, id)
+		s.final[id] = jobs.Cancelled
+		return jobs.Result{}
+	}
+	return nil
+}
+
+type written struct {
+	rev      uint64
+	ok, lost bool
+}
+
+// write applies a leader's write, guarded by the leader key's version.
+func (s *store) write(guard uint64, wr dealer.Write) any {
+	s.expire()
+	if !s.leader.Present || s.leader.Version != guard {
+		return written{}
+	}
+	s.rev++
+	switch wr.Kind {
+	case dealer.PutMachine:
+		s.records[wr.Machine.ID] = record{wr.Machine, s.rev}
+	case dealer.DropMachine:
+		if s.records[wr.Machine.ID].version != wr.Version {
+			return written{lost: true}
+		}
+		delete(s.records, wr.Machine.ID)
+	case dealer.PutChunk:
+		if s.done[wr.Job] == nil {
+			s.done[wr.Job] = map[int32][]byte{}
+		}
+		s.done[wr.Job][wr.Chunk] = wr.Bits
+	case dealer.Finish:
+		if o, ok := s.open[wr.Job]; !ok || o.version != wr.Version {
+			return written{lost: true}
+		}
+		delete(s.open, wr.Job)
+		delete(s.done, wr.Job)
+		s.final[wr.Job] = jobs.Done
+	}
+	return written{rev: s.rev, ok: true}
+}
--- /dev/null
+++ b/internal/core/sim/world_test.go
@@ -0,0 +1,222 @@
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// params of a simulated deployment.
+type params struct {
+	controllers, machines, jobs int
+	report, lease, cancel, ttl  time.Duration
+	length                      time.Duration
+	faults                      bool
+	forgetRecords               bool // a broken guard: a new leader ignores the machines' records
+	trustOldEnd                 bool // a broken guard: old grants are taken for over at once
+	freeOnLoss                  bool // a broken guard: a lost shard's machines count as accounted for
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	f   func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+type pair struct{ a, b string }
+
+type held struct {
+	from, to string
+	f        func()
+}
+
+type world struct {
+	p       params
+	rng     *rand.Rand
+	now     time.Duration
+	seq     uint64
+	queue   events
+	cuts    map[pair]bool // true: holds messages; false: drops them
+	held    []held
+	last    map[pair]time.Duration // of the newest delivery, for streams
+	store   *store
+	ctls    []*ctl
+	workers []*machine
+	users   map[model.JobID]*user
+	broken  []string
+	started int
+	log     []string
+}
+
+func newWorld(seed uint64, p params) *world {
+	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{}, users: map[model.JobID]*user{}}
+	w.store = newStore(w)
+	for i := range p.controllers {
+		w.ctls = append(w.ctls, newCtl(w, i))
+	}
+	for i := range p.machines {
+		w.workers = append(w.workers, newMachine(w, model.MachineID(i), i%3))
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, f})
+}
+
+func (w *world) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(w.rng.Int64N(int64(hi-lo)+1))
+}
+
+func (w *world) fail(rule, format string, args ...any) {
+	if len(w.broken) < 20 {
+		w.broken = append(w.broken, fmt.Sprintf("%8.3f %s: ", w.now.Seconds(), rule)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) note(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf("%8.3f ", w.now.Seconds())+fmt.Sprintf(format, args...))
+	if len(w.log) > 4000 {
+		w.log = w.log[2000:]
+	}
+}
+
+// send carries a message between two hosts, in order where stream is true.
+// A cut holds it back until it heals, or drops it.
+func (w *world) send(from, to string, stream bool, f func()) {
+	if hold, cut := w.cuts[pair{from, to}]; cut {
+		if hold {
+			w.held = append(w.held, held{from, to, f})
+		}
+		return
+	}
+	at := w.now + w.between(time.Millisecond, 8*time.Millisecond)
+	if !stream && w.rng.IntN(200) == 0 {
+		at += w.between(0, 3*time.Second)
+	}
+	if stream {
+		at = max(at, w.last[pair{from, to}])
+		w.last[pair{from, to}] = at
+	}
+	w.after(at-w.now, f)
+}
+
+func (w *world) cut(a, b string, hold bool) { w.cuts[pair{a, b}], w.cuts[pair{b, a}] = hold, hold }
+
+func (w *world) heal(a, b string) {
+	delete(w.cuts, pair{a, b})
+	delete(w.cuts, pair{b, a})
+	rest := w.held
+	w.held = nil
+	for _, h := range rest {
+		if h.from == a && h.to == b || h.from == b && h.to == a {
+			w.send(h.from, h.to, true, h.f)
+		} else {
+			w.held = append(w.held, h)
+		}
+	}
+}
+
+func (w *world) cutFor(a, b string, d time.Duration) {
+	if _, ok := w.cuts[pair{a, b}]; ok {
+		return
+	}
+	w.cut(a, b, w.rng.IntN(2) == 0)
+	w.after(d, func() { w.heal(a, b) })
+}
+
+// faults keeps breaking things at random.
+func (w *world) faults() {
+	if w.now > w.p.length-30*time.Second {
+		return
+	}
+	c := w.ctls[w.rng.IntN(len(w.ctls))]
+	d := w.between(time.Second, 40*time.Second)
+	switch w.rng.IntN(9) {
+	case 0, 1:
+		w.note("fault: %s crashes", c.host)
+		c.crash(w.between(time.Second, 6*time.Second))
+	case 2:
+		w.note("fault: all crash")
+		for _, c := range w.ctls {
+			c.crash(w.between(time.Second, 6*time.Second))
+		}
+	case 3:
+		w.note("fault: %s is cut from the store for %v", c.host, d)
+		w.cutFor(c.host, "store", d)
+	case 4:
+		w.note("fault: %s is cut from workers for %v", c.host, d)
+		for _, m := range w.workers {
+			if w.rng.IntN(3) > 0 {
+				w.cutFor(c.host, m.host, d)
+			}
+		}
+	case 5:
+		w.note("fault: %s is cut from its siblings for %v", c.host, d)
+		for _, o := range w.ctls {
+			if o != c {
+				w.cutFor(c.host, o.host, d)
+			}
+		}
+	case 6:
+		w.note("fault: the store is out")
+		w.store.out = true
+		w.after(w.between(time.Second, 20*time.Second), func() { w.store.back() })
+	case 7:
+		m := w.workers[w.rng.IntN(len(w.workers))]
+		w.note("fault: %s hangs or ends", m.host)
+		if w.rng.IntN(2) == 0 {
+			m.hungUntil = w.now + d
+		} else {
+			m.restart()
+		}
+	case 8:
+		w.note("fault: %s is cut off for %v", c.host, d)
+		w.cutFor(c.host, "store", d)
+		for _, o := range w.ctls {
+			if o != c {
+				w.cutFor(c.host, o.host, d)
+			}
+		}
+	}
+	w.after(w.between(2*time.Second, 25*time.Second), w.faults)
+}
+
+func (w *world) run() {
+	for _, c := range w.ctls {
+		c.start()
+	}
+	for _, m := range w.workers {
+		w.after(w.between(0, time.Second), m.tick)
+	}
+	for i := range w.p.jobs {
+		w.after(w.between(0, w.p.length*2/3), func() { w.submit(model.JobID(i)) })
+	}
+	if w.p.faults {
+		w.after(10*time.Second, w.faults)
+	}
+	for len(w.queue) > 0 && w.queue[0].at <= w.p.length && len(w.broken) == 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.f()
+	}
+}
