--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -267,29 +267,55 @@
 				n -= k
 			}
 		}
-		if n <= 0 {
-			continue
-		}
-		// Short work waits for room rather than for a machine to boot.
-		if est := sp.Estimate; est > 0 && est < f.p.Horizon {
-			n = (n*int64(est) + int64(f.p.Horizon) - 1) / int64(f.p.Horizon)
+		if n > 0 {
+			out = append(out, lack{sp, n})
 		}
-		out = append(out, lack{sp, n})
 	}
 	return out
 }
 
-// rent picks the cheapest kind of machine, by task, for the work that lacks
-// room.
+// perCPU is what a machine's CPU costs an hour, boot time included in
+// proportion.
+func perCPU(t *model.MachineType, spot bool) float64 {
+	p := t.Price
+	if spot {
+		p = t.SpotPrice
+	}
+	return p / float64(t.Cap.CPU) * (1 + t.Boot.Minutes()/4)
+}
+
+// cheapest is the least that a CPU costs.
+func (f *Fleet) cheapest() float64 {
+	low := 0.0
+	for i := range f.types {
+		for _, spot := range []bool{true, false} {
+			if p := perCPU(&f.types[i], spot); low == 0 || p < low {
+				low = p
+			}
+		}
+	}
+	return low
+}
+
+// worth is how many tasks justify a machine at this price: the dearer it is,
+// the longer work may wait for room that there is already.
+func (f *Fleet) worth(l lack, ratio float64) int64 {
+	horizon := time.Duration(float64(f.p.Horizon) * ratio)
+	if est := l.spec.Estimate; est > 0 && est < horizon {
+		return int64(float64(l.n) * float64(est) / float64(horizon))
+	}
+	return l.n
+}
+
+// rent picks the cheapest kind of machine for the work that lacks room.
 func (f *Fleet) rent(now time.Duration, unmet []lack) (Action, bool) {
+	low := f.cheapest()
 	for _, l := range unmet {
 		var best *kind
-		var bestCost float64
-		var bestPer int64
+		var bestCost, ratio float64
 		for i := range f.types {
 			t := &f.types[i]
-			per := l.spec.Each.Count(t.Cap)
-			if per == 0 {
+			if l.spec.Each.Count(t.Cap) == 0 {
 				continue
 			}
 			for _, z := range t.Zones {
@@ -299,15 +325,10 @@
 					if !l.spec.Allows(&m) || now < f.refused[k] {
 						continue
 					}
-					p := t.Price
-					if spot {
-						p = t.SpotPrice
-					}
-					cost := p / float64(t.Cap.CPU) * (1 + t.Boot.Minutes()/4)
 					// Among equals spread over the zones.
-					cost *= 1 + 0.02*float64(f.count(k))
+					cost := perCPU(t, spot) * (1 + 0.02*float64(f.count(k)))
 					if best == nil || cost < bestCost {
-						best, bestCost, bestPer = &k, cost, per
+						best, bestCost, ratio = &k, cost, max(1, perCPU(t, spot)/low)
 					}
 				}
 			}
@@ -315,17 +336,28 @@
 		if best == nil {
 			continue
 		}
-		var need int64
+		var need, demand int64
 		for _, o := range unmet {
 			m := model.Machine{Type: best.typ, Zone: best.zone, Spot: best.spot}
 			if o.spec.Allows(&m) {
-				need += o.n * o.spec.Each.CPU
+				need += f.worth(o, ratio) * o.spec.Each.CPU
+				demand += o.n * o.spec.Each.CPU
+			}
+		}
+		size := f.typeOf(best.typ).Cap.CPU
+		count := (need + size/2) / size
+		if count == 0 && need > 0 && f.count(*best) == 0 && demand >= size {
+			count = 1
+		}
+		if count == 0 {
+			if len(f.units) == 0 { // nothing will ever come free
+				count = 1
+			} else {
+				continue
 			}
 		}
-		per := max(1, bestPer*l.spec.Each.CPU)
-		count := min((need+per-1)/per, 4)
 		f.n++
-		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(count)}, true
+		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, 4))}, true
 	}
 	return Action{}, false
 }
@@ -340,6 +372,14 @@
 	return n
 }
 
+// patience is how long a machine may stand idle: the dearer, the shorter.
+func (f *Fleet) patience(m *model.Machine) time.Duration {
+	if t := f.typeOf(m.Type); t != nil {
+		return time.Duration(float64(f.p.IdleReturn) / max(1, perCPU(t, m.Spot)/f.cheapest()))
+	}
+	return f.p.IdleReturn
+}
+
 // surplus picks machines to give back: those that never came up, failed, or
 // went silent for good, and those that stand idle.
 func (f *Fleet) surplus(now time.Duration, status []model.MachineStatus, rooms []room) []model.MachineID {
@@ -359,7 +399,7 @@
 	}
 	for i := range rooms {
 		r := &rooms[i]
-		if r.status == nil || r.used || r.status.Slots > 0 || now-r.status.IdleSince < f.p.IdleReturn || now-f.want < f.p.IdleReturn/2 {
+		if r.status == nil || r.used || r.status.Slots > 0 || now-r.status.IdleSince < f.patience(&r.m) || now-f.want < f.patience(&r.m)/2 {
 			continue
 		}
 		if u := f.units[r.m.ID]; u != nil && !u.drop && u.silent == 0 {
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -69,8 +69,7 @@
 }
 
 // roomFor picks among the machines with the full request free the one that
-// runs the lowest priority; among equals one that has the image, then the
-// fullest.
+// runs the lowest priority.
 func (s *Shard) roomFor(now time.Duration, g *group) *machine {
 	var best *machine
 	var bestLevel float64
@@ -84,11 +83,8 @@
 			if l > bestLevel {
 				continue
 			}
-			if l == bestLevel {
-				a, b := m.images[g.spec.Image], best.images[g.spec.Image]
-				if !a && b || a == b && avail.CPU >= best.Cap.CPU-best.used.CPU {
-					continue
-				}
+			if l == bestLevel && !preferred(g.spec, m, best) {
+				continue
 			}
 		}
 		best, bestLevel = m, l
@@ -96,6 +92,18 @@
 	return best
 }
 
+// preferred breaks ties: a machine that has the image, then a cheaper (spot)
+// one, then the fuller.
+func preferred(sp *model.Spec, m, than *machine) bool {
+	if a, b := m.images[sp.Image], than.images[sp.Image]; a != b {
+		return a
+	}
+	if m.Spot != than.Spot {
+		return m.Spot
+	}
+	return m.Cap.CPU-m.used.CPU < than.Cap.CPU-than.used.CPU
+}
+
 // payback is the time until the new task's price has made up for the victim's
 // lost work.
 func payback(now time.Duration, sl *slot, price float64) time.Duration {
