election: short lease; all siblings' promises carry a leader through outages

Cause: a dead or cut-off leader was replaced only after up to 20 s (6 s when it restarted), and workers' leases of 10 s ran out. The lease is 4 s now; in an outage the members' promises not to take over extend the authority.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -185,12 +185,18 @@
 	return Seconds(c.Workers.LeaseS*1.002) + 250*time.Millisecond
 }
 
-// LeaderTTL is the length of the leader's lease at the state service. It is
-// bounded by the cancellation rule: a leader that hears of no cancellation for
-// its whole authority, and workers that then keep their tasks for one lease,
-// must both be over within cancel_s.
-func (c *Cluster) LeaderTTL() time.Duration {
+// Deaf is how long a leader may act without news of cancellations. The
+// cancellation rule bounds it: that time, and then one lease of the workers,
+// must be over within cancel_s.
+func (c *Cluster) Deaf() time.Duration {
 	room := Seconds(c.Workers.CancelS) - c.SureLease() - time.Second
-	ttl := room * 9 / 10
-	return max(100*time.Millisecond, min(ttl, 20*time.Second))
+	return max(100*time.Millisecond, min(room*9/10, 30*time.Second))
 }
+
+// LeaderTTL is the length of the leader's lease at the state service: short,
+// for a dead leader is replaced when it ends. An outage of the service is
+// outlasted by the siblings' promises.
+func (c *Cluster) LeaderTTL() time.Duration { return min(4*time.Second, c.Deaf()) }
+
+// Promise is for how long a member of a leader's term does not take over.
+const Promise = 2500 * time.Millisecond
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -66,17 +66,40 @@
 	renewing bool
 	nextTry  time.Duration // of the next renewal
 	orphans  []uint64      // leases of ours that must end
+
+	// promised: this controller does not take leadership before, for a leader
+	// counts on it. A process that has just started may have promised in its
+	// earlier life, and holds off for as long.
+	promised time.Duration
+	vowed    bool          // has promised in this life
+	backed   time.Duration // until when all siblings have promised
 }
 
 // New returns a follower. ttl is the lease's length; stagger sets apart
-// controllers that find the key free at the same moment.
-func New(host string, ttl, stagger time.Duration) *Election {
-	return &Election{host: host, ttl: ttl, margin: ttl/500 + 150*time.Millisecond, stagger: stagger}
+// controllers that find the key free at the same moment; promise is the length
+// of promises, now is the start of the process.
+func New(host string, ttl, stagger, promise, now time.Duration) *Election {
+	return &Election{host: host, ttl: ttl, margin: ttl/500 + 150*time.Millisecond, stagger: stagger, promised: now + promise}
+}
+
+// Promise keeps this controller from taking leadership before until.
+func (e *Election) Promise(until time.Duration) {
+	e.promised, e.vowed = max(e.promised, until), true
 }
 
+// Back tells the leader that every sibling has promised not to take over
+// before until: its authority lasts as long, whatever the state service says.
+// While the service is out the key can't change hands; and if this controller
+// alone is refused, the key may go, but nobody takes it.
+func (e *Election) Back(until time.Duration) { e.backed = max(e.backed, until) }
+
+// Renewed is when the last successful renewal was sent.
+func (e *Election) Renewed() time.Duration { return e.sentAt }
+
 // Deadline is when authority ends unless it is renewed: counted from sending
-// the last successful renewal, less the clocks' drift and late timers.
-func (e *Election) Deadline() time.Duration { return e.sentAt + e.ttl - e.margin }
+// the last successful renewal, less the clocks' drift and late timers; or, if
+// that is later, the end of all siblings' promises.
+func (e *Election) Deadline() time.Duration { return max(e.sentAt+e.ttl-e.margin, e.backed) }
 
 // Leading tells whether this controller may act as the leader now.
 func (e *Election) Leading(now time.Duration) bool { return e.leading && now < e.Deadline() }
@@ -105,7 +128,7 @@
 	}
 	e.seen = r
 	if !r.Present && !e.leading {
-		e.next = min(e.next, now+e.stagger)
+		e.next = min(e.next, max(now, e.promised)+e.stagger)
 	}
 }
 
@@ -123,7 +146,7 @@
 	if e.lease != 0 {
 		e.orphans = append(e.orphans, e.lease)
 	}
-	e.leading, e.lease, e.renewing = false, 0, false
+	e.leading, e.lease, e.renewing, e.backed = false, 0, false, 0
 	e.seen = Record{}
 }
 
@@ -181,11 +204,19 @@
 				// process per controller, so nobody acts under it.
 				e.orphans = append(remove(e.orphans, r.Leader.Lease), r.Leader.Lease)
 				e.next = now
+				if !e.vowed {
+					// Our last life led, so no other leader counts on its promise.
+					e.promised = now
+				}
 			} else {
 				e.next = now + idle
 			}
 			break
 		}
+		if now < e.promised {
+			e.next = e.promised
+			break
+		}
 		e.busy = true
 		return []Op{{Verb: Grant, Term: r.Term + 1, TermVersion: r.TermVersion, SentAt: now}}
 	case Grant:
@@ -196,7 +227,7 @@
 		e.lease = r.Lease
 		return []Op{{Verb: Acquire, Lease: r.Lease, Term: r.Op.Term, TermVersion: r.Op.TermVersion, SentAt: r.Op.SentAt}}
 	case Acquire:
-		if !r.OK {
+		if !r.OK || now < e.promised {
 			// In doubt, it may yet be applied late: ending its lease makes it
 			// fail for ever.
 			e.orphans = append(e.orphans, e.lease)
--- /dev/null
+++ b/internal/core/election/election_test.go
@@ -0,0 +1,110 @@
+package election
+
+import (
+	"testing"
+	"time"
+)
+
+const ttl = 4 * time.Second
+
+// lead makes e leader of term 1 under lease 7, granted at the given time.
+func lead(t *testing.T, e *Election, now time.Duration) {
+	t.Helper()
+	ops := e.Step(now)
+	if len(ops) != 1 || ops[0].Verb != Read {
+		t.Fatalf("ops %v, want a read", ops)
+	}
+	ops = e.Done(now, Result{Op: ops[0], OK: true})
+	if len(ops) != 1 || ops[0].Verb != Grant {
+		t.Fatalf("ops %v, want a grant", ops)
+	}
+	ops = e.Done(now+time.Second, Result{Op: ops[0], OK: true, Lease: 7})
+	if len(ops) != 1 || ops[0].Verb != Acquire || ops[0].Term != 1 {
+		t.Fatalf("ops %v, want term 1 acquired", ops)
+	}
+	e.Done(now+2*time.Second, Result{Op: ops[0], OK: true, Version: 9})
+}
+
+func TestAuthorityCountsFromSending(t *testing.T) {
+	e := New("a", ttl, 0, 0, 0)
+	lead(t, e, 0)
+	if !e.Leading(2*time.Second) || e.Leading(ttl) {
+		t.Fatal("authority must end a lease's length after asking for it, not after its answer")
+	}
+	// A renewal sent at 2.5 s and answered at 3.5 s counts from 2.5 s.
+	ops := e.Step(2500 * time.Millisecond)
+	if len(ops) != 1 || ops[0].Verb != Renew {
+		t.Fatalf("ops %v, want a renewal", ops)
+	}
+	e.Done(3500*time.Millisecond, Result{Op: ops[0], OK: true})
+	if !e.Leading(6*time.Second) || e.Leading(6500*time.Millisecond) {
+		t.Fatal("a renewal counts from its sending, less drift")
+	}
+}
+
+func TestAcquireInDoubtEndsItsLease(t *testing.T) {
+	e := New("a", ttl, 0, 0, 0)
+	ops := e.Step(0)
+	ops = e.Done(0, Result{Op: ops[0], OK: true})
+	ops = e.Done(0, Result{Op: ops[0], OK: true, Lease: 7})
+	e.Done(time.Second, Result{Op: ops[0]}) // no answer
+	if e.Leading(time.Second) {
+		t.Fatal("leads on a transaction in doubt")
+	}
+	// The transaction may be applied late: ending its lease makes it fail.
+	ops = e.Step(2 * time.Second)
+	if len(ops) != 1 || ops[0].Verb != End || ops[0].Lease != 7 {
+		t.Fatalf("ops %v, want lease 7 ended", ops)
+	}
+}
+
+func TestOwnEarlierLeaseIsEnded(t *testing.T) {
+	e := New("a", ttl, 0, time.Minute, 0)
+	ops := e.Step(0)
+	e.Done(0, Result{Op: ops[0], OK: true, Leader: Record{Present: true, Host: "a", Lease: 3}})
+	ops = e.Step(0)
+	if len(ops) != 1 || ops[0].Verb != End || ops[0].Lease != 3 {
+		t.Fatalf("ops %v, want lease 3 ended", ops)
+	}
+	e.Done(0, Result{Op: ops[0], OK: true})
+	lead(t, e, 0) // at once: whoever led needs no promise of its own
+}
+
+func TestPromiseIsKept(t *testing.T) {
+	e := New("a", ttl, 0, time.Second, 0)
+	try := func(now time.Duration) bool {
+		ops := e.Step(now)
+		if len(ops) == 0 {
+			return false
+		}
+		return len(e.Done(now, Result{Op: ops[0], OK: true})) > 0
+	}
+	if try(500 * time.Millisecond) {
+		t.Fatal("a process just started may have promised in its last life")
+	}
+	e.Promise(3 * time.Second)
+	if try(2 * time.Second) {
+		t.Fatal("ran for leadership against its promise")
+	}
+	if !try(3 * time.Second) {
+		t.Fatal("the promise is over")
+	}
+}
+
+func TestSiblingsPromisesOutlastAnOutage(t *testing.T) {
+	e := New("a", ttl, 0, 0, 0)
+	lead(t, e, 0)
+	e.Back(10 * time.Second)
+	if !e.Leading(9 * time.Second) {
+		t.Fatal("all siblings have promised until 10 s")
+	}
+	if e.Leading(10 * time.Second) {
+		t.Fatal("the promises are over")
+	}
+	// A key that is surely gone ends it all the same.
+	ops := e.Step(9 * time.Second)
+	e.Done(9*time.Second, Result{Op: ops[0], Not: true})
+	if e.Leading(9 * time.Second) {
+		t.Fatal("leads without its lease")
+	}
+}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -37,12 +37,15 @@
 	asking bool
 }
 
+const promise = 2500 * time.Millisecond
+
 type link struct {
-	host  string
-	peer  *seat
-	until time.Duration
-	heard time.Duration
-	dead  bool
+	promise time.Duration
+	host    string
+	peer    *seat
+	until   time.Duration
+	heard   time.Duration
+	dead    bool
 }
 
 type seat struct {
@@ -54,6 +57,7 @@
 	heard  time.Duration
 	asked  time.Duration
 	joined bool
+	grants []time.Duration // sent, by the leader's clock, of those received
 }
 
 func newCtl(w *world, i int) *ctl {
@@ -66,7 +70,7 @@
 	c.up = true
 	c.life++
 	c.origin = c.w.now
-	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond))
+	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond), promise, 0)
 	c.lead, c.seat = nil, nil
 	c.tick(c.life)
 }
@@ -217,7 +221,21 @@
 	})
 }
 
-func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.fresh+l.c.w.p.ttl) }
+func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.fresh+l.c.w.p.deaf) }
+
+func (l *lead) back() {
+	end := map[string]time.Duration{}
+	for _, k := range l.links {
+		end[k.host] = max(end[k.host], k.promise)
+	}
+	least := time.Duration(1<<63 - 1)
+	for _, o := range l.c.w.ctls {
+		if o != l.c {
+			least = min(least, end[o.host])
+		}
+	}
+	l.c.el.Back(least)
+}
 
 func (c *ctl) tick(life int) {
 	if !c.up || c.life != life {
@@ -236,7 +254,7 @@
 func (l *lead) tick() {
 	c := l.c
 	now := c.now()
-	if now-l.fresh > c.w.p.ttl {
+	if now-l.fresh > c.w.p.deaf {
 		c.el.Resign(now, time.Second)
 		c.follow()
 		return
@@ -412,13 +430,22 @@
 		}
 		if st.l != nil && st.joined && now-st.asked > 400*time.Millisecond {
 			st.asked = now
+			echo := st.grants
 			status, counts, deals := st.s.Status(now), st.s.Jobs(), st.s.Deals()
 			st.up(func(l *lead, k *link) {
 				ln := l.c.now()
 				if l.c.el.Leading(ln) {
+					if n := len(echo); n > 0 {
+						k.promise = max(k.promise, echo[n-1]+promise-promise/200-50*time.Millisecond)
+					}
+					l.back()
 					k.until = max(k.until, l.until())
 					d := l.until() - ln
-					l.down(k, func(st *seat) { st.s.Grant(now + d - d/500 - 50*time.Millisecond) })
+					l.down(k, func(st *seat) {
+						st.grants = append(st.grants, ln)
+						st.c.el.Promise(st.c.now() + promise)
+						st.s.Grant(now + d - d/500 - 50*time.Millisecond)
+					})
 				}
 				l.d.Status(ln, st.id, status, counts, deals)
 				l.deal()
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -11,13 +11,13 @@
 
 // params of a simulated deployment.
 type params struct {
-	controllers, machines, jobs int
-	report, lease, cancel, ttl  time.Duration
-	length                      time.Duration
-	faults                      bool
-	forgetRecords               bool // a broken guard: a new leader ignores the machines' records
-	trustOldEnd                 bool // a broken guard: old grants are taken for over at once
-	freeOnLoss                  bool // a broken guard: a lost shard's machines count as accounted for
+	controllers, machines, jobs      int
+	report, lease, cancel, ttl, deaf time.Duration
+	length                           time.Duration
+	faults                           bool
+	forgetRecords                    bool // a broken guard: a new leader ignores the machines' records
+	trustOldEnd                      bool // a broken guard: old grants are taken for over at once
+	freeOnLoss                       bool // a broken guard: a lost shard's machines count as accounted for
 }
 
 type event struct {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -70,10 +70,10 @@
 		ready: make(chan struct{}), fresh: now, began: now, links: map[model.ShardID]*link{}, hosts: map[string]bool{},
 		writes: rate.NewLimiter(rate.Limit(c.State.WriteRPS*0.4), max(4, int(c.State.WriteRPS*0.2)))}
 	// Shards of the term before may act on grants that reach to the end of
-	// their leader's lease, even if that lease was ended early: up to one
+	// their leader's authority, even if its lease was ended early: up to one
 	// whole length of it from now, unless they are heard to have stopped.
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: teams, ChunkSize: chunkSize(c.State.ValueKB), Progress: 2 * time.Second,
-		Ahead: n.set.DealAhead, SureLease: c.SureLease()}, now+n.ttl+time.Second)
+		Ahead: n.set.DealAhead, SureLease: c.SureLease()}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
 	}
@@ -309,12 +309,29 @@
 	return len(l.n.cfg.Siblings) > 0 && len(l.links) == 0 && now-max(l.n.reported, l.began, l.lost) > patience && l.d.HasMachines()
 }
 
+// refused tells that the state service answers siblings, but has not answered
+// this leader for a while: that is no outage.
+func (l *leadership) refused(now time.Duration) bool {
+	last := l.n.el.Renewed()
+	if now-last < 2500*time.Millisecond {
+		return false
+	}
+	for _, k := range l.links {
+		if k.stateAt > last+1500*time.Millisecond {
+			return true
+		}
+	}
+	return false
+}
+
 // until is when this leader's authority ends unless it is renewed.
-func (l *leadership) until() time.Duration { return min(l.n.el.Deadline(), l.fresh+l.n.ttl) }
+func (l *leadership) until() time.Duration {
+	return min(l.n.el.Deadline(), l.fresh+l.n.cfg.Cluster.Deaf())
+}
 
 // tick is called a few times a second.
 func (l *leadership) tick(now time.Duration) {
-	if now-l.fresh > l.n.ttl {
+	if now-l.fresh > l.n.cfg.Cluster.Deaf() {
 		l.n.log.Error("no news of open jobs: giving leadership up", "term", l.term)
 		l.n.el.Resign(now, time.Second)
 		return
@@ -324,6 +341,11 @@
 		l.n.el.Resign(now, 4*time.Second)
 		return
 	}
+	if l.refused(now) {
+		l.n.log.Error("the state service answers a sibling, but not this controller: giving leadership up", "term", l.term)
+		l.n.el.Resign(now, 4*time.Second)
+		return
+	}
 	l.n.seat.s.Grant(l.until())
 	if !l.loaded {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,7 @@
 	lead     *leadership
 	seat     *seat         // this controller's shard, nil while it may not act
 	leader   string        // the leader that this controller is linked to
+	stateAt  time.Duration // the state service last answered
 	reported time.Duration // the last worker's report
 	tried    string        // the last host whose link ended
 	waits    map[model.MachineID][]chan struct{}
@@ -90,7 +91,7 @@
 			index++
 		}
 	}
-	n.el = election.New(cfg.HostName, n.ttl, time.Duration(index)*150*time.Millisecond)
+	n.el = election.New(cfg.HostName, n.ttl, time.Duration(index)*150*time.Millisecond, config.Promise, 0)
 	return n
 }
 
@@ -133,6 +134,9 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			now := n.now()
+			if res.OK {
+				n.stateAt = now
+			}
 			n.runElection(ctx, n.el.Done(now, res))
 			n.followLeadership(ctx, now)
 		}()
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -33,6 +34,7 @@
 	asked  map[uint64]time.Duration
 	seq    uint64
 	askAt  time.Duration
+	number uint64 // of the newest grant
 }
 
 func (n *Node) newSeat(attempts uint64) *seat {
@@ -113,7 +115,7 @@
 		st.seq++
 		st.asked[st.seq] = now
 		st.askAt = now
-		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq}}})
+		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq, Promised: st.number, StateAgeUs: (now - n.stateAt).Microseconds()}}})
 		st.dirty = true
 	}
 	if st.dirty {
@@ -157,9 +159,13 @@
 		}
 		err := n.member(ctx, dialer, host, addr)
 		n.mu.Lock()
+		level := slog.LevelDebug
+		if n.leader != "" {
+			level = slog.LevelInfo
+		}
 		n.leader, n.tried = "", host
 		n.mu.Unlock()
-		n.log.Info("link to the leader ended", "leader", host, "err", err)
+		n.log.Log(ctx, level, "link to the leader ended", "leader", host, "err", err)
 		sleep(ctx, 300*time.Millisecond)
 	}
 }
@@ -228,6 +234,8 @@
 			}
 			if at, ok := st.asked[msg.Grant.GetSeq()]; ok {
 				delete(st.asked, msg.Grant.GetSeq())
+				st.number = msg.Grant.GetNumber()
+				n.el.Promise(now + config.Promise)
 				d := time.Duration(msg.Grant.GetForUs()) * time.Microsecond
 				// Both clocks may drift, and timers are late.
 				st.s.Grant(at + d - d/500 - 50*time.Millisecond)
@@ -255,6 +263,11 @@
 	out   *peer.Queue
 	codec *peer.Codec
 	until time.Duration // of the longest grant given
+
+	number  uint64
+	sent    map[uint64]time.Duration // grants, by number
+	promise time.Duration            // the member does not take over before
+	stateAt time.Duration            // the state service last answered it
 }
 
 // ServePeers serves the other controllers until the context ends.
@@ -296,7 +309,7 @@
 	if err := rc.Flush(); err != nil {
 		return
 	}
-	k := &link{out: peer.NewQueue(), codec: peer.NewCodec(n.names)}
+	k := &link{out: peer.NewQueue(), codec: peer.NewCodec(n.names), sent: map[uint64]time.Duration{}}
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -386,8 +399,24 @@
 		if !l.n.el.Leading(now) {
 			return
 		}
+		if age := msg.Ask.GetStateAgeUs(); age >= 0 {
+			k.stateAt = now - time.Duration(age)*time.Microsecond
+		}
+		// The member promised when it received that grant, so after it was
+		// sent: from then on by this clock, less drift.
+		if at, ok := k.sent[msg.Ask.GetPromised()]; ok {
+			k.promise = max(k.promise, at+config.Promise-config.Promise/200-50*time.Millisecond)
+			for no := range k.sent {
+				if no < msg.Ask.GetPromised() {
+					delete(k.sent, no)
+				}
+			}
+		}
+		l.back()
 		k.until = max(k.until, l.until())
-		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(), ForUs: max(0, l.until()-now).Microseconds()}}})
+		k.number++
+		k.sent[k.number] = now
+		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(), ForUs: max(0, l.until()-now).Microseconds(), Number: k.number}}})
 	case *peerpb.Up_Event:
 		l.d.Event(now, id, k.codec.FromEvent(msg.Event))
 		l.exchange(now)
@@ -397,3 +426,18 @@
 		l.deal(now)
 	}
 }
+
+// back extends this leader's authority to where every sibling's promise lasts.
+func (l *leadership) back() {
+	end := map[string]time.Duration{}
+	for _, k := range l.links {
+		end[k.host] = max(end[k.host], k.promise)
+	}
+	least := time.Duration(1<<63 - 1)
+	for _, s := range l.n.cfg.Siblings {
+		least = min(least, end[s.HostName])
+	}
+	if len(l.n.cfg.Siblings) > 0 {
+		l.n.el.Back(least)
+	}
+}
