--- /dev/null
+++ b/internal/core/jobs/jobs_test.go
@@ -0,0 +1,62 @@
+package jobs
+
+import (
+	"net/http"
+	"testing"
+)
+
+// script runs a request against scripted results.
+func script(t *testing.T, k Kind, steps ...Result) (Answer, []OpKind) {
+	t.Helper()
+	req, op := New(k)
+	var ops []OpKind
+	for _, s := range steps {
+		ops = append(ops, op.Kind)
+		next, ans := req.Next(op, s)
+		if ans != nil {
+			return *ans, ops
+		}
+		op = next
+	}
+	t.Fatalf("no answer after %v", ops)
+	return Answer{}, nil
+}
+
+func TestRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   Kind
+		steps  []Result
+		status int
+		stage  Stage
+	}{
+		"new job":                      {Submit, []Result{{}}, http.StatusCreated, Queued},
+		"known job":                    {Submit, []Result{{Outcome: Conflict}, {Version: 3}}, http.StatusOK, Queued},
+		"known job that is over":       {Submit, []Result{{Outcome: Conflict}, {Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
+		"submission in doubt":          {Submit, []Result{{Outcome: Failed}}, http.StatusServiceUnavailable, ""},
+		"poll of an open job":          {Poll, []Result{{Version: 3}}, http.StatusOK, Queued},
+		"poll across the job's end":    {Poll, []Result{{Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
+		"poll of nothing":              {Poll, []Result{{Outcome: Missing}, {Outcome: Missing}}, http.StatusNotFound, ""},
+		"poll without the store":       {Poll, []Result{{Outcome: Failed}}, http.StatusServiceUnavailable, ""},
+		"poll, second read fails":      {Poll, []Result{{Outcome: Missing}, {Outcome: Failed}}, http.StatusServiceUnavailable, ""},
+		"cancel":                       {Withdraw, []Result{{Version: 3}, {}}, http.StatusOK, Cancelled},
+		"cancel of a job that is done": {Withdraw, []Result{{Version: 3}, {Outcome: Conflict}, {Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
+		"cancel again":                 {Withdraw, []Result{{Outcome: Missing}, {Stage: Cancelled}}, http.StatusOK, Cancelled},
+		"cancel of nothing":            {Withdraw, []Result{{Outcome: Missing}, {Outcome: Missing}}, http.StatusNotFound, ""},
+		"cancel in doubt":              {Withdraw, []Result{{Version: 3}, {Outcome: Failed}}, http.StatusServiceUnavailable, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, ops := script(t, c.kind, c.steps...)
+			if a.Status != c.status || a.Stage != c.stage {
+				t.Errorf("answer %+v after %v, want %d %q", a, ops, c.status, c.stage)
+			}
+		})
+	}
+}
+
+func TestCancelIsGuardedByTheVersionRead(t *testing.T) {
+	req, op := New(Withdraw)
+	op, _ = req.Next(op, Result{Version: 42})
+	if op.Kind != Cancel || op.Version != 42 {
+		t.Fatalf("op %+v: a late cancellation could end another record", op)
+	}
+}
--- /dev/null
+++ b/internal/core/shard/shard_test.go
@@ -0,0 +1,365 @@
+package shard
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"honeylock/internal/core/model"
+)
+
+const lease = 10 * time.Second
+
+type rig struct {
+	t   *testing.T
+	s   *Shard
+	now time.Duration
+	seq uint64
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, now: time.Second}
+	r.s = New(Params{SureLease: lease, Report: time.Second, Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2, DoubtPause: time.Second},
+		1000, rand.New(rand.NewPCG(1, 1)))
+	r.s.Grant(time.Hour)
+	return r
+}
+
+func (r *rig) own(id model.MachineID, token uint64, cpus float64) {
+	r.s.Order(r.now, model.Order{Kind: model.Own, Usable: true, Token: token,
+		Machine: model.Machine{ID: id, Addr: "x", Cap: model.Capacity(cpus, 0, 64)}})
+}
+
+// report reports at a token and returns the commands.
+func (r *rig) report(id model.MachineID, token uint64, cells ...model.Cell) []model.Command {
+	r.t.Helper()
+	r.seq++
+	rep := &model.Report{Machine: model.Machine{ID: id}, Session: 1, Seq: r.seq, Token: token, Notice: -1, Cells: cells}
+	if !r.s.Report(r.now, rep) {
+		r.t.Fatal("report refused")
+	}
+	r.s.Place(r.now)
+	return r.s.Answer(r.now, rep).Commands
+}
+
+func (r *rig) spec(job model.JobID, rank model.Rank, cpus float64) *model.Spec {
+	return &model.Spec{ID: job, Rank: rank, Tasks: 10, Each: model.Request(cpus, 0, 1), Zone: model.None, Spot: true}
+}
+
+func (r *rig) give(sp *model.Spec, no int32, price float64) {
+	r.s.Order(r.now, model.Order{Kind: model.Give, Deal: model.Deal{Task: model.Task{Job: sp.ID, No: no}, Spec: sp, Price: price, Zone: model.None, Since: r.now - time.Second}})
+}
+
+func (r *rig) events(kind model.EventKind) []model.Event {
+	var out []model.Event
+	for _, e := range r.s.Events() {
+		if e.Kind == kind {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func cell(job model.JobID, no int32, attempt uint64, st model.Stage, c model.Cause) model.Cell {
+	t := model.Task{Job: job, No: no}
+	return model.Cell{Task: t, Attempt: attempt, Stage: st, Cause: c}
+}
+
+func launch(job model.JobID, no int32, attempt uint64) model.Command {
+	return model.Command{Verb: model.Launch, Task: model.Task{Job: job, No: no}, Attempt: attempt}
+}
+
+func TestNothingIsPlacedBeforeTheWorkerIsFenced(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	sp := r.spec(1, model.Standard, 2)
+	r.give(sp, 0, 10)
+	if got := r.report(1, 0); len(got) != 0 {
+		t.Fatalf("commands %v to a worker that may still obey another", got)
+	}
+	// It has shown the token now.
+	if diff := cmp.Diff([]model.Command{launch(1, 0, 1001)}, r.report(1, 5)); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestNoGrantNoAnswer(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.s.Grant(r.now)
+	if r.s.Report(r.now, &model.Report{Machine: model.Machine{ID: 1}, Session: 1, Seq: 1, Token: 5, Notice: -1}) {
+		t.Fatal("answered without a grant")
+	}
+	r.s.Flush(r.now)
+	if d := r.s.Directs(); len(d) != 0 {
+		t.Fatalf("commands %v without a grant", d)
+	}
+}
+
+// A launch in an answer is repeated, as the same attempt, until a report shows it.
+func TestLaunchIsRepeatedUntilSeen(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	want := []model.Command{launch(1, 0, 1001)}
+	for range 3 {
+		if diff := cmp.Diff(want, r.report(1, 5)); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+	if got := r.report(1, 5, cell(1, 0, 1001, model.Running, 0)); len(got) != 0 {
+		t.Fatalf("commands %v for a task that runs", got)
+	}
+}
+
+// A direct launch without an answer may be executed minutes later. Absence from
+// reports proves nothing until the worker has shown a higher token.
+func TestUnansweredDirectLaunchStaysInDoubt(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.s.Place(r.now)
+	r.s.Flush(r.now)
+	d := r.s.Directs()
+	if len(d) != 1 || len(d[0].Commands) != 1 {
+		t.Fatalf("directs %v, want one launch", d)
+	}
+	r.s.DirectDone(r.now, d[0], nil, false)
+	r.s.Events()
+	r.s.Order(r.now, model.Order{Kind: model.Recall, Task: model.Task{Job: 1}})
+	r.report(1, 5)
+	r.report(1, 5)
+	evs := r.s.Events()
+	needs := false
+	for _, e := range evs {
+		if e.Kind == model.Gone {
+			t.Fatal("taken for gone while the launch may yet be executed")
+		}
+		needs = needs || e.Kind == model.NeedToken
+	}
+	if !needs {
+		t.Fatal("no higher token was asked for")
+	}
+	r.own(1, 6, 8)
+	r.report(1, 5)
+	if e := r.events(model.Gone); len(e) != 0 {
+		t.Fatal("the worker has not shown the new token yet")
+	}
+	r.report(1, 6)
+	if e := r.events(model.Gone); len(e) != 1 {
+		t.Fatalf("gone %v, want the task back", e)
+	}
+}
+
+// The answer to a direct command may overtake a launch that is still under way
+// in the answer to a report; only a later report proves that it is not.
+func TestDirectAnswerDoesNotProveAbsence(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.report(1, 5) // carries the launch
+	r.s.Order(r.now, model.Order{Kind: model.Recall, Task: model.Task{Job: 1}})
+	r.s.Flush(r.now)
+	d := r.s.Directs()
+	if len(d) != 1 {
+		t.Fatalf("directs %v, want the kill", d)
+	}
+	r.seq++
+	r.s.DirectDone(r.now, d[0], &model.Report{Machine: model.Machine{ID: 1}, Session: 1, Seq: r.seq, Token: 5, Notice: -1}, true)
+	if e := r.events(model.Gone); len(e) != 0 {
+		t.Fatal("the launch may still arrive with the report's answer")
+	}
+	r.report(1, 5)
+	if e := r.events(model.Gone); len(e) != 1 {
+		t.Fatal("a later report proves it")
+	}
+}
+
+func TestLateReportIsIgnored(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.report(1, 5)
+	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	old := &model.Report{Machine: model.Machine{ID: 1}, Session: 1, Seq: 1, Token: 5, Notice: -1}
+	r.s.Report(r.now, old)
+	if got := r.report(1, 5, cell(1, 0, 1001, model.Running, 0)); len(got) != 0 {
+		t.Fatalf("a late report without the task made %v", got)
+	}
+}
+
+func TestNewSessionLosesItsTasks(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.report(1, 5)
+	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	rep := &model.Report{Machine: model.Machine{ID: 1}, Session: 2, Seq: 1, Token: 5, Notice: -1}
+	r.s.Report(r.now, rep)
+	r.s.Place(r.now)
+	if diff := cmp.Diff([]model.Command{launch(1, 0, 1002)}, r.s.Answer(r.now, rep).Commands); diff != "" {
+		t.Fatalf("want it placed again as a new attempt: %s", diff)
+	}
+}
+
+// Silence alone settles nothing: another controller may have answered the
+// worker. Only the dealer's word does, and not if the worker is back by then.
+func TestSilenceIsTheDealersToDecide(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.report(1, 5)
+	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	r.s.Events()
+	r.now += lease + time.Second
+	r.s.Tick(r.now)
+	if n := len(r.s.Jobs()); n != 1 {
+		t.Fatal("lost on the shard's own judgement")
+	}
+	if e := r.events(model.Silent); len(e) != 1 {
+		t.Fatalf("events %v, want silence told", e)
+	}
+	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	r.s.Order(r.now, model.Order{Kind: model.Lapse, ID: 1})
+	if e := r.events(model.Lapsed); len(e) != 0 {
+		t.Fatal("the worker is back")
+	}
+	r.now += lease + time.Second
+	r.s.Tick(r.now)
+	r.s.Order(r.now, model.Order{Kind: model.Lapse, ID: 1})
+	if e := r.events(model.Lapsed); len(e) != 1 {
+		t.Fatal("the dealer's word was not taken")
+	}
+}
+
+func TestDoneIsClearedOnlyOnceStored(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.report(1, 5)
+	done := cell(1, 0, 1001, model.Exited, model.CauseDone)
+	if got := r.report(1, 5, done); len(got) != 0 {
+		t.Fatalf("commands %v before the completion is stored", got)
+	}
+	r.s.Order(r.now, model.Order{Kind: model.ClearIt, ID: 1, Task: model.Task{Job: 1}, Attempt: 1001})
+	if got := r.report(1, 5, done); len(got) != 1 || got[0].Verb != model.Clear {
+		t.Fatalf("commands %v, want it cleared", got)
+	}
+}
+
+func TestVictimIsStrictlyLowerPricedAndStopsFirst(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 4)
+	r.report(1, 5)
+	low, same, high := r.spec(1, model.Idle, 4), r.spec(2, model.Idle, 4), r.spec(3, model.Urgent, 4)
+	r.give(low, 0, 1)
+	r.report(1, 5)
+	running := cell(1, 0, 1001, model.Running, 0)
+	r.give(same, 0, 1)
+	if got := r.report(1, 5, running); len(got) != 0 {
+		t.Fatalf("equal price evicted: %v", got)
+	}
+	r.give(high, 0, 100)
+	got := r.report(1, 5, running)
+	if len(got) != 1 || got[0].Verb != model.Kill || got[0].Task.Job != 1 {
+		t.Fatalf("commands %v, want only the victim killed", got)
+	}
+	got = r.report(1, 5, cell(1, 0, 1001, model.Exited, model.CauseStopped))
+	if len(got) < 1 || got[len(got)-1].Verb != model.Launch || got[len(got)-1].Task.Job != 3 {
+		t.Fatalf("commands %v, want the dearer task launched once the stop is confirmed", got)
+	}
+}
+
+// A job whose price rose while tasks waited must not evict its own tasks: a
+// placement round once never ended over that.
+func TestRepricedJobDoesNotEvictItself(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 4)
+	r.report(1, 5)
+	sp := r.spec(1, model.Standard, 4)
+	r.give(sp, 0, 10)
+	r.give(sp, 1, 10)
+	r.s.Place(r.now)
+	r.s.Order(r.now, model.Order{Kind: model.Reprice, Job: 1, Price: 300})
+	r.s.Place(r.now)
+	if r.s.Stats.Evicted != 0 {
+		t.Fatal("a job evicted itself")
+	}
+}
+
+func TestGoesToTheMachineRunningTheLowestPriority(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.own(2, 5, 8)
+	r.report(1, 5)
+	r.report(2, 5)
+	dear, cheap := r.spec(1, model.Urgent, 2), r.spec(2, model.Idle, 2)
+	cheap.Types, dear.Types = nil, nil
+	r.give(dear, 0, 100)
+	r.report(1, 5)
+	first := r.s.tasks[model.Task{Job: 1}].on.ID
+	other := 3 - first
+	sp := r.spec(3, model.Standard, 2)
+	r.give(sp, 0, 10)
+	r.s.Place(r.now)
+	if got := r.s.tasks[model.Task{Job: 3}].on.ID; got != other {
+		t.Fatalf("placed on machine %d beside the urgent task, want %d", got, other)
+	}
+}
+
+func TestErrorsOfSeveralJobsCondemnTheMachine(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.give(r.spec(2, model.Standard, 2), 0, 10)
+	r.report(1, 5)
+	r.report(1, 5, cell(1, 0, 1001, model.Exited, model.CauseError), cell(2, 0, 1002, model.Exited, model.CauseError))
+	bad := 0
+	gone := 0
+	for _, e := range r.s.Events() {
+		switch e.Kind {
+		case model.Bad:
+			bad++
+		case model.Gone:
+			gone++
+		}
+	}
+	if bad == 0 || gone != 2 {
+		t.Fatalf("bad %d, gone %d: want the machine condemned and both tasks back", bad, gone)
+	}
+}
+
+func TestSpotNoticeSavesInTime(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	saver := r.spec(1, model.Standard, 2)
+	saver.Checkpoint, saver.Save = 10*time.Second, 3*time.Second
+	quick := r.spec(2, model.Standard, 2)
+	quick.Estimate = 5 * time.Second
+	r.give(saver, 0, 10)
+	r.report(1, 5)
+	r.give(quick, 0, 10)
+	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	cells := []model.Cell{cell(1, 0, 1001, model.Running, 0), cell(2, 0, 1002, model.Running, 0)}
+	r.seq++
+	r.s.Report(r.now, &model.Report{Machine: model.Machine{ID: 1}, Session: 1, Seq: r.seq, Token: 5, Notice: 8 * time.Second, Cells: cells})
+	r.s.Tick(r.now)
+	r.seq++
+	rep := &model.Report{Machine: model.Machine{ID: 1}, Session: 1, Seq: r.seq, Token: 5, Notice: 8 * time.Second, Cells: cells}
+	r.s.Report(r.now, rep)
+	got := r.s.Answer(r.now, rep).Commands
+	if len(got) != 1 || got[0].Task.Job != 1 || got[0].Grace < saver.Save {
+		t.Fatalf("commands %v, want only the saving task stopped, with time to save", got)
+	}
+}
