--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,103 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+host_name = "hive-0"
+zone = "a"
+bind = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+unknown = 3
+[[siblings]]
+host_name = "hive-1"
+zone = "b"
+address = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+zones = ["a", "b"]
+[[cluster.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 8.0
+[cluster.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[cluster.state]
+rps = 150.0
+write_rps = 60.0
+value_kb = 16.0
+txn_ops = 16
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 10.0
+[cluster.resources]
+mem_mb = 98.0
+fd_limit = 800
+`
+
+func load(t *testing.T, s string) (*Platform, error) {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), "s.toml")
+	if err := os.WriteFile(p, []byte(s), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(p)
+}
+
+func TestLoad(t *testing.T) {
+	p, err := load(t, good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.HostName != "hive-0" || len(p.Siblings) != 1 || p.Cluster.Teams[0].CPUsMax != 8 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestAllMistakesAtOnce(t *testing.T) {
+	s := strings.NewReplacer(`"10.0.0.1:8080"`, `"here"`, "rps = 150.0", "rps = 0", "cancel_s = 40.0", "cancel_s = 9.0").Replace(good)
+	_, err := load(t, s)
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{`bind = "here"`, "cluster.state.rps = 0", "cluster.workers.cancel_s = 9"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in %q", want, err)
+		}
+	}
+}
+
+// The cancellation rule: a leader deaf to cancellations, then a worker's lease.
+func TestDeafTimeKeepsTheCancellationRule(t *testing.T) {
+	for _, c := range [][2]float64{{10, 40}, {42, 67}, {5, 8}, {30, 300}, {10, 12}} {
+		var cl Cluster
+		cl.Workers.LeaseS, cl.Workers.CancelS = c[0], c[1]
+		if sum := cl.Deaf() + cl.SureLease(); sum >= Seconds(c[1]) {
+			t.Errorf("lease %v: %v of %v s", c[0], sum, c[1])
+		}
+		if cl.LeaderTTL() < 100*time.Millisecond {
+			t.Errorf("lease %v: the state service grants none so short", c[0])
+		}
+	}
+}
+
+func TestOperatorsSettings(t *testing.T) {
+	s, err := ParseSettings([]byte("scheduling { sample_size: 3 payback_limit_s: 30 } fleet { idle_return_s: 90 }"))
+	if err != nil || s.SampleSize != 3 || s.PaybackLimit != 30*time.Second || s.IdleReturn != 90*time.Second || s.DealAhead != DefaultSettings().DealAhead {
+		t.Fatalf("%+v %v", s, err)
+	}
+	for _, bad := range []string{"scheduling { sample: 3 }", "scheduling { sample_size: 0 }", "fleet { idle_return_s: -1 }", "scheduling {"} {
+		if _, err := ParseSettings([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/dealer/dealer_test.go
@@ -0,0 +1,322 @@
+package dealer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+const sure = 10 * time.Second
+
+type rig struct {
+	t *testing.T
+	d *Dealer
+}
+
+func newRig(t *testing.T, limitCPUs float64) *rig {
+	d := New(Params{Term: 3, Teams: []Team{{Limit: model.Capacity(limitCPUs, 0, 0)}}, ChunkSize: 64, Ahead: 2, SureLease: sure}, 5*time.Second)
+	d.SetTypes([]model.MachineType{{Name: 0, Cap: model.Capacity(8, 0, 64)}})
+	return &rig{t, d}
+}
+
+func (r *rig) job(id model.JobID, tasks int32, old bool) *model.Spec {
+	sp := &model.Spec{ID: id, Tasks: tasks, Each: model.Request(2, 0, 1), Rank: model.Standard, Zone: model.None, Spot: true}
+	r.d.AddJob(0, sp, uint64(id)+1, 0, old)
+	return sp
+}
+
+func (r *rig) orders(k model.OrderKind) []model.Order {
+	var out []model.Order
+	for _, o := range r.d.Orders() {
+		if o.Kind == k {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// machine makes a recorded machine of the shard's, with room.
+func (r *rig) machine(now time.Duration, id model.MachineID, to model.ShardID) {
+	m := model.Machine{ID: id, Addr: "x"}
+	r.d.Event(now, to, model.Event{Kind: model.Unowned, Machine: id, Report: &model.Report{Machine: m}})
+	for _, w := range r.d.Writes(now, 10) {
+		r.d.Stored(now, w, 50, true, false)
+	}
+	r.d.Event(now, to, model.Event{Kind: model.Fenced, Machine: id})
+}
+
+func (r *rig) status(now time.Duration, to model.ShardID, ids ...model.MachineID) {
+	var st []model.MachineStatus
+	for _, id := range ids {
+		st = append(st, model.MachineStatus{Machine: model.Machine{ID: id}, Avail: model.Capacity(8, 0, 64), Ready: true})
+	}
+	r.d.Status(now, to, st, nil, r.d.Dealt(to))
+}
+
+func TestQuotaIsChargedWhenDealt(t *testing.T) {
+	r := newRig(t, 6)
+	s := r.d.Join("a")
+	r.machine(0, 1, s)
+	r.status(0, s, 1)
+	r.job(1, 4, false)
+	r.d.Deal(time.Second)
+	if n := len(r.orders(model.Give)); n != 3 {
+		t.Fatalf("%d tasks of 2 CPUs dealt under a limit of 6", n)
+	}
+	r.status(time.Second, s, 1)
+	r.d.Deal(2 * time.Second)
+	if n := len(r.orders(model.Give)); n != 0 {
+		t.Fatalf("%d more dealt", n)
+	}
+	r.d.Event(3*time.Second, s, model.Event{Kind: model.Finished, Machine: 1, Task: model.Task{Job: 1, No: 0}, Attempt: 1, Held: true})
+	r.status(3*time.Second, s, 1)
+	r.d.Deal(3 * time.Second)
+	if n := len(r.orders(model.Give)); n != 1 {
+		t.Fatalf("%d dealt after one is done", n)
+	}
+}
+
+// An old job's tasks may be on any recorded machine until each is accounted for.
+func TestNewLeaderWaitsForTheMachinesOfTheOld(t *testing.T) {
+	r := newRig(t, 100)
+	s := r.d.Join("a")
+	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4, s)
+	r.machine(0, 2, s)
+	r.status(0, s, 2)
+	old := r.job(1, 2, true)
+	r.job(2, 1, false)
+	r.d.Deal(time.Second)
+	gives := r.orders(model.Give)
+	if len(gives) != 1 || gives[0].Deal.Task.Job != 2 {
+		t.Fatalf("dealt %v, want only the job of this term", gives)
+	}
+	// One task is found, then the worker is fenced: the other is nowhere.
+	task := model.Task{Job: 1, No: 1}
+	r.d.Event(time.Second, s, model.Event{Kind: model.Found, Machine: 1, Task: task, Attempt: 77, Cell: model.Cell{Task: task, Attempt: 77, Stage: model.Running}})
+	gives = r.orders(model.Give)
+	if len(gives) != 1 || gives[0].Deal.Attempt != 77 {
+		t.Fatalf("%v, want the found attempt adopted", gives)
+	}
+	r.d.Event(time.Second, s, model.Event{Kind: model.Fenced, Machine: 1})
+	if !r.d.Recovered() {
+		t.Fatal("all machines are accounted for")
+	}
+	r.status(time.Second, s, 1, 2)
+	r.d.Deal(2 * time.Second)
+	gives = r.orders(model.Give)
+	if len(gives) != 1 || gives[0].Deal.Task != (model.Task{Job: old.ID, No: 0}) {
+		t.Fatalf("dealt %v, want the task that was nowhere", gives)
+	}
+}
+
+// While a machine of the old leader's is not accounted for, all of it counts
+// against every team's limit.
+func TestUnseenMachineIsChargedInFull(t *testing.T) {
+	r := newRig(t, 9)
+	s := r.d.Join("a")
+	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4, s)
+	r.machine(0, 2, s)
+	r.status(0, s, 2)
+	r.job(2, 4, false)
+	r.d.Deal(time.Second)
+	if n := len(r.orders(model.Give)); n != 0 {
+		t.Fatalf("%d tasks dealt with 1 CPU of the limit left", n)
+	}
+}
+
+// A lost shard may act until its grant ends, and its workers keep their tasks
+// for a lease after that.
+func TestLostShardsTasksStayChargedUntilItsMachinesAreAccountedFor(t *testing.T) {
+	r := newRig(t, 100)
+	a, b := r.d.Join("a"), r.d.Join("b")
+	r.machine(0, 1, a)
+	r.machine(0, 2, b)
+	r.status(0, a, 1)
+	r.job(1, 2, false)
+	r.d.Deal(time.Second)
+	r.d.Orders()
+	r.d.Lost(a, 8*time.Second)
+	r.status(2*time.Second, b, 2)
+	r.d.Tick(17 * time.Second)
+	r.d.Deal(17 * time.Second)
+	if n := len(r.orders(model.Give)); n != 0 {
+		t.Fatalf("%d tasks dealt twice", n)
+	}
+	r.status(19*time.Second, b, 2)
+	r.d.Tick(19 * time.Second)
+	r.d.Deal(19 * time.Second)
+	if n := len(r.orders(model.Give)); n != 2 {
+		t.Fatalf("%d tasks dealt after the last lease, want 2", n)
+	}
+}
+
+// A worker that moves is given a new owner only once the old one has let go,
+// under a token never used before; its tasks are adopted where they are found.
+func TestMovedWorkerGetsOneOwnerAtATime(t *testing.T) {
+	r := newRig(t, 100)
+	a, b := r.d.Join("a"), r.d.Join("b")
+	r.machine(0, 1, a)
+	first := r.orders(model.Own)
+	r.status(0, a, 1)
+	r.job(1, 1, false)
+	r.d.Deal(time.Second)
+	r.d.Orders()
+	rep := &model.Report{Machine: model.Machine{ID: 1}}
+	r.d.Event(time.Second, b, model.Event{Kind: model.Unowned, Machine: 1, Report: rep})
+	got := r.d.Orders()
+	if len(got) != 1 || got[0].Kind != model.Release || got[0].To != a {
+		t.Fatalf("orders %+v, want the old owner asked to let go", got)
+	}
+	// What the old owner finds before it lets go must not be adopted there.
+	task := model.Task{Job: 1, No: 0}
+	r.d.Event(time.Second, a, model.Event{Kind: model.Released, Machine: 1, Tasks: []model.Task{task}})
+	own := r.orders(model.Own)
+	if len(own) != 1 || own[0].To != b || own[0].Token <= first[0].Token {
+		t.Fatalf("orders %+v, want a higher token for b", own)
+	}
+	r.d.Event(2*time.Second, b, model.Event{Kind: model.Found, Machine: 1, Task: task, Attempt: 9, Cell: model.Cell{Task: task, Attempt: 9, Stage: model.Running}})
+	if g := r.orders(model.Give); len(g) != 1 || g[0].To != b || g[0].Deal.Attempt != 9 {
+		t.Fatalf("orders %+v, want it adopted at b", g)
+	}
+	r.d.Event(2*time.Second, b, model.Event{Kind: model.Fenced, Machine: 1})
+	r.status(2*time.Second, b, 1)
+	r.d.Deal(3 * time.Second)
+	if g := r.orders(model.Give); len(g) != 0 {
+		t.Fatalf("dealt %v though it runs", g)
+	}
+}
+
+func TestUnknownAttemptIsKilledAndChargedUntilGone(t *testing.T) {
+	r := newRig(t, 9)
+	s := r.d.Join("a")
+	r.machine(0, 1, s)
+	r.machine(0, 2, s)
+	r.d.Orders()
+	task := model.Task{Job: 99, No: 0}
+	r.d.Event(0, s, model.Event{Kind: model.Found, Machine: 1, Task: task, Attempt: 5, Cell: model.Cell{Task: task, Attempt: 5, Stage: model.Running}})
+	if o := r.orders(model.KillIt); len(o) != 1 {
+		t.Fatalf("orders %v, want it killed", o)
+	}
+	r.status(0, s, 2)
+	r.job(1, 4, false)
+	r.d.Deal(time.Second)
+	if n := len(r.orders(model.Give)); n != 0 {
+		t.Fatalf("%d dealt beside an attempt of unknown team", n)
+	}
+	r.d.Event(time.Second, s, model.Event{Kind: model.AlienGone, Task: task, Attempt: 5})
+	r.status(time.Second, s, 2)
+	r.d.Deal(2 * time.Second)
+	if n := len(r.orders(model.Give)); n != 4 {
+		t.Fatalf("%d dealt, want 4", n)
+	}
+}
+
+func TestDoneIsClearedAfterItsChunkIsStoredAndJobFinishesOnce(t *testing.T) {
+	r := newRig(t, 100)
+	s := r.d.Join("a")
+	r.machine(0, 1, s)
+	r.status(0, s, 1)
+	r.job(1, 2, false)
+	r.d.Deal(time.Second)
+	r.d.Orders()
+	done := func(no int32) {
+		r.d.Event(2*time.Second, s, model.Event{Kind: model.Finished, Machine: 1, Task: model.Task{Job: 1, No: no}, Attempt: uint64(no) + 1, Held: true})
+	}
+	done(0)
+	w := r.d.Writes(2*time.Second, 10)
+	if len(w) != 1 || w[0].Kind != PutChunk || w[0].Bits[0] != 1 {
+		t.Fatalf("writes %+v, want the chunk", w)
+	}
+	if o := r.orders(model.ClearIt); len(o) != 0 {
+		t.Fatal("cleared before it was stored")
+	}
+	r.d.Stored(2*time.Second, w[0], 60, false, false) // in doubt: again
+	w = r.d.Writes(3*time.Second, 10)
+	if len(w) != 1 {
+		t.Fatalf("writes %+v, want the chunk again", w)
+	}
+	r.d.Stored(3*time.Second, w[0], 61, true, false)
+	if o := r.orders(model.ClearIt); len(o) != 1 {
+		t.Fatalf("orders %v, want it cleared", o)
+	}
+	done(1)
+	w = r.d.Writes(4*time.Second, 10)
+	if len(w) != 1 || w[0].Kind != Finish || w[0].Version != 2 {
+		t.Fatalf("writes %+v, want the job finished at its version", w)
+	}
+	if more := r.d.Writes(4*time.Second, 10); len(more) != 0 {
+		t.Fatalf("writes %+v while it is being finished", more)
+	}
+	r.d.Stored(4*time.Second, w[0], 62, false, true) // cancelled meanwhile
+	if r.d.Knows(1) || len(r.orders(model.EndJob)) != 1 {
+		t.Fatal("an ended job goes on")
+	}
+}
+
+func TestTogetherAndSpread(t *testing.T) {
+	r := newRig(t, 100)
+	s := r.d.Join("a")
+	for id := range model.MachineID(4) {
+		m := model.Machine{ID: id, Zone: model.Name(id % 2)}
+		r.d.Event(0, s, model.Event{Kind: model.Unowned, Machine: id, Report: &model.Report{Machine: m}})
+	}
+	for _, w := range r.d.Writes(0, 10) {
+		r.d.Stored(0, w, 9, true, false)
+	}
+	r.d.Orders()
+	zones := func() map[model.Name]int {
+		z := map[model.Name]int{}
+		for _, o := range r.orders(model.Give) {
+			z[o.Deal.Zone]++
+		}
+		return z
+	}
+	sp := &model.Spec{ID: 1, Tasks: 12, Each: model.Request(2, 0, 1), Zone: model.None, Together: true}
+	r.d.AddJob(0, sp, 2, 0, false)
+	r.status(0, s, 0, 1, 2, 3)
+	r.d.Deal(time.Second)
+	if z := zones(); len(z) != 1 {
+		t.Fatalf("a job that stays together is dealt to zones %v", z)
+	}
+	sp = &model.Spec{ID: 2, Tasks: 5, Each: model.Request(2, 0, 1), Zone: model.None, Spread: true}
+	r.d.AddJob(0, sp, 2, 0, false)
+	r.status(time.Second, s, 0, 2) // room in one zone only
+	r.d.Withdrawn(1)
+	r.d.Deal(2 * time.Second)
+	if z := zones(); z[0] != 3 || z[1] != 0 {
+		t.Fatalf("%v of 5 tasks in a zone, at most 3 may be", z)
+	}
+}
+
+func TestPricesKeepToThePreemptionRules(t *testing.T) {
+	for _, r := range []model.Rank{model.Idle, model.Standard, model.Urgent} {
+		if price(r, true) <= price(r+1, false) {
+			t.Errorf("work of rank %d within the guarantee can't have borrowed room back", r)
+		}
+		if price(r, true) >= price(r+1, true) || price(r, false) >= price(r+1, false) {
+			t.Errorf("rank %d is not below the next", r)
+		}
+	}
+}
+
+func TestAttemptsAndTokensAreNeverReused(t *testing.T) {
+	r := newRig(t, 100)
+	a, b := r.d.Join("a"), r.d.Join("b")
+	if r.d.Attempts(a)+1<<22 > r.d.Attempts(b) {
+		t.Fatal("ranges of attempts overlap")
+	}
+	for id := range model.MachineID(5) {
+		r.machine(0, id, a)
+	}
+	r.d.Event(0, a, model.Event{Kind: model.NeedToken, Machine: 1})
+	var tokens []uint64
+	for _, o := range r.orders(model.Own) {
+		tokens = append(tokens, o.Token)
+	}
+	slices.Sort(tokens)
+	if len(slices.Compact(tokens)) != 6 {
+		t.Fatalf("tokens %v", tokens)
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,73 @@
+package wire
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"honeylock/internal/core/model"
+)
+
+const valid = `{"NameId":"job-000412","Comb":"train","Colony":"vision","Shape":"batch","Rank":"urgent","Cells":16,
+ "Cpus":8.0,"Accelerators":0,"MemGb":64.0,"Wax":"img-07","ImageGb":6.2,"Breeds":["g8"],"Yard":null,
+ "Together":true,"Spread":false,"SwarmBoxes":true,"ForageS":0,"CapIntervalS":0,"CapS":0,"HarvestS":900.0,"Extra":[1]}`
+
+func TestParseSubmission(t *testing.T) {
+	if _, err := ParseSubmission([]byte(valid)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range [][2]string{
+		{`"job-000412"`, `"job-412"`}, {`"job-000412"`, `"job-0000412"`}, {`"job-000412"`, `"task-000412"`}, {`"job-000412"`, `null`}, {`"job-000412"`, `7`},
+		{`"batch"`, `"group"`}, {`"urgent"`, `"high"`}, {`"Cells":16`, `"Cells":0`}, {`"Cells":16`, `"Cells":100001`}, {`"Cells":16`, `"Cells":1.5`},
+		{`"Cells":16`, `"Cells":"16"`}, {`"Cpus":8.0`, `"Cpus":0`}, {`"Cpus":8.0`, `"Cpus":-1`}, {`"Cpus":8.0,`, ``}, {`"Accelerators":0`, `"Accelerators":-1`},
+		{`"MemGb":64.0`, `"MemGb":0`}, {`"Wax":"img-07"`, `"Wax":""`}, {`["g8"]`, `[]`}, {`["g8"]`, `[3]`}, {`"Yard":null`, `"Yard":""`},
+		{`"Together":true`, `"Together":null`}, {`"Spread":false`, `"Spread":0`}, {`"ForageS":0`, `"ForageS":-3`}, {`"HarvestS":900.0`, `"HarvestS":0`},
+		{`"CapS":0`, `"CapS":1e300`},
+	} {
+		s := strings.Replace(valid, c[0], c[1], 1)
+		if s == valid {
+			t.Fatalf("%s is not there", c[0])
+		}
+		if _, err := ParseSubmission([]byte(s)); err == nil {
+			t.Errorf("%s in place of %s was taken", c[1], c[0])
+		}
+	}
+	for _, s := range []string{"", "null", "[]", "7", "{", `{"NameId":"job-000412"}`, valid + "x"} {
+		if _, err := ParseSubmission([]byte(s)); err == nil {
+			t.Errorf("%q was taken", s)
+		}
+	}
+}
+
+func TestNamesAndNumbersAreOneToOne(t *testing.T) {
+	for _, s := range []string{"job-000000", "job-000412", "job-999999", "job-1000000", "job-123456789012"} {
+		id, err := ParseJob(s)
+		if err != nil || JobName(id) != s {
+			t.Errorf("%s -> %d (%v) -> %s", s, id, err, JobName(id))
+		}
+	}
+}
+
+func TestReport(t *testing.T) {
+	raw, err := ParseReport([]byte(`{"Hive":"m-000231","Addr":"10.1.0.232:9000","Breed":"g8","Yard":"a","SwarmBoxes":true,
+     "Flight":1,"Buzz":88,"QueenMark":41,"SmokeS":2.5,"News":1,
+     "Cells":[{"Cell":"job-000412/3","Brood":2,"Stage":"running"},{"Cell":"job-000398/0","Brood":1,"Stage":"exited","Cause":"done"},
+              {"Cell":"job-000398/1","Brood":18446744073709551615,"Stage":"exited","Cause":"stopped","Saved":true}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Names{Teams: NewTable(), Types: NewTable("x", "g8"), Zones: NewTable("a"), Images: NewTable(), Classes: NewTable()}
+	got, err := raw.Report(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &model.Report{Machine: model.Machine{ID: 231, Addr: "10.1.0.232:9000", Type: 1, Zone: 0, Spot: true}, Session: 1, Seq: 88, Token: 41,
+		Notice: 2500e6, Cells: []model.Cell{
+			{Task: model.Task{Job: 412, No: 3}, Attempt: 2, Stage: model.Running},
+			{Task: model.Task{Job: 398}, Attempt: 1, Stage: model.Exited, Cause: model.CauseDone},
+			{Task: model.Task{Job: 398, No: 1}, Attempt: 1<<64 - 1, Stage: model.Exited, Cause: model.CauseStopped, Saved: true}}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
