--- /dev/null
+++ b/internal/e2e/e2e_test.go
@@ -0,0 +1,231 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"honeylock/internal/config"
+	"honeylock/internal/node"
+	"honeylock/internal/server"
+)
+
+type controller struct {
+	cfg  *config.Platform
+	stop context.CancelFunc
+}
+
+func (c *controller) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	t.Cleanup(cancel)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n := node.New(c.cfg, config.DefaultSettings(), log, rand.New(rand.NewPCG(1, 2)))
+	reg := prometheus.NewRegistry()
+	n.Register(reg)
+	go server.New(n, c.cfg.Cluster.Resources.FDLimit, log, reg).Serve(ctx, c.cfg.Bind, log)
+	go n.ServePeers(ctx, c.cfg.PeerListen)
+	go n.Run(ctx)
+}
+
+// cluster starts three controllers with their stand-ins.
+func cluster(t *testing.T, workers []*agent) []*controller {
+	_, state := newState(t)
+	cloud := newCloud(t, workers)
+	var out []*controller
+	nodes := map[string]string{}
+	var hosts []string
+	for i := range 3 {
+		c := &config.Platform{HostName: fmt.Sprintf("hive-%d", i), Zone: "a", Bind: freeAddr(t), PeerListen: freeAddr(t)}
+		c.Services.State, c.Services.Cloud = state, cloud
+		c.Cluster.Zones = []string{"a", "b"}
+		c.Cluster.Teams = []config.Team{{Name: "vision", CPUs: 8, CPUsMax: 24}}
+		c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 0.3, 10, 40
+		c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB, c.Cluster.State.TxnOps = 1000, 1000, 16, 16
+		c.Cluster.Cloud.RPS, c.Cluster.Cloud.ListLagS = 10, 1
+		c.Cluster.Resources.MemMB, c.Cluster.Resources.FDLimit = 300, 500
+		nodes[c.HostName] = c.Bind
+		hosts = append(hosts, c.HostName)
+		out = append(out, &controller{cfg: c})
+	}
+	for _, c := range out {
+		for _, o := range out {
+			if o != c {
+				c.cfg.Siblings = append(c.cfg.Siblings, config.Sibling{HostName: o.cfg.HostName, Zone: "a", Address: o.cfg.PeerListen})
+			}
+		}
+		c.start(t)
+	}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	for _, w := range workers {
+		w.nodes, w.hosts = nodes, hosts
+		go w.run(stop)
+	}
+	return out
+}
+
+func call(c *controller, method, path string, body any) (int, map[string]any) {
+	b, _ := json.Marshal(body)
+	if s, ok := body.(string); ok {
+		b = []byte(s)
+	}
+	req, _ := http.NewRequest(method, "http://"+c.cfg.Bind+path, bytes.NewReader(b))
+	res, err := (&http.Client{Timeout: 3 * time.Second}).Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer res.Body.Close()
+	var v map[string]any
+	_ = json.NewDecoder(res.Body).Decode(&v)
+	return res.StatusCode, v
+}
+
+// until retries f until it holds.
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within 40 s", what)
+}
+
+func submission(id string, tasks int) object {
+	return object{"NameId": id, "Comb": "train", "Colony": "vision", "Shape": "batch", "Rank": "standard", "Cells": tasks, "Cpus": 2, "Accelerators": 0,
+		"MemGb": 1, "Wax": "img", "ImageGb": 1, "Together": false, "Spread": false, "SwarmBoxes": false, "ForageS": 1, "CapIntervalS": 0, "CapS": 0}
+}
+
+func accept(t *testing.T, c *controller, job object) {
+	t.Helper()
+	until(t, "submission", func() bool {
+		st, _ := call(c, http.MethodPost, "/v1/jobs", job)
+		return st == http.StatusCreated || st == http.StatusOK
+	})
+}
+
+func stage(c *controller, id string) any {
+	_, v := call(c, http.MethodGet, "/v1/jobs/"+id, nil)
+	return v["Stage"]
+}
+
+func TestJobsRunThroughTheLossOfControllers(t *testing.T) {
+	var workers []*agent
+	for i := range 4 {
+		workers = append(workers, newAgent(t, i+1, 500*time.Millisecond))
+	}
+	cs := cluster(t, workers)
+	accept(t, cs[0], submission("job-000001", 20))
+	until(t, "first job", func() bool { return stage(cs[1], "job-000001") == "done" })
+	if st, v := call(cs[2], http.MethodPost, "/v1/jobs", submission("job-000001", 20)); st != http.StatusOK || v["Stage"] != "done" {
+		t.Errorf("a repeated submission got %d %v", st, v)
+	}
+
+	accept(t, cs[1], submission("job-000002", 40))
+	// Every controller is killed in turn and started again.
+	for i, c := range cs {
+		c.stop()
+		other := cs[(i+1)%3]
+		accept(t, other, submission(fmt.Sprintf("job-%06d", 10+i), 6))
+		time.Sleep(300 * time.Millisecond)
+		c.start(t)
+		until(t, "the controller is back", func() bool { st, _ := call(c, http.MethodGet, "/healthz", nil); return st == http.StatusOK })
+	}
+	for _, id := range []string{"job-000002", "job-000010", "job-000011", "job-000012"} {
+		until(t, id, func() bool { return stage(cs[0], id) == "done" })
+	}
+	for _, w := range workers {
+		w.mu.Lock()
+		for task, n := range w.starts {
+			if n > 3 {
+				t.Errorf("%s started %d times on %s", task, n, w.name)
+			}
+		}
+		w.mu.Unlock()
+	}
+
+	// A job that runs for ever is cancelled through another controller.
+	svc := submission("job-000020", 2)
+	svc["Shape"] = "daemon"
+	accept(t, cs[0], svc)
+	until(t, "the service starts", func() bool { return starts(workers, "job-000020/1") > 0 })
+	until(t, "cancel", func() bool {
+		st, v := call(cs[1], http.MethodPost, "/v1/jobs/job-000020/withdraw", nil)
+		return st == http.StatusOK && v["Stage"] == "aborted"
+	})
+	until(t, "its tasks go", func() bool {
+		for _, w := range workers {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for k, c := range w.cells {
+				if len(k) > 10 && k[:10] == "job-000020" && c.stage == "running" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	for _, c := range cs {
+		if s := stage(c, "job-000020"); s != "aborted" {
+			t.Errorf("%s says %v of a cancelled job", c.cfg.HostName, s)
+		}
+	}
+}
+
+func starts(workers []*agent, task string) int {
+	n := 0
+	for _, w := range workers {
+		w.mu.Lock()
+		n += w.starts[task]
+		w.mu.Unlock()
+	}
+	return n
+}
+
+func TestAnswersToUsers(t *testing.T) {
+	cs := cluster(t, []*agent{newAgent(t, 1, time.Second)})
+	accept(t, cs[0], submission("job-000001", 1))
+	with := func(k string, v any) object {
+		s := submission("job-000099", 1)
+		s[k] = v
+		return s
+	}
+	for name, c := range map[string]struct {
+		method, path string
+		body         any
+		want         int
+	}{
+		"not JSON":         {http.MethodPost, "/v1/jobs", "x", http.StatusBadRequest},
+		"not an object":    {http.MethodPost, "/v1/jobs", []int{}, http.StatusBadRequest},
+		"no CPUs":          {http.MethodPost, "/v1/jobs", with("Cpus", 0), http.StatusBadRequest},
+		"too large a body": {http.MethodPost, "/v1/jobs", with("Extra", string(make([]byte, 70_000))), http.StatusBadRequest},
+		"unknown team":     {http.MethodPost, "/v1/jobs", with("Colony", "x"), http.StatusUnprocessableEntity},
+		"fits no machine":  {http.MethodPost, "/v1/jobs", with("MemGb", 64), http.StatusUnprocessableEntity},
+		"no such type":     {http.MethodPost, "/v1/jobs", with("Breeds", []string{"z"}), http.StatusUnprocessableEntity},
+		"no such zone":     {http.MethodPost, "/v1/jobs", with("Yard", "z"), http.StatusUnprocessableEntity},
+		"above the limit":  {http.MethodPost, "/v1/jobs", with("Cpus", 25), http.StatusUnprocessableEntity},
+		"poll of nothing":  {http.MethodGet, "/v1/jobs/job-000098", nil, http.StatusNotFound},
+		"poll of no id":    {http.MethodGet, "/v1/jobs/x", nil, http.StatusNotFound},
+		"cancel nothing":   {http.MethodPost, "/v1/jobs/job-000098/withdraw", nil, http.StatusNotFound},
+		"metrics":          {http.MethodGet, "/metrics", nil, http.StatusOK},
+	} {
+		if st, v := call(cs[0], c.method, c.path, c.body); st != c.want {
+			t.Errorf("%s: %d %v, want %d", name, st, v, c.want)
+		}
+	}
+	big := submission("job-000097", 13)
+	big["Shape"] = "daemon" // 26 CPUs for ever, above the limit of 24
+	if st, _ := call(cs[0], http.MethodPost, "/v1/jobs", big); st != http.StatusUnprocessableEntity {
+		t.Errorf("a service above its team's limit got %d", st)
+	}
+}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -318,11 +318,17 @@
 	alive := time.AfterFunc(linkTimeout, func() { cancel(errSilent) })
 	defer alive.Stop()
 	// Reading and writing end when the context does.
-	stopRead := context.AfterFunc(ctx, func() {
+	broken := make(chan struct{})
+	stopBreak := context.AfterFunc(ctx, func() {
+		defer close(broken)
 		_ = rc.SetReadDeadline(time.Unix(1, 0))
 		_ = rc.SetWriteDeadline(time.Unix(1, 0))
 	})
-	defer stopRead()
+	defer func() {
+		if !stopBreak() { // it must not touch the stream after the handler
+			<-broken
+		}
+	}()
 	id, err := n.readMember(l, k, r.Body, alive)
 	if c := context.Cause(ctx); c != nil {
 		err = c
