--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -17,7 +17,6 @@
 	ListLag    time.Duration
 	IdleReturn time.Duration // an unneeded machine is given back after so long
 	Horizon    time.Duration // waiting work should be done within so long
-	Reserve    float64       // part of the room kept free for what comes
 	Probe      time.Duration // a kind that was refused is asked for again after
 }
 
@@ -34,14 +33,11 @@
 	failed bool
 	silent time.Duration // since when it is silent, 0: it is not
 	drop   bool          // being returned
-	cordon bool          // gets no new tasks, so that it runs empty
 }
 
-// Action for the cloud, or for the machines' use. The outcome of those for the
-// cloud comes back through Rented or Returned.
+// Action for the cloud. Its outcome comes back through Rented or Returned.
 type Action struct {
-	Kind    ActionKind
-	Rent    string // Rent: the request's name
+	Rent    string // the request's name; "": a return
 	Type    model.Name
 	Zone    model.Name
 	Spot    bool
@@ -62,20 +58,8 @@
 	gone    map[model.MachineID]time.Duration // given back; the list shows them for a while
 	n       uint64
 	want    time.Duration
-	shrunk  time.Duration // nothing more is cordoned before
 }
 
-// ActionKind tells actions apart.
-type ActionKind uint8
-
-// Actions.
-const (
-	Rent     ActionKind = iota
-	Return              // Machine: give them back
-	Cordon              // Machine: place nothing there
-	Uncordon            // Machine: place tasks there again
-)
-
 // New returns a fleet that knows no machines.
 func New(p Params) *Fleet {
 	return &Fleet{p: p, units: map[model.MachineID]*unit{}, refused: map[kind]time.Duration{}, gone: map[model.MachineID]time.Duration{}}
@@ -206,62 +190,11 @@
 	}
 	if !f.giving {
 		if ids := f.surplus(now, status, rooms); len(ids) > 0 {
-			out = append(out, Action{Kind: Return, Machine: ids})
+			out = append(out, Action{Machine: ids})
 			f.giving = true
 		}
 	}
-	return append(out, f.shrink(now, rooms, len(unmet) > 0)...)
-}
-
-// shrink lets the dearest machine run empty while the others have room for what
-// is there and a reserve for what comes. Without it every machine keeps a few
-// tasks, and none is ever idle: placement spreads tasks by priority, not by
-// machine. When room lacks, what was cordoned is used again.
-func (f *Fleet) shrink(now time.Duration, rooms []room, lacking bool) []Action {
-	if lacking {
-		var back []model.MachineID
-		for id, u := range f.units {
-			if u.cordon && !u.drop {
-				u.cordon = false
-				back = append(back, id)
-			}
-		}
-		f.shrunk = now + f.p.Horizon/2 // not to and fro
-		if len(back) == 0 {
-			return nil
-		}
-		slices.Sort(back)
-		return []Action{{Kind: Uncordon, Machine: back}}
-	}
-	if now < f.shrunk {
-		return nil
-	}
-	var total, spare int64
-	var dearest *room
-	var worst float64
-	for i := range rooms {
-		r := &rooms[i]
-		u, t := f.units[r.m.ID], f.typeOf(r.m.Type)
-		if u == nil || t == nil || u.cordon {
-			continue
-		}
-		total += r.m.Cap.CPU
-		spare += r.avail.CPU
-		if r.status == nil {
-			continue
-		}
-		// Among equals the one that runs empty soonest.
-		cost := perCPU(t, r.m.Spot) * (1 + float64(r.avail.CPU)/float64(10*max(1, r.m.Cap.CPU)))
-		if dearest == nil || cost > worst {
-			dearest, worst = r, cost
-		}
-	}
-	if dearest == nil || spare-dearest.avail.CPU < int64(float64(total)*f.p.Reserve) {
-		return nil
-	}
-	f.shrunk = now + time.Second
-	f.units[dearest.m.ID].cordon = true
-	return []Action{{Kind: Cordon, Machine: []model.MachineID{dearest.m.ID}}}
+	return out
 }
 
 type room struct {
@@ -279,11 +212,7 @@
 		s := &status[i]
 		up[s.Machine.ID] = true
 		if !s.Draining && !s.Bad && f.units[s.Machine.ID].silent == 0 {
-			r := room{m: s.Machine, avail: s.Avail, status: s}
-			if f.units[s.Machine.ID].cordon {
-				r.avail = model.Resources{}
-			}
-			out = append(out, r)
+			out = append(out, room{m: s.Machine, avail: s.Avail, status: s})
 		}
 	}
 	for id, u := range f.units {
@@ -428,7 +357,7 @@
 			}
 		}
 		f.n++
-		return Action{Kind: Rent, Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, 4))}, true
+		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, 4))}, true
 	}
 	return Action{}, false
 }
@@ -470,10 +399,6 @@
 	}
 	for i := range rooms {
 		r := &rooms[i]
-		if u := f.units[r.m.ID]; u != nil && u.cordon && !u.drop && r.status != nil && r.status.Slots == 0 {
-			out = append(out, r.m.ID)
-			continue
-		}
 		if r.status == nil || r.used || r.status.Slots > 0 || now-r.status.IdleSince < f.patience(&r.m) || now-f.want < f.patience(&r.m)/2 {
 			continue
 		}
