shard: victims for urgent work stop at once; payback counts work since the last save

Cause: with no room free, urgent tasks waited 3 s for victims to save, beyond the 2 s that their users ask for; what a saving victim loses is only the work since it last saved by itself.

--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -104,19 +104,33 @@
 	return m.Cap.CPU-m.used.CPU < than.Cap.CPU-than.used.CPU
 }
 
-// payback is the time until the new task's price has made up for the victim's
-// lost work.
-func payback(now time.Duration, sl *slot, price float64) time.Duration {
-	var ran time.Duration
-	if sl.runSince != 0 {
-		ran = now - sl.runSince
+// loss is the work that a victim loses: all of its run time, or what it has
+// done since it last saved by itself.
+func loss(now time.Duration, sl *slot) time.Duration {
+	if sl.runSince == 0 {
+		return 0
 	}
+	ran := now - sl.runSince
 	if cp := sl.t.Spec.Checkpoint; cp > 0 {
-		// What is saved is not lost: a victim that saves loses the stop itself.
-		ran = min(ran, sl.t.Spec.Save)
+		ran %= cp
 	}
+	return ran
+}
+
+// payback is the time until the new task's price has made up for the victim's
+// lost work.
+func payback(now time.Duration, sl *slot, price float64) time.Duration {
 	p := sl.t.price
-	return time.Duration(float64(ran) * p / (price - p))
+	return time.Duration(float64(loss(now, sl)) * p / (price - p))
+}
+
+// parting is the time a victim gets to save: none where saving takes as long as
+// the work that it would save, nor for urgent work, which can't wait for it.
+func parting(now time.Duration, sl *slot, rank model.Rank) time.Duration {
+	if rank >= model.Urgent || loss(now, sl) <= sl.t.Spec.Save {
+		return 0
+	}
+	return graceOf(sl.t.Spec)
 }
 
 // evict samples machines for the victims of shortest payback; without any
@@ -153,7 +167,7 @@
 	}
 	for _, v := range bestVictims {
 		s.Stats.Evicted++
-		s.stop(now, best, v, graceOf(v.t.Spec))
+		s.stop(now, best, v, parting(now, v, g.spec.Rank))
 	}
 	return best
 }
