dealer: gangs dealt whole (tried); fleet: rent for work that no machine could take

Kept: renting for tasks that fit no machine there is, however short they are, and counts of done and running tasks at every controller.

--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -127,39 +127,126 @@
 		if n <= 0 {
 			continue
 		}
-		if j.spec.Together || j.spec.Spread {
-			d.dealPinned(j, n, members)
+		if j.spec.Gang {
+			d.dealGang(j, n, members)
 			continue
 		}
-		n -= d.dealFree(j, n, members)
-		if n > 0 {
+		plan := plan(j, n, members)
+		for _, p := range plan {
+			n -= d.dealPart(j, p)
+		}
+		if n > 0 && !j.pinned() {
 			d.dealAhead(j, n, members)
 		}
 	}
 }
 
-// dealFree deals by free room: the shard with the most of it first.
-func (d *Dealer) dealFree(j *job, n int64, members []*member) int64 {
-	var dealt int64
-	for dealt < n {
-		var best *member
-		var most int64
+// dealGang deals a gang whole, or not at all.
+func (d *Dealer) dealGang(j *job, n int64, members []*member) {
+	if all := int64(j.spec.Tasks - j.nDone); len(j.held) > 0 || n < all {
+		return
+	}
+	before := make([][]model.MachineStatus, len(members))
+	for i, m := range members {
+		before[i] = slices.Clone(m.status)
+	}
+	parts := plan(j, n, members)
+	var sum int64
+	for _, p := range parts {
+		sum += p.n
+	}
+	if sum < n {
+		for i, m := range members {
+			m.status = before[i]
+		}
+		return
+	}
+	for _, p := range parts {
+		d.dealPart(j, p)
+	}
+}
+
+func (d *Dealer) dealPart(j *job, p part) int64 {
+	for i := range p.n {
+		if !d.dealOne(j, p.to.id, p.zone) {
+			return i
+		}
+	}
+	return p.n
+}
+
+// part of a job's tasks that goes to one shard.
+type part struct {
+	to   *member
+	zone model.Name
+	n    int64
+}
+
+func (j *job) pinned() bool { return j.spec.Together || j.spec.Spread }
+
+// plan takes room for up to n tasks: where there is most of it first. Tasks of a
+// job whose tasks' zones depend on each other are pinned: every task is charged
+// to a zone before a shard sees it.
+func plan(j *job, n int64, members []*member) []part {
+	zones := []model.Name{model.None}
+	perZone := map[model.Name]int64{}
+	if j.pinned() {
+		zones = zones[:0]
 		for _, m := range members {
-			if f := fits(j.spec, m.status, model.None, n-dealt, false); f > most {
-				best, most = m, f
+			for _, r := range m.status {
+				if !slices.Contains(zones, r.Machine.Zone) {
+					zones = append(zones, r.Machine.Zone)
+				}
 			}
 		}
-		if best == nil {
-			break
+		for _, h := range j.held {
+			perZone[h.zone]++
 		}
-		for range fits(j.spec, best.status, model.None, n-dealt, true) {
-			if !d.dealOne(j, best.id, model.None) {
-				return dealt
+	}
+	if j.spec.Together && len(perZone) == 0 && len(zones) > 0 {
+		// The whole job should fit where it goes: the zone with most room.
+		zones = []model.Name{roomiest(j.spec, zones, n, members)}
+	}
+	var out []part
+	for n > 0 {
+		var best part
+		for _, z := range zones {
+			can := n
+			if j.spec.Together && len(perZone) > 0 && perZone[z] == 0 {
+				continue
+			}
+			if j.spec.Spread {
+				can = min(can, int64(j.spec.Tasks+1)/2-perZone[z])
+			}
+			for _, m := range members {
+				if f := fits(j.spec, m.status, z, can, false); f > best.n {
+					best = part{m, z, f}
+				}
 			}
-			dealt++
 		}
+		if best.n == 0 {
+			break
+		}
+		fits(j.spec, best.to.status, best.zone, best.n, true)
+		perZone[best.zone] += best.n
+		n -= best.n
+		out = append(out, best)
 	}
-	return dealt
+	return out
+}
+
+func roomiest(sp *model.Spec, zones []model.Name, n int64, members []*member) model.Name {
+	best, most := model.None, int64(-1)
+	for _, z := range zones {
+		var sum int64
+		for _, m := range members {
+			sum += fits(sp, m.status, z, n, false)
+		}
+		if sum > most {
+			best, most = z, sum
+		}
+	}
+	return best
 }
 
 // dealAhead deals a few tasks without room to the shards with machines for
@@ -243,49 +330,3 @@
 	d.give(to, model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price, Zone: zone, Since: j.since})
 	return true
 }
-
-// dealPinned deals tasks of a job whose tasks' zones depend on each other:
-// every task is charged to a zone before a shard sees it.
-func (d *Dealer) dealPinned(j *job, n int64, members []*member) {
-	perZone := map[model.Name]int64{}
-	for _, h := range j.held {
-		perZone[h.zone]++
-	}
-	var zones []model.Name
-	for _, m := range members {
-		for _, r := range m.status {
-			if !slices.Contains(zones, r.Machine.Zone) {
-				zones = append(zones, r.Machine.Zone)
-			}
-		}
-	}
-	for n > 0 {
-		var best *member
-		zone, most := model.None, int64(0)
-		for _, z := range zones {
-			can := n
-			if j.spec.Together && len(perZone) > 0 && perZone[z] == 0 {
-				continue
-			}
-			if j.spec.Spread {
-				can = min(can, int64(j.spec.Tasks+1)/2-perZone[z])
-			}
-			for _, m := range members {
-				if f := fits(j.spec, m.status, z, can, false); f > most {
-					best, zone, most = m, z, f
-				}
-			}
-		}
-		if best == nil {
-			return
-		}
-		fits(j.spec, best.status, zone, most, true)
-		for range most {
-			if !d.dealOne(j, best.id, zone) {
-				return
-			}
-			perZone[zone]++
-			n--
-		}
-	}
-}
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -254,6 +254,9 @@
 	for _, t := range tasks {
 		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
 			d.freed(j, t.No)
+			if j.spec.Gang && !j.ended && !j.isDone(t.No) {
+				d.disband(j)
+			}
 		}
 	}
 	g.tasks = nil
@@ -330,6 +333,15 @@
 	return out
 }
 
+// Open calls f for every open job with its counts.
+func (d *Dealer) Open(f func(id model.JobID, done, running int)) {
+	for _, j := range d.sortedJobs() {
+		if !j.ended {
+			f(j.spec.ID, int(j.nDone), d.Count(j.spec.ID).Running)
+		}
+	}
+}
+
 // Count sums up a job's tasks at the shards.
 func (d *Dealer) Count(id model.JobID) model.JobCount {
 	var c model.JobCount
@@ -473,15 +485,6 @@
 // Knows tells whether a job is open here.
 func (d *Dealer) Knows(id model.JobID) bool { j := d.jobs[id]; return j != nil && !j.ended }
 
-// Progress counts a job's done tasks, for display.
-func (d *Dealer) Progress(id model.JobID) (done int, ok bool) {
-	j := d.jobs[id]
-	if j == nil || j.ended {
-		return 0, false
-	}
-	return int(j.nDone), true
-}
-
 // Gone takes the certainty that a machine and everything on it are gone.
 func (d *Dealer) Gone(id model.MachineID) {
 	if m := d.machines[id]; m != nil && !m.gone {
@@ -746,8 +749,20 @@
 	}
 }
 
+// disband takes a gang's other tasks back: it is dealt again once all are.
+func (d *Dealer) disband(j *job) {
+	for no := range j.spec.Tasks {
+		if h, ok := j.held[no]; ok && h.adrift == nil {
+			d.order(h.shard, model.Order{Kind: model.Recall, Task: model.Task{Job: j.spec.ID, No: no}})
+		}
+	}
+}
+
 func (d *Dealer) returned(now time.Duration, j *job, e model.Event) {
 	d.freed(j, e.Task.No)
+	if j.spec.Gang {
+		d.disband(j)
+	}
 	if e.Cause == model.CauseError {
 		// Mostly the machine; a job that fails everywhere must not hog room.
 		j.errors++
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -229,6 +229,9 @@
 type lack struct {
 	spec *model.Spec
 	n    int64
+	// stuck: waiting does not help, for the machines that there are could not
+	// take the task (the gang) even if they were empty.
+	stuck bool
 }
 
 // unmet is the waiting work for which there is no room, now or soon.
@@ -268,12 +271,27 @@
 			}
 		}
 		if n > 0 {
-			out = append(out, lack{sp, n})
+			out = append(out, lack{sp, n, stuck(sp, rooms)})
 		}
 	}
 	return out
 }
 
+func stuck(sp *model.Spec, rooms []room) bool {
+	need := int64(1)
+	if sp.Gang {
+		need = int64(sp.Tasks)
+	}
+	for i := range rooms {
+		if sp.Allows(&rooms[i].m) {
+			if need -= sp.Each.Count(rooms[i].m.Cap); need <= 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // perCPU is what a machine's CPU costs an hour, boot time included in
 // proportion.
 func perCPU(t *model.MachineType, spot bool) float64 {
@@ -300,6 +318,9 @@
 // worth is how many tasks justify a machine at this price: the dearer it is,
 // the longer work may wait for room that there is already.
 func (f *Fleet) worth(l lack, ratio float64) int64 {
+	if l.stuck {
+		return l.n
+	}
 	horizon := time.Duration(float64(f.p.Horizon) * ratio)
 	if est := l.spec.Estimate; est > 0 && est < horizon {
 		return int64(float64(l.n) * float64(est) / float64(horizon))
@@ -349,12 +370,11 @@
 		if count == 0 && need > 0 && f.count(*best) == 0 && demand >= size {
 			count = 1
 		}
+		if count == 0 && l.stuck {
+			count = 1
+		}
 		if count == 0 {
-			if len(f.units) == 0 { // nothing will ever come free
-				count = 1
-			} else {
-				continue
-			}
+			continue
 		}
 		f.n++
 		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, 4))}, true
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -15,6 +15,7 @@
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/fleet"
 	"honeylock/internal/core/model"
+	"honeylock/internal/peer/peerpb"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -42,6 +43,7 @@
 	writes  *rate.Limiter
 	dealt   time.Duration
 	fleeted time.Duration
+	shown   time.Duration
 	healed  bool
 }
 
@@ -324,6 +326,19 @@
 	return false
 }
 
+// showProgress tells all controllers how far the open jobs are.
+func (l *leadership) showProgress() {
+	l.n.progress = map[model.JobID]progress{}
+	p := &peerpb.Progress{}
+	l.d.Open(func(id model.JobID, done, running int) {
+		l.n.progress[id] = progress{done, running}
+		p.Jobs = append(p.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running)})
+	})
+	for _, k := range l.links {
+		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Progress{Progress: p}})
+	}
+}
+
 // until is when this leader's authority ends unless it is renewed.
 func (l *leadership) until() time.Duration {
 	return min(l.n.el.Deadline(), l.fresh+l.n.cfg.Cluster.Deaf())
@@ -360,6 +375,10 @@
 		l.deal(now)
 		l.store(now)
 	}
+	if now-l.shown >= time.Second {
+		l.shown = now
+		l.showProgress()
+	}
 	if now-l.fleeted >= 500*time.Millisecond {
 		l.fleeted = now
 		l.runFleet(now)
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -228,6 +228,11 @@
 			st.out = out
 			n.seat, n.leader = st, host
 			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm())
+		case *peerpb.Down_Progress:
+			n.progress = make(map[model.JobID]progress, len(msg.Progress.GetJobs()))
+			for _, j := range msg.Progress.GetJobs() {
+				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning())}
+			}
 		case *peerpb.Down_Grant:
 			if st == nil {
 				break
@@ -257,6 +262,9 @@
 	}
 }
 
+// progress of a job, for display.
+type progress struct{ done, running int }
+
 // link is the leader's end of a member's stream.
 type link struct {
 	host  string
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -28,13 +28,10 @@
 	s := &wire.JobState{NameID: wire.JobName(id), Stage: string(st)}
 	if !st.Ended() {
 		n.mu.Lock()
-		if l := n.lead; l != nil {
-			if done, ok := l.d.Progress(id); ok {
-				running := l.d.Count(id).Running
-				s.Done, s.Running = &done, &running
-				if running > 0 {
-					s.Stage = string(jobs.Running)
-				}
+		if p, ok := n.progress[id]; ok {
+			s.Done, s.Running = &p.done, &p.running
+			if p.running > 0 {
+				s.Stage = string(jobs.Running)
 			}
 		}
 		n.mu.Unlock()
@@ -79,7 +76,7 @@
 	}
 	t := n.cfg.Cluster.Teams[team]
 	count := 1.0
-	if *s.Shape == "daemon" {
+	if *s.Shape != "batch" { // all tasks at once
 		count = float64(*s.Tasks)
 	}
 	if t.CPUsMax > 0 && *s.CPUs*count > t.CPUsMax || t.GPUsMax > 0 && *s.GPUs*count > t.GPUsMax {
