--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -127,12 +127,7 @@
 		if n <= 0 {
 			continue
 		}
-		if j.spec.Gang {
-			d.dealGang(j, n, members)
-			continue
-		}
-		plan := plan(j, n, members)
-		for _, p := range plan {
+		for _, p := range plan(j, n, members) {
 			n -= d.dealPart(j, p)
 		}
 		if n > 0 && !j.pinned() {
@@ -141,31 +136,6 @@
 	}
 }
 
-// dealGang deals a gang whole, or not at all.
-func (d *Dealer) dealGang(j *job, n int64, members []*member) {
-	if all := int64(j.spec.Tasks - j.nDone); len(j.held) > 0 || n < all {
-		return
-	}
-	before := make([][]model.MachineStatus, len(members))
-	for i, m := range members {
-		before[i] = slices.Clone(m.status)
-	}
-	parts := plan(j, n, members)
-	var sum int64
-	for _, p := range parts {
-		sum += p.n
-	}
-	if sum < n {
-		for i, m := range members {
-			m.status = before[i]
-		}
-		return
-	}
-	for _, p := range parts {
-		d.dealPart(j, p)
-	}
-}
-
 func (d *Dealer) dealPart(j *job, p part) int64 {
 	for i := range p.n {
 		if !d.dealOne(j, p.to.id, p.zone) {
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -254,9 +254,6 @@
 	for _, t := range tasks {
 		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
 			d.freed(j, t.No)
-			if j.spec.Gang && !j.ended && !j.isDone(t.No) {
-				d.disband(j)
-			}
 		}
 	}
 	g.tasks = nil
@@ -749,20 +746,8 @@
 	}
 }
 
-// disband takes a gang's other tasks back: it is dealt again once all are.
-func (d *Dealer) disband(j *job) {
-	for no := range j.spec.Tasks {
-		if h, ok := j.held[no]; ok && h.adrift == nil {
-			d.order(h.shard, model.Order{Kind: model.Recall, Task: model.Task{Job: j.spec.ID, No: no}})
-		}
-	}
-}
-
 func (d *Dealer) returned(now time.Duration, j *job, e model.Event) {
 	d.freed(j, e.Task.No)
-	if j.spec.Gang {
-		d.disband(j)
-	}
 	if e.Cause == model.CauseError {
 		// Mostly the machine; a job that fails everywhere must not hog room.
 		j.errors++
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -229,8 +229,8 @@
 type lack struct {
 	spec *model.Spec
 	n    int64
-	// stuck: waiting does not help, for the machines that there are could not
-	// take the task (the gang) even if they were empty.
+	// stuck: waiting does not help, for no machine that there is could take a
+	// task even if it were empty.
 	stuck bool
 }
 
@@ -278,15 +278,9 @@
 }
 
 func stuck(sp *model.Spec, rooms []room) bool {
-	need := int64(1)
-	if sp.Gang {
-		need = int64(sp.Tasks)
-	}
 	for i := range rooms {
-		if sp.Allows(&rooms[i].m) {
-			if need -= sp.Each.Count(rooms[i].m.Cap); need <= 0 {
-				return false
-			}
+		if sp.Allows(&rooms[i].m) && sp.Each.Fits(rooms[i].m.Cap) {
+			return false
 		}
 	}
 	return true
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -121,11 +121,7 @@
 // lost work.
 func payback(now time.Duration, sl *slot, price float64) time.Duration {
 	p := sl.t.price
-	lost := float64(loss(now, sl))
-	if sp := sl.t.Spec; sp.Gang { // the others stop with it
-		lost *= float64(sp.Tasks)
-	}
-	return time.Duration(lost * p / (price - p))
+	return time.Duration(float64(loss(now, sl)) * p / (price - p))
 }
 
 // parting is the time a victim gets to save: none where saving takes as long as
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -450,9 +450,7 @@
 		return
 	}
 	sl.t = nil
-	// A gang runs whole or not at all: one member gone, the dealer takes the
-	// others back.
-	if t.recalled || t.Spec.Gang || c == model.CauseError || c == model.CauseUnknown {
+	if t.recalled || c == model.CauseError || c == model.CauseUnknown {
 		t.on, t.slot = nil, nil
 		s.release(t, c)
 		return
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -99,7 +99,7 @@
 
 func (c *Codec) spec(s *model.Spec) *peerpb.Spec {
 	p := &peerpb.Spec{Job: uint64(s.ID), Class: c.names.Classes.Name(s.Class), Team: c.names.Teams.Name(s.Team), Image: c.names.Images.Name(s.Image),
-		Daemon: s.Daemon, Gang: s.Gang, Rank: uint32(s.Rank), Tasks: s.Tasks, Cpu: s.Each.CPU, Gpu: s.Each.GPU, Mem: s.Each.Mem, ImageGb: s.ImageGB,
+		Daemon: s.Daemon, Rank: uint32(s.Rank), Tasks: s.Tasks, Cpu: s.Each.CPU, Gpu: s.Each.GPU, Mem: s.Each.Mem, ImageGb: s.ImageGB,
 		AnyType: s.Types == nil, Together: s.Together, Spread: s.Spread, Spot: s.Spot, EstimateUs: s.Estimate.Microseconds(),
 		CheckpointUs: s.Checkpoint.Microseconds(), SaveUs: s.Save.Microseconds(), DeadlineUs: s.Deadline.Microseconds(), SubmittedMs: s.SubmittedMS}
 	for _, t := range s.Types {
@@ -115,7 +115,7 @@
 func (c *Codec) fromSpec(p *peerpb.Spec) *model.Spec {
 	us := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
 	s := &model.Spec{ID: model.JobID(p.GetJob()), Class: c.names.Classes.ID(p.GetClass()), Team: c.names.Teams.ID(p.GetTeam()), Image: c.names.Images.ID(p.GetImage()),
-		Daemon: p.GetDaemon(), Gang: p.GetGang(), Rank: model.Rank(p.GetRank()), Tasks: p.GetTasks(), Each: model.Resources{CPU: p.GetCpu(), GPU: p.GetGpu(), Mem: p.GetMem()},
+		Daemon: p.GetDaemon(), Rank: model.Rank(p.GetRank()), Tasks: p.GetTasks(), Each: model.Resources{CPU: p.GetCpu(), GPU: p.GetGpu(), Mem: p.GetMem()},
 		ImageGB: p.GetImageGb(), Zone: model.None, Together: p.GetTogether(), Spread: p.GetSpread(), Spot: p.GetSpot(),
 		Estimate: us(p.GetEstimateUs()), Checkpoint: us(p.GetCheckpointUs()), Save: us(p.GetSaveUs()), Deadline: us(p.GetDeadlineUs()),
 		SubmittedMS: p.GetSubmittedMs()}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -103,7 +103,7 @@
 	if _, err := ParseJob(*s.NameID); err != nil {
 		return fmt.Errorf("NameId: %w", err)
 	}
-	if *s.Shape != "batch" && *s.Shape != "daemon" && *s.Shape != "group" {
+	if *s.Shape != "batch" && *s.Shape != "daemon" {
 		return fmt.Errorf("Shape %q is unknown", *s.Shape)
 	}
 	if _, ok := ranks[*s.Rank]; !ok {
@@ -130,7 +130,7 @@
 	id, _ := ParseJob(*s.NameID)
 	sp := &model.Spec{
 		ID: id, Class: n.Classes.ID(*s.Class), Team: n.Teams.ID(*s.Team), Image: n.Images.ID(*s.Image),
-		Daemon: *s.Shape == "daemon", Gang: *s.Shape == "group", Rank: ranks[*s.Rank], Tasks: int32(*s.Tasks),
+		Daemon: *s.Shape == "daemon", Rank: ranks[*s.Rank], Tasks: int32(*s.Tasks),
 		Each: model.Request(*s.CPUs, *s.GPUs, *s.MemGB), ImageGB: *s.ImageGB, Zone: model.None,
 		Together: *s.Together, Spread: *s.Spread, Spot: *s.Spot,
 		Estimate: Duration(*s.EstimateS), Checkpoint: Duration(*s.CheckpointS), Save: Duration(*s.SaveS),
