--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -19,7 +19,6 @@
 	Horizon    time.Duration                // how long work of no known objective may wait
 	Within     map[model.Name]time.Duration // by class: done within so long
 	Patience   float64                      // part of the slack that is used up before the cheapest machines are rented
-	Reserve    float64                      // part of the required CPU kept beyond it for what comes
 	Probe      time.Duration                // a kind that was refused is asked for again after
 }
 
@@ -36,25 +35,11 @@
 	failed bool
 	silent time.Duration // since when it is silent, 0: it is not
 	drop   bool          // being returned
-	cordon bool          // gets no new tasks, so that it runs empty
 }
 
-// ActionKind tells actions apart.
-type ActionKind uint8
-
-// Actions.
-const (
-	Rent     ActionKind = iota
-	Return              // Machine: give them back
-	Cordon              // Machine: place nothing there
-	Uncordon            // Machine: place tasks there again
-)
-
-// Action for the cloud, or for the machines' use. The outcome of those for the
-// cloud comes back through Rented or Returned.
+// Action for the cloud. Its outcome comes back through Rented or Returned.
 type Action struct {
-	Kind    ActionKind
-	Rent    string // Rent: the request's name
+	Rent    string // the request's name; "": a return
 	Type    model.Name
 	Zone    model.Name
 	Spot    bool
@@ -75,7 +60,6 @@
 	gone    map[model.MachineID]time.Duration // given back; the list shows them for a while
 	n       uint64
 	want    time.Duration
-	shrunk  time.Duration // nothing more is cordoned before
 }
 
 // New returns a fleet that knows no machines.
@@ -208,76 +192,17 @@
 	}
 	if !f.giving {
 		if ids := f.surplus(now, status, rooms); len(ids) > 0 {
-			out = append(out, Action{Kind: Return, Machine: ids})
+			out = append(out, Action{Machine: ids})
 			f.giving = true
 		}
 	}
-	return append(out, f.shrink(now, rooms, demand, limit)...)
-}
-
-// shrink lets the dearest machine run empty while the others get all open work
-// done in time, and a reserve for what comes. Without it no machine is ever
-// idle: placement spreads tasks by priority, and waiting tasks fill what comes
-// free. When more is required again, what was cordoned is used again.
-func (f *Fleet) shrink(now time.Duration, rooms []room, demand []Demand, limit func(model.Name) model.Resources) []Action {
-	if now < f.shrunk {
-		return nil
-	}
-	total := capacity(rooms)
-	var dearest, cheap *room
-	var worst, least float64
-	for i := range rooms {
-		r := &rooms[i]
-		u, t := f.units[r.m.ID], f.typeOf(r.m.Type)
-		if u == nil || t == nil || r.status == nil {
-			continue
-		}
-		cost := perCPU(t, r.m.Spot)
-		if u.cordon {
-			if !u.drop && (cheap == nil || cost < least) {
-				cheap, least = r, cost
-			}
-			continue
-		}
-		// Among equals the one that runs empty soonest.
-		cost *= 1 + float64(r.avail.CPU)/float64(10*max(1, r.m.Cap.CPU))
-		if dearest == nil || cost > worst {
-			dearest, worst = r, cost
-		}
-	}
-	low := f.cheapest()
-	need := func(r *room) int64 {
-		ratio := max(1, perCPU(f.typeOf(r.m.Type), r.m.Spot)/low)
-		return f.required(now, total, demand, limit, min(1, f.p.Patience*ratio))
-	}
-	if cheap != nil && total.CPU < need(cheap) {
-		f.units[cheap.m.ID].cordon = false
-		return []Action{{Kind: Uncordon, Machine: []model.MachineID{cheap.m.ID}}}
-	}
-	if dearest == nil || float64(total.CPU-dearest.m.Cap.CPU) < float64(need(dearest))*(1+f.p.Reserve) {
-		return nil
-	}
-	f.shrunk = now + 2*time.Second
-	f.units[dearest.m.ID].cordon = true
-	return []Action{{Kind: Cordon, Machine: []model.MachineID{dearest.m.ID}}}
-}
-
-// capacity is what the machines that may be used have together.
-func capacity(rooms []room) model.Resources {
-	var total model.Resources
-	for i := range rooms {
-		if !rooms[i].cordon {
-			total = total.Add(rooms[i].m.Cap)
-		}
-	}
-	return total
+	return out
 }
 
 type room struct {
 	m      model.Machine
 	avail  model.Resources
 	used   bool // by demand
-	cordon bool
 	status *model.MachineStatus
 }
 
@@ -289,11 +214,7 @@
 		s := &status[i]
 		up[s.Machine.ID] = true
 		if !s.Draining && !s.Bad && f.units[s.Machine.ID].silent == 0 {
-			r := room{m: s.Machine, avail: s.Avail, status: s, cordon: f.units[s.Machine.ID].cordon}
-			if r.cordon {
-				r.avail = model.Resources{}
-			}
-			out = append(out, r)
+			out = append(out, room{m: s.Machine, avail: s.Avail, status: s})
 		}
 	}
 	for id, u := range f.units {
@@ -433,7 +354,10 @@
 // dearer a machine is, the more of the work's slack is used up before it is
 // rented.
 func (f *Fleet) rent(now time.Duration, rooms []room, unmet []lack, demand []Demand, limit func(model.Name) model.Resources) (Action, bool) {
-	total := capacity(rooms)
+	var total model.Resources
+	for i := range rooms {
+		total = total.Add(rooms[i].m.Cap)
+	}
 	low := f.cheapest()
 	for _, l := range unmet {
 		var best *kind
@@ -471,7 +395,7 @@
 			continue
 		}
 		f.n++
-		return Action{Kind: Rent, Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, 4))}, true
+		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, 4))}, true
 	}
 	return Action{}, false
 }
@@ -513,10 +437,6 @@
 	}
 	for i := range rooms {
 		r := &rooms[i]
-		if u := f.units[r.m.ID]; r.cordon && u != nil && !u.drop && r.status != nil && r.status.Slots == 0 {
-			out = append(out, r.m.ID)
-			continue
-		}
 		if r.status == nil || r.used || r.status.Slots > 0 || now-r.status.IdleSince < f.patience(&r.m) || now-f.want < f.patience(&r.m)/2 {
 			continue
 		}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -83,7 +83,7 @@
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
 	l.f = fleet.New(fleet.Params{Term: l.term, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
-		Horizon: n.set.RentHorizon, Within: n.within(), Patience: n.set.RentPatience, Reserve: n.set.Reserve, Probe: 15 * time.Second})
+		Horizon: n.set.RentHorizon, Within: n.within(), Patience: n.set.RentPatience, Probe: 15 * time.Second})
 	l.setTypes(n.types)
 	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
 	return l
@@ -536,15 +536,11 @@
 		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(l.d.Count(need.Spec.ID).Waiting)})
 	}
 	for _, a := range l.f.Step(now, status, demand, l.d.Limit) {
-		if a.Kind != fleet.Rent {
+		if a.Rent == "" {
 			for _, id := range a.Machine {
-				l.d.Use(id, a.Kind == fleet.Uncordon)
+				l.d.Use(id, false)
 			}
 		}
-		if a.Kind == fleet.Cordon || a.Kind == fleet.Uncordon {
-			l.n.log.Debug("machines' use changed", "machines", a.Machine, "usable", a.Kind == fleet.Uncordon)
-			continue
-		}
 		go l.cloudAction(a)
 	}
 	l.pump(now)
@@ -552,7 +548,7 @@
 
 func (l *leadership) cloudAction(a fleet.Action) {
 	n := l.n
-	if a.Kind == fleet.Return {
+	if a.Rent == "" {
 		names := make([]string, len(a.Machine))
 		for i, id := range a.Machine {
 			names[i] = wire.MachineName(id)
