--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,13 +19,12 @@
 	DealAhead    int
 	IdleReturn   time.Duration
 	RentHorizon  time.Duration
-	RentPatience float64
 }
 
 // DefaultSettings are in force where the operator says nothing.
 func DefaultSettings() *Settings {
 	return &Settings{SampleSize: 2, PaybackLimit: time.Minute, DemotionStep: 2, DealAhead: 16,
-		IdleReturn: 60 * time.Second, RentHorizon: 30 * time.Second, RentPatience: 0.1}
+		IdleReturn: 60 * time.Second, RentHorizon: 30 * time.Second}
 }
 
 // LoadSettings reads the operator's settings; "" means none.
@@ -78,7 +77,6 @@
 	}
 	if c := p.Fleet; c != nil {
 		num("fleet.idle_return_s", c.IdleReturnS, 1, 86400, func(v float64) { s.IdleReturn = Seconds(v) })
-		num("fleet.rent_patience", c.RentPatience, 0, 1, func(v float64) { s.RentPatience = v })
 		num("fleet.rent_horizon_s", c.RentHorizonS, 1, 86400, func(v float64) { s.RentHorizon = Seconds(v) })
 	}
 	return s, errors.Join(errs...)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -15,11 +15,9 @@
 type Params struct {
 	Term       uint64
 	ListLag    time.Duration
-	IdleReturn time.Duration                // an unneeded machine is given back after so long
-	Horizon    time.Duration                // how long work of no known objective may wait
-	Within     map[model.Name]time.Duration // by class: done within so long
-	Patience   float64                      // part of the slack that is used up before the cheapest machines are rented
-	Probe      time.Duration                // a kind that was refused is asked for again after
+	IdleReturn time.Duration // an unneeded machine is given back after so long
+	Horizon    time.Duration // waiting work should be done within so long
+	Probe      time.Duration // a kind that was refused is asked for again after
 }
 
 type kind struct {
@@ -177,12 +175,12 @@
 	}
 	var out []Action
 	rooms := f.rooms(now, status)
-	unmet := unmet(rooms, demand, limit)
+	unmet := f.unmet(rooms, demand, limit)
 	if !f.renting {
 		if f.again != nil {
 			out = append(out, *f.again)
 			f.again, f.renting = nil, true
-		} else if a, ok := f.rent(now, rooms, unmet, demand, limit); ok {
+		} else if a, ok := f.rent(now, unmet); ok {
 			out = append(out, a)
 			f.renting = true
 		}
@@ -230,13 +228,14 @@
 
 type lack struct {
 	spec *model.Spec
+	n    int64
 	// stuck: waiting does not help, for no machine that there is could take a
 	// task even if it were empty.
 	stuck bool
 }
 
 // unmet is the waiting work for which there is no room, now or soon.
-func unmet(rooms []room, demand []Demand, limit func(model.Name) model.Resources) []lack {
+func (f *Fleet) unmet(rooms []room, demand []Demand, limit func(model.Name) model.Resources) []lack {
 	left := map[model.Name]int64{}
 	for _, d := range demand {
 		t := d.Need.Spec.Team
@@ -272,7 +271,7 @@
 			}
 		}
 		if n > 0 {
-			out = append(out, lack{sp, stuck(sp, rooms)})
+			out = append(out, lack{sp, n, stuck(sp, rooms)})
 		}
 	}
 	return out
@@ -310,54 +309,21 @@
 	return low
 }
 
-// slack is how long a job's tasks may still wait and yet be done when their
-// users want them: by the job's deadline, else by its class's objective.
-func (f *Fleet) slack(now time.Duration, n *dealer.Need) time.Duration {
-	within := n.Spec.Deadline
-	if within == 0 {
-		if within = f.p.Within[n.Spec.Class]; within == 0 {
-			within = n.Spec.Estimate + f.p.Horizon
-		}
+// worth is how many tasks justify a machine at this price: the dearer it is,
+// the longer work may wait for room that there is already.
+func (f *Fleet) worth(l lack, ratio float64) int64 {
+	if l.stuck {
+		return l.n
 	}
-	// Estimates are often too low, and boots and fetches take their time.
-	return max(0, within-n.Spec.Estimate*3/2-(now-n.Since)-f.p.Horizon/2)
-}
-
-// required is the CPU that gets all open work done in time, if up to a part of
-// each job's slack is used: a place then serves task after task. Tasks that ask
-// for much of another resource count as the CPU that goes unused beside them.
-func (f *Fleet) required(now time.Duration, total model.Resources, demand []Demand, limit func(model.Name) model.Resources, part float64) int64 {
-	left := map[model.Name]int64{}
-	var sum float64
-	for i := range demand {
-		d := &demand[i].Need
-		sp := d.Spec
-		if _, ok := left[sp.Team]; !ok {
-			left[sp.Team] = 1 << 50
-			if l := limit(sp.Team).CPU; l > 0 {
-				left[sp.Team] = l
-			}
-		}
-		n := min(int64(d.Open), max(0, left[sp.Team]/max(1, sp.Each.CPU)))
-		left[sp.Team] -= n * sp.Each.CPU
-		share := max(float64(sp.Each.CPU)/float64(max(1, total.CPU)), float64(sp.Each.Mem)/float64(max(1, total.Mem)))
-		need := float64(n) * share * float64(max(1, total.CPU))
-		if est := float64(sp.Estimate); est > 0 {
-			need *= est / (est + part*float64(f.slack(now, d)))
-		}
-		sum += need
+	horizon := time.Duration(float64(f.p.Horizon) * ratio)
+	if est := l.spec.Estimate; est > 0 && est < horizon {
+		return int64(float64(l.n) * float64(est) / float64(horizon))
 	}
-	return int64(sum)
+	return l.n
 }
 
-// rent picks the cheapest kind of machine for the work that lacks room. The
-// dearer a machine is, the more of the work's slack is used up before it is
-// rented.
-func (f *Fleet) rent(now time.Duration, rooms []room, unmet []lack, demand []Demand, limit func(model.Name) model.Resources) (Action, bool) {
-	var total model.Resources
-	for i := range rooms {
-		total = total.Add(rooms[i].m.Cap)
-	}
+// rent picks the cheapest kind of machine for the work that lacks room.
+func (f *Fleet) rent(now time.Duration, unmet []lack) (Action, bool) {
 	low := f.cheapest()
 	for _, l := range unmet {
 		var best *kind
@@ -385,13 +351,23 @@
 		if best == nil {
 			continue
 		}
+		var need, demand int64
+		for _, o := range unmet {
+			m := model.Machine{Type: best.typ, Zone: best.zone, Spot: best.spot}
+			if o.spec.Allows(&m) {
+				need += f.worth(o, ratio) * o.spec.Each.CPU
+				demand += o.n * o.spec.Each.CPU
+			}
+		}
 		size := f.typeOf(best.typ).Cap.CPU
-		lacking := f.required(now, total, demand, limit, min(1, f.p.Patience*ratio)) - total.CPU
-		count := (lacking + size/2) / size
-		if l.stuck {
-			count = max(1, count)
+		count := (need + size/2) / size
+		if count == 0 && need > 0 && f.count(*best) == 0 && demand >= size {
+			count = 1
+		}
+		if count == 0 && l.stuck {
+			count = 1
 		}
-		if count <= 0 {
+		if count == 0 {
 			continue
 		}
 		f.n++
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -83,27 +83,12 @@
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
 	l.f = fleet.New(fleet.Params{Term: l.term, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
-		Horizon: n.set.RentHorizon, Within: n.within(), Patience: n.set.RentPatience, Probe: 15 * time.Second})
+		Horizon: n.set.RentHorizon, Probe: 15 * time.Second})
 	l.setTypes(n.types)
 	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
 	return l
 }
 
-// within is how soon the jobs of each class should be done.
-func (n *Node) within() map[model.Name]time.Duration {
-	m := map[model.Name]time.Duration{}
-	for _, o := range n.cfg.Cluster.Objectives {
-		if o.Kind != "finished" {
-			continue
-		}
-		c, d := n.names.Classes.ID(o.Class), config.Seconds(o.WithinS)
-		if m[c] == 0 || d < m[c] {
-			m[c] = d
-		}
-	}
-	return m
-}
-
 // chunkSize is how many tasks' bits fit into a value, as base64 in JSON.
 func chunkSize(valueKB float64) int32 {
 	bytes := (valueKB*1024 - 64) * 3 / 4
