dealer: recover sooner: drop records of lapsed machines, return the few unreachable

Now records go when a machine's lease has lapsed, a few machines that answer nothing for 3.5 s are returned, siblings are asked whether anyone leads, and the lease is 3 s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -196,7 +196,7 @@
 // LeaderTTL is the length of the leader's lease at the state service: short,
 // for a dead leader is replaced when it ends. An outage of the service is
 // outlasted by the siblings' promises.
-func (c *Cluster) LeaderTTL() time.Duration { return min(4*time.Second, c.Deaf()) }
+func (c *Cluster) LeaderTTL() time.Duration { return min(3*time.Second, c.Deaf()) }
 
 // Promise is for how long a member of a leader's term does not take over.
 const Promise = 2500 * time.Millisecond
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -82,15 +82,18 @@
 
 type machine struct {
 	model.Machine
-	token     uint64
-	recorded  bool
-	version   uint64
-	writing   bool
-	silent    bool
-	gone      bool
-	owner     model.ShardID // 0: none
-	next      model.ShardID // gets it once the owner has let go
-	releasing bool          // the owner was asked to let go
+	token    uint64
+	recorded bool
+	version  uint64
+	writing  bool
+	silent   bool
+	// lapsed: nothing is there, and nothing goes there: its record is dropped,
+	// so that a later leader need not look for it. dropping: that was tried.
+	lapsed, dropping bool
+	gone             bool
+	owner            model.ShardID // 0: none
+	next             model.ShardID // gets it once the owner has let go
+	releasing        bool          // the owner was asked to let go
 	// authority is when the last shard that was lost as its owner could
 	// answer it for the last time.
 	authority time.Duration
@@ -414,7 +417,7 @@
 	d.owned++
 	m.owner, m.next = to, 0
 	m.token = d.p.Term<<32 | d.owned
-	d.order(to, model.Order{Kind: model.Own, Machine: m.Machine, Token: m.token, Usable: m.recorded && m.Cap.CPU > 0})
+	d.order(to, model.Order{Kind: model.Own, Machine: m.Machine, Token: m.token, Usable: m.usable()})
 }
 
 // AddJob takes an open job. done holds its stored chunks; old tells that it
@@ -494,6 +497,21 @@
 	}
 }
 
+// Unseen returns the machines of earlier terms that are not accounted for yet,
+// if they are few.
+func (d *Dealer) Unseen() []model.MachineID {
+	if len(d.suspects) > max(1, len(d.machines)*15/100) {
+		return nil
+	}
+	var out []model.MachineID
+	for _, m := range d.sortedMachines() {
+		if d.suspects[m.ID] {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // HasMachines tells whether there is any machine.
 func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
 
@@ -506,10 +524,13 @@
 // Use lets tasks be placed on a machine, or not.
 func (d *Dealer) Use(id model.MachineID, usable bool) {
 	if m := d.machines[id]; m != nil {
-		d.order(m.owner, model.Order{Kind: model.Use, ID: id, Usable: usable && m.recorded && m.Cap.CPU > 0})
+		d.order(m.owner, model.Order{Kind: model.Use, ID: id, Usable: usable && m.usable()})
 	}
 }
 
+// usable: a machine gets tasks only while its record is stored for sure.
+func (m *machine) usable() bool { return m.recorded && !m.lapsed && m.Cap.CPU > 0 }
+
 // Drain asks the shard to move a machine's tasks away.
 func (d *Dealer) Drain(id model.MachineID) {
 	if m := d.machines[id]; m != nil {
@@ -528,6 +549,9 @@
 	case model.Unowned:
 		d.unowned(now, from, e.Report)
 	case model.Fenced:
+		if owner {
+			d.alive(m)
+		}
 		// From a shard that is to let go, neither this nor what it found
 		// counts: orders that follow from it would arrive too late there.
 		if owner && !m.releasing {
@@ -536,7 +560,7 @@
 		}
 	case model.Heard:
 		if owner {
-			m.silent = false
+			d.alive(m)
 		}
 	case model.Silent:
 		if !owner || e.Token != m.token {
@@ -551,6 +575,8 @@
 	case model.Lapsed:
 		if owner && !m.releasing && e.Token == m.token {
 			d.resolve(m)
+			m.lapsed = true
+			d.Use(m.ID, false)
 		}
 	case model.Released:
 		d.released(now, from, m, e)
@@ -576,6 +602,21 @@
 	}
 }
 
+// alive takes the news that a machine's worker reports.
+func (d *Dealer) alive(m *machine) {
+	m.silent = false
+	if !m.lapsed {
+		return
+	}
+	m.lapsed = false
+	if m.dropping {
+		// Dropping its record may succeed yet, however late: it must be put
+		// again, and the new version makes the old drop fail.
+		m.recorded, m.dropping = false, false
+	}
+	d.Use(m.ID, true)
+}
+
 func (d *Dealer) holds(j *job, no int32, id model.ShardID) bool {
 	h, ok := j.held[no]
 	return ok && h.adrift == nil && h.shard == id
@@ -805,11 +846,11 @@
 		if m.writing {
 			continue
 		}
-		if !m.recorded && !m.gone {
+		if !m.recorded && !m.gone && !m.lapsed {
 			m.writing = true
 			out = append(out, Write{Kind: PutMachine, Machine: m.Machine})
-		} else if m.recorded && m.gone {
-			m.writing = true
+		} else if m.recorded && (m.gone || m.lapsed) {
+			m.writing, m.dropping = true, true
 			out = append(out, Write{Kind: DropMachine, Machine: m.Machine, Version: m.version})
 		}
 	}
@@ -863,7 +904,7 @@
 		m.writing = false
 		if ok {
 			m.recorded, m.version = true, revision
-			d.order(m.owner, model.Order{Kind: model.Use, ID: m.ID, Usable: m.Cap.CPU > 0})
+			d.Use(m.ID, true)
 		}
 	case DropMachine:
 		m := d.machines[w.Machine.ID]
@@ -871,9 +912,13 @@
 			return
 		}
 		m.writing = false
-		if ok || lost {
+		switch {
+		case !ok && !lost:
+		case m.gone:
 			delete(d.machines, m.ID)
 			delete(d.Bad, m.ID)
+		case m.lapsed:
+			m.recorded, m.dropping = false, false
 		}
 	case PutChunk:
 		j := d.jobs[w.Job]
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -87,6 +87,15 @@
 	e.promised, e.vowed = max(e.promised, until), true
 }
 
+// Unbound tells a controller that has just started that no sibling leads, so
+// that nobody can count on a promise of its last life.
+func (e *Election) Unbound(now time.Duration) {
+	if !e.vowed {
+		e.promised = min(e.promised, now)
+		e.next = min(e.next, now)
+	}
+}
+
 // Back tells the leader that every sibling has promised not to take over
 // before until: its authority lasts as long, whatever the state service says.
 // While the service is out the key can't change hands; and if this controller
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -20,6 +20,10 @@
 	"honeylock/internal/wire"
 )
 
+// unseenPatience is how long a new leader tries to reach the machines of earlier
+// terms before it gives a few up.
+const unseenPatience = 3500 * time.Millisecond
+
 // leadership is all that a controller keeps while it leads one term. It is
 // dropped whole when the term ends.
 type leadership struct {
@@ -45,6 +49,9 @@
 	fleeted time.Duration
 	shown   time.Duration
 	healed  bool
+	// settling: machines that can't be reached are being returned.
+	settling bool
+	loadedAt time.Duration
 }
 
 // followLeadership starts and drops the leader's part as the election says.
@@ -222,7 +229,7 @@
 		l.d.AddDone(p.id, p.chunk, p.bits)
 	}
 	l.fresh = asked
-	l.loaded = true
+	l.loaded, l.loadedAt = true, now
 	close(l.ready)
 	n.log.Info("store read", "term", l.term, "open", len(open), "machines", len(recs))
 	if len(orphans) > 0 {
@@ -369,6 +376,16 @@
 		l.healed = true
 		l.n.log.Info("all machines of earlier terms accounted for", "term", l.term)
 	}
+	if !l.healed && !l.settling && now-l.loadedAt > unseenPatience {
+		if ids := l.d.Unseen(); len(ids) > 0 {
+			// They answer neither reports nor commands. All old jobs wait for
+			// them, so they are worth less than the time until their leases
+			// are over: once returned they are surely gone.
+			l.settling = true
+			l.n.log.Info("returning machines that can't be reached", "count", len(ids))
+			go l.cloudAction(fleet.Action{Machine: ids})
+		}
+	}
 	if now-l.dealt >= 100*time.Millisecond {
 		l.n.seat.s.Tick(now)
 		l.d.Tick(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,7 @@
 	go n.fetchCatalog(ctx)
 	go n.watchLeader(ctx)
 	go n.runMember(ctx)
+	go n.askSiblings(ctx)
 	t := time.NewTicker(50 * time.Millisecond)
 	defer t.Stop()
 	for {
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -144,6 +144,28 @@
 	return ""
 }
 
+// askSiblings finds out, while this controller's start holds it off from
+// leadership, whether any sibling leads: if none does, nobody can count on a
+// promise of its last life.
+func (n *Node) askSiblings(ctx context.Context) {
+	dialer := peer.NewDialer()
+	free := map[string]bool{}
+	for ctx.Err() == nil && n.now() < config.Promise {
+		all := true
+		for _, s := range n.cfg.Siblings {
+			free[s.HostName] = free[s.HostName] || dialer.NotLeading(ctx, s.Address)
+			all = all && free[s.HostName]
+		}
+		if all {
+			n.mu.Lock()
+			n.el.Unbound(n.now())
+			n.mu.Unlock()
+			return
+		}
+		sleep(ctx, 150*time.Millisecond)
+	}
+}
+
 // runMember keeps a link to the leader while another controller leads.
 func (n *Node) runMember(ctx context.Context) {
 	dialer := peer.NewDialer()
@@ -282,6 +304,15 @@
 func (n *Node) ServePeers(ctx context.Context, addr string) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+peer.Path, n.serveMember)
+	mux.HandleFunc("GET "+peer.LeadingPath, func(w http.ResponseWriter, _ *http.Request) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.lead != nil || n.el.Leading(n.now()) {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
 	srv := peer.NewServer(mux)
 	go func() {
 		<-ctx.Done()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -18,6 +18,9 @@
 // Path of the stream that a member opens.
 const Path = "/peer/shard"
 
+// LeadingPath answers 204 where the controller does not lead.
+const LeadingPath = "/peer/leading"
+
 const maxMessage = 4 << 20
 
 var errFull = errors.New("the other side does not keep up")
@@ -125,6 +128,22 @@
 	return pw, res.Body, nil
 }
 
+// NotLeading asks whether a controller surely does not lead now.
+func (d *Dialer) NotLeading(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+LeadingPath, nil)
+	if err != nil {
+		return false
+	}
+	res, err := d.client.Do(req)
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusNoContent
+}
+
 // NewServer serves the streams of other controllers.
 func NewServer(h http.Handler) *http.Server {
 	var p http.Protocols
