--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -320,3 +320,46 @@
 		t.Fatalf("tokens %v", tokens)
 	}
 }
+
+// A new leader waits for every recorded machine, so the record of a machine
+// that surely holds nothing is dropped; if its worker comes back, the record is
+// put again before it gets tasks, for the drop may be applied late.
+func TestLapsedMachineLosesItsRecordUntilItIsBack(t *testing.T) {
+	r := newRig(t, 100)
+	s := r.d.Join("a")
+	r.machine(0, 1, s)
+	token := r.orders(model.Own)[0].Token
+	lapse := func(now time.Duration) {
+		r.d.Event(now, s, model.Event{Kind: model.Silent, Machine: 1, Token: token})
+		if o := r.orders(model.Lapse); len(o) != 1 {
+			t.Fatalf("orders %v, want the shard asked to confirm", o)
+		}
+		r.d.Event(now, s, model.Event{Kind: model.Lapsed, Machine: 1, Token: token})
+		if o := r.orders(model.Use); len(o) != 1 || o[0].Usable {
+			t.Fatalf("orders %v, want nothing placed there", o)
+		}
+	}
+	lapse(20 * time.Second)
+	w := r.d.Writes(20*time.Second, 10)
+	if len(w) != 1 || w[0].Kind != DropMachine || w[0].Version != 50 {
+		t.Fatalf("writes %+v, want its record dropped at its version", w)
+	}
+	// No answer; meanwhile the worker is back.
+	r.d.Event(21*time.Second, s, model.Event{Kind: model.Heard, Machine: 1})
+	if o := r.orders(model.Use); len(o) != 1 || o[0].Usable {
+		t.Fatalf("orders %v: used without a record", o)
+	}
+	r.d.Stored(22*time.Second, w[0], 0, false, false)
+	w = r.d.Writes(22*time.Second, 10)
+	if len(w) != 1 || w[0].Kind != PutMachine {
+		t.Fatalf("writes %+v, want its record put again", w)
+	}
+	r.d.Stored(22*time.Second, w[0], 70, true, false)
+	if o := r.orders(model.Use); len(o) != 1 || !o[0].Usable {
+		t.Fatalf("orders %v, want it used again", o)
+	}
+	lapse(40 * time.Second)
+	if w = r.d.Writes(40*time.Second, 10); len(w) != 1 || w[0].Version != 70 {
+		t.Fatalf("writes %+v, want the new record dropped", w)
+	}
+}
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -186,7 +186,7 @@
 
 const (
 	retry = 250 * time.Millisecond
-	idle  = 2 * time.Second
+	idle  = time.Second
 )
 
 // Done takes an operation's result and returns what follows at once.
--- a/internal/core/election/election_test.go
+++ b/internal/core/election/election_test.go
@@ -108,3 +108,19 @@
 		t.Fatal("leads without its lease")
 	}
 }
+
+// After a crash of all controllers nobody leads: their last lives' promises bind
+// nobody, and waiting for them costs the workers' leases.
+func TestNobodyLeadsSoNobodyIsBound(t *testing.T) {
+	e := New("a", ttl, 0, time.Minute, 0)
+	e.Unbound(time.Second)
+	lead(t, e, time.Second)
+	// A promise of this life binds.
+	e = New("a", ttl, 0, time.Minute, 0)
+	e.Promise(time.Minute)
+	e.Unbound(time.Second)
+	ops := e.Step(time.Second)
+	if got := e.Done(time.Second, Result{Op: ops[0], OK: true}); len(got) > 0 {
+		t.Fatalf("ops %v against a promise", got)
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/model"
+)
+
+func newFleet() *Fleet {
+	f := New(Params{Term: 7, ListLag: 10 * time.Second, IdleReturn: time.Minute, Horizon: 30 * time.Second, Probe: 15 * time.Second})
+	f.SetTypes([]model.MachineType{{Name: 0, Cap: model.Capacity(8, 0, 32), Price: 1, SpotPrice: 0.3, Boot: 20 * time.Second, Zones: []model.Name{0}}})
+	f.List(0, nil)
+	return f
+}
+
+func noLimit(model.Name) model.Resources { return model.Resources{} }
+
+func demand(tasks int32, spot bool) []Demand {
+	sp := &model.Spec{ID: 1, Tasks: tasks, Each: model.Request(4, 0, 4), Zone: model.None, Spot: spot, Estimate: 10 * time.Minute}
+	return []Demand{{Need: dealer.Need{Spec: sp, Open: tasks}}}
+}
+
+func rented(as []Action) *Action {
+	for i := range as {
+		if as[i].Rent != "" {
+			return &as[i]
+		}
+	}
+	return nil
+}
+
+func TestRentsTheCheapestThatIsAllowed(t *testing.T) {
+	for _, spot := range []bool{true, false} {
+		a := rented(newFleet().Step(time.Second, nil, demand(4, spot), noLimit))
+		if a == nil || a.Spot != spot || a.Count != 2 {
+			t.Errorf("%+v, want two machines for four tasks, spot %v", a, spot)
+		}
+	}
+}
+
+func TestBootingMachinesCountAndNamesAreNotReused(t *testing.T) {
+	f := newFleet()
+	a := rented(f.Step(time.Second, nil, demand(4, true), noLimit))
+	f.Rented(2*time.Second, *a, []model.MachineID{1, 2}, false, false)
+	if b := rented(f.Step(3*time.Second, nil, demand(4, true), noLimit)); b != nil {
+		t.Errorf("%+v though two machines boot", b)
+	}
+	b := rented(f.Step(3*time.Second, nil, demand(8, true), noLimit))
+	if b == nil || b.Rent == a.Rent {
+		t.Errorf("%+v, want another request than %q", b, a.Rent)
+	}
+}
+
+func TestRefusedKindGivesWay(t *testing.T) {
+	f := newFleet()
+	a := rented(f.Step(time.Second, nil, demand(40, true), noLimit))
+	f.Rented(time.Second, *a, nil, true, false)
+	if b := rented(f.Step(2*time.Second, nil, demand(40, true), noLimit)); b == nil || b.Spot {
+		t.Errorf("%+v, want ordinary machines once spot ones are refused", b)
+	}
+}
+
+// A rental without an answer may have been carried out: the same request tells.
+func TestRentalInDoubtIsRepeatedUnderItsName(t *testing.T) {
+	f := newFleet()
+	a := rented(f.Step(time.Second, nil, demand(4, true), noLimit))
+	f.Rented(2*time.Second, *a, nil, false, true)
+	if b := rented(f.Step(3*time.Second, nil, demand(4, true), noLimit)); b == nil || b.Rent != a.Rent {
+		t.Errorf("%+v, want %q again", b, a.Rent)
+	}
+}
+
+// Short work waits for room, but not where no machine could ever take it.
+func TestWorkThatFitsNoMachineThereIsRentsOne(t *testing.T) {
+	f := newFleet()
+	d := demand(1, true)
+	d[0].Need.Spec.Estimate = time.Second
+	if a := rented(f.Step(time.Second, nil, d, noLimit)); a == nil || a.Count != 1 {
+		t.Errorf("%+v, want one machine", a)
+	}
+}
+
+func TestIdleAndLostMachinesAreReturned(t *testing.T) {
+	f := newFleet()
+	status := []model.MachineStatus{{Machine: model.Machine{ID: 1, Spot: true, Cap: model.Capacity(8, 0, 32)}, Avail: model.Capacity(8, 0, 32), Ready: true}}
+	alive := func(model.MachineID) bool { return false }
+	f.Observe(0, status, alive)
+	if as := f.Step(30*time.Second, status, nil, noLimit); len(as) != 0 {
+		t.Errorf("%+v, too early", as)
+	}
+	as := f.Step(2*time.Minute, status, nil, noLimit)
+	if len(as) != 1 || len(as[0].Machine) != 1 {
+		t.Fatalf("%+v, want the idle machine returned", as)
+	}
+	f.Returned(2*time.Minute, as[0], true)
+	// The list lags: it is not a new machine.
+	f.List(2*time.Minute+time.Second, []Listed{{ID: 1, Spot: true}})
+	if len(f.units) != 0 {
+		t.Error("a returned machine is back")
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -336,7 +336,7 @@
 // showProgress tells all controllers how far the open jobs are.
 func (l *leadership) showProgress() {
 	l.n.progress = map[model.JobID]progress{}
-	p := &peerpb.Progress{}
+	p := &peerpb.Progress{StateAgeUs: (l.n.now() - l.n.stateAt).Microseconds()}
 	l.d.Open(func(id model.JobID, done, running int) {
 		l.n.progress[id] = progress{done, running}
 		p.Jobs = append(p.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running)})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,21 +44,22 @@
 	start time.Time
 	ttl   time.Duration
 
-	mu       sync.Mutex
-	names    *wire.Names
-	el       *election.Election
-	lead     *leadership
-	seat     *seat                    // this controller's shard, nil while it may not act
-	progress map[model.JobID]progress // of open jobs, as last told by the leader
-	leader   string                   // the leader that this controller is linked to
-	stateAt  time.Duration            // the state service last answered
-	reported time.Duration            // the last worker's report
-	tried    string                   // the last host whose link ended
-	waits    map[model.MachineID][]chan struct{}
-	types    []model.MachineType
-	finals   map[model.JobID]jobs.Stage
-	order    []model.JobID // of finals, oldest first
-	stats    Stats
+	mu            sync.Mutex
+	names         *wire.Names
+	el            *election.Election
+	lead          *leadership
+	seat          *seat                    // this controller's shard, nil while it may not act
+	progress      map[model.JobID]progress // of open jobs, as last told by the leader
+	leader        string                   // the leader that this controller is linked to
+	stateAt       time.Duration            // the state service last answered
+	leaderStateAt time.Duration            // ... the leader
+	reported      time.Duration            // the last worker's report
+	tried         string                   // the last host whose link ended
+	waits         map[model.MachineID][]chan struct{}
+	types         []model.MachineType
+	finals        map[model.JobID]jobs.Stage
+	order         []model.JobID // of finals, oldest first
+	stats         Stats
 }
 
 // Stats are counts for operators.
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -251,6 +251,7 @@
 			n.seat, n.leader = st, host
 			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm())
 		case *peerpb.Down_Progress:
+			n.leaderStateAt = now - time.Duration(msg.Progress.GetStateAgeUs())*time.Microsecond
 			n.progress = make(map[model.JobID]progress, len(msg.Progress.GetJobs()))
 			for _, j := range msg.Progress.GetJobs() {
 				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning())}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -289,7 +289,10 @@
 func (n *Node) Healthy() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.types) > 0
+	// Refused by the state service while it answers the leader, this node can
+	// take nothing; in an outage all are alike, and none should be shunned.
+	refused := n.now()-n.stateAt > 3500*time.Millisecond && n.leaderStateAt > n.stateAt+2500*time.Millisecond
+	return len(n.types) > 0 && !refused
 }
 
 func (n *Node) rent(ctx context.Context, r wire.Rental) (ids []model.MachineID, refused, doubt bool) {
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"honeylock/internal/core/model"
+	"honeylock/internal/peer/peerpb"
+	"honeylock/internal/wire"
+)
+
+func names(shift int) *wire.Names {
+	n := &wire.Names{Teams: wire.NewTable("t"), Types: wire.NewTable(), Zones: wire.NewTable(), Images: wire.NewTable(), Classes: wire.NewTable()}
+	for range shift { // other indices than the other side's
+		n.Types.ID("other")
+		n.Zones.ID("elsewhere")
+		n.Images.ID("old")
+	}
+	return n
+}
+
+// Indices are each process's own: names must arrive as the same names.
+func TestOrdersCrossProcessesByName(t *testing.T) {
+	a, b := names(0), names(1)
+	from, to := NewCodec(a), NewCodec(b)
+	sp := &model.Spec{ID: 5, Class: a.Classes.ID("c"), Team: a.Teams.ID("t"), Image: a.Images.ID("img"), Rank: model.Urgent, Tasks: 3,
+		Each: model.Request(2, 1, 4), Types: []model.Name{a.Types.ID("g8")}, Zone: a.Zones.ID("z"), Spread: true, Spot: true,
+		Estimate: time.Minute, Checkpoint: time.Second, Save: 2 * time.Second, Deadline: time.Hour, SubmittedMS: 9}
+	deal := model.Deal{Task: model.Task{Job: 5, No: 2}, Spec: sp, Price: 300, Zone: sp.Zone, Since: 10 * time.Second, Machine: 8, Attempt: 99}
+	for i := range 2 { // the job travels with its first task only
+		p := from.Order(15*time.Second, &model.Order{Kind: model.Give, Deal: deal}).GetOrder()
+		if (p.Spec != nil) != (i == 0) {
+			t.Fatalf("deal %d: spec %v", i, p.Spec)
+		}
+		got, err := to.FromOrder(100*time.Second, p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := deal
+		want.Since = 95 * time.Second // waits 5 s by either clock
+		ws := *sp
+		ws.Class, ws.Team, ws.Image = b.Classes.ID("c"), b.Teams.ID("t"), b.Images.ID("img")
+		ws.Types, ws.Zone = []model.Name{b.Types.ID("g8")}, b.Zones.ID("z")
+		want.Spec, want.Zone = &ws, ws.Zone
+		if diff := cmp.Diff(want, got.Deal); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
+
+func TestEventsAndStatusCross(t *testing.T) {
+	a, b := names(0), names(1)
+	task := model.Task{Job: 7, No: 3}
+	e := model.Event{Kind: model.Found, Machine: 4, Task: task, Attempt: 1 << 60, Cell: model.Cell{Task: task, Attempt: 1 << 60, Stage: model.Exited, Cause: model.CauseDone},
+		Cause: model.CauseError, Ran: time.Second, Token: 1 << 40, Held: true, Tasks: []model.Task{{Job: 1, No: 2}}}
+	got := NewCodec(b).FromEvent(NewCodec(a).Event(&e).GetEvent())
+	if diff := cmp.Diff(e, got); diff != "" {
+		t.Fatal(diff)
+	}
+	ms := []model.MachineStatus{{Machine: model.Machine{ID: 4}, Avail: model.Capacity(1, 2, 3), Ready: true, Slots: 2, IdleSince: 8 * time.Second, Heard: 9 * time.Second}}
+	jobs := map[model.JobID]model.JobCount{7: {Waiting: 1, Running: 2}}
+	up := NewCodec(a).Status(10*time.Second, ms, jobs, 5).GetStatus()
+	gotMS, gotJobs := NewCodec(b).FromStatus(20*time.Second, up)
+	ms[0].IdleSince, ms[0].Heard = 18*time.Second, 19*time.Second
+	if diff := cmp.Diff(ms, gotMS); diff != "" {
+		t.Fatal(diff)
+	}
+	if diff := cmp.Diff(jobs, gotJobs); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestQueueKeepsOrderAndBreaksOffWhenFull(t *testing.T) {
+	q := NewQueue()
+	for i := range uint64(3) {
+		q.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: i}}})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var buf bytes.Buffer
+	if err := q.Run(ctx, &buf, func() error { cancel(); return nil }); err == nil {
+		t.Fatal("ended without an error")
+	}
+	r := NewReader(&buf)
+	for i := range uint64(3) {
+		var m peerpb.Up
+		if err := r.Next(&m); err != nil || m.GetAsk().GetSeq() != i {
+			t.Fatalf("message %d: %v %v", i, &m, err)
+		}
+	}
+	q = NewQueue()
+	for range 20_001 {
+		q.Send(&peerpb.Up{})
+	}
+	if err := q.Run(context.Background(), &buf, nil); err == nil {
+		t.Fatal("a queue without end went on")
+	}
+}
