--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -363,3 +363,25 @@
 		t.Fatalf("commands %v, want only the saving task stopped, with time to save", got)
 	}
 }
+
+// Urgent work is wanted within seconds; a victim that saves would take longer,
+// and has saved by itself not long ago.
+func TestUrgentWorkDoesNotWaitForSaves(t *testing.T) {
+	for rank, grace := range map[model.Rank]bool{model.Urgent: false, model.Standard: true} {
+		r := newRig(t)
+		r.own(1, 5, 4)
+		r.report(1, 5)
+		low := r.spec(1, model.Idle, 4)
+		low.Checkpoint, low.Save = 15*time.Second, 3*time.Second
+		r.give(low, 0, 1)
+		r.report(1, 5)
+		running := cell(1, 0, 1001, model.Running, 0)
+		r.report(1, 5, running)
+		r.now += 10 * time.Second
+		r.give(r.spec(2, rank, 4), 0, 1000)
+		got := r.report(1, 5, running)
+		if len(got) != 1 || got[0].Verb != model.Kill || (got[0].Grace >= low.Save) != grace {
+			t.Errorf("rank %d: commands %+v, time to save %v wanted", rank, got, grace)
+		}
+	}
+}
