--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -378,6 +378,7 @@
 		running := cell(1, 0, 1001, model.Running, 0)
 		r.report(1, 5, running)
 		r.now += 10 * time.Second
+		r.report(1, 5, running)
 		r.give(r.spec(2, rank, 4), 0, 1000)
 		got := r.report(1, 5, running)
 		if len(got) != 1 || got[0].Verb != model.Kill || (got[0].Grace >= low.Save) != grace {
