--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -11,13 +11,13 @@
 	return m.fenced && m.usable && !m.draining && !m.silent && m.noticeAt == 0 && now >= m.badUntil && !m.needToken && !s.quiet(now, m)
 }
 
-// level is the lowest price that runs on the machine. A machine that runs
+// level is the lowest priority that runs on the machine. A machine that runs
 // nothing counts as running the lowest there is.
-func (m *machine) level() float64 {
-	low, any := 0.0, false
+func (m *machine) level() model.Rank {
+	low, any := model.Idle, false
 	for _, sl := range m.slots {
-		if sl.t != nil && sl.state != exited && (!any || sl.t.price < low) {
-			low, any = sl.t.price, true
+		if sl.t != nil && sl.state != exited && (!any || sl.t.Spec.Rank < low) {
+			low, any = sl.t.Spec.Rank, true
 		}
 	}
 	return low
@@ -72,7 +72,7 @@
 // runs the lowest priority.
 func (s *Shard) roomFor(now time.Duration, g *group) *machine {
 	var best *machine
-	var bestLevel float64
+	var bestLevel model.Rank
 	for _, m := range s.order {
 		avail := m.Cap.Sub(m.used)
 		if !g.spec.Each.Fits(avail) || !s.allows(now, g, m) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 const (
 	keyLeader  = "leader"
 	keyTerm    = "term"
+	keyCatalog = "catalog"
 	openKeys   = "open/"
 	finalKeys  = "final/"
 	doneKeys   = "done/"
@@ -76,7 +77,9 @@
 	for i, t := range cfg.Cluster.Teams {
 		teams[i] = t.Name
 	}
-	share := 0.6 // one controller's part of the service's rates; the leader needs most
+	// One controller's part of the service's rates, so that all together stay
+	// below them; what is urgent does not wait for it.
+	share := 0.9 / float64(1+len(cfg.Siblings))
 	n := &Node{
 		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
 		state: state.New(cfg.Services.State, state.Limits{RPS: cfg.Cluster.State.RPS * share, WriteRPS: cfg.Cluster.State.WriteRPS * share}, 1500*time.Millisecond),
@@ -252,21 +255,48 @@
 	for ctx.Err() == nil {
 		pause := time.Minute
 		cat, err := n.cloud.Catalog(ctx)
+		fresh := err == nil
 		if err != nil {
 			n.log.Info("catalog not read", "err", err)
 			pause = time.Second
-		} else {
+			n.mu.Lock()
+			known := len(n.types) > 0
+			n.mu.Unlock()
+			if !known { // the last one that a leader read serves meanwhile
+				cat, err = n.storedCatalog(ctx)
+			}
+		}
+		if err == nil && cat != nil {
 			n.mu.Lock()
 			n.types = cat.MachineTypes(n.names)
-			if n.lead != nil {
-				n.lead.setTypes(n.types)
+			l := n.lead
+			if l != nil {
+				l.setTypes(n.types)
 			}
 			n.mu.Unlock()
+			if l != nil && fresh {
+				t := wire.Txn{Guards: []wire.Guard{l.guard}, Then: []wire.Op{{Put: keyCatalog, Value: encode(cat)}}}
+				if _, err := n.state.Txn(ctx, t); err != nil {
+					n.log.Debug("catalog not stored", "err", err)
+				}
+			}
 		}
 		sleep(ctx, pause)
 	}
 }
 
+func (n *Node) storedCatalog(ctx context.Context) (*wire.Catalog, error) {
+	it, err := n.state.Get(ctx, keyCatalog)
+	if err != nil {
+		return nil, err
+	}
+	var cat wire.Catalog
+	if err := json.Unmarshal(it.Value, &cat); err != nil {
+		return nil, fmt.Errorf("stored catalog: %w", err)
+	}
+	return &cat, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -292,7 +292,9 @@
 	// Refused by the state service while it answers the leader, this node can
 	// take nothing; in an outage all are alike, and none should be shunned.
 	refused := n.now()-n.stateAt > 3500*time.Millisecond && n.leaderStateAt > n.stateAt+2500*time.Millisecond
-	return len(n.types) > 0 && !refused
+	// Without the machine types it still answers polls and cancellations, which
+	// is better than no node at all.
+	return (len(n.types) > 0 || n.now() > 10*time.Second) && !refused
 }
 
 func (n *Node) rent(ctx context.Context, r wire.Rental) (ids []model.MachineID, refused, doubt bool) {
