--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -147,15 +147,13 @@
 	types    map[model.Name]model.MachineType
 	repriced time.Duration
 	balanced time.Duration
-	Bad      map[model.MachineID]bool // machines that fail tasks
 }
 
 // New returns a dealer for a term that begins now. No shard of an earlier term
 // acts beyond oldEnd.
 func New(p Params, oldEnd time.Duration) *Dealer {
 	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, suspects: map[model.MachineID]bool{},
-		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{},
-		Bad: map[model.MachineID]bool{}}
+		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
 
 // Orders takes away what shards must be told.
@@ -195,9 +193,6 @@
 	return d.lastID
 }
 
-// LastID is the newest shard's id.
-func (d *Dealer) LastID() model.ShardID { return d.lastID }
-
 // Attempts is the first of the attempt numbers that are a shard's alone.
 func (d *Dealer) Attempts(id model.ShardID) uint64 { return d.p.Term<<36 | uint64(id)<<22 }
 
@@ -366,9 +361,6 @@
 // has been accounted for.
 func (d *Dealer) Recovered() bool { return len(d.suspects) == 0 }
 
-// Suspects counts the machines not accounted for yet.
-func (d *Dealer) Suspects() int { return len(d.suspects) }
-
 // SetTypes takes the cloud's catalog.
 func (d *Dealer) SetTypes(types []model.MachineType) {
 	for _, t := range types {
@@ -482,9 +474,6 @@
 	}
 }
 
-// Knows tells whether a job is open here.
-func (d *Dealer) Knows(id model.JobID) bool { j := d.jobs[id]; return j != nil && !j.ended }
-
 // Gone takes the certainty that a machine and everything on it are gone.
 func (d *Dealer) Gone(id model.MachineID) {
 	if m := d.machines[id]; m != nil && !m.gone {
@@ -531,13 +520,6 @@
 // usable: a machine gets tasks only while its record is stored for sure.
 func (m *machine) usable() bool { return m.recorded && !m.lapsed && m.Cap.CPU > 0 }
 
-// Drain asks the shard to move a machine's tasks away.
-func (d *Dealer) Drain(id model.MachineID) {
-	if m := d.machines[id]; m != nil {
-		d.order(m.owner, model.Order{Kind: model.Drain, ID: id})
-	}
-}
-
 // Event takes an event of a shard.
 func (d *Dealer) Event(now time.Duration, from model.ShardID, e model.Event) {
 	if d.members[from] == nil {
@@ -597,8 +579,6 @@
 		}
 	case model.AlienGone:
 		delete(d.aliens, e.Attempt)
-	case model.Bad:
-		d.Bad[e.Machine] = true
 	}
 }
 
@@ -916,7 +896,6 @@
 		case !ok && !lost:
 		case m.gone:
 			delete(d.machines, m.ID)
-			delete(d.Bad, m.ID)
 		case m.lapsed:
 			m.recorded, m.dropping = false, false
 		}
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -250,7 +250,7 @@
 		t.Fatalf("writes %+v while it is being finished", more)
 	}
 	r.d.Stored(4*time.Second, w[0], 62, false, true) // cancelled meanwhile
-	if r.d.Knows(1) || len(r.orders(model.EndJob)) != 1 {
+	if r.d.jobs[1] != nil || len(r.orders(model.EndJob)) != 1 {
 		t.Fatal("an ended job goes on")
 	}
 }
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -26,7 +26,7 @@
 	Machine Machine   // Own
 	Token   uint64    // Own
 	Usable  bool      // Own, Use: tasks may be placed there
-	ID      MachineID // Disown, Use, Clear, Kill, Drain
+	ID      MachineID // Disown, Use, Clear, Kill
 	Deal    Deal      // Deal
 	Task    Task      // Recall, Clear, Kill
 	Attempt uint64    // Clear, Kill
@@ -44,7 +44,6 @@
 	Own           OrderKind = iota // this shard owns the machine under the token
 	Disown                         // the machine is surely gone
 	Use                            // Usable changed
-	Drain                          // place nothing there, move what is there
 	Give                           // Deal
 	Recall                         // give the task back: stop it where it runs
 	ClearIt                        // the attempt's exit is accounted for: clear it
@@ -88,7 +87,6 @@
 	Finished                    // a task completed
 	Gone                        // a task is nowhere, and this shard holds it no more
 	AlienGone                   // a found attempt that was not adopted is nowhere now
-	Bad                         // the machine fails tasks
 )
 
 // MachineStatus is a shard's summary of a machine.
@@ -100,7 +98,6 @@
 	Slots     int
 	IdleSince time.Duration
 	Bad       bool
-	Heard     time.Duration // last time its lease was renewed
 }
 
 // JobCount counts a job's tasks at a shard.
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -8,7 +8,7 @@
 )
 
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && !m.draining && !m.silent && m.noticeAt == 0 && now >= m.badUntil && !m.needToken && !s.quiet(now, m)
+	return m.fenced && m.usable && !m.silent && m.noticeAt == 0 && now >= m.badUntil && !m.needToken && !s.quiet(now, m)
 }
 
 // level is the lowest priority that runs on the machine. A machine that runs
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -72,7 +72,6 @@
 	first        uint64 // the token whose showing fences the worker
 	fenced       bool
 	usable       bool
-	draining     bool
 	session, seq uint64
 	answered     time.Duration
 	silent       bool
@@ -191,10 +190,6 @@
 		if m := s.machines[o.ID]; m != nil {
 			m.usable = o.Usable
 		}
-	case model.Drain:
-		if m := s.machines[o.ID]; m != nil {
-			m.draining = true
-		}
 	case model.Give:
 		s.give(now, o.Deal)
 	case model.Recall:
@@ -654,7 +649,6 @@
 	m.badUntil = max(m.badUntil, now+5*time.Second)
 	if len(jobs) >= 2 || len(m.errors) >= 4 {
 		m.badUntil = now + 2*time.Minute
-		s.emit(model.Event{Kind: model.Bad, Machine: m.ID})
 	}
 }
 
@@ -821,7 +815,7 @@
 			m.silent, m.told = true, now
 			s.emit(model.Event{Kind: model.Silent, Machine: m.ID, Token: m.token})
 		}
-		if m.noticeAt != 0 || m.draining {
+		if m.noticeAt != 0 {
 			s.evacuate(now, m)
 		}
 		if s.quiet(now, m) {
@@ -868,12 +862,6 @@
 			s.stop(now, m, sl, 0)
 			continue
 		}
-		if m.noticeAt == 0 { // a drain without haste
-			if sp.Daemon || sp.Checkpoint > 0 {
-				s.stop(now, m, sl, graceOf(sp))
-			}
-			continue
-		}
 		left := m.noticeAt - now
 		var ran time.Duration
 		if sl.runSince != 0 {
@@ -896,8 +884,8 @@
 	out := make([]model.MachineStatus, 0, len(s.order))
 	for _, m := range s.order {
 		out = append(out, model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
-			Draining: m.draining || m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince,
-			Bad: now < m.badUntil, Heard: m.answered})
+			Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince,
+			Bad: now < m.badUntil})
 	}
 	return out
 }
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -324,18 +324,9 @@
 	r.give(r.spec(2, model.Standard, 2), 0, 10)
 	r.report(1, 5)
 	r.report(1, 5, cell(1, 0, 1001, model.Exited, model.CauseError), cell(2, 0, 1002, model.Exited, model.CauseError))
-	bad := 0
-	gone := 0
-	for _, e := range r.s.Events() {
-		switch e.Kind {
-		case model.Bad:
-			bad++
-		case model.Gone:
-			gone++
-		}
-	}
-	if bad == 0 || gone != 2 {
-		t.Fatalf("bad %d, gone %d: want the machine condemned and both tasks back", bad, gone)
+	gone := r.events(model.Gone)
+	if !r.s.Status(r.now)[0].Bad || len(gone) != 2 {
+		t.Fatalf("gone %v: want the machine condemned and both tasks back", gone)
 	}
 }
 
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -32,6 +32,8 @@
 	local  model.ShardID
 	links  map[model.ShardID]*link
 	hosts  map[string]bool
+	known  map[model.JobID]bool
+	newest model.ShardID
 	loaded bool
 	fresh  time.Duration
 	asking bool
@@ -137,7 +139,7 @@
 	if !leading || c.lead != nil {
 		return
 	}
-	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{}, hosts: map[string]bool{}, fresh: now}
+	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{}, hosts: map[string]bool{}, known: map[model.JobID]bool{}, fresh: now}
 	c.lead = l
 	c.w.note("%s leads term %d", c.host, l.term)
 	end := now + c.w.p.ttl + time.Second
@@ -205,7 +207,8 @@
 		for id := range c.w.p.jobs {
 			if o, ok := snap.open[model.JobID(id)]; ok {
 				known[o.spec.ID] = true
-				fresh := !l.d.Knows(o.spec.ID)
+				fresh := !l.known[o.spec.ID]
+				l.known[o.spec.ID] = true
 				l.d.AddJob(now, o.spec, o.version, 0, o.version <= l.guard)
 				if fresh {
 					for i, b := range snap.done[o.spec.ID] {
@@ -266,12 +269,9 @@
 	if !l.loaded {
 		return
 	}
-	for id := model.ShardID(1); id < 10000 && len(l.links) > 0; id++ {
+	for id := model.ShardID(1); id <= l.newest; id++ {
 		k := l.links[id]
 		if k == nil {
-			if id > l.d.LastID() {
-				break
-			}
 			continue
 		}
 		if now-k.heard > 2500*time.Millisecond {
@@ -482,7 +482,7 @@
 					if o.lead != l || !o.up {
 						return
 					}
-					for id := model.ShardID(1); id <= l.d.LastID(); id++ {
+					for id := model.ShardID(1); id <= l.newest; id++ {
 						if x := l.links[id]; x != nil && x.host == c.host {
 							x.dead = true
 							delete(l.links, id)
@@ -490,6 +490,7 @@
 						}
 					}
 					id := l.d.Join(c.host)
+					l.newest = id
 					k.heard = o.now()
 					l.hosts[c.host] = true
 					if len(l.hosts) == c.w.p.controllers-1 {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -61,11 +61,11 @@
 	if diff := cmp.Diff(e, got); diff != "" {
 		t.Fatal(diff)
 	}
-	ms := []model.MachineStatus{{Machine: model.Machine{ID: 4}, Avail: model.Capacity(1, 2, 3), Ready: true, Slots: 2, IdleSince: 8 * time.Second, Heard: 9 * time.Second}}
+	ms := []model.MachineStatus{{Machine: model.Machine{ID: 4}, Avail: model.Capacity(1, 2, 3), Ready: true, Slots: 2, IdleSince: 8 * time.Second}}
 	jobs := map[model.JobID]model.JobCount{7: {Waiting: 1, Running: 2}}
 	up := NewCodec(a).Status(10*time.Second, ms, jobs, 5).GetStatus()
 	gotMS, gotJobs := NewCodec(b).FromStatus(20*time.Second, up)
-	ms[0].IdleSince, ms[0].Heard = 18*time.Second, 19*time.Second
+	ms[0].IdleSince = 18 * time.Second
 	if diff := cmp.Diff(ms, gotMS); diff != "" {
 		t.Fatal(diff)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,7 +38,6 @@
 	SaveS       *float64 `json:"CapS"`
 	DeadlineS   *float64 `json:"HarvestS,omitempty"`
 	SubmittedMS int64    `json:"SubmittedMs,omitempty"`
-	VettedTypes bool     `json:"-"`
 }
 
 const (
