dealer: a machine of unknown type counts without bound until it is accounted for

Found by reading: with the catalog not read yet, or a type gone from it, such a machine was charged with nothing, and quota rests on that charge.

--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// boundless is more than there is of anything.
+const boundless = int64(1) << 40
+
 // exposure is what may run unseen: all of every machine that an earlier leader
 // may have used, and of every machine with an attempt that must go.
 func (d *Dealer) exposure() model.Resources {
@@ -56,7 +59,11 @@
 	add := func(id model.MachineID) {
 		if m := d.machines[id]; m != nil && !seen[id] {
 			seen[id] = true
-			sum = sum.Add(m.Cap)
+			c := m.Cap
+			if c.CPU == 0 { // of a type that the catalog does not have (yet)
+				c = model.Resources{CPU: boundless, GPU: boundless}
+			}
+			sum = sum.Add(c)
 		}
 	}
 	for id := range d.suspects {
@@ -70,7 +77,6 @@
 
 // headroom is what a team may still be dealt.
 func (d *Dealer) headroom(team model.Name, exposure model.Resources) model.Resources {
-	const boundless = int64(1) << 50
 	l := d.p.Teams[team].Limit
 	u := d.usage[team].Add(exposure)
 	left := func(limit, used int64) int64 {
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -126,6 +126,20 @@
 	}
 }
 
+// What a machine of a type that the catalog lacks may hold is anybody's guess.
+func TestUnseenMachineOfUnknownTypeStopsDealing(t *testing.T) {
+	r := newRig(t, 1000)
+	s := r.d.Join("a")
+	r.d.Recorded(model.Machine{ID: 1, Addr: "x", Type: 9}, 4, s)
+	r.machine(0, 2, s)
+	r.status(0, s, 2)
+	r.job(2, 4, false)
+	r.d.Deal(time.Second)
+	if n := len(r.orders(model.Give)); n != 0 {
+		t.Fatalf("%d tasks dealt", n)
+	}
+}
+
 // A lost shard may act until its grant ends, and its workers keep their tasks
 // for a lease after that.
 func TestLostShardsTasksStayChargedUntilItsMachinesAreAccountedFor(t *testing.T) {
