dealer: spread machines over the controllers, one at a time, by 421 and Keeper

A machine moves from the shard with most to the one with fewest when they are three (or an eighth) apart; a worker that turns up elsewhere bars its zone from that controller for two minutes.

--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -50,6 +50,7 @@
 	deals    uint64 // sent
 	acked    uint64 // as of its newest status
 	statusAt time.Duration
+	joined   time.Duration
 }
 
 type clearing struct {
@@ -99,6 +100,8 @@
 	authority time.Duration
 	lost      time.Duration // authority of this term's lost shards alone
 	groups    []*adrift
+	movedTo   model.ShardID // its worker was told to report there
+	movedAt   time.Duration
 }
 
 // alien is an attempt that must go; it runs unaccounted until it has.
@@ -147,12 +150,14 @@
 	types    map[model.Name]model.MachineType
 	repriced time.Duration
 	balanced time.Duration
+	spreadAt time.Duration
+	shunned  map[reach]time.Duration // controllers that a zone's workers did not reach
 }
 
 // New returns a dealer for a term that begins now. No shard of an earlier term
 // acts beyond oldEnd.
 func New(p Params, oldEnd time.Duration) *Dealer {
-	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, suspects: map[model.MachineID]bool{},
+	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, suspects: map[model.MachineID]bool{},
 		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
 
@@ -187,9 +192,9 @@
 }
 
 // Join takes a new shard and returns its id.
-func (d *Dealer) Join(host string) model.ShardID {
+func (d *Dealer) Join(now time.Duration, host string) model.ShardID {
 	d.lastID++
-	d.members[d.lastID] = &member{id: d.lastID, host: host}
+	d.members[d.lastID] = &member{id: d.lastID, host: host, joined: now}
 	return d.lastID
 }
 
@@ -280,6 +285,7 @@
 
 // Tick settles what time alone decides.
 func (d *Dealer) Tick(now time.Duration) {
+	d.spread(now)
 	for _, m := range d.sortedMachines() {
 		if d.suspects[m.ID] {
 			m.authority = max(d.oldEnd, m.lost)
@@ -604,6 +610,9 @@
 
 func (d *Dealer) unowned(now time.Duration, from model.ShardID, r *model.Report) {
 	m := d.machines[r.Machine.ID]
+	if m != nil {
+		d.arrived(now, m, from)
+	}
 	switch {
 	case m == nil:
 		t, ok := d.types[r.Machine.Type]
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -57,7 +57,7 @@
 
 func TestQuotaIsChargedWhenDealt(t *testing.T) {
 	r := newRig(t, 6)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	r.machine(0, 1, s)
 	r.status(0, s, 1)
 	r.job(1, 4, false)
@@ -81,7 +81,7 @@
 // An old job's tasks may be on any recorded machine until each is accounted for.
 func TestNewLeaderWaitsForTheMachinesOfTheOld(t *testing.T) {
 	r := newRig(t, 100)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4, s)
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
@@ -115,7 +115,7 @@
 // against every team's limit.
 func TestUnseenMachineIsChargedInFull(t *testing.T) {
 	r := newRig(t, 9)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4, s)
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
@@ -129,7 +129,7 @@
 // What a machine of a type that the catalog lacks may hold is anybody's guess.
 func TestUnseenMachineOfUnknownTypeStopsDealing(t *testing.T) {
 	r := newRig(t, 1000)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	r.d.Recorded(model.Machine{ID: 1, Addr: "x", Type: 9}, 4, s)
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
@@ -144,7 +144,7 @@
 // for a lease after that.
 func TestLostShardsTasksStayChargedUntilItsMachinesAreAccountedFor(t *testing.T) {
 	r := newRig(t, 100)
-	a, b := r.d.Join("a"), r.d.Join("b")
+	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
 	r.machine(0, 1, a)
 	r.machine(0, 2, b)
 	r.status(0, a, 1)
@@ -170,7 +170,7 @@
 // under a token never used before; its tasks are adopted where they are found.
 func TestMovedWorkerGetsOneOwnerAtATime(t *testing.T) {
 	r := newRig(t, 100)
-	a, b := r.d.Join("a"), r.d.Join("b")
+	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
 	r.machine(0, 1, a)
 	first := r.orders(model.Own)
 	r.status(0, a, 1)
@@ -204,7 +204,7 @@
 
 func TestUnknownAttemptIsKilledAndChargedUntilGone(t *testing.T) {
 	r := newRig(t, 9)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	r.machine(0, 1, s)
 	r.machine(0, 2, s)
 	r.d.Orders()
@@ -229,7 +229,7 @@
 
 func TestDoneIsClearedAfterItsChunkIsStoredAndJobFinishesOnce(t *testing.T) {
 	r := newRig(t, 100)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	r.machine(0, 1, s)
 	r.status(0, s, 1)
 	r.job(1, 2, false)
@@ -271,7 +271,7 @@
 
 func TestTogetherAndSpread(t *testing.T) {
 	r := newRig(t, 100)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	for id := range model.MachineID(4) {
 		m := model.Machine{ID: id, Zone: model.Name(id % 2)}
 		r.d.Event(0, s, model.Event{Kind: model.Unowned, Machine: id, Report: &model.Report{Machine: m}})
@@ -317,7 +317,7 @@
 
 func TestAttemptsAndTokensAreNeverReused(t *testing.T) {
 	r := newRig(t, 100)
-	a, b := r.d.Join("a"), r.d.Join("b")
+	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
 	if r.d.Attempts(a)+1<<22 > r.d.Attempts(b) {
 		t.Fatal("ranges of attempts overlap")
 	}
@@ -340,7 +340,7 @@
 // put again before it gets tasks, for the drop may be applied late.
 func TestLapsedMachineLosesItsRecordUntilItIsBack(t *testing.T) {
 	r := newRig(t, 100)
-	s := r.d.Join("a")
+	s := r.d.Join(0, "a")
 	r.machine(0, 1, s)
 	token := r.orders(model.Own)[0].Token
 	lapse := func(now time.Duration) {
@@ -377,3 +377,42 @@
 		t.Fatalf("writes %+v, want the new record dropped", w)
 	}
 }
+
+// Machines are evened out one at a time; a worker that turns up elsewhere could
+// not reach the controller it was sent to, and its zone is sent there no more.
+func TestMachinesAreSpreadGently(t *testing.T) {
+	r := newRig(t, 100)
+	a := r.d.Join(0, "a")
+	r.d.Join(0, "b")
+	for id := range model.MachineID(6) {
+		r.machine(0, id, a)
+	}
+	r.d.Orders()
+	r.d.Tick(5 * time.Second)
+	if o := r.orders(model.Release); len(o) != 0 {
+		t.Fatalf("%v moved to a shard that has just joined", o)
+	}
+	r.d.Tick(11 * time.Second)
+	o := r.orders(model.Release)
+	if len(o) != 1 || o[0].To != a || o[0].Keeper != "b" {
+		t.Fatalf("orders %+v, want one machine sent to b", o)
+	}
+	r.d.Tick(15 * time.Second)
+	if o := r.orders(model.Release); len(o) != 0 {
+		t.Fatalf("%v while one is on its way", o)
+	}
+	id := o[0].ID
+	r.d.Event(15*time.Second, a, model.Event{Kind: model.Released, Machine: id})
+	// It comes back to a.
+	r.d.Event(16*time.Second, a, model.Event{Kind: model.Unowned, Machine: id, Report: &model.Report{Machine: model.Machine{ID: id}}})
+	r.d.Event(16*time.Second, a, model.Event{Kind: model.Fenced, Machine: id})
+	r.d.Orders()
+	r.d.Tick(30 * time.Second)
+	if o := r.orders(model.Release); len(o) != 0 {
+		t.Fatalf("%v sent to a controller that its zone can't reach", o)
+	}
+	r.d.Tick(10 * time.Minute)
+	if o := r.orders(model.Release); len(o) != 1 || o[0].Keeper != "b" {
+		t.Fatalf("orders %v, want another try later", o)
+	}
+}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -149,7 +149,7 @@
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: []dealer.Team{{Limit: teamLimit}, {Limit: teamLimit}}, ChunkSize: 64,
 		Progress: time.Second, Ahead: 4, SureLease: c.sureLease()}, end)
 	l.d.SetTypes([]model.MachineType{theType})
-	l.local = l.d.Join(c.host)
+	l.local = l.d.Join(now, c.host)
 	c.seat = c.newSeat(l.d.Attempts(l.local))
 	c.seat.id = l.local
 	c.seat.s.Grant(c.el.Deadline())
@@ -489,7 +489,7 @@
 							l.lose(id, o.now())
 						}
 					}
-					id := l.d.Join(c.host)
+					id := l.d.Join(o.now(), c.host)
 					l.newest = id
 					k.heard = o.now()
 					l.hosts[c.host] = true
@@ -527,6 +527,7 @@
 		return
 	}
 	life := c.life
+	keeper := ""
 	try := func() bool {
 		now := c.now()
 		if !c.up || c.life != life || c.seat == nil || !c.seat.s.Granted(now) || c.lead != nil && !c.lead.loaded {
@@ -541,6 +542,7 @@
 			}
 		}
 		if !ok {
+			keeper = s.Moved(r.Machine.ID)
 			c.pump()
 			return false
 		}
@@ -553,7 +555,6 @@
 		return a.OK
 	}
 	refuse := func() {
-		keeper := ""
 		if c.up && c.life == life && c.lead == nil && c.seat == nil {
 			keeper = c.el.Holder()
 		}
@@ -562,7 +563,7 @@
 	if try() {
 		return
 	}
-	if c.seat == nil {
+	if c.seat == nil || keeper != "" {
 		refuse()
 		return
 	}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -86,7 +86,7 @@
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
 	}
-	l.local = l.d.Join(n.cfg.HostName)
+	l.local = l.d.Join(now, n.cfg.HostName)
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
 	l.f = fleet.New(fleet.Params{Term: l.term, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -423,7 +423,7 @@
 			l.d.Lost(id, now)
 		}
 	}
-	id := l.d.Join(host)
+	id := l.d.Join(now, host)
 	l.links[id] = k
 	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id)}}})
 	l.n.log.Info("member joined", "host", host, "shard", id)
