--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -235,3 +236,41 @@
 		t.Errorf("a service above its team's limit got %d", st)
 	}
 }
+
+// With the state service silent, users' requests pile up: more than a few are
+// told at once to come back, and workers are answered all the while.
+func TestOverloadShedsUsersNotWorkers(t *testing.T) {
+	silent, err := net.Listen("tcp4", "127.0.0.1:0") // takes connections, answers nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	c := &controller{cfg: &config.Platform{HostName: "hive-0", Bind: freeAddr(t), PeerListen: freeAddr(t)}}
+	c.cfg.Services.State, c.cfg.Services.Cloud = silent.Addr().String(), silent.Addr().String()
+	c.cfg.Cluster.Workers.ReportS, c.cfg.Cluster.Workers.LeaseS, c.cfg.Cluster.Workers.CancelS = 1, 10, 40
+	c.cfg.Cluster.State.RPS, c.cfg.Cluster.State.WriteRPS, c.cfg.Cluster.State.ValueKB, c.cfg.Cluster.State.TxnOps = 1e6, 1e6, 16, 16
+	c.cfg.Cluster.Cloud.RPS = 10
+	c.cfg.Cluster.Resources.MemMB, c.cfg.Cluster.Resources.FDLimit = 300, 500
+	c.start(t)
+	until(t, "the port is open", func() bool { st, _ := call(c, http.MethodGet, "/metrics", nil); return st == http.StatusOK })
+	answers := make(chan int, 150)
+	for range 150 {
+		go func() {
+			st, _ := call(c, http.MethodGet, "/v1/jobs/job-000001", nil)
+			answers <- st
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	if st, _ := call(c, http.MethodPost, "/agent/beat", object{"Hive": "m-000001", "Breed": "g8", "Yard": "a", "Flight": 1, "Buzz": 1}); st != http.StatusMisdirectedRequest || time.Since(began) > time.Second {
+		t.Errorf("a worker got %d after %v", st, time.Since(began))
+	}
+	if n := len(answers); n < 50 {
+		t.Errorf("%d of 150 users were answered at once", n)
+	}
+	for range 150 {
+		if st := <-answers; st != http.StatusServiceUnavailable {
+			t.Errorf("a user got %d", st)
+		}
+	}
+}
