core: one order of tasks, one way to drop an attempt, nothing computed unread

Taken out, for nobody read them: the run time in completions, a shard's last acknowledged deal, the time of placement. Behaviour as before.

--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -5,6 +5,7 @@
 package dealer
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"time"
@@ -48,7 +49,6 @@
 	status   []model.MachineStatus
 	jobs     map[model.JobID]model.JobCount
 	deals    uint64 // sent
-	acked    uint64 // as of its newest status
 	statusAt time.Duration
 	joined   time.Duration
 }
@@ -187,7 +187,7 @@
 	for _, m := range d.members {
 		out = append(out, m)
 	}
-	slices.SortFunc(out, func(a, b *member) int { return int(a.id) - int(b.id) })
+	slices.SortFunc(out, func(a, b *member) int { return cmp.Compare(a.id, b.id) })
 	return out
 }
 
@@ -248,12 +248,7 @@
 	for t := range g.tasks {
 		tasks = append(tasks, t)
 	}
-	slices.SortFunc(tasks, func(a, b model.Task) int {
-		if a.Job != b.Job {
-			return int(int64(a.Job) - int64(b.Job))
-		}
-		return int(a.No - b.No)
-	})
+	slices.SortFunc(tasks, model.Task.Compare)
 	for _, t := range tasks {
 		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
 			d.freed(j, t.No)
@@ -316,7 +311,7 @@
 	if acked < m.deals && now-m.statusAt < time.Second {
 		return
 	}
-	m.status, m.acked, m.statusAt = status[:0:0], acked, now
+	m.status, m.statusAt = status[:0:0], now
 	for _, st := range status {
 		if r := d.machines[st.Machine.ID]; r != nil && r.owner == id {
 			st.Machine = r.Machine
@@ -387,7 +382,7 @@
 	for _, m := range d.machines {
 		out = append(out, m)
 	}
-	slices.SortFunc(out, func(a, b *machine) int { return int(int64(a.ID) - int64(b.ID)) })
+	slices.SortFunc(out, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -432,10 +427,10 @@
 }
 
 // AddDone takes a stored chunk of a job's done set.
-func (d *Dealer) AddDone(id model.JobID, chunk int32, b []byte) bool {
+func (d *Dealer) AddDone(id model.JobID, chunk int32, b []byte) {
 	j := d.jobs[id]
 	if j == nil {
-		return false
+		return
 	}
 	base := chunk * d.p.ChunkSize
 	for i, x := range b {
@@ -445,7 +440,6 @@
 			}
 		}
 	}
-	return true
 }
 
 func (j *job) isDone(no int32) bool { return j.done[no/64]&(1<<(no%64)) != 0 }
@@ -942,10 +936,7 @@
 		out = append(out, j)
 	}
 	slices.SortFunc(out, func(a, b *job) int {
-		if a.spec.SubmittedMS != b.spec.SubmittedMS {
-			return int(a.spec.SubmittedMS - b.spec.SubmittedMS)
-		}
-		return int(int64(a.spec.ID) - int64(b.spec.ID))
+		return cmp.Or(cmp.Compare(a.spec.SubmittedMS, b.spec.SubmittedMS), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
 	return out
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -175,7 +176,7 @@
 	}
 	var out []Action
 	rooms := f.rooms(now, status)
-	unmet := f.unmet(rooms, demand, limit)
+	unmet := unmet(rooms, demand, limit)
 	if !f.renting {
 		if f.again != nil {
 			out = append(out, *f.again)
@@ -222,7 +223,7 @@
 		}
 		out = append(out, room{m: model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot, Cap: t.Cap}, avail: t.Cap})
 	}
-	slices.SortFunc(out, func(a, b room) int { return int(int64(a.m.ID) - int64(b.m.ID)) })
+	slices.SortFunc(out, func(a, b room) int { return cmp.Compare(a.m.ID, b.m.ID) })
 	return out
 }
 
@@ -235,7 +236,7 @@
 }
 
 // unmet is the waiting work for which there is no room, now or soon.
-func (f *Fleet) unmet(rooms []room, demand []Demand, limit func(model.Name) model.Resources) []lack {
+func unmet(rooms []room, demand []Demand, limit func(model.Name) model.Resources) []lack {
 	left := map[model.Name]int64{}
 	for _, d := range demand {
 		t := d.Need.Spec.Team
@@ -432,7 +433,10 @@
 	}
 	for i := range rooms {
 		r := &rooms[i]
-		if r.status == nil || r.used || r.status.Slots > 0 || now-r.status.IdleSince < f.patience(&r.m, slackening) || now-f.want < f.patience(&r.m, slackening)/2 {
+		if r.status == nil || r.used || r.status.Slots > 0 {
+			continue
+		}
+		if p := f.patience(&r.m, slackening); now-r.status.IdleSince < p || now-f.want < p/2 {
 			continue
 		}
 		if u := f.units[r.m.ID]; u != nil && !u.drop && u.silent == 0 {
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -62,12 +62,11 @@
 	Report  *Report // Unowned
 	Task    Task
 	Attempt uint64
-	Cell    Cell          // Found
-	Cause   Cause         // Gone
-	Ran     time.Duration // Done: time that it ran, if known
-	Token   uint64        // Superseded
-	Held    bool          // Finished: the task held here ended with it
-	Tasks   []Task        // Released: tasks that were on the machine
+	Cell    Cell   // Found
+	Cause   Cause  // Gone
+	Token   uint64 // Superseded
+	Held    bool   // Finished: the task held here ended with it
+	Tasks   []Task // Released: tasks that were on the machine
 }
 
 // EventKind tells events apart.
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -4,6 +4,7 @@
 package model
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -119,6 +120,11 @@
 	No  int32
 }
 
+// Compare orders tasks by job, then by number.
+func (t Task) Compare(o Task) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.No, o.No))
+}
+
 // Machine is what is fixed about a machine.
 type Machine struct {
 	ID         MachineID
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,13 +38,7 @@
 		groups = append(groups, g)
 	}
 	slices.SortFunc(groups, func(a, b *group) int {
-		switch x, y := a.score(now), b.score(now); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return int(int64(a.job) - int64(b.job))
+		return cmp.Or(cmp.Compare(b.score(now), a.score(now)), cmp.Compare(a.job, b.job))
 	})
 	for _, g := range groups {
 		// Each waiting task is tried once a round, whatever evictions put back.
@@ -107,10 +102,7 @@
 // loss is the work that a victim loses: all of its run time, or what it has
 // done since it last saved by itself.
 func loss(now time.Duration, sl *slot) time.Duration {
-	if sl.runSince == 0 {
-		return 0
-	}
-	ran := now - sl.runSince
+	ran := sl.ran(now)
 	if cp := sl.t.Spec.Checkpoint; cp > 0 {
 		ran %= cp
 	}
@@ -215,7 +207,7 @@
 
 func (s *Shard) put(now time.Duration, m *machine, t *task) {
 	s.attempt++
-	sl := &slot{key: key{t.Task, s.attempt}, t: t, each: t.Spec.Each, since: now}
+	sl := &slot{key: key{t.Task, s.attempt}, t: t, each: t.Spec.Each}
 	m.slots[sl.key] = sl
 	m.used = m.used.Add(sl.each)
 	m.images[t.Spec.Image] = true
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -5,6 +5,7 @@
 package shard
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -62,10 +63,17 @@
 	hardAt   time.Duration // a saving task is ended then
 	clear    bool
 	alien    bool          // found, and not adopted
-	since    time.Duration // placed
 	runSince time.Duration // first seen running
 }
 
+// ran is how long the attempt has been seen running.
+func (sl *slot) ran(now time.Duration) time.Duration {
+	if sl.runSince == 0 {
+		return 0
+	}
+	return now - sl.runSince
+}
+
 type machine struct {
 	model.Machine
 	token, shown uint64
@@ -285,7 +293,7 @@
 		m = &machine{Machine: o.Machine, first: o.Token, answered: now, idleSince: now,
 			slots: map[key]*slot{}, images: map[model.Name]bool{}}
 		s.machines[m.ID] = m
-		i, _ := slices.BinarySearchFunc(s.order, m, func(a, b *machine) int { return int(int64(a.ID) - int64(b.ID)) })
+		i, _ := slices.BinarySearchFunc(s.order, m, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
 		s.order = slices.Insert(s.order, i, m)
 	}
 	m.Machine = o.Machine
@@ -476,13 +484,7 @@
 		out = append(out, sl)
 	}
 	slices.SortFunc(out, func(a, b *slot) int {
-		if a.task != b.task {
-			if a.task.Job != b.task.Job {
-				return int(int64(a.task.Job) - int64(b.task.Job))
-			}
-			return int(a.task.No - b.task.No)
-		}
-		return int(int64(a.attempt) - int64(b.attempt))
+		return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.attempt, b.attempt))
 	})
 	return out
 }
@@ -587,7 +589,7 @@
 func (s *Shard) cell(now time.Duration, m *machine, k key, c model.Cell) {
 	sl := m.slots[k]
 	if sl == nil {
-		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, since: now, alien: true}
+		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, alien: true}
 		m.slots[k] = sl
 		if c.Stage == model.Exited {
 			sl.state, sl.alien = exited, false
@@ -617,12 +619,8 @@
 			delete(s.tasks, t.Task)
 		}
 		s.alienGone(sl)
-		var ran time.Duration
-		if sl.runSince != 0 {
-			ran = now - sl.runSince
-		}
 		// Cleared once its completion is stored.
-		s.emit(model.Event{Kind: model.Finished, Machine: m.ID, Task: k.task, Attempt: k.attempt, Ran: ran, Held: held})
+		s.emit(model.Event{Kind: model.Finished, Machine: m.ID, Task: k.task, Attempt: k.attempt, Held: held})
 		return
 	case model.CauseError:
 		s.Stats.Errors++
@@ -656,10 +654,7 @@
 func (s *Shard) absent(now time.Duration, m *machine, sl *slot, r *model.Report, isReport bool) {
 	switch sl.state {
 	case exited: // cleared
-		delete(m.slots, sl.key)
-		if len(m.slots) == 0 {
-			m.idleSince = now
-		}
+		s.drop(now, m, sl)
 	case live: // the worker knew it and knows it no more
 		s.drop(now, m, sl)
 		s.landed(now, sl, model.CauseStopped)
@@ -863,17 +858,13 @@
 			continue
 		}
 		left := m.noticeAt - now
-		var ran time.Duration
-		if sl.runSince != 0 {
-			ran = now - sl.runSince
-		}
 		switch {
 		case sp.Checkpoint > 0 || sp.Daemon:
 			// The notice may be half its nominal value: do not cut it fine.
 			if left/2 < graceOf(sp)+s.p.Report {
 				s.stop(now, m, sl, graceOf(sp))
 			}
-		case sl.stage == model.Fetching || sp.Estimate-ran > left:
+		case sl.stage == model.Fetching || sp.Estimate-sl.ran(now) > left:
 			s.stop(now, m, sl, 0)
 		}
 	}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 	"honeylock/internal/config"
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/fleet"
+	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/peer/peerpb"
 	"honeylock/internal/state"
@@ -495,7 +497,7 @@
 			t.Then = append(t.Then, wire.Op{Put: chunkKey(w.Job, w.Chunk), Value: encode(wire.Chunk{Bits: w.Bits})})
 		case dealer.Finish:
 			t.Guards = append(t.Guards, wire.Guard{Key: openKeys + wire.JobName(w.Job), Version: w.Version})
-			t.Then = append(t.Then, finalOps(w.Job, "done")...)
+			t.Then = append(t.Then, finalOps(w.Job, jobs.Done)...)
 			for c := range w.Chunks {
 				t.Then = append(t.Then, wire.Op{Delete: chunkKey(w.Job, c)})
 			}
@@ -525,9 +527,9 @@
 }
 
 // finalOps ends a job: from its open record to its final one.
-func finalOps(id model.JobID, stage string) []wire.Op {
+func finalOps(id model.JobID, stage jobs.Stage) []wire.Op {
 	name := wire.JobName(id)
-	return []wire.Op{{Delete: openKeys + name}, {Put: finalKeys + name, Value: encode(wire.Final{Stage: stage})}}
+	return []wire.Op{{Delete: openKeys + name}, {Put: finalKeys + name, Value: encode(wire.Final{Stage: string(stage)})}}
 }
 
 func (l *leadership) runFleet(now time.Duration) {
@@ -602,7 +604,7 @@
 			out = append(out, fleet.Listed{ID: id, Type: n.names.Types.ID(m.Type), Zone: n.names.Zones.ID(m.Zone), Spot: m.Spot,
 				Failed: m.Stage == "failed", Age: config.Seconds(m.AgeS)})
 		}
-		slices.SortFunc(out, func(a, b fleet.Listed) int { return int(int64(a.ID) - int64(b.ID)) })
+		slices.SortFunc(out, func(a, b fleet.Listed) int { return cmp.Compare(a.ID, b.ID) })
 		l.f.List(n.now(), out)
 		n.mu.Unlock()
 		sleep(l.ctx, 4*time.Second)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -174,7 +174,7 @@
 		t.Then = []wire.Op{{Put: openKey, Value: encode(sub)}}
 	} else {
 		t.Guards = []wire.Guard{{Key: openKey, Version: op.Version}}
-		t.Then = finalOps(id, string(jobs.Cancelled))
+		t.Then = finalOps(id, jobs.Cancelled)
 	}
 	_, err := n.state.Txn(state.Urgent(ctx), t)
 	switch {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -40,7 +40,7 @@
 // Event encodes a shard's event.
 func (c *Codec) Event(e *model.Event) *peerpb.Up {
 	p := &peerpb.Event{Kind: uint32(e.Kind), Machine: uint64(e.Machine), Task: task(e.Task), Attempt: e.Attempt,
-		Stage: uint32(e.Cell.Stage), CellCause: uint32(e.Cell.Cause), Cause: uint32(e.Cause), RanUs: e.Ran.Microseconds(),
+		Stage: uint32(e.Cell.Stage), CellCause: uint32(e.Cell.Cause), Cause: uint32(e.Cause),
 		Token: e.Token, Held: e.Held}
 	if e.Report != nil {
 		p.Reporter = c.machine(&e.Report.Machine)
@@ -56,7 +56,7 @@
 	t := fromTask(p.GetTask())
 	e := model.Event{Kind: model.EventKind(p.GetKind()), Machine: model.MachineID(p.GetMachine()), Task: t, Attempt: p.GetAttempt(),
 		Cell:  model.Cell{Task: t, Attempt: p.GetAttempt(), Stage: model.Stage(p.GetStage()), Cause: model.Cause(p.GetCellCause())},
-		Cause: model.Cause(p.GetCause()), Ran: time.Duration(p.GetRanUs()) * time.Microsecond, Token: p.GetToken(), Held: p.GetHeld()}
+		Cause: model.Cause(p.GetCause()), Token: p.GetToken(), Held: p.GetHeld()}
 	if r := p.GetReporter(); r != nil {
 		e.Report = &model.Report{Machine: c.fromMachine(r)}
 	}
