--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -125,6 +125,7 @@
 	if len(jobs) == 0 || len(members) == 0 {
 		return
 	}
+	d.open(jobs, members)
 	score := func(j *job) float64 { return j.price * (now - j.since + time.Second/10).Seconds() }
 	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(score(b), score(a)) })
 	exposure := d.exposure()
@@ -169,9 +170,9 @@
 	if j.pinned() {
 		zones = zones[:0]
 		for _, m := range members {
-			for _, r := range m.status {
-				if !slices.Contains(zones, r.Machine.Zone) {
-					zones = append(zones, r.Machine.Zone)
+			for _, r := range m.rooms {
+				if !slices.Contains(zones, r.Zone) {
+					zones = append(zones, r.Zone)
 				}
 			}
 		}
@@ -195,7 +196,7 @@
 				can = min(can, int64(j.spec.Tasks+1)/2-perZone[z])
 			}
 			for _, m := range members {
-				if f := fits(j.spec, m.status, z, can, false); f > best.n {
+				if f := m.fits(j.spec, z, can, false); f > best.n {
 					best = part{m, z, f}
 				}
 			}
@@ -203,7 +204,7 @@
 		if best.n == 0 {
 			break
 		}
-		fits(j.spec, best.to.status, best.zone, best.n, true)
+		best.to.fits(j.spec, best.zone, best.n, true)
 		perZone[best.zone] += best.n
 		n -= best.n
 		out = append(out, best)
@@ -216,7 +217,7 @@
 	for _, z := range zones {
 		var sum int64
 		for _, m := range members {
-			sum += fits(sp, m.status, z, n, false)
+			sum += m.fits(sp, z, n, false)
 		}
 		if sum > most {
 			best, most = z, sum
@@ -229,9 +230,12 @@
 // them, in turn: there they may find victims.
 func (d *Dealer) dealAhead(j *job, n int64, members []*member) {
 	ahead := min(n, int64(d.p.Ahead-d.Count(j.spec.ID).Waiting))
+	if ahead <= 0 {
+		return
+	}
 	var able []*member
 	for _, m := range members {
-		if slices.ContainsFunc(m.status, func(s model.MachineStatus) bool { return s.Ready && j.spec.Allows(&s.Machine) }) {
+		if slices.ContainsFunc(m.kinds, func(k *machine) bool { return j.spec.Allows(&k.Machine) && j.spec.Each.Fits(k.Cap) }) {
 			able = append(able, m)
 		}
 	}
@@ -257,16 +261,17 @@
 		return
 	}
 	d.balanced = now
+	d.open(jobs, members)
 	for _, j := range jobs {
 		for _, m := range members {
 			w := m.jobs[j.spec.ID].Waiting
-			if w == 0 || fits(j.spec, m.status, model.None, 1, false) > 0 {
+			if w == 0 || m.fits(j.spec, model.None, 1, false) > 0 {
 				continue
 			}
 			var room int64
 			for _, o := range members {
 				if o != m {
-					room += fits(j.spec, o.status, model.None, int64(w), false)
+					room += o.fits(j.spec, model.None, int64(w), false)
 				}
 			}
 			if room > 0 {
@@ -276,20 +281,44 @@
 	}
 }
 
+// open finds, for each shard, the machines with room for the smallest of the
+// jobs' tasks, and one machine of each kind that it has.
+func (d *Dealer) open(jobs []*job, members []*member) {
+	least := boundless
+	for _, j := range jobs {
+		least = min(least, j.spec.Each.CPU)
+	}
+	for _, s := range members {
+		s.rooms, s.kinds = s.rooms[:0], s.kinds[:0]
+	}
+	for _, m := range d.byID {
+		s := d.members[m.owner]
+		if s == nil || !m.known() || !m.status.Ready || m.status.Draining {
+			continue
+		}
+		if !slices.ContainsFunc(s.kinds, func(k *machine) bool { return k.Type == m.Type && k.Zone == m.Zone && k.Spot == m.Spot }) {
+			s.kinds = append(s.kinds, m)
+		}
+		if m.avail.CPU >= least {
+			s.rooms = append(s.rooms, m)
+		}
+	}
+}
+
 // fits tells for how many of up to n tasks there is room, and takes it.
-func fits(sp *model.Spec, rooms []model.MachineStatus, zone model.Name, n int64, take bool) int64 {
+func (s *member) fits(sp *model.Spec, zone model.Name, n int64, take bool) int64 {
 	var got int64
-	for i := range rooms {
-		r := &rooms[i]
+	for _, r := range s.rooms {
 		if got >= n {
 			break
 		}
-		if !r.Ready || r.Draining || zone != model.None && r.Machine.Zone != zone || !sp.Allows(&r.Machine) {
+		if zone != model.None && r.Zone != zone || !sp.Allows(&r.Machine) {
 			continue
 		}
-		if k := min(n-got, sp.Each.Count(r.Avail)); k > 0 {
+		if k := min(n-got, sp.Each.Count(r.avail)); k > 0 {
 			if take {
-				r.Avail = r.Avail.Sub(sp.Each.Times(k))
+				r.avail = r.avail.Sub(sp.Each.Times(k))
+				s.dealtOn[r] = true
 			}
 			got += k
 		}
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -21,6 +21,7 @@
 	Term      uint64
 	Teams     []Team // by the team's index
 	ChunkSize int32  // tasks per stored chunk of a job's done set
+	BlockSize uint64 // machines per stored block of records
 	Progress  time.Duration
 	Ahead     int // tasks of a job dealt beyond the free room, to find victims
 	SureLease time.Duration
@@ -46,9 +47,11 @@
 type member struct {
 	id       model.ShardID
 	host     string
-	status   []model.MachineStatus
+	dealtOn  map[*machine]bool // with room taken since the shard's last word on them
 	jobs     map[model.JobID]model.JobCount
-	deals    uint64 // sent
+	rooms    []*machine // while dealing: its machines with room
+	kinds    []*machine // ... and one of each kind that it has
+	deals    uint64     // sent
 	statusAt time.Duration
 	joined   time.Duration
 }
@@ -84,23 +87,25 @@
 type machine struct {
 	model.Machine
 	token    uint64
-	recorded bool
-	version  uint64
-	writing  bool
+	recorded bool // surely in its block's record
+	stored   bool // perhaps in it
 	silent   bool
-	// lapsed: nothing is there, and nothing goes there: its record is dropped,
-	// so that a later leader need not look for it. dropping: that was tried.
-	lapsed, dropping bool
-	gone             bool
-	owner            model.ShardID // 0: none
-	next             model.ShardID // gets it once the owner has let go
-	releasing        bool          // the owner was asked to let go
+	// lapsed: nothing is there, and nothing goes there: it leaves the record,
+	// so that a later leader need not look for it.
+	lapsed    bool
+	gone      bool
+	owner     model.ShardID // 0: none
+	next      model.ShardID // gets it once the owner has let go
+	releasing bool          // the owner was asked to let go
 	// authority is when the last shard that was lost as its owner could
 	// answer it for the last time.
 	authority time.Duration
 	lost      time.Duration // authority of this term's lost shards alone
 	groups    []*adrift
-	movedTo   model.ShardID // its worker was told to report there
+	status    model.MachineStatus // as its owner last told
+	told      model.ShardID       // the owner that told it, 0: none has
+	avail     model.Resources     // of status, less what was dealt since
+	movedTo   model.ShardID       // its worker was told to report there
 	movedAt   time.Duration
 }
 
@@ -112,13 +117,14 @@
 
 // Write is a change for the state service.
 type Write struct {
-	Kind    WriteKind
-	Machine model.Machine // PutMachine, DropMachine
-	Version uint64        // DropMachine: the record's; Finish: the job's
-	Job     model.JobID
-	Chunk   int32
-	Bits    []byte
-	Chunks  int32 // Finish: how many chunk keys may exist
+	Kind     WriteKind
+	Block    uint64          // PutBlock
+	Machines []model.Machine // PutBlock: all that the block is to hold
+	Version  uint64          // PutBlock: the block's; Finish: the job's
+	Job      model.JobID
+	Chunk    int32
+	Bits     []byte
+	Chunks   int32 // Finish: how many chunk keys may exist
 
 	clears []clearing
 }
@@ -128,8 +134,7 @@
 
 // Writes.
 const (
-	PutMachine WriteKind = iota
-	DropMachine
+	PutBlock WriteKind = iota
 	PutChunk
 	Finish
 )
@@ -139,7 +144,10 @@
 	p        Params
 	owned    uint64
 	jobs     map[model.JobID]*job
+	inOrder  []*job // of jobs, as sortJobs orders them
 	machines map[model.MachineID]*machine
+	byID     []*machine // of machines
+	blocks   map[uint64]*block
 	suspects map[model.MachineID]bool
 	aliens   map[uint64]alien
 	members  map[model.ShardID]*member
@@ -157,7 +165,7 @@
 // New returns a dealer for a term that begins now. No shard of an earlier term
 // acts beyond oldEnd.
 func New(p Params, oldEnd time.Duration) *Dealer {
-	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, suspects: map[model.MachineID]bool{},
+	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, blocks: map[uint64]*block{}, suspects: map[model.MachineID]bool{},
 		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
 
@@ -194,7 +202,7 @@
 // Join takes a new shard and returns its id.
 func (d *Dealer) Join(now time.Duration, host string) model.ShardID {
 	d.lastID++
-	d.members[d.lastID] = &member{id: d.lastID, host: host, joined: now}
+	d.members[d.lastID] = &member{id: d.lastID, host: host, joined: now, dealtOn: map[*machine]bool{}}
 	return d.lastID
 }
 
@@ -300,31 +308,49 @@
 	return 0
 }
 
-// Status takes a shard's summary of its machines.
+// Status takes a shard's summary of the machines that have changed since its
+// last one.
 func (d *Dealer) Status(now time.Duration, id model.ShardID, status []model.MachineStatus, jobs map[model.JobID]model.JobCount, acked uint64) {
 	m := d.members[id]
 	if m == nil {
 		return
 	}
 	m.jobs = jobs
-	// Rooms as of before the newest deals would be dealt twice.
-	if acked < m.deals && now-m.statusAt < time.Second {
-		return
+	// Rooms as of before the newest deals would be dealt twice: what was dealt
+	// on stays taken until the shard has said how it is after them.
+	fresh := acked >= m.deals || now-m.statusAt >= time.Second
+	for i := range status {
+		r := d.machines[status[i].Machine.ID]
+		if r == nil || r.owner != id {
+			continue
+		}
+		r.status, r.told = status[i], id
+		r.status.Machine = r.Machine
+		if !m.dealtOn[r] {
+			r.avail = r.status.Avail
+		}
 	}
-	m.status, m.statusAt = status[:0:0], now
-	for _, st := range status {
-		if r := d.machines[st.Machine.ID]; r != nil && r.owner == id {
-			st.Machine = r.Machine
-			m.status = append(m.status, st)
+	if fresh {
+		m.statusAt = now
+		for r := range m.dealtOn {
+			r.avail = r.status.Avail
 		}
+		clear(m.dealtOn)
 	}
 }
 
+// known tells whether the machine's owner has told how it is.
+func (m *machine) known() bool { return m.told == m.owner && m.owner != 0 }
+
 // Machines is what all shards last said of their machines.
 func (d *Dealer) Machines() []model.MachineStatus {
-	var out []model.MachineStatus
-	for _, m := range d.sortedMembers() {
-		out = append(out, m.status...)
+	out := make([]model.MachineStatus, 0, len(d.byID))
+	for _, m := range d.byID {
+		if m.known() {
+			st := m.status
+			st.Avail = m.avail
+			out = append(out, st)
+		}
 	}
 	return out
 }
@@ -377,13 +403,23 @@
 	}
 }
 
-func (d *Dealer) sortedMachines() []*machine {
-	out := make([]*machine, 0, len(d.machines))
-	for _, m := range d.machines {
-		out = append(out, m)
+func compareMachines(a, b *machine) int { return cmp.Compare(a.ID, b.ID) }
+
+// sortedMachines are all machines by id: a copy, for machines may go while it
+// is walked.
+func (d *Dealer) sortedMachines() []*machine { return slices.Clone(d.byID) }
+
+func (d *Dealer) addMachine(m *machine) {
+	d.machines[m.ID] = m
+	i, _ := slices.BinarySearchFunc(d.byID, m, compareMachines)
+	d.byID = slices.Insert(d.byID, i, m)
+}
+
+func (d *Dealer) dropMachine(m *machine) {
+	delete(d.machines, m.ID)
+	if i, ok := slices.BinarySearchFunc(d.byID, m, compareMachines); ok {
+		d.byID = slices.Delete(d.byID, i, i+1)
 	}
-	slices.SortFunc(out, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
-	return out
 }
 
 // Recorded takes a machine that an earlier leader may have given tasks. It is
@@ -393,11 +429,12 @@
 	if d.machines[m.ID] != nil {
 		return
 	}
-	r := &machine{Machine: m, recorded: true, version: version, authority: d.oldEnd}
+	d.block(m.ID).version = version
+	r := &machine{Machine: m, recorded: true, stored: true, authority: d.oldEnd}
 	if t, ok := d.types[m.Type]; ok {
 		r.Cap, r.FetchRate = t.Cap, t.FetchRate
 	}
-	d.machines[m.ID] = r
+	d.addMachine(r)
 	d.suspects[m.ID] = true
 	d.own(r, to)
 }
@@ -405,7 +442,7 @@
 // own gives the machine to a shard, under a token never used before.
 func (d *Dealer) own(m *machine, to model.ShardID) {
 	if m.owner != to {
-		m.silent = false
+		m.silent, m.told = false, 0
 	}
 	d.owned++
 	m.owner, m.next = to, 0
@@ -423,6 +460,8 @@
 		old: old, dirty: map[int32]bool{}}
 	j.price = price(sp.Rank, false)
 	d.jobs[sp.ID] = j
+	i, _ := slices.BinarySearchFunc(d.inOrder, j, compareJobs)
+	d.inOrder = slices.Insert(d.inOrder, i, j)
 	d.repriced = 0
 }
 
@@ -471,6 +510,9 @@
 func (d *Dealer) forget(j *job) {
 	if j.ended && len(j.held) == 0 && !j.writing {
 		delete(d.jobs, j.spec.ID)
+		if i, ok := slices.BinarySearchFunc(d.inOrder, j, compareJobs); ok {
+			d.inOrder = slices.Delete(d.inOrder, i, i+1)
+		}
 	}
 }
 
@@ -480,8 +522,10 @@
 		m.gone = true
 		d.order(m.owner, model.Order{Kind: model.Disown, ID: id})
 		d.resolve(m)
-		if !m.recorded && !m.writing {
-			delete(d.machines, id)
+		if m.stored {
+			d.block(id).dirty = true
+		} else {
+			d.dropMachine(m)
 		}
 	}
 }
@@ -558,6 +602,7 @@
 		if owner && !m.releasing && e.Token == m.token {
 			d.resolve(m)
 			m.lapsed = true
+			d.block(m.ID).dirty = true
 			d.Use(m.ID, false)
 		}
 	case model.Released:
@@ -589,10 +634,8 @@
 		return
 	}
 	m.lapsed = false
-	if m.dropping {
-		// Dropping its record may succeed yet, however late: it must be put
-		// again, and the new version makes the old drop fail.
-		m.recorded, m.dropping = false, false
+	if !m.recorded {
+		d.block(m.ID).dirty = true
 	}
 	d.Use(m.ID, true)
 }
@@ -615,7 +658,8 @@
 		}
 		m = &machine{Machine: r.Machine}
 		m.Cap, m.FetchRate = t.Cap, t.FetchRate
-		d.machines[m.ID] = m
+		d.addMachine(m)
+		d.block(m.ID).dirty = true
 		// It gets tasks only once its record is stored: a later leader must
 		// know every machine that may hold something.
 		d.own(m, from)
@@ -822,21 +866,7 @@
 			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version, Chunks: (j.spec.Tasks + d.p.ChunkSize - 1) / d.p.ChunkSize})
 		}
 	}
-	for _, m := range d.sortedMachines() {
-		if len(out) >= n {
-			return out
-		}
-		if m.writing {
-			continue
-		}
-		if !m.recorded && !m.gone && !m.lapsed {
-			m.writing = true
-			out = append(out, Write{Kind: PutMachine, Machine: m.Machine})
-		} else if m.recorded && (m.gone || m.lapsed) {
-			m.writing, m.dropping = true, true
-			out = append(out, Write{Kind: DropMachine, Machine: m.Machine, Version: m.version})
-		}
-	}
+	out = d.blockWrites(out, n)
 	slices.SortStableFunc(jobs, func(a, b *job) int { return int(a.stored - b.stored) })
 	for _, j := range jobs {
 		if j.ended || j.writing || now-j.stored < d.p.Progress {
@@ -876,32 +906,12 @@
 }
 
 // Stored takes a write's outcome. lost tells that a Finish found the job's
-// record gone: somebody else has ended it.
+// record gone, for somebody else has ended it, or that a PutBlock found the
+// block at another version, which is the revision then.
 func (d *Dealer) Stored(now time.Duration, w Write, revision uint64, ok, lost bool) {
 	switch w.Kind {
-	case PutMachine:
-		m := d.machines[w.Machine.ID]
-		if m == nil {
-			return
-		}
-		m.writing = false
-		if ok {
-			m.recorded, m.version = true, revision
-			d.Use(m.ID, true)
-		}
-	case DropMachine:
-		m := d.machines[w.Machine.ID]
-		if m == nil {
-			return
-		}
-		m.writing = false
-		switch {
-		case !ok && !lost:
-		case m.gone:
-			delete(d.machines, m.ID)
-		case m.lapsed:
-			m.recorded, m.dropping = false, false
-		}
+	case PutBlock:
+		d.blockStored(w, revision, ok, lost)
 	case PutChunk:
 		j := d.jobs[w.Job]
 		if j == nil {
@@ -930,13 +940,10 @@
 	}
 }
 
-func (d *Dealer) sortedJobs() []*job {
-	out := make([]*job, 0, len(d.jobs))
-	for _, j := range d.jobs {
-		out = append(out, j)
-	}
-	slices.SortFunc(out, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.spec.SubmittedMS, b.spec.SubmittedMS), cmp.Compare(a.spec.ID, b.spec.ID))
-	})
-	return out
+func compareJobs(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.spec.SubmittedMS, b.spec.SubmittedMS), cmp.Compare(a.spec.ID, b.spec.ID))
 }
+
+// sortedJobs are all jobs, the earliest first: a copy, for jobs may go
+// while it is walked.
+func (d *Dealer) sortedJobs() []*job { return slices.Clone(d.inOrder) }
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -16,7 +16,7 @@
 }
 
 func newRig(t *testing.T, limitCPUs float64) *rig {
-	d := New(Params{Term: 3, Teams: []Team{{Limit: model.Capacity(limitCPUs, 0, 0)}}, ChunkSize: 64, Ahead: 2, SureLease: sure}, 5*time.Second)
+	d := New(Params{Term: 3, Teams: []Team{{Limit: model.Capacity(limitCPUs, 0, 0)}}, ChunkSize: 64, BlockSize: 64, Ahead: 2, SureLease: sure}, 5*time.Second)
 	d.SetTypes([]model.MachineType{{Name: 0, Cap: model.Capacity(8, 0, 64)}})
 	return &rig{t, d}
 }
@@ -297,6 +297,7 @@
 	sp = &model.Spec{ID: 2, Tasks: 5, Each: model.Request(2, 0, 1), Zone: model.None, Spread: true}
 	r.d.AddJob(0, sp, 2, 0, false)
 	r.status(time.Second, s, 0, 2) // room in one zone only
+	r.d.Status(time.Second, s, []model.MachineStatus{{Machine: model.Machine{ID: 1}}, {Machine: model.Machine{ID: 3}}}, nil, r.d.Dealt(s))
 	r.d.Withdrawn(1)
 	r.d.Deal(2 * time.Second)
 	if z := zones(); z[0] != 3 || z[1] != 0 {
@@ -355,8 +356,8 @@
 	}
 	lapse(20 * time.Second)
 	w := r.d.Writes(20*time.Second, 10)
-	if len(w) != 1 || w[0].Kind != DropMachine || w[0].Version != 50 {
-		t.Fatalf("writes %+v, want its record dropped at its version", w)
+	if len(w) != 1 || w[0].Kind != PutBlock || w[0].Version != 50 || len(w[0].Machines) != 0 {
+		t.Fatalf("writes %+v, want it out of its block, at the block's version", w)
 	}
 	// No answer; meanwhile the worker is back.
 	r.d.Event(21*time.Second, s, model.Event{Kind: model.Heard, Machine: 1})
@@ -365,16 +366,25 @@
 	}
 	r.d.Stored(22*time.Second, w[0], 0, false, false)
 	w = r.d.Writes(22*time.Second, 10)
-	if len(w) != 1 || w[0].Kind != PutMachine {
-		t.Fatalf("writes %+v, want its record put again", w)
+	if len(w) != 1 || w[0].Version != 50 || len(w[0].Machines) != 1 {
+		t.Fatalf("writes %+v, want it recorded again, unless the write before was applied", w)
+	}
+	// It was: the block has another version now.
+	r.d.Stored(22*time.Second, w[0], 60, false, true)
+	if o := r.orders(model.Use); len(o) != 0 {
+		t.Fatalf("orders %v: used without a record", o)
+	}
+	w = r.d.Writes(22*time.Second, 10)
+	if len(w) != 1 || w[0].Version != 60 || len(w[0].Machines) != 1 {
+		t.Fatalf("writes %+v, want it recorded at the new version", w)
 	}
 	r.d.Stored(22*time.Second, w[0], 70, true, false)
 	if o := r.orders(model.Use); len(o) != 1 || !o[0].Usable {
 		t.Fatalf("orders %v, want it used again", o)
 	}
 	lapse(40 * time.Second)
-	if w = r.d.Writes(40*time.Second, 10); len(w) != 1 || w[0].Version != 70 {
-		t.Fatalf("writes %+v, want the new record dropped", w)
+	if w = r.d.Writes(40*time.Second, 10); len(w) != 1 || w[0].Version != 70 || len(w[0].Machines) != 0 {
+		t.Fatalf("writes %+v, want it out of the new record", w)
 	}
 }
 
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -28,34 +30,96 @@
 	return g.price * (now - g.since + time.Second/10).Seconds()
 }
 
-// Place puts waiting tasks on machines, the highest price times wait first.
+// Place puts waiting tasks on machines, the highest price times wait first. As
+// long as only machines' room has changed, only those machines are looked at:
+// elsewhere there was no room for what waits.
 func (s *Shard) Place(now time.Duration) {
-	if len(s.queue) == 0 || !s.Granted(now) {
+	if !s.Granted(now) {
 		return
 	}
-	groups := make([]*group, 0, len(s.queue))
+	roomier := s.roomier
+	s.roomier = nil
+	for _, m := range roomier {
+		m.roomier = false
+	}
+	if len(s.queue) == 0 {
+		s.replan = false
+		return
+	}
+	if s.replan {
+		s.replan = false
+		s.placeAll(now)
+		return
+	}
+	for _, m := range roomier {
+		if s.machines[m.ID] == m {
+			s.placeOn(now, m)
+		}
+	}
+}
+
+// PlaceOn puts waiting tasks on one machine, so that the answer to its report
+// can carry them.
+func (s *Shard) PlaceOn(now time.Duration, id model.MachineID) {
+	if m := s.machines[id]; m != nil && m.roomier && s.Granted(now) {
+		s.placeOn(now, m)
+	}
+}
+
+func (s *Shard) placeOn(now time.Duration, m *machine) {
+	for _, g := range s.ranked {
+		if len(g.tasks) == 0 || !g.spec.Each.Fits(m.Cap.Sub(m.used)) || !s.allows(now, g, m) {
+			continue
+		}
+		for len(g.tasks) > 0 && g.spec.Each.Fits(m.Cap.Sub(m.used)) {
+			t := g.tasks[0]
+			g.tasks = g.tasks[1:]
+			s.put(now, m, t)
+		}
+		s.leave(g)
+	}
+}
+
+// leave drops a group of which no task waits any more.
+func (s *Shard) leave(g *group) {
+	if k := (groupKey{g.job, g.zone}); len(g.tasks) == 0 && s.queue[k] == g {
+		delete(s.queue, k)
+	}
+}
+
+func (s *Shard) placeAll(now time.Duration) {
+	s.ranked = s.ranked[:0]
+	least := int64(math.MaxInt64)
 	for _, g := range s.queue {
-		groups = append(groups, g)
+		s.ranked = append(s.ranked, g)
+		least = min(least, g.spec.Each.CPU)
 	}
-	slices.SortFunc(groups, func(a, b *group) int {
-		return cmp.Or(cmp.Compare(b.score(now), a.score(now)), cmp.Compare(a.job, b.job))
+	slices.SortFunc(s.ranked, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(b.score(now), a.score(now)), cmp.Compare(a.job, b.job), cmp.Compare(a.zone, b.zone))
 	})
-	for _, g := range groups {
+	var open []*machine
+	for _, m := range s.order {
+		if m.Cap.CPU-m.used.CPU >= least && s.ready(now, m) {
+			open = append(open, m)
+		}
+	}
+	v := &prey{s: s, now: now}
+	for _, g := range s.ranked {
+		r := s.rooms(now, g, open)
 		// Each waiting task is tried once a round, whatever evictions put back.
 		for n := len(g.tasks); n > 0 && len(g.tasks) > 0; n-- {
-			t := g.tasks[0]
-			m := s.roomFor(now, g)
+			m := r.best()
 			if m == nil {
-				if m = s.evict(now, g); m == nil {
+				if m = s.evict(now, g, v); m == nil {
 					break
 				}
 			}
+			t := g.tasks[0]
 			g.tasks = g.tasks[1:]
 			s.put(now, m, t)
+			r.taken()
 		}
-		if len(g.tasks) == 0 {
-			delete(s.queue, groupKey{g.job, g.zone})
-		}
+		s.leave(g)
 	}
 }
 
@@ -63,28 +127,68 @@
 	return s.ready(now, m) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap)
 }
 
-// roomFor picks among the machines with the full request free the one that
-// runs the lowest priority.
-func (s *Shard) roomFor(now time.Duration, g *group) *machine {
-	var best *machine
-	var bestLevel model.Rank
-	for _, m := range s.order {
-		avail := m.Cap.Sub(m.used)
-		if !g.spec.Each.Fits(avail) || !s.allows(now, g, m) {
-			continue
-		}
-		l := m.level()
-		if best != nil {
-			if l > bestLevel {
-				continue
-			}
-			if l == bestLevel && !preferred(g.spec, m, best) {
-				continue
-			}
+// rooms are the machines with a group's full request free, as a heap: the one
+// that runs the lowest priority first.
+type rooms struct {
+	sp *model.Spec
+	at []roomAt
+}
+
+type roomAt struct {
+	m     *machine
+	level model.Rank
+}
+
+func (s *Shard) rooms(now time.Duration, g *group, open []*machine) *rooms {
+	r := &rooms{sp: g.spec}
+	if len(g.tasks) == 0 {
+		return r
+	}
+	for _, m := range open {
+		if g.spec.Each.Fits(m.Cap.Sub(m.used)) && s.allows(now, g, m) {
+			r.at = append(r.at, roomAt{m, m.level()})
 		}
-		best, bestLevel = m, l
 	}
-	return best
+	heap.Init(r)
+	return r
+}
+
+func (r *rooms) Len() int      { return len(r.at) }
+func (r *rooms) Swap(i, j int) { r.at[i], r.at[j] = r.at[j], r.at[i] }
+func (r *rooms) Push(any)      { panic("rooms only shrink") }
+func (r *rooms) Pop() any {
+	n := len(r.at) - 1
+	x := r.at[n]
+	r.at = r.at[:n]
+	return x
+}
+func (r *rooms) Less(i, j int) bool {
+	a, b := r.at[i], r.at[j]
+	if a.level != b.level {
+		return a.level < b.level
+	}
+	return preferred(r.sp, a.m, b.m)
+}
+
+// best is the machine for the next task, nil if there is none.
+func (r *rooms) best() *machine {
+	if len(r.at) == 0 {
+		return nil
+	}
+	return r.at[0].m
+}
+
+// taken puts the first machine, which has been given a task, in its new place.
+func (r *rooms) taken() {
+	if len(r.at) == 0 {
+		return
+	}
+	if m := r.at[0].m; r.sp.Each.Fits(m.Cap.Sub(m.used)) {
+		r.at[0].level = m.level()
+		heap.Fix(r, 0)
+	} else {
+		heap.Pop(r)
+	}
 }
 
 // preferred breaks ties: a machine that has the image, then a cheaper (spot)
@@ -96,7 +200,10 @@
 	if m.Spot != than.Spot {
 		return m.Spot
 	}
-	return m.Cap.CPU-m.used.CPU < than.Cap.CPU-than.used.CPU
+	if a, b := m.Cap.CPU-m.used.CPU, than.Cap.CPU-than.used.CPU; a != b {
+		return a < b
+	}
+	return m.ID < than.ID
 }
 
 // loss is the work that a victim loses: all of its run time, or what it has
@@ -125,28 +232,75 @@
 	return graceOf(sl.t.Spec)
 }
 
+// prey is what a round of placing knows of the machines with victims: the
+// lowest price that runs on each.
+type prey struct {
+	s      *Shard
+	now    time.Duration
+	known  bool
+	at     []preyAt
+	lowest float64
+}
+
+type preyAt struct {
+	m     *machine
+	price float64
+}
+
+func (v *prey) find() {
+	if v.known {
+		return
+	}
+	v.known, v.lowest = true, math.Inf(1)
+	for _, m := range v.s.order {
+		if p := m.cheapest(); !math.IsInf(p, 1) && v.s.ready(v.now, m) {
+			v.at = append(v.at, preyAt{m, p})
+			v.lowest = min(v.lowest, p)
+		}
+	}
+}
+
+// sample picks up to k machines that allow the group and run something cheaper.
+// It draws, and looks through all of them only where luck is out.
+func (v *prey) sample(g *group, k int) []int {
+	v.find()
+	if v.lowest >= g.price {
+		return nil
+	}
+	fits := func(i int) bool { return v.at[i].price < g.price && v.s.allows(v.now, g, v.at[i].m) }
+	var out []int
+	for range 8 * k {
+		if i := v.s.rng.IntN(len(v.at)); fits(i) && !slices.Contains(out, i) {
+			if out = append(out, i); len(out) == k {
+				return out
+			}
+		}
+	}
+	var all []int
+	for i := range v.at {
+		if fits(i) {
+			all = append(all, i)
+		}
+	}
+	v.s.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(k, len(all))]
+}
+
 // evict samples machines for the victims of shortest payback; without any
 // within the limit the group is requeued one step lower.
-func (s *Shard) evict(now time.Duration, g *group) *machine {
+func (s *Shard) evict(now time.Duration, g *group, v *prey) *machine {
 	if now < g.nextEvict {
 		return nil
 	}
-	var eligible []*machine
-	for _, m := range s.order {
-		if s.allows(now, g, m) && m.inReach(g.price) {
-			eligible = append(eligible, m)
-		}
-	}
 	var best *machine
+	var bestAt int
 	var bestVictims []*slot
 	var bestCost time.Duration
-	for range min(s.p.Sample, len(eligible)) {
-		i := s.rng.IntN(len(eligible))
-		m := eligible[i]
-		eligible = slices.Delete(eligible, i, i+1)
+	for _, i := range v.sample(g, s.p.Sample) {
+		m := v.at[i].m
 		victims, cost, ok := s.victims(now, m, g)
 		if ok && cost <= s.p.PaybackLimit && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = m, victims, cost
+			best, bestAt, bestVictims, bestCost = m, i, victims, cost
 		}
 	}
 	if best == nil {
@@ -157,20 +311,23 @@
 		}
 		return nil
 	}
-	for _, v := range bestVictims {
+	for _, sl := range bestVictims {
 		s.Stats.Evicted++
-		s.stop(now, best, v, parting(now, v, g.spec.Rank))
+		s.stop(now, best, sl, parting(now, sl, g.spec.Rank))
 	}
+	v.at[bestAt].price = best.cheapest()
 	return best
 }
 
-func (m *machine) inReach(price float64) bool {
+// cheapest is the lowest price that runs on the machine.
+func (m *machine) cheapest() float64 {
+	low := math.Inf(1)
 	for _, sl := range m.slots {
-		if sl.t != nil && sl.state != exited && !sl.stop && sl.t.price < price {
-			return true
+		if sl.t != nil && sl.state != exited && !sl.stop {
+			low = min(low, sl.t.price)
 		}
 	}
-	return false
+	return low
 }
 
 // victims picks lower-priced tasks whose stop frees the room, cheapest first.
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -94,7 +94,9 @@
 	idleSince    time.Duration
 	errors       []jobError
 	badUntil     time.Duration
-	wake         bool // has commands that should go out directly
+	wake         bool                // has commands that should go out directly
+	roomier      bool                // has had room freed since waiting tasks were placed
+	last         model.MachineStatus // as last told to the dealer
 }
 
 type jobError struct {
@@ -145,6 +147,11 @@
 	tasks    map[model.Task]*task
 	queue    map[groupKey]*group
 	pending  map[uint64]inFlight
+	ranked   []*group // of queue, by score when all were last placed
+	replan   bool     // more than machines' room has changed since
+	roomier  []*machine
+	running  map[model.JobID]int // as last counted
+	counted  time.Duration
 	deals    uint64
 	moved    map[model.MachineID]string
 	events   []model.Event
@@ -197,6 +204,7 @@
 	case model.Use:
 		if m := s.machines[o.ID]; m != nil {
 			m.usable = o.Usable
+			s.replan = true
 		}
 	case model.Give:
 		s.give(now, o.Deal)
@@ -301,6 +309,7 @@
 	m.needToken = false
 	m.usable = o.Usable
 	m.wake = true
+	s.replan = true
 }
 
 func (s *Shard) give(now time.Duration, d model.Deal) {
@@ -342,6 +351,7 @@
 	}
 	g.since = min(g.since, t.Since)
 	g.tasks = append(g.tasks, t)
+	s.replan = true
 }
 
 func (s *Shard) dequeue(t *task) {
@@ -377,6 +387,7 @@
 			for _, t := range g.tasks {
 				s.release(t, model.CauseStopped)
 			}
+			g.tasks = nil
 		}
 	}
 	for _, m := range s.order {
@@ -437,7 +448,7 @@
 // drop removes a slot from its machine's books.
 func (s *Shard) drop(now time.Duration, m *machine, sl *slot) {
 	if sl.state != exited {
-		m.used = m.used.Sub(sl.each)
+		s.free(m, sl)
 	}
 	delete(m.slots, sl.key)
 	if len(m.slots) == 0 {
@@ -445,6 +456,15 @@
 	}
 }
 
+// free gives an attempt's room back to its machine.
+func (s *Shard) free(m *machine, sl *slot) {
+	m.used = m.used.Sub(sl.each)
+	if !m.roomier {
+		m.roomier = true
+		s.roomier = append(s.roomier, m)
+	}
+}
+
 // landed settles the task of an attempt that is surely not on a machine.
 func (s *Shard) landed(now time.Duration, sl *slot, c model.Cause) {
 	t := sl.t
@@ -582,6 +602,7 @@
 	}
 	if !m.fenced {
 		m.fenced = true
+		s.replan = true
 		s.emit(model.Event{Kind: model.Fenced, Machine: m.ID})
 	}
 }
@@ -608,7 +629,7 @@
 		}
 		return
 	}
-	m.used = m.used.Sub(sl.each)
+	s.free(m, sl)
 	sl.state = exited
 	t := sl.t
 	switch c.Cause {
@@ -822,6 +843,7 @@
 		}
 	}
 	if s.Granted(now) {
+		s.replan = true // machines may have become ready, victims cheap
 		s.Place(now)
 	}
 	// A task pinned to a zone without room goes back, to be pinned anew.
@@ -870,13 +892,17 @@
 	}
 }
 
-// Status summarises the machines.
+// Status summarises the machines whose summary has changed since it was last
+// asked for.
 func (s *Shard) Status(now time.Duration) []model.MachineStatus {
-	out := make([]model.MachineStatus, 0, len(s.order))
+	var out []model.MachineStatus
 	for _, m := range s.order {
-		out = append(out, model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
-			Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince,
-			Bad: now < m.badUntil})
+		st := model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
+			Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince, Bad: now < m.badUntil}
+		if st != m.last {
+			m.last = st
+			out = append(out, st)
+		}
 	}
 	return out
 }
@@ -897,22 +923,27 @@
 // Deals counts the deals received.
 func (s *Shard) Deals() uint64 { return s.deals }
 
-// Jobs counts the waiting and the running tasks of each job.
-func (s *Shard) Jobs() map[model.JobID]model.JobCount {
-	out := map[model.JobID]model.JobCount{}
+// Jobs counts the waiting and the running tasks of each job. The running ones,
+// which are for display only, are counted once a second.
+func (s *Shard) Jobs(now time.Duration) map[model.JobID]model.JobCount {
+	if s.running == nil || now-s.counted >= time.Second {
+		s.running, s.counted = map[model.JobID]int{}, now
+		for _, m := range s.order {
+			for k, sl := range m.slots {
+				if sl.t != nil && sl.state == live && sl.stage == model.Running {
+					s.running[k.task.Job]++
+				}
+			}
+		}
+	}
+	out := make(map[model.JobID]model.JobCount, len(s.running))
+	for id, n := range s.running {
+		out[id] = model.JobCount{Running: n}
+	}
 	for k, g := range s.queue {
 		c := out[k.job]
 		c.Waiting += len(g.tasks)
 		out[k.job] = c
 	}
-	for _, m := range s.order {
-		for k, sl := range m.slots {
-			if sl.t != nil && sl.state == live && sl.stage == model.Running {
-				c := out[k.task.Job]
-				c.Running++
-				out[k.task.Job] = c
-			}
-		}
-	}
 	return out
 }
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -221,7 +221,7 @@
 	r.s.Events()
 	r.now += lease + time.Second
 	r.s.Tick(r.now)
-	if n := len(r.s.Jobs()); n != 1 {
+	if n := len(r.s.Jobs(r.now)); n != 1 {
 		t.Fatal("lost on the shard's own judgement")
 	}
 	if e := r.events(model.Silent); len(e) != 1 {
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -146,7 +146,7 @@
 	if c.w.p.trustOldEnd {
 		end = now - time.Hour
 	}
-	l.d = dealer.New(dealer.Params{Term: l.term, Teams: []dealer.Team{{Limit: teamLimit}, {Limit: teamLimit}}, ChunkSize: 64,
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: []dealer.Team{{Limit: teamLimit}, {Limit: teamLimit}}, ChunkSize: 64, BlockSize: blockSize,
 		Progress: time.Second, Ahead: 4, SureLease: c.sureLease()}, end)
 	l.d.SetTypes([]model.MachineType{theType})
 	l.local = l.d.Join(now, c.host)
@@ -159,13 +159,13 @@
 type snapshot struct {
 	open    map[model.JobID]openJob
 	done    map[model.JobID]map[int32][]byte
-	records map[model.MachineID]record
+	records map[uint64]record
 	rev     uint64
 }
 
 func (s *store) snapshot() any {
 	s.expire()
-	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{}, records: map[model.MachineID]record{}, rev: s.rev}
+	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{}, records: map[uint64]record{}, rev: s.rev}
 	for k, x := range s.open {
 		v.open[k] = x
 	}
@@ -197,9 +197,9 @@
 		}
 		now := c.now()
 		if !l.loaded && !c.w.p.forgetRecords {
-			for _, m := range c.w.workers { // in a fixed order
-				if r, ok := snap.records[m.ID]; ok {
-					l.d.Recorded(r.m, r.version, l.local)
+			for no := range uint64(len(c.w.workers)/blockSize + 1) { // in a fixed order
+				for _, m := range snap.records[no].machines {
+					l.d.Recorded(m, snap.records[no].version, l.local)
 				}
 			}
 		}
@@ -307,7 +307,7 @@
 	s := l.c.seat.s
 	now := l.c.now()
 	l.exchange()
-	l.d.Status(now, l.local, s.Status(now), s.Jobs(), l.d.Dealt(l.local))
+	l.d.Status(now, l.local, s.Status(now), s.Jobs(now), l.d.Dealt(l.local))
 	l.d.Deal(now)
 	l.pump()
 }
@@ -431,7 +431,7 @@
 		if st.l != nil && st.joined && now-st.asked > 400*time.Millisecond {
 			st.asked = now
 			echo := st.grants
-			status, counts, deals := st.s.Status(now), st.s.Jobs(), st.s.Deals()
+			status, counts, deals := st.s.Status(now), st.s.Jobs(now), st.s.Deals()
 			st.up(func(l *lead, k *link) {
 				ln := l.c.now()
 				if l.c.el.Leading(ln) {
--- a/internal/core/sim/store_test.go
+++ b/internal/core/sim/store_test.go
@@ -15,10 +15,14 @@
 }
 
 type record struct {
-	m       model.Machine
-	version uint64
+	machines []model.Machine
+	version  uint64
 }
 
+// blockSize is the number of machines in a stored block: small, so that there
+// are several.
+const blockSize = 4
+
 // store is the state service, as far as the cores use it.
 type store struct {
 	w       *world
@@ -31,12 +35,12 @@
 	open    map[model.JobID]openJob
 	done    map[model.JobID]map[int32][]byte
 	final   map[model.JobID]jobs.Stage
-	records map[model.MachineID]record
+	records map[uint64]record
 }
 
 func newStore(w *world) *store {
 	return &store{w: w, rev: 1, leases: map[uint64]time.Duration{}, open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{},
-		final: map[model.JobID]jobs.Stage{}, records: map[model.MachineID]record{}}
+		final: map[model.JobID]jobs.Stage{}, records: map[uint64]record{}}
 }
 
 // back ends an outage: every lease has its full time again.
@@ -145,13 +149,11 @@
 	}
 	s.rev++
 	switch wr.Kind {
-	case dealer.PutMachine:
-		s.records[wr.Machine.ID] = record{wr.Machine, s.rev}
-	case dealer.DropMachine:
-		if s.records[wr.Machine.ID].version != wr.Version {
-			return written{lost: true}
+	case dealer.PutBlock:
+		if v := s.records[wr.Block].version; v != wr.Version {
+			return written{rev: v, lost: true}
 		}
-		delete(s.records, wr.Machine.ID)
+		s.records[wr.Block] = record{wr.Machines, s.rev}
 	case dealer.PutChunk:
 		if s.done[wr.Job] == nil {
 			s.done[wr.Job] = map[int32][]byte{}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -26,6 +26,8 @@
 // terms before it gives a few up.
 const unseenPatience = 3500 * time.Millisecond
 
+var errTermOver = errors.New("the term is over")
+
 // leadership is all that a controller keeps while it leads one term. It is
 // dropped whole when the term ends.
 type leadership struct {
@@ -43,14 +45,18 @@
 	loaded bool
 	// fresh is when the last question about open jobs that was answered was
 	// asked: a leader that hears of no cancellations must not go on.
-	fresh   time.Duration
-	began   time.Duration
-	lost    time.Duration // the last member
-	writes  *rate.Limiter
-	dealt   time.Duration
-	fleeted time.Duration
-	shown   time.Duration
-	healed  bool
+	fresh  time.Duration
+	began  time.Duration
+	lost   time.Duration // the last member
+	writes *rate.Limiter
+	ticked time.Duration
+	due    bool // to deal
+	dealt  time.Duration
+	// dealCost is what dealing took the last time.
+	dealCost time.Duration
+	fleeted  time.Duration
+	shown    time.Duration
+	healed   bool
 	// settling: machines that can't be reached are being returned.
 	settling bool
 	loadedAt time.Duration
@@ -83,7 +89,7 @@
 	// Shards of the term before may act on grants that reach to the end of
 	// their leader's authority, even if its lease was ended early: up to one
 	// whole length of it from now, unless they are heard to have stopped.
-	l.d = dealer.New(dealer.Params{Term: l.term, Teams: teams, ChunkSize: chunkSize(c.State.ValueKB), Progress: 2 * time.Second,
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: teams, ChunkSize: chunkSize(c.State.ValueKB), BlockSize: blockSize(c.State.ValueKB), Progress: 2 * time.Second,
 		Ahead: n.set.DealAhead, SureLease: c.SureLease()}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
@@ -104,6 +110,9 @@
 	return int32(max(64, min(bytes, 8192))) * 8
 }
 
+// blockSize is how many machines' records fit into a value.
+func blockSize(valueKB float64) uint64 { return uint64(max(1, min(valueKB*1024/256, 256))) }
+
 func (l *leadership) setTypes(t []model.MachineType) {
 	if len(t) == 0 {
 		return
@@ -162,19 +171,14 @@
 func (l *leadership) read() (uint64, error) {
 	ctx := state.Urgent(l.ctx)
 	type rec struct {
-		id      model.MachineID
-		m       wire.StoredMachine
+		wire.MachineBlock
 		version uint64
 	}
 	var recs []rec
 	if _, err := l.n.state.List(ctx, recordKeys, func(it *wire.Item) error {
-		id, err := wire.ParseMachine(strings.TrimPrefix(it.Key, recordKeys))
-		if err != nil {
-			return fmt.Errorf("machine record: %w", err)
-		}
-		r := rec{id: id, version: it.Version}
-		if err := json.Unmarshal(it.Value, &r.m); err != nil {
-			return fmt.Errorf("machine record %s: %w", it.Key, err)
+		r := rec{version: it.Version}
+		if err := json.Unmarshal(it.Value, &r.MachineBlock); err != nil {
+			return fmt.Errorf("machine records %s: %w", it.Key, err)
 		}
 		recs = append(recs, r)
 		return nil
@@ -220,9 +224,20 @@
 	n := l.n
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.lead != l {
+		return 0, errTermOver
+	}
 	now := n.now()
+	machines := 0
 	for _, r := range recs {
-		l.d.Recorded(model.Machine{ID: r.id, Addr: r.m.Addr, Type: n.names.Types.ID(r.m.Type), Zone: n.names.Zones.ID(r.m.Zone), Spot: r.m.Spot}, r.version, l.local)
+		ms, err := r.Decode(n.names)
+		if err != nil {
+			return 0, fmt.Errorf("machine records: %w", err)
+		}
+		machines += len(ms)
+		for _, m := range ms {
+			l.d.Recorded(m, r.version, l.local)
+		}
 	}
 	for _, st := range open {
 		l.add(now, st)
@@ -233,12 +248,12 @@
 	l.fresh = asked
 	l.loaded, l.loadedAt = true, now
 	close(l.ready)
-	n.log.Info("store read", "term", l.term, "open", len(open), "machines", len(recs))
+	n.log.Info("store read", "term", l.term, "open", len(open), "machines", machines)
 	if len(orphans) > 0 {
 		go l.dropOrphans(orphans)
 	}
 	go l.runCloud()
-	l.pump(now)
+	n.soon()
 	return rev, nil
 }
 
@@ -268,6 +283,10 @@
 			open, r, lerr := l.readOpen()
 			if lerr == nil {
 				n.mu.Lock()
+				if n.lead != l {
+					n.mu.Unlock()
+					return
+				}
 				now := n.now()
 				known := map[model.JobID]bool{}
 				for id, st := range open {
@@ -276,7 +295,8 @@
 				}
 				l.d.Sync(known, r)
 				l.fresh = asked
-				l.pump(now)
+				l.due = true
+				n.soon()
 				n.mu.Unlock()
 				rev = r
 				continue
@@ -292,6 +312,11 @@
 		}
 		rev = ev.Revision
 		n.mu.Lock()
+		if n.lead != l {
+			// The term ended while the watch waited: there may be no shard now.
+			n.mu.Unlock()
+			return
+		}
 		now := n.now()
 		for _, e := range ev.Events {
 			key := e.Put + e.Delete
@@ -307,7 +332,8 @@
 		}
 		l.fresh = asked
 		if len(ev.Events) > 0 {
-			l.deal(now)
+			l.due = true
+			n.soon()
 		}
 		n.mu.Unlock()
 	}
@@ -388,10 +414,12 @@
 			go l.cloudAction(fleet.Action{Machine: ids})
 		}
 	}
-	if now-l.dealt >= 100*time.Millisecond {
+	if now-l.ticked >= 100*time.Millisecond {
+		l.ticked = now
 		l.n.seat.s.Tick(now)
 		l.d.Tick(now)
-		l.deal(now)
+		l.due = true
+		l.turn(now)
 		l.store(now)
 	}
 	if now-l.shown >= time.Second {
@@ -404,19 +432,15 @@
 	}
 }
 
-// deal deals tasks and sends what follows from it.
+// deal deals tasks with what the shards have told of their room.
 func (l *leadership) deal(now time.Duration) {
-	l.dealt = now
-	l.dealLocal(now)
-	l.pump(now)
-}
-
-func (l *leadership) dealLocal(now time.Duration) {
+	began := l.n.now()
+	l.due, l.dealt = false, now
 	s := l.n.seat.s
 	l.exchange(now)
-	l.d.Status(now, l.local, s.Status(now), s.Jobs(), l.d.Dealt(l.local))
+	l.d.Status(now, l.local, s.Status(now), s.Jobs(now), l.d.Dealt(l.local))
 	l.d.Deal(now)
-	l.exchange(now)
+	l.dealCost = l.n.now() - began
 }
 
 // exchange carries orders and events between the dealer and the shards.
@@ -441,9 +465,17 @@
 	}
 }
 
-// pump lets dealer and shards settle, and sends the direct commands.
-func (l *leadership) pump(now time.Duration) {
+// turn lets dealer and shards settle, and sends the direct commands. Dealing
+// looks at all that is open, so it is done less often the longer it takes.
+func (l *leadership) turn(now time.Duration) {
+	if !l.loaded {
+		return
+	}
 	l.exchange(now)
+	if l.due && now-l.dealt >= max(4*gather, 6*l.dealCost) {
+		l.deal(now)
+		l.exchange(now)
+	}
 	l.n.seat.s.Place(now)
 	l.exchange(now)
 	l.n.flush(now)
@@ -464,7 +496,7 @@
 	}
 	for _, w := range l.d.Writes(now, min(budget, 32)) {
 		l.writes.AllowN(time.Now(), 1)
-		if w.Kind == dealer.Finish || w.Kind == dealer.DropMachine {
+		if w.Kind != dealer.PutChunk {
 			go l.write([]dealer.Write{w})
 			continue
 		}
@@ -479,20 +511,19 @@
 	return fmt.Sprintf("%s%s/%d", doneKeys, wire.JobName(id), c)
 }
 
+func blockKey(no uint64) string { return fmt.Sprintf("%s%08d", recordKeys, no) }
+
 func (l *leadership) write(batch []dealer.Write) {
 	n := l.n
 	t := wire.Txn{Guards: []wire.Guard{l.guard}}
 	n.mu.Lock()
 	for _, w := range batch {
-		key := recordKeys + wire.MachineName(w.Machine.ID)
 		switch w.Kind {
-		case dealer.PutMachine:
-			t.Then = append(t.Then, wire.Op{Put: key, Value: encode(wire.StoredMachine{Addr: w.Machine.Addr,
-				Type: n.names.Types.Name(w.Machine.Type), Zone: n.names.Zones.Name(w.Machine.Zone), Spot: w.Machine.Spot})})
-		case dealer.DropMachine:
-			// Its version: applied late, this must not drop a later record.
+		case dealer.PutBlock:
+			// Its version: applied late, this must not undo a later record.
+			key := blockKey(w.Block)
 			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: w.Version})
-			t.Then = append(t.Then, wire.Op{Delete: key})
+			t.Then = append(t.Then, wire.Op{Put: key, Value: encode(wire.EncodeMachines(w.Machines, n.names))})
 		case dealer.PutChunk:
 			t.Then = append(t.Then, wire.Op{Put: chunkKey(w.Job, w.Chunk), Value: encode(wire.Chunk{Bits: w.Bits})})
 		case dealer.Finish:
@@ -509,8 +540,11 @@
 	lost := false
 	if errors.Is(err, state.ErrConflict) && len(t.Guards) > 1 {
 		// Ours is the leader's key still, or else nothing matters any more.
-		_, gerr := n.state.Get(ctx, t.Guards[1].Key)
+		it, gerr := n.state.Get(ctx, t.Guards[1].Key)
 		lost = errors.Is(gerr, state.ErrNotFound)
+		if gerr == nil && batch[0].Kind == dealer.PutBlock {
+			lost, rev = true, it.Version
+		}
 	}
 	if err != nil {
 		n.log.Debug("not stored", "writes", len(batch), "err", err)
@@ -522,7 +556,7 @@
 		l.d.Stored(now, w, rev, err == nil, lost)
 	}
 	if n.lead == l {
-		l.pump(now)
+		n.soon()
 	}
 }
 
@@ -547,7 +581,7 @@
 		}
 		go l.cloudAction(a)
 	}
-	l.pump(now)
+	l.n.soon()
 }
 
 func (l *leadership) cloudAction(a fleet.Action) {
@@ -571,7 +605,7 @@
 			}
 		}
 		if n.lead == l {
-			l.pump(now)
+			n.soon()
 		}
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,7 +30,7 @@
 	openKeys   = "open/"
 	finalKeys  = "final/"
 	doneKeys   = "done/"
-	recordKeys = "machine/"
+	recordKeys = "machines/"
 )
 
 // Node is one controller.
@@ -61,6 +61,8 @@
 	finals        map[model.JobID]jobs.Stage
 	order         []model.JobID // of finals, oldest first
 	stats         Stats
+	turning       bool          // a turn is due
+	cost          time.Duration // of the last turn
 }
 
 // Stats are counts for operators.
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -21,6 +21,7 @@
 	askEvery    = 400 * time.Millisecond
 	linkTimeout = 2500 * time.Millisecond // nothing heard for so long: the link is dead
 	statusEvery = 100 * time.Millisecond
+	gather      = 5 * time.Millisecond // what arrives within so long is dealt with together
 )
 
 // seat is this controller's shard. A member's seat outlives its link until its
@@ -45,10 +46,27 @@
 			DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second}, attempts, n.rng)}
 }
 
-// pump sends what the shard has to say, wherever the dealer is.
-func (n *Node) pump(now time.Duration) {
+// soon asks for a turn: what comes in until then is dealt with together. The
+// more a turn costs, the more is gathered for the next.
+func (n *Node) soon() {
+	if n.turning {
+		return
+	}
+	n.turning = true
+	time.AfterFunc(min(max(gather, 4*n.cost), 20*gather), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.turning = false
+		began := n.now()
+		n.turn(began)
+		n.cost = n.now() - began
+	})
+}
+
+// turn lets shard and dealer settle, and sends what they have to say.
+func (n *Node) turn(now time.Duration) {
 	if n.lead != nil {
-		n.lead.pump(now)
+		n.lead.turn(now)
 		return
 	}
 	if n.seat == nil {
@@ -70,6 +88,15 @@
 	}
 }
 
+// tellLeader passes the shard's events on at once: a worker waits for its owner.
+func (n *Node) tellLeader(now time.Duration) {
+	if n.lead != nil {
+		n.lead.exchange(now)
+	} else {
+		n.tell()
+	}
+}
+
 func (n *Node) flush(now time.Duration) {
 	st := n.seat
 	st.s.Flush(now)
@@ -93,7 +120,7 @@
 	}
 	st.s.DirectDone(now, d, rep, executed)
 	if n.seat == st {
-		n.pump(now)
+		n.soon()
 	}
 }
 
@@ -120,7 +147,7 @@
 	}
 	if st.dirty {
 		st.dirty = false
-		st.out.Send(st.codec.Status(now, st.s.Status(now), st.s.Jobs(), st.s.Deals()))
+		st.out.Send(st.codec.Status(now, st.s.Status(now), st.s.Jobs(now), st.s.Deals()))
 	}
 }
 
@@ -279,7 +306,7 @@
 			}
 			st.s.Order(now, o)
 			n.owned(&o)
-			n.pump(now)
+			n.soon()
 		}
 		n.mu.Unlock()
 	}
@@ -380,7 +407,7 @@
 		delete(l.links, id)
 		l.lost = now
 		l.d.Lost(id, max(now, k.until))
-		l.pump(now)
+		n.soon()
 	}
 	n.mu.Unlock()
 	cancel(err)
@@ -435,7 +462,7 @@
 	if all {
 		l.d.EveryoneHere(now)
 	}
-	l.pump(now)
+	l.n.soon()
 	return id
 }
 
@@ -465,11 +492,12 @@
 		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(), ForUs: max(0, l.until()-now).Microseconds(), Number: k.number}}})
 	case *peerpb.Up_Event:
 		l.d.Event(now, id, k.codec.FromEvent(msg.Event))
-		l.exchange(now)
+		l.n.soon()
 	case *peerpb.Up_Status:
 		ms, jobs := k.codec.FromStatus(now, msg.Status)
 		l.d.Status(now, id, ms, jobs, msg.Status.GetDeals())
-		l.deal(now)
+		l.due = true
+		l.n.soon()
 	}
 }
 
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -268,20 +268,18 @@
 	}
 	s := n.seat.s
 	ok := s.Report(now, r)
-	if n.lead != nil {
-		n.lead.dealLocal(now)
-		if !ok { // it may be ours by now
-			ok = s.Report(now, r)
-			n.lead.exchange(now)
-		}
+	if !ok && n.lead != nil { // the dealer is at hand: it may be ours by now
+		n.lead.exchange(now)
+		ok = s.Report(now, r)
 	}
 	if ok {
-		s.Place(now)
+		s.PlaceOn(now, r.Machine.ID)
 		a = s.Answer(now, r)
 	} else {
 		keeper = s.Moved(r.Machine.ID)
+		n.tellLeader(now)
 	}
-	n.pump(now)
+	n.soon()
 	return a, keeper, !ok && keeper == "" && !s.Owns(r.Machine.ID)
 }
 
--- a/internal/wire/store.go
+++ b/internal/wire/store.go
@@ -1,6 +1,12 @@
 package wire
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"honeylock/internal/core/model"
+)
 
 // Guard is a condition of a transaction: the key has this version (0: absent).
 type Guard struct {
@@ -85,12 +91,56 @@
 	Stage string `json:"Stage"`
 }
 
-// StoredMachine is the record of a machine that may have been given tasks.
+// MachineBlock is the record of machines that may have been given tasks. Types
+// and zones are named once.
+type MachineBlock struct {
+	Types    []string        `json:"Types"`
+	Zones    []string        `json:"Zones"`
+	Machines []StoredMachine `json:"Machines"`
+}
+
+// StoredMachine is one machine of a block.
 type StoredMachine struct {
-	Addr string `json:"Addr"`
-	Type string `json:"Type"`
-	Zone string `json:"Zone"`
-	Spot bool   `json:"Spot"`
+	Name string `json:"N"`
+	Addr string `json:"A"`
+	Type int    `json:"T"`
+	Zone int    `json:"Z"`
+	Spot bool   `json:"S,omitempty"`
+}
+
+// EncodeMachines makes a block's record.
+func EncodeMachines(ms []model.Machine, n *Names) MachineBlock {
+	b := MachineBlock{Machines: make([]StoredMachine, 0, len(ms))}
+	index := func(list *[]string, name string) int {
+		i := slices.Index(*list, name)
+		if i < 0 {
+			i = len(*list)
+			*list = append(*list, name)
+		}
+		return i
+	}
+	for i := range ms {
+		m := &ms[i]
+		b.Machines = append(b.Machines, StoredMachine{Name: MachineName(m.ID), Addr: m.Addr, Type: index(&b.Types, n.Types.Name(m.Type)),
+			Zone: index(&b.Zones, n.Zones.Name(m.Zone)), Spot: m.Spot})
+	}
+	return b
+}
+
+// Decode returns a block's machines.
+func (b *MachineBlock) Decode(n *Names) ([]model.Machine, error) {
+	out := make([]model.Machine, 0, len(b.Machines))
+	for _, s := range b.Machines {
+		id, err := ParseMachine(s.Name)
+		if err != nil {
+			return nil, err
+		}
+		if s.Type < 0 || s.Type >= len(b.Types) || s.Zone < 0 || s.Zone >= len(b.Zones) {
+			return nil, fmt.Errorf("record of %s: type or zone out of range", s.Name)
+		}
+		out = append(out, model.Machine{ID: id, Addr: s.Addr, Type: n.Types.ID(b.Types[s.Type]), Zone: n.Zones.ID(b.Zones[s.Zone]), Spot: s.Spot})
+	}
+	return out, nil
 }
 
 // Chunk is a part of a job's set of done tasks, a bitmap.
