fleet: several rentals at once, each for as many as the cloud gives in a call

What is asked for counts as coming. Spreading over zones weighs shares, not counts: with hundreds of machines a cheap kind looked dearer than an ordinary one. Rooms that are full are passed over.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -53,9 +54,9 @@
 	units   map[model.MachineID]*unit
 	listed  bool
 	refused map[kind]time.Duration
-	renting bool
+	renting map[string]Action // rentals under way, by their request's name
 	giving  bool
-	again   *Action
+	again   []Action                          // rentals in doubt: asked for again
 	gone    map[model.MachineID]time.Duration // given back; the list shows them for a while
 	n       uint64
 	want    time.Duration
@@ -63,7 +64,7 @@
 
 // New returns a fleet that knows no machines.
 func New(p Params) *Fleet {
-	return &Fleet{p: p, units: map[model.MachineID]*unit{}, refused: map[kind]time.Duration{}, gone: map[model.MachineID]time.Duration{}}
+	return &Fleet{p: p, units: map[model.MachineID]*unit{}, renting: map[string]Action{}, refused: map[kind]time.Duration{}, gone: map[model.MachineID]time.Duration{}}
 }
 
 // SetTypes takes the catalog with its current prices.
@@ -121,12 +122,12 @@
 
 // Rented takes the outcome of a rental: the machines, or why there are none.
 func (f *Fleet) Rented(now time.Duration, a Action, got []model.MachineID, refused, doubt bool) {
-	f.renting = false
+	delete(f.renting, a.Rent)
 	k := kind{a.Type, a.Zone, a.Spot}
 	switch {
 	case doubt:
 		// It may have been carried out: the same request again tells.
-		f.again = &a
+		f.again = append(f.again, a)
 	case refused || len(got) < a.Count:
 		f.refused[k] = now + f.p.Probe
 	}
@@ -148,6 +149,11 @@
 	}
 }
 
+const (
+	atOnce  = 3  // rentals under way
+	maxRent = 50 // machines the cloud rents in one call
+)
+
 // Demand is what the dealer needs.
 type Demand struct {
 	Need   dealer.Need
@@ -175,18 +181,24 @@
 		return nil
 	}
 	var out []Action
+	for _, a := range f.again {
+		f.renting[a.Rent] = a
+		out = append(out, a)
+	}
+	f.again = nil
 	rooms := f.rooms(now, status)
-	unmet := unmet(rooms, demand, limit)
-	if !f.renting {
-		if f.again != nil {
-			out = append(out, *f.again)
-			f.again, f.renting = nil, true
-		} else if a, ok := f.rent(now, unmet); ok {
-			out = append(out, a)
-			f.renting = true
+	lacking := unmet(rooms, demand, limit)
+	left := lacking
+	for len(f.renting) < atOnce && len(left) > 0 {
+		a, ok := f.rent(now, left)
+		if !ok {
+			break
 		}
+		f.renting[a.Rent] = a
+		out = append(out, a)
+		left = f.cover(left, a)
 	}
-	if len(unmet) > 0 {
+	if len(lacking) > 0 {
 		f.want = now
 	}
 	if !f.giving {
@@ -224,9 +236,40 @@
 		out = append(out, room{m: model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot, Cap: t.Cap}, avail: t.Cap})
 	}
 	slices.SortFunc(out, func(a, b room) int { return cmp.Compare(a.m.ID, b.m.ID) })
+	for _, a := range f.renting {
+		if t := f.typeOf(a.Type); t != nil {
+			for range a.Count {
+				out = append(out, room{m: a.machine(t), avail: t.Cap})
+			}
+		}
+	}
 	return out
 }
 
+// machine is one of those that a rental asks for.
+func (a *Action) machine(t *model.MachineType) model.Machine {
+	return model.Machine{Type: a.Type, Zone: a.Zone, Spot: a.Spot, Cap: t.Cap}
+}
+
+// cover is what is still lacking once a rental has been carried out.
+func (f *Fleet) cover(lacking []lack, a Action) []lack {
+	t := f.typeOf(a.Type)
+	m := a.machine(t)
+	var left []lack
+	free := model.Resources{CPU: t.Cap.CPU * int64(a.Count), GPU: t.Cap.GPU * int64(a.Count), Mem: t.Cap.Mem * int64(a.Count)}
+	for _, l := range lacking {
+		if l.spec.Allows(&m) && l.spec.Each.Fits(t.Cap) {
+			k := min(l.n, l.spec.Each.Count(free))
+			free = free.Sub(l.spec.Each.Times(k))
+			l.n, l.stuck = l.n-k, false
+		}
+		if l.n > 0 {
+			left = append(left, l)
+		}
+	}
+	return left
+}
+
 type lack struct {
 	spec *model.Spec
 	n    int64
@@ -249,6 +292,7 @@
 		left[t] -= int64(d.Placed) * d.Need.Spec.Each.CPU
 	}
 	var out []lack
+	open := openRooms(rooms, demand)
 	for _, d := range demand {
 		sp := d.Need.Spec
 		n := int64(d.Need.Open - d.Placed)
@@ -257,11 +301,15 @@
 			continue
 		}
 		left[sp.Team] -= n * sp.Each.CPU
-		for i := range rooms {
-			r := &rooms[i]
+		full := 0
+		for _, r := range open {
 			if n <= 0 {
 				break
 			}
+			if r.avail.CPU == 0 {
+				full++
+				continue
+			}
 			if !sp.Allows(&r.m) {
 				continue
 			}
@@ -271,6 +319,9 @@
 				n -= k
 			}
 		}
+		if full > len(open)/2 {
+			open = slices.DeleteFunc(open, func(r *room) bool { return r.avail.CPU == 0 })
+		}
 		if n > 0 {
 			out = append(out, lack{sp, n, stuck(sp, rooms)})
 		}
@@ -278,6 +329,21 @@
 	return out
 }
 
+// openRooms are the rooms that could hold the smallest of the tasks.
+func openRooms(rooms []room, demand []Demand) []*room {
+	least := int64(math.MaxInt64)
+	for i := range demand {
+		least = min(least, demand[i].Need.Spec.Each.CPU)
+	}
+	out := make([]*room, 0, len(rooms))
+	for i := range rooms {
+		if rooms[i].avail.CPU >= least {
+			out = append(out, &rooms[i])
+		}
+	}
+	return out
+}
+
 func stuck(sp *model.Spec, rooms []room) bool {
 	for i := range rooms {
 		if sp.Allows(&rooms[i].m) && sp.Each.Fits(rooms[i].m.Cap) {
@@ -326,6 +392,11 @@
 // rent picks the cheapest kind of machine for the work that lacks room.
 func (f *Fleet) rent(now time.Duration, unmet []lack) (Action, bool) {
 	low := f.cheapest()
+	counts := f.counts()
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
 	for _, l := range unmet {
 		var best *kind
 		var bestCost, ratio float64
@@ -341,8 +412,8 @@
 					if !l.spec.Allows(&m) || now < f.refused[k] {
 						continue
 					}
-					// Among equals spread over the zones.
-					cost := perCPU(t, spot) * (1 + 0.02*float64(f.count(k)))
+					// Among equals spread over the zones, however many there are.
+					cost := perCPU(t, spot) * (1 + 0.2*float64(counts[k])/float64(total+10))
 					if best == nil || cost < bestCost {
 						best, bestCost, ratio = &k, cost, max(1, perCPU(t, spot)/low)
 					}
@@ -362,7 +433,7 @@
 		}
 		size := f.typeOf(best.typ).Cap.CPU
 		count := (need + size/2) / size
-		if count == 0 && need > 0 && f.count(*best) == 0 && demand >= size {
+		if count == 0 && need > 0 && counts[*best] == 0 && demand >= size {
 			count = 1
 		}
 		if count == 0 && l.stuck {
@@ -372,17 +443,19 @@
 			continue
 		}
 		f.n++
-		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, 4))}, true
+		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, max(4, count/3), maxRent))}, true
 	}
 	return Action{}, false
 }
 
-func (f *Fleet) count(k kind) int {
-	n := 0
+// counts are the machines of each kind, those asked for included.
+func (f *Fleet) counts() map[kind]int {
+	n := map[kind]int{}
 	for _, u := range f.units {
-		if u.kind == k {
-			n++
-		}
+		n[u.kind]++
+	}
+	for _, a := range f.renting {
+		n[kind{a.Type, a.Zone, a.Spot}] += a.Count
 	}
 	return n
 }
