--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -21,6 +21,7 @@
 	PaybackLimit time.Duration // no eviction pays back later than this
 	DemoteStep   float64       // a task that found no victim has its price divided by this
 	DoubtPause   time.Duration // no direct commands for so long after one went unanswered
+	MaxDirect    int           // direct commands under way at once
 }
 
 // Direct is a command to be sent straight to a worker. Its outcome comes back
@@ -762,6 +763,9 @@
 		return
 	}
 	for _, m := range s.order {
+		if len(s.pending) >= s.p.MaxDirect {
+			return // a thousand at once would all be late
+		}
 		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent {
 			continue
 		}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -124,7 +124,7 @@
 
 func (c *ctl) newSeat(attempts uint64) *seat {
 	return &seat{c: c, heard: c.now(), s: shard.New(shard.Params{SureLease: c.sureLease(), Report: c.w.p.report, Sample: 2, PaybackLimit: time.Minute,
-		DemoteStep: 2, DoubtPause: 2 * time.Second}, attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
+		DemoteStep: 2, DoubtPause: 2 * time.Second, MaxDirect: 8}, attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
 }
 
 func (c *ctl) sureLease() time.Duration { return c.w.p.lease*1002/1000 + 250*time.Millisecond }
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -21,6 +21,7 @@
 	askEvery    = 400 * time.Millisecond
 	linkTimeout = 2500 * time.Millisecond // nothing heard for so long: the link is dead
 	statusEvery = 100 * time.Millisecond
+	maxDirect   = 48
 	gather      = 5 * time.Millisecond // what arrives within so long is dealt with together
 )
 
@@ -43,7 +44,7 @@
 	return &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names),
 		s: shard.New(shard.Params{SureLease: c.SureLease(), Report: config.Seconds(c.Workers.ReportS), Sample: n.set.SampleSize,
 			PaybackLimit: n.set.PaybackLimit, DemoteStep: n.set.DemotionStep,
-			DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second}, attempts, n.rng)}
+			DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second, MaxDirect: maxDirect}, attempts, n.rng)}
 }
 
 // soon asks for a turn: what comes in until then is dealt with together. The
