dealer: machines go back to the controller that remembers them; vet every answer

Now a controller names the machines of its last shard, what is nobody's for a second is divided among the living shards, and each answer ends what the worker lists of jobs that are not open. More than 100 machines are returned in several calls. A late renewal does not hold up the next.

--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -102,6 +102,7 @@
 	authority time.Duration
 	lost      time.Duration // authority of this term's lost shards alone
 	groups    []*adrift
+	orphaned  time.Duration       // seen without an owner since, 0: it has one
 	status    model.MachineStatus // as its owner last told
 	told      model.ShardID       // the owner that told it, 0: none has
 	avail     model.Resources     // of status, less what was dealt since
@@ -159,6 +160,7 @@
 	repriced time.Duration
 	balanced time.Duration
 	spreadAt time.Duration
+	turn     int                     // whose turn it is to get a machine without an owner
 	shunned  map[reach]time.Duration // controllers that a zone's workers did not reach
 }
 
@@ -289,17 +291,34 @@
 // Tick settles what time alone decides.
 func (d *Dealer) Tick(now time.Duration) {
 	d.spread(now)
+	members := d.sortedMembers()
 	for _, m := range d.sortedMachines() {
 		if d.suspects[m.ID] {
 			m.authority = max(d.oldEnd, m.lost)
 		}
-		unresolved := len(m.groups) > 0 || d.suspects[m.ID]
-		if unresolved && m.owner == 0 && now > m.authority+d.p.SureLease {
+		if m.owner != 0 || len(m.groups) == 0 && !d.suspects[m.ID] {
+			m.orphaned = 0
+			continue
+		}
+		if now > m.authority+d.p.SureLease {
 			d.resolve(m)
+			continue
+		}
+		// Nobody's, and work waits until it is accounted for: a shard is to
+		// reach for its worker, for that may not report for long.
+		if m.orphaned == 0 {
+			m.orphaned = now
+		} else if now-m.orphaned >= orphanPatience && len(members) > 0 && !m.gone {
+			d.own(m, members[d.turn%len(members)].id)
+			d.turn++
 		}
 	}
 }
 
+// orphanPatience is how long a machine that lost its owner is left to report to
+// another one by itself.
+const orphanPatience = time.Second
+
 // Dealt counts the deals made to a shard.
 func (d *Dealer) Dealt(id model.ShardID) uint64 {
 	if m := d.members[id]; m != nil {
@@ -423,9 +442,8 @@
 }
 
 // Recorded takes a machine that an earlier leader may have given tasks. It is
-// suspect until its worker is fenced or its lease is surely over. to is asked
-// to fence it at once.
-func (d *Dealer) Recorded(m model.Machine, version uint64, to model.ShardID) {
+// suspect until its worker is fenced or its lease is surely over.
+func (d *Dealer) Recorded(m model.Machine, version uint64) {
 	if d.machines[m.ID] != nil {
 		return
 	}
@@ -436,7 +454,6 @@
 	}
 	d.addMachine(r)
 	d.suspects[m.ID] = true
-	d.own(r, to)
 }
 
 // own gives the machine to a shard, under a token never used before.
@@ -614,6 +631,12 @@
 		if owner && !m.gone && (e.Kind == model.NeedToken || e.Token>>32 == d.p.Term) {
 			d.own(m, from)
 		}
+	case model.Remembered:
+		// Its worker will report there again: it is fenced there, and need not
+		// change hands.
+		if m != nil && m.owner == 0 && !m.gone {
+			d.own(m, from)
+		}
 	case model.Found:
 		d.found(now, from, e)
 	case model.Finished:
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -82,7 +82,8 @@
 func TestNewLeaderWaitsForTheMachinesOfTheOld(t *testing.T) {
 	r := newRig(t, 100)
 	s := r.d.Join(0, "a")
-	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4, s)
+	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4)
+	r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 1})
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
 	old := r.job(1, 2, true)
@@ -116,7 +117,8 @@
 func TestUnseenMachineIsChargedInFull(t *testing.T) {
 	r := newRig(t, 9)
 	s := r.d.Join(0, "a")
-	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4, s)
+	r.d.Recorded(model.Machine{ID: 1, Addr: "x"}, 4)
+	r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 1})
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
 	r.job(2, 4, false)
@@ -130,7 +132,8 @@
 func TestUnseenMachineOfUnknownTypeStopsDealing(t *testing.T) {
 	r := newRig(t, 1000)
 	s := r.d.Join(0, "a")
-	r.d.Recorded(model.Machine{ID: 1, Addr: "x", Type: 9}, 4, s)
+	r.d.Recorded(model.Machine{ID: 1, Addr: "x", Type: 9}, 4)
+	r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 1})
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
 	r.job(2, 4, false)
@@ -426,3 +429,30 @@
 		t.Fatalf("orders %v, want another try later", o)
 	}
 }
+
+// After a controller is lost, old work waits until its machines are accounted
+// for. Their workers may not report for many seconds, so that the living shards
+// get them to reach for, each a part.
+func TestOrphanedMachinesAreDividedAmongTheLivingShards(t *testing.T) {
+	r := newRig(t, 100)
+	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
+	for id := range model.MachineID(6) {
+		r.d.Recorded(model.Machine{ID: id, Addr: "x"}, 4)
+	}
+	r.d.Event(0, a, model.Event{Kind: model.Remembered, Machine: 0})
+	if o := r.orders(model.Own); len(o) != 1 || o[0].To != a {
+		t.Fatalf("orders %v, want the machine with the shard that remembers it", o)
+	}
+	r.d.Tick(time.Second)
+	if o := r.orders(model.Own); len(o) != 0 {
+		t.Fatalf("orders %v before they could report", o)
+	}
+	r.d.Tick(3 * time.Second)
+	to := map[model.ShardID]int{}
+	for _, o := range r.orders(model.Own) {
+		to[o.To]++
+	}
+	if to[a]+to[b] != 5 || to[a] < 2 || to[b] < 2 {
+		t.Fatalf("machines per shard: %v", to)
+	}
+}
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -64,6 +64,7 @@
 	term     uint64
 	version  uint64
 	renewing bool
+	asked    time.Duration // when the last renewal was sent
 	nextTry  time.Duration // of the next renewal
 	orphans  []uint64      // leases of ours that must end
 
@@ -167,8 +168,9 @@
 		e.next = now
 	}
 	if e.leading {
-		if !e.renewing && now >= e.nextTry {
-			e.renewing = true
+		// An answer that is late does not hold up the next try.
+		if now >= e.nextTry && (!e.renewing || now-e.asked >= e.ttl/5) {
+			e.renewing, e.asked = true, now
 			ops = append(ops, Op{Verb: Renew, Lease: e.lease, SentAt: now})
 		}
 		return ops
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -154,6 +154,9 @@
 	maxRent = 50 // machines the cloud rents in one call
 )
 
+// MaxReturn is how many machines the cloud takes back in one call.
+const MaxReturn = 100
+
 // Demand is what the dealer needs.
 type Demand struct {
 	Need   dealer.Need
@@ -524,8 +527,8 @@
 	}
 	slices.Sort(out)
 	out = slices.Compact(out)
-	if len(out) > 100 {
-		out = out[:100]
+	if len(out) > MaxReturn {
+		out = out[:MaxReturn]
 	}
 	for _, id := range out {
 		f.units[id].drop = true
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -148,8 +148,9 @@
 	tasks    map[model.Task]*task
 	queue    map[groupKey]*group
 	pending  map[uint64]inFlight
-	ranked   []*group // of queue, by score when all were last placed
-	replan   bool     // more than machines' room has changed since
+	open     map[model.JobID]bool // the leader's picture of the open jobs, nil: not told yet
+	ranked   []*group             // of queue, by score when all were last placed
+	replan   bool                 // more than machines' room has changed since
 	roomier  []*machine
 	running  map[model.JobID]int // as last counted
 	counted  time.Duration
@@ -173,6 +174,9 @@
 // Grant lets the shard act until the given time.
 func (s *Shard) Grant(until time.Duration) { s.until = until }
 
+// Open takes the leader's picture of the open jobs.
+func (s *Shard) Open(jobs map[model.JobID]bool) { s.open = jobs }
+
 // Granted tells whether the shard may act.
 func (s *Shard) Granted(now time.Duration) bool { return now < s.until }
 
@@ -226,6 +230,7 @@
 			}
 		}
 	case model.EndJob:
+		delete(s.open, o.Job)
 		s.endJob(now, o.Job)
 	case model.Reprice:
 		s.reprice(o.Job, o.Price)
@@ -559,13 +564,33 @@
 		m.silent = false
 		s.emit(model.Event{Kind: model.Heard, Machine: m.ID})
 	}
-	cmds := s.commands(now, m, r.Seq, false)
+	cmds := append(s.vet(m, r), s.commands(now, m, r.Seq, false)...)
 	// A worker that is not fenced yet shows the token sooner when it is told
 	// directly as well.
 	m.wake = !m.fenced
 	return Answer{OK: true, Token: m.token, Commands: cmds}
 }
 
+// vet ends what a worker holds of jobs that are not open. This answer renews
+// its lease, so it must not wait for the worker to be fenced, or for the dealer
+// to judge what was found: under load, owners that followed each other each
+// answered a worker before any of them got that far, and a cancelled task ran on.
+func (s *Shard) vet(m *machine, r *model.Report) []model.Command {
+	var cmds []model.Command
+	if s.open == nil {
+		return nil
+	}
+	for _, c := range r.Cells {
+		if c.Stage == model.Exited || s.open[c.Task.Job] {
+			continue
+		}
+		if sl := m.slots[key{c.Task, c.Attempt}]; sl == nil || sl.t == nil && !sl.stop {
+			cmds = append(cmds, model.Command{Verb: model.Kill, Task: c.Task, Attempt: c.Attempt})
+		}
+	}
+	return cmds
+}
+
 // take brings a machine's books in line with a newer message of its worker.
 // isReport tells a report from the answer to a direct command: only a report
 // proves that the answer to the report before it has arrived or never will.
@@ -921,6 +946,15 @@
 	return n, sum
 }
 
+// Machines are the shard's.
+func (s *Shard) Machines() []model.Machine {
+	out := make([]model.Machine, len(s.order))
+	for i, m := range s.order {
+		out[i] = m.Machine
+	}
+	return out
+}
+
 // Owns tells whether the machine is this shard's.
 func (s *Shard) Owns(id model.MachineID) bool { return s.machines[id] != nil }
 
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -377,3 +377,21 @@
 		}
 	}
 }
+
+// An answer renews the worker's lease. What the worker holds of a job that is
+// not open must end with it, fenced or not: a cancelled job's task ran on for
+// longer than the rules allow while owners changed under load.
+func TestFirstAnswerEndsWhatIsNotOpen(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.s.Open(map[model.JobID]bool{2: true})
+	held := []model.Cell{cell(1, 0, 7, model.Running, 0), cell(2, 0, 8, model.Running, 0)}
+	want := []model.Command{{Verb: model.Kill, Task: model.Task{Job: 1}, Attempt: 7}}
+	if diff := cmp.Diff(want, r.report(1, 3, held...)); diff != "" {
+		t.Fatal(diff)
+	}
+	r.s.Order(r.now, model.Order{Kind: model.EndJob, Job: 2})
+	if got := r.report(1, 3, held...); len(got) != 2 {
+		t.Fatalf("commands %v, want the other ended too once its job is over", got)
+	}
+}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -22,6 +22,7 @@
 	el     *election.Election
 	lead   *lead
 	seat   *seat
+	kept   []model.Machine // of the seat before
 }
 
 type lead struct {
@@ -199,7 +200,7 @@
 		if !l.loaded && !c.w.p.forgetRecords {
 			for no := range uint64(len(c.w.workers)/blockSize + 1) { // in a fixed order
 				for _, m := range snap.records[no].machines {
-					l.d.Recorded(m, snap.records[no].version, l.local)
+					l.d.Recorded(m, snap.records[no].version)
 				}
 			}
 		}
@@ -220,10 +221,18 @@
 		l.d.Sync(known, snap.rev)
 		l.fresh = asked
 		l.loaded = true
+		c.seat.s.Open(l.picture())
 		l.pump()
 	})
 }
 
+// picture is the set of open jobs as the leader sees them.
+func (l *lead) picture() map[model.JobID]bool {
+	open := map[model.JobID]bool{}
+	l.d.Open(func(id model.JobID, _, _ int) { open[id] = true })
+	return open
+}
+
 func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.fresh+l.c.w.p.deaf) }
 
 func (l *lead) back() {
@@ -477,6 +486,9 @@
 				}
 				k := &link{host: c.host}
 				st := &seat{c: c, l: l, lk: k, heard: c.now()}
+				if c.seat != nil {
+					c.kept = c.seat.s.Machines()
+				}
 				c.seat = nil
 				c.w.send(c.host, host, true, func() {
 					if o.lead != l || !o.up {
@@ -496,14 +508,21 @@
 					if len(l.hosts) == c.w.p.controllers-1 {
 						l.d.EveryoneHere(o.now())
 					}
-					attempts := l.d.Attempts(id)
+					attempts, picture := l.d.Attempts(id), l.picture()
 					c.w.send(host, c.host, true, func() {
 						if !c.up || c.life != life || c.lead != nil || c.seat != nil {
 							return
 						}
 						n := c.newSeat(attempts)
 						st.s, st.id, st.joined, st.heard = n.s, id, true, c.now()
+						st.s.Open(picture)
 						c.seat = st
+						for _, m := range c.kept {
+							st.up(func(l *lead, _ *link) {
+								l.d.Event(l.c.now(), id, model.Event{Kind: model.Remembered, Machine: m.ID})
+								l.exchange()
+							})
+						}
 					})
 					k.peer = st
 					l.links[id] = k
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -23,8 +23,11 @@
 )
 
 // unseenPatience is how long a new leader tries to reach the machines of earlier
-// terms before it gives a few up.
-const unseenPatience = 3500 * time.Millisecond
+// terms before it gives a few up: every worker that lives has reported by then,
+// and shown the token.
+func (n *Node) unseenPatience() time.Duration {
+	return config.Seconds(1.25*n.cfg.Cluster.Workers.ReportS) + 2250*time.Millisecond
+}
 
 var errTermOver = errors.New("the term is over")
 
@@ -68,7 +71,8 @@
 	if n.lead != nil && (!leading || n.lead.term != n.el.Term()) {
 		n.log.Info("leadership over", "term", n.lead.term)
 		n.lead.cancel()
-		n.lead, n.seat = nil, nil
+		n.lead = nil
+		n.leaveSeat()
 	}
 	if leading && n.lead == nil {
 		n.lead = n.newLeadership(ctx, now)
@@ -95,6 +99,7 @@
 		l.d.EveryoneHere(now)
 	}
 	l.local = l.d.Join(now, n.cfg.HostName)
+	n.leaveSeat()
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
 	l.f = fleet.New(fleet.Params{Term: l.term, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
@@ -236,9 +241,12 @@
 		}
 		machines += len(ms)
 		for _, m := range ms {
-			l.d.Recorded(m, r.version, l.local)
+			l.d.Recorded(m, r.version)
 		}
 	}
+	for i := range n.kept {
+		l.d.Event(now, l.local, model.Event{Kind: model.Remembered, Machine: n.kept[i].ID})
+	}
 	for _, st := range open {
 		l.add(now, st)
 	}
@@ -247,6 +255,7 @@
 	}
 	l.fresh = asked
 	l.loaded, l.loadedAt = true, now
+	l.showProgress()
 	close(l.ready)
 	n.log.Info("store read", "term", l.term, "open", len(open), "machines", machines)
 	if len(orphans) > 0 {
@@ -363,15 +372,24 @@
 
 // showProgress tells all controllers how far the open jobs are.
 func (l *leadership) showProgress() {
+	p := l.progress()
+	for _, k := range l.links {
+		k.out.Send(p)
+	}
+}
+
+// progress gathers how far the open jobs are, for this controller and others.
+func (l *leadership) progress() *peerpb.Down {
 	l.n.progress = map[model.JobID]progress{}
+	open := map[model.JobID]bool{}
 	p := &peerpb.Progress{StateAgeUs: (l.n.now() - l.n.stateAt).Microseconds()}
 	l.d.Open(func(id model.JobID, done, running int) {
 		l.n.progress[id] = progress{done, running}
+		open[id] = true
 		p.Jobs = append(p.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running)})
 	})
-	for _, k := range l.links {
-		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Progress{Progress: p}})
-	}
+	l.n.seat.s.Open(open)
+	return &peerpb.Down{Msg: &peerpb.Down_Progress{Progress: p}}
 }
 
 // until is when this leader's authority ends unless it is renewed.
@@ -404,14 +422,16 @@
 		l.healed = true
 		l.n.log.Info("all machines of earlier terms accounted for", "term", l.term)
 	}
-	if !l.healed && !l.settling && now-l.loadedAt > unseenPatience {
+	if !l.healed && !l.settling && now-l.loadedAt > l.n.unseenPatience() {
 		if ids := l.d.Unseen(); len(ids) > 0 {
 			// They answer neither reports nor commands. All old jobs wait for
 			// them, so they are worth less than the time until their leases
 			// are over: once returned they are surely gone.
 			l.settling = true
 			l.n.log.Info("returning machines that can't be reached", "count", len(ids))
-			go l.cloudAction(fleet.Action{Machine: ids})
+			for part := range slices.Chunk(ids, fleet.MaxReturn) {
+				go l.cloudAction(fleet.Action{Machine: part})
+			}
 		}
 	}
 	if now-l.ticked >= 100*time.Millisecond {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,8 +61,9 @@
 	finals        map[model.JobID]jobs.Stage
 	order         []model.JobID // of finals, oldest first
 	stats         Stats
-	turning       bool          // a turn is due
-	cost          time.Duration // of the last turn
+	kept          []model.Machine // of this controller's last shard
+	turning       bool            // a turn is due
+	cost          time.Duration   // of the last turn
 }
 
 // Stats are counts for operators.
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -47,6 +47,17 @@
 			DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second, MaxDirect: maxDirect}, attempts, n.rng)}
 }
 
+// leaveSeat drops this controller's shard. The machines' workers will report
+// here again: the next leader is told of them.
+func (n *Node) leaveSeat() {
+	if n.seat != nil {
+		if ms := n.seat.s.Machines(); len(ms) > 0 {
+			n.kept = ms
+		}
+	}
+	n.seat = nil
+}
+
 // soon asks for a turn: what comes in until then is dealt with together. The
 // more a turn costs, the more is gathered for the next.
 func (n *Node) soon() {
@@ -241,7 +252,7 @@
 		n.mu.Unlock()
 		return errors.New("leading myself")
 	}
-	n.seat = nil
+	n.leaveSeat()
 	n.mu.Unlock()
 	out.Send(&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: n.cfg.HostName}}})
 	in := peer.NewReader(body)
@@ -277,11 +288,19 @@
 			st = n.newSeat(msg.Welcome.GetAttempts())
 			st.out = out
 			n.seat, n.leader = st, host
-			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm())
+			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm(), "remembered", len(n.kept))
+			for i := range n.kept {
+				out.Send(st.codec.Event(&model.Event{Kind: model.Remembered, Machine: n.kept[i].ID}))
+			}
 		case *peerpb.Down_Progress:
 			n.leaderStateAt = now - time.Duration(msg.Progress.GetStateAgeUs())*time.Microsecond
 			n.progress = make(map[model.JobID]progress, len(msg.Progress.GetJobs()))
+			open := make(map[model.JobID]bool, len(msg.Progress.GetJobs()))
+			if st != nil {
+				st.s.Open(open)
+			}
 			for _, j := range msg.Progress.GetJobs() {
+				open[model.JobID(j.GetJob())] = true
 				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning())}
 			}
 		case *peerpb.Down_Grant:
@@ -454,6 +473,7 @@
 	id := l.d.Join(now, host)
 	l.links[id] = k
 	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id)}}})
+	k.out.Send(l.progress())
 	l.n.log.Info("member joined", "host", host, "shard", id)
 	l.hosts[host] = true
 	all := true
