--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -548,13 +548,13 @@
 }
 
 // Unseen returns the machines of earlier terms that are not accounted for yet,
-// if they are few.
-func (d *Dealer) Unseen() []model.MachineID {
-	if len(d.suspects) > max(1, len(d.machines)*15/100) {
+// if they are at most that share of all, or only one.
+func (d *Dealer) Unseen(share float64) []model.MachineID {
+	if len(d.suspects) > max(1, int(share*float64(len(d.machines)))) {
 		return nil
 	}
 	var out []model.MachineID
-	for _, m := range d.sortedMachines() {
+	for _, m := range d.byID {
 		if d.suspects[m.ID] {
 			out = append(out, m.ID)
 		}
@@ -562,6 +562,9 @@
 	return out
 }
 
+// Suspects counts the machines of earlier terms that are not accounted for.
+func (d *Dealer) Suspects() int { return len(d.suspects) }
+
 // HasMachines tells whether there is any machine.
 func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -16,6 +16,7 @@
 // Params of a fleet.
 type Params struct {
 	Term       uint64
+	Began      time.Duration // nothing could be heard of any machine before
 	ListLag    time.Duration
 	IdleReturn time.Duration // an unneeded machine is given back after so long
 	Horizon    time.Duration // waiting work should be done within so long
@@ -501,7 +502,7 @@
 		t := f.typeOf(u.typ)
 		switch {
 		case u.failed,
-			!u.heard && t != nil && now-u.since > 4*t.Boot+20*time.Second,
+			!u.heard && t != nil && now-max(u.since, f.p.Began) > 4*t.Boot+20*time.Second,
 			u.silent != 0 && now-u.silent > 20*time.Second && now-u.listed > 2*f.p.ListLag,
 			u.silent != 0 && now-u.silent > 90*time.Second:
 			out = append(out, id)
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -105,3 +105,26 @@
 		t.Error("a returned machine is back")
 	}
 }
+
+// A new leader has heard of no machine yet, however long ago the list says that
+// it was rented: once it gave back a hundred that were busy.
+func TestNewLeaderGivesNothingBackBeforeItCouldHear(t *testing.T) {
+	began := time.Hour
+	f := New(Params{Term: 7, Began: began, ListLag: 10 * time.Second, IdleReturn: time.Minute, Horizon: 30 * time.Second, Probe: 15 * time.Second})
+	f.SetTypes([]model.MachineType{{Name: 0, Cap: model.Capacity(8, 0, 32), Price: 1, SpotPrice: 0.3, Boot: 20 * time.Second, Zones: []model.Name{0}}})
+	f.List(began, []Listed{{ID: 1, Age: time.Hour}})
+	silent := func(model.MachineID) bool { return true }
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{10 * time.Second, 0}, {2 * time.Minute, 1}} {
+		f.Observe(began+c.after, nil, silent)
+		n := 0
+		for _, a := range f.Step(began+c.after, nil, nil, noLimit) {
+			n += len(a.Machine)
+		}
+		if n != c.want {
+			t.Errorf("%v after the term began %d machines are given back, want %d", c.after, n, c.want)
+		}
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -22,13 +22,6 @@
 	"honeylock/internal/wire"
 )
 
-// unseenPatience is how long a new leader tries to reach the machines of earlier
-// terms before it gives a few up: every worker that lives has reported by then,
-// and shown the token.
-func (n *Node) unseenPatience() time.Duration {
-	return config.Seconds(1.25*n.cfg.Cluster.Workers.ReportS) + 2250*time.Millisecond
-}
-
 var errTermOver = errors.New("the term is over")
 
 // leadership is all that a controller keeps while it leads one term. It is
@@ -63,6 +56,10 @@
 	// settling: machines that can't be reached are being returned.
 	settling bool
 	loadedAt time.Duration
+	// suspects are the machines of earlier terms not accounted for, and since
+	// when they are as many.
+	suspects   int
+	suspectsAt time.Duration
 }
 
 // followLeadership starts and drops the leader's part as the election says.
@@ -102,7 +99,7 @@
 	n.leaveSeat()
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
-	l.f = fleet.New(fleet.Params{Term: l.term, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
+	l.f = fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
 		Horizon: n.set.RentHorizon, Probe: 15 * time.Second})
 	l.setTypes(n.types)
 	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
@@ -422,18 +419,7 @@
 		l.healed = true
 		l.n.log.Info("all machines of earlier terms accounted for", "term", l.term)
 	}
-	if !l.healed && !l.settling && now-l.loadedAt > l.n.unseenPatience() {
-		if ids := l.d.Unseen(); len(ids) > 0 {
-			// They answer neither reports nor commands. All old jobs wait for
-			// them, so they are worth less than the time until their leases
-			// are over: once returned they are surely gone.
-			l.settling = true
-			l.n.log.Info("returning machines that can't be reached", "count", len(ids))
-			for part := range slices.Chunk(ids, fleet.MaxReturn) {
-				go l.cloudAction(fleet.Action{Machine: part})
-			}
-		}
-	}
+	l.settleUnseen(now)
 	if now-l.ticked >= 100*time.Millisecond {
 		l.ticked = now
 		l.n.seat.s.Tick(now)
@@ -485,6 +471,48 @@
 	}
 }
 
+const (
+	// reachWait is how long a worker that lives takes to answer a direct command.
+	reachWait = 2500 * time.Millisecond
+	// Of all machines, a part that may be given up for the rest: the few that
+	// answer no command; more once every worker that lives has reported, too.
+	// A zone that is cut off is more than that, and waits for its leases.
+	fewUnseen  = 0.02
+	someUnseen = 0.15
+)
+
+// settleUnseen returns the machines of earlier terms that answer neither
+// reports nor commands, if they are few. All old jobs wait for them, so they
+// are worth less than the time until their leases are over: once returned they
+// are surely gone.
+func (l *leadership) settleUnseen(now time.Duration) {
+	if l.healed || l.settling {
+		return
+	}
+	if n := l.d.Suspects(); n != l.suspects {
+		l.suspects, l.suspectsAt = n, now
+	}
+	waited := now - l.loadedAt
+	share := 0.0
+	switch {
+	case waited > config.Seconds(1.25*l.n.cfg.Cluster.Workers.ReportS)+reachWait-250*time.Millisecond:
+		share = someUnseen
+	case waited > reachWait+time.Second && now-l.suspectsAt > reachWait:
+		share = fewUnseen
+	default:
+		return
+	}
+	ids := l.d.Unseen(share)
+	if len(ids) == 0 {
+		return
+	}
+	l.settling = true
+	l.n.log.Info("returning machines that can't be reached", "count", len(ids))
+	for part := range slices.Chunk(ids, fleet.MaxReturn) {
+		go l.cloudAction(fleet.Action{Machine: part})
+	}
+}
+
 // turn lets dealer and shards settle, and sends the direct commands. Dealing
 // looks at all that is open, so it is done less often the longer it takes.
 func (l *leadership) turn(now time.Duration) {
