node: polls of open jobs share one comparison

A poll of a job whose record's version is known is a guard of a transaction without changes, and 64 or 80 of them go in one.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -34,6 +34,7 @@
 	ReadFinal        // Stage tells it
 	Create           // put open; guards: neither open nor final exists
 	Cancel           // drop open at Version, put final
+	StillOpen        // compare open with Version; many are compared in one call
 )
 
 // Op is a store operation.
@@ -49,7 +50,7 @@
 const (
 	OK       Outcome = iota
 	Missing          // read: no such key
-	Conflict         // transaction: a guard failed
+	Conflict         // transaction or comparison: a guard failed
 	Failed           // refused, or in doubt
 )
 
@@ -83,12 +84,17 @@
 	tries int
 }
 
-// New starts a request and returns its first operation.
-func New(k Kind) (*Request, Op) {
+// New starts a request and returns its first operation. version is the open
+// record's, if it has been seen, else 0: the record is written once, so a poll
+// need only learn whether it is still there.
+func New(k Kind, version uint64) (*Request, Op) {
 	r := &Request{kind: k}
 	if k == Submit {
 		return r, Op{Kind: Create}
 	}
+	if k == Poll && version != 0 {
+		return r, Op{Kind: StillOpen, Version: version}
+	}
 	return r, Op{Kind: ReadOpen}
 }
 
@@ -105,6 +111,11 @@
 			return Op{}, &Answer{Status: http.StatusCreated, Stage: Queued, Created: true}
 		}
 		return Op{Kind: ReadOpen}, nil
+	case StillOpen:
+		if res.Outcome == OK {
+			return Op{}, &Answer{Status: http.StatusOK, Stage: Queued}
+		}
+		return Op{Kind: ReadOpen}, nil
 	case ReadOpen:
 		if res.Outcome == Missing {
 			return Op{Kind: ReadFinal}, nil
--- a/internal/core/jobs/jobs_test.go
+++ b/internal/core/jobs/jobs_test.go
@@ -8,7 +8,7 @@
 // script runs a request against scripted results.
 func script(t *testing.T, k Kind, steps ...Result) (Answer, []OpKind) {
 	t.Helper()
-	req, op := New(k)
+	req, op := New(k, 0)
 	var ops []OpKind
 	for _, s := range steps {
 		ops = append(ops, op.Kind)
@@ -54,9 +54,27 @@
 }
 
 func TestCancelIsGuardedByTheVersionRead(t *testing.T) {
-	req, op := New(Withdraw)
+	req, op := New(Withdraw, 0)
 	op, _ = req.Next(op, Result{Version: 42})
 	if op.Kind != Cancel || op.Version != 42 {
 		t.Fatalf("op %+v: a late cancellation could end another record", op)
 	}
 }
+
+// An open record that was seen before is only compared, and many such polls
+// share one call; once it is gone, the records tell what became of the job.
+func TestPollOfASeenJobComparesOnly(t *testing.T) {
+	req, op := New(Poll, 3)
+	if op != (Op{Kind: StillOpen, Version: 3}) {
+		t.Fatalf("asks %+v", op)
+	}
+	if _, a := req.Next(op, Result{}); a == nil || a.Stage != Queued {
+		t.Fatalf("%+v for a job that is open", a)
+	}
+	if next, a := req.Next(op, Result{Outcome: Conflict}); a != nil || next.Kind != ReadOpen {
+		t.Fatalf("%+v, %+v for one that is not", next, a)
+	}
+	if _, a := req.Next(op, Result{Outcome: Failed}); a == nil || a.Status != http.StatusServiceUnavailable {
+		t.Fatalf("%+v without the store", a)
+	}
+}
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -17,7 +17,8 @@
 	spec      *model.Spec
 	submitted bool
 	accepted  bool
-	wants     bool // has asked to cancel
+	version   uint64 // of its open record, once a controller has seen it
+	wants     bool   // has asked to cancel
 	ended     jobs.Stage
 	endedAt   time.Duration
 	done      map[int32]bool
@@ -63,7 +64,7 @@
 	before := *u
 	answered := false
 	if c.up {
-		req, op := jobs.New(k)
+		req, op := jobs.New(k, u.version)
 		var step func(op jobs.Op)
 		step = func(op jobs.Op) {
 			c.storeCall(func() any { return w.store.job(u, op) }, func(res any) {
@@ -71,6 +72,9 @@
 				if r, ok := res.(jobs.Result); ok {
 					out = r
 				}
+				if op.Kind == jobs.ReadOpen && out.Outcome == jobs.OK {
+					u.version = out.Version
+				}
 				next, ans := req.Next(op, out)
 				if ans == nil {
 					step(next)
--- a/internal/core/sim/store_test.go
+++ b/internal/core/sim/store_test.go
@@ -107,6 +107,11 @@
 	o, open := s.open[id]
 	st, final := s.final[id]
 	switch op.Kind {
+	case jobs.StillOpen:
+		if !open || o.version != op.Version {
+			return jobs.Result{Outcome: jobs.Conflict}
+		}
+		return jobs.Result{}
 	case jobs.ReadOpen:
 		if !open {
 			return jobs.Result{Outcome: jobs.Missing}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,8 @@
 	waits         map[model.MachineID][]chan struct{}
 	types         []model.MachineType
 	finals        map[model.JobID]jobs.Stage
+	versions      map[model.JobID]uint64 // of open records seen
+	polls         *polls
 	order         []model.JobID // of finals, oldest first
 	stats         Stats
 	kept          []model.Machine // of this controller's last shard
@@ -90,9 +92,11 @@
 		work:  worker.New(2 * time.Second),
 		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
 			Images: wire.NewTable(), Classes: wire.NewTable()},
-		finals: map[model.JobID]jobs.Stage{},
-		waits:  map[model.MachineID][]chan struct{}{},
+		finals:   map[model.JobID]jobs.Stage{},
+		versions: map[model.JobID]uint64{},
+		waits:    map[model.MachineID][]chan struct{}{},
 	}
+	n.polls = newPolls(n.state, cfg.Cluster.State.TxnOps)
 	index := 0
 	for _, s := range cfg.Siblings {
 		if s.HostName < cfg.HostName {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -122,7 +122,7 @@
 	if st, ok := n.final(id); ok {
 		return n.stateReply(http.StatusOK, id, st)
 	}
-	req, op := jobs.New(k)
+	req, op := jobs.New(k, n.version(id))
 	for {
 		next, ans := req.Next(op, n.jobOp(ctx, id, op, sub))
 		if ans == nil {
@@ -146,6 +146,8 @@
 	name := wire.JobName(id)
 	openKey, finalKey := openKeys+name, finalKeys+name
 	switch op.Kind {
+	case jobs.StillOpen:
+		return jobs.Result{Outcome: n.polls.stillOpen(ctx, id, op.Version), Version: op.Version}
 	case jobs.ReadOpen, jobs.ReadFinal:
 		key := openKey
 		if op.Kind == jobs.ReadFinal {
@@ -159,6 +161,9 @@
 			return jobs.Result{Outcome: jobs.Failed}
 		}
 		res := jobs.Result{Version: it.Version}
+		if op.Kind == jobs.ReadOpen {
+			n.keepVersion(id, it.Version)
+		}
 		if op.Kind == jobs.ReadFinal {
 			var f wire.Final
 			if json.Unmarshal(it.Value, &f) != nil || !jobs.Stage(f.Stage).Ended() {
@@ -176,9 +181,12 @@
 		t.Guards = []wire.Guard{{Key: openKey, Version: op.Version}}
 		t.Then = finalOps(id, jobs.Cancelled)
 	}
-	_, err := n.state.Txn(state.Urgent(ctx), t)
+	rev, err := n.state.Txn(state.Urgent(ctx), t)
 	switch {
 	case err == nil:
+		if op.Kind == jobs.Create {
+			n.keepVersion(id, rev)
+		}
 		return jobs.Result{}
 	case errors.Is(err, state.ErrConflict):
 		return jobs.Result{Outcome: jobs.Conflict}
@@ -194,9 +202,26 @@
 	return st, ok
 }
 
+// version is that of a job's open record, if it has been seen, else 0.
+func (n *Node) version(id model.JobID) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.versions[id]
+}
+
+func (n *Node) keepVersion(id model.JobID, version uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.versions) >= maxFinals {
+		clear(n.versions) // they are read again
+	}
+	n.versions[id] = version
+}
+
 func (n *Node) keepFinal(id model.JobID, st jobs.Stage) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	delete(n.versions, id)
 	if _, ok := n.finals[id]; ok {
 		return
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -152,6 +153,29 @@
 	return r.Revision, nil
 }
 
+// Compare asks whether keys have the stated versions, and returns those that
+// don't.
+func (c *Client) Compare(ctx context.Context, guards []wire.Guard) (failed map[string]bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := c.admit(ctx, 0); err != nil {
+		return nil, err
+	}
+	status, body, err := c.http.Do(ctx, http.MethodPost, c.base+"/txn", wire.Txn{Guards: guards}, nil)
+	if err = verdict(status, body, err); !errors.Is(err, ErrConflict) {
+		return nil, err
+	}
+	var f wire.Failed
+	if err := json.Unmarshal(body, &f); err != nil || len(f.Keys) == 0 {
+		return nil, fmt.Errorf("state service: unreadable conflict %.200s", body)
+	}
+	failed = make(map[string]bool, len(f.Keys))
+	for _, k := range f.Keys {
+		failed[k] = true
+	}
+	return failed, nil
+}
+
 // Grant asks for a lease.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var l wire.Lease
--- a/internal/wire/store.go
+++ b/internal/wire/store.go
@@ -28,6 +28,11 @@
 	Then   []Op    `json:"Then,omitempty"`
 }
 
+// Failed is the answer to a transaction of which guards failed.
+type Failed struct {
+	Keys []string `json:"failed"`
+}
+
 // Revision is the store's count of changes, in every answer.
 type Revision struct {
 	Revision uint64 `json:"FrameCount"`
