shard: evict for what pays back within the wait; order by price squared; keep images

An eviction waits until its payback is over (DESIGN's limit stays the upper bound, and only beyond it is a task demoted); price times wait takes the price squared; among sampled machines the fetch counts; a controller's next shard keeps what the last knew of images. Urgent requests no longer take from the ordinary ones' part of the state service's rate.

--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -32,6 +32,12 @@
 	Prod
 )
 
+// Priority of a task of that price, which its wait is multiplied by: the price
+// squared. Prices a factor of ten apart would let low work that has waited for
+// minutes, as in a burst or with a zone cut off, go before high work that has
+// waited for seconds.
+func Priority(price float64) float64 { return price * price }
+
 // Resources are amounts in thousandths, so that sums are exact.
 type Resources struct{ CPU, GPU, Mem int64 }
 
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -27,7 +27,7 @@
 }
 
 func (g *group) score(now time.Duration) float64 {
-	return g.price * (now - g.since + time.Second/10).Seconds()
+	return model.Priority(g.price) * (now - g.since + time.Second/10).Seconds()
 }
 
 // Place puts waiting tasks on machines, the highest price times wait first. As
@@ -295,12 +295,13 @@
 	var best *machine
 	var bestAt int
 	var bestVictims []*slot
-	var bestCost time.Duration
+	var bestCost, bestTotal time.Duration
 	for _, i := range v.sample(g, s.p.Sample) {
 		m := v.at[i].m
 		victims, cost, ok := s.victims(now, m, g)
-		if ok && cost <= s.p.PaybackLimit && (best == nil || cost < bestCost) {
-			best, bestAt, bestVictims, bestCost = m, i, victims, cost
+		total := cost + m.fetch(g.spec)
+		if ok && cost <= s.p.PaybackLimit && (best == nil || total < bestTotal) {
+			best, bestAt, bestVictims, bestCost, bestTotal = m, i, victims, cost, total
 		}
 	}
 	if best == nil {
@@ -311,6 +312,12 @@
 		}
 		return nil
 	}
+	// Room comes free by itself all the time: an eviction must pay back sooner
+	// than the task has waited for it.
+	if early := bestCost - (now - g.tasks[0].queued); early > 0 {
+		g.nextEvict = now + min(early, time.Second)
+		return nil
+	}
 	for _, sl := range bestVictims {
 		s.Stats.Evicted++
 		s.stop(now, best, sl, parting(now, sl, g.spec.Rank))
@@ -362,6 +369,15 @@
 	return out, cost, g.spec.Each.Fits(room)
 }
 
+// fetch is how long the machine takes to get a task's image, if it is not known
+// to have it.
+func (m *machine) fetch(sp *model.Spec) time.Duration {
+	if m.images[sp.Image] || m.FetchRate <= 0 {
+		return 0
+	}
+	return time.Duration(sp.ImageGB / m.FetchRate * float64(time.Second))
+}
+
 func (s *Shard) put(now time.Duration, m *machine, t *task) {
 	s.attempt++
 	sl := &slot{key: key{t.Task, s.attempt}, t: t, each: t.Spec.Each}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -156,6 +156,7 @@
 	counted  time.Duration
 	deals    uint64
 	moved    map[model.MachineID]string
+	images   map[model.MachineID]map[model.Name]bool // remembered
 	events   []model.Event
 	directs  []Direct
 	Stats    Stats
@@ -305,7 +306,10 @@
 	delete(s.moved, o.Machine.ID)
 	if m == nil {
 		m = &machine{Machine: o.Machine, first: o.Token, answered: now, idleSince: now,
-			slots: map[key]*slot{}, images: map[model.Name]bool{}}
+			slots: map[key]*slot{}, images: s.images[o.Machine.ID]}
+		if m.images == nil {
+			m.images = map[model.Name]bool{}
+		}
 		s.machines[m.ID] = m
 		i, _ := slices.BinarySearchFunc(s.order, m, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
 		s.order = slices.Insert(s.order, i, m)
@@ -946,15 +950,20 @@
 	return n, sum
 }
 
-// Machines are the shard's.
-func (s *Shard) Machines() []model.Machine {
-	out := make([]model.Machine, len(s.order))
-	for i, m := range s.order {
-		out[i] = m.Machine
+// Images tells, for each of the shard's machines, the images that it has been
+// given tasks for.
+func (s *Shard) Images() map[model.MachineID]map[model.Name]bool {
+	out := make(map[model.MachineID]map[model.Name]bool, len(s.order))
+	for _, m := range s.order {
+		out[m.ID] = m.images
 	}
 	return out
 }
 
+// Remember takes what the controller's shard of an earlier term knew of images:
+// a hint for placing, which the machines keep when a leader is lost.
+func (s *Shard) Remember(images map[model.MachineID]map[model.Name]bool) { s.images = images }
+
 // Owns tells whether the machine is this shard's.
 func (s *Shard) Owns(id model.MachineID) bool { return s.machines[id] != nil }
 
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -371,6 +371,8 @@
 		r.now += 10 * time.Second
 		r.report(1, 5, running)
 		r.give(r.spec(2, rank, 4), 0, 1000)
+		r.now += time.Second
+		r.s.Tick(r.now)
 		got := r.report(1, 5, running)
 		if len(got) != 1 || got[0].Verb != model.Kill || (got[0].Grace >= low.Save) != grace {
 			t.Errorf("rank %d: commands %+v, time to save %v wanted", rank, got, grace)
@@ -395,3 +397,30 @@
 		t.Fatalf("commands %v, want the other ended too once its job is over", got)
 	}
 }
+
+// Room comes free by itself: what an eviction loses must pay back sooner than
+// the task has waited.
+func TestEvictionWaitsForItsPayback(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 4)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Idle, 4), 0, 1)
+	r.report(1, 5)
+	running := cell(1, 0, 1001, model.Running, 0)
+	r.report(1, 5, running)
+	for range 40 { // runs for 20 s
+		r.now += 500 * time.Millisecond
+		r.report(1, 5, running)
+	}
+	r.give(r.spec(2, model.Standard, 4), 0, 11) // pays 20 s x 1/10 back in 2 s
+	for _, c := range []struct {
+		wait  time.Duration
+		evict bool
+	}{{time.Second, false}, {1500 * time.Millisecond, true}} {
+		r.now += c.wait
+		r.s.Tick(r.now)
+		if got := r.report(1, 5, running); (len(got) == 1) != c.evict {
+			t.Errorf("commands %v, eviction %v wanted", got, c.evict)
+		}
+	}
+}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"honeylock/internal/core/dealer"
@@ -22,7 +24,7 @@
 	el     *election.Election
 	lead   *lead
 	seat   *seat
-	kept   []model.Machine // of the seat before
+	kept   []model.MachineID // of the seat before
 }
 
 type lead struct {
@@ -487,7 +489,7 @@
 				k := &link{host: c.host}
 				st := &seat{c: c, l: l, lk: k, heard: c.now()}
 				if c.seat != nil {
-					c.kept = c.seat.s.Machines()
+					c.kept = slices.Sorted(maps.Keys(c.seat.s.Images()))
 				}
 				c.seat = nil
 				c.w.send(c.host, host, true, func() {
@@ -517,9 +519,9 @@
 						st.s, st.id, st.joined, st.heard = n.s, id, true, c.now()
 						st.s.Open(picture)
 						c.seat = st
-						for _, m := range c.kept {
+						for _, mid := range c.kept {
 							st.up(func(l *lead, _ *link) {
-								l.d.Event(l.c.now(), id, model.Event{Kind: model.Remembered, Machine: m.ID})
+								l.d.Event(l.c.now(), id, model.Event{Kind: model.Remembered, Machine: mid})
 								l.exchange()
 							})
 						}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -241,8 +241,8 @@
 			l.d.Recorded(m, r.version)
 		}
 	}
-	for i := range n.kept {
-		l.d.Event(now, l.local, model.Event{Kind: model.Remembered, Machine: n.kept[i].ID})
+	for id := range n.kept {
+		l.d.Event(now, l.local, model.Event{Kind: model.Remembered, Machine: id})
 	}
 	for _, st := range open {
 		l.add(now, st)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,9 +63,9 @@
 	polls         *polls
 	order         []model.JobID // of finals, oldest first
 	stats         Stats
-	kept          []model.Machine // of this controller's last shard
-	turning       bool            // a turn is due
-	cost          time.Duration   // of the last turn
+	kept          map[model.MachineID]map[model.Name]bool // machines of this controller's last shard, with their images
+	turning       bool                                    // a turn is due
+	cost          time.Duration                           // of the last turn
 }
 
 // Stats are counts for operators.
@@ -82,9 +82,10 @@
 	for i, t := range cfg.Cluster.Teams {
 		teams[i] = t.Name
 	}
-	// One controller's part of the service's rates, so that all together stay
-	// below them; what is urgent does not wait for it.
-	share := 0.9 / float64(1+len(cfg.Siblings))
+	// One controller's part of the service's rates; the rest is for what is
+	// urgent. A leader writes and renews so much that its users' polls would
+	// wait for ever if both came out of one part.
+	share := 0.6 / float64(1+len(cfg.Siblings))
 	n := &Node{
 		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
 		state: state.New(cfg.Services.State, state.Limits{RPS: cfg.Cluster.State.RPS * share, WriteRPS: cfg.Cluster.State.WriteRPS * share}, 1500*time.Millisecond),
--- a/internal/node/polls.go
+++ b/internal/node/polls.go
@@ -13,7 +13,7 @@
 
 // pollGather is how long polls are gathered: the state service answers many in
 // one comparison, where a read for each would use up its rate.
-const pollGather = 50 * time.Millisecond
+const pollGather = 100 * time.Millisecond
 
 // polls gathers questions whether jobs are still open.
 type polls struct {
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -41,17 +41,19 @@
 
 func (n *Node) newSeat(attempts uint64) *seat {
 	c := &n.cfg.Cluster
-	return &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names),
+	st := &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names),
 		s: shard.New(shard.Params{SureLease: c.SureLease(), Report: config.Seconds(c.Workers.ReportS), Sample: n.set.SampleSize,
 			PaybackLimit: n.set.PaybackLimit, DemoteStep: n.set.DemotionStep,
 			DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second, MaxDirect: maxDirect}, attempts, n.rng)}
+	st.s.Remember(n.kept)
+	return st
 }
 
 // leaveSeat drops this controller's shard. The machines' workers will report
 // here again: the next leader is told of them.
 func (n *Node) leaveSeat() {
 	if n.seat != nil {
-		if ms := n.seat.s.Machines(); len(ms) > 0 {
+		if ms := n.seat.s.Images(); len(ms) > 0 {
 			n.kept = ms
 		}
 	}
@@ -289,8 +291,8 @@
 			st.out = out
 			n.seat, n.leader = st, host
 			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm(), "remembered", len(n.kept))
-			for i := range n.kept {
-				out.Send(st.codec.Event(&model.Event{Kind: model.Remembered, Machine: n.kept[i].ID}))
+			for id := range n.kept {
+				out.Send(st.codec.Event(&model.Event{Kind: model.Remembered, Machine: id}))
 			}
 		case *peerpb.Down_Progress:
 			n.leaderStateAt = now - time.Duration(msg.Progress.GetStateAgeUs())*time.Microsecond
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -54,17 +54,12 @@
 
 type urgentKey struct{}
 
-// Urgent marks a context whose requests go first: they take from the rate
-// limits but do not wait for them.
+// Urgent marks a context whose requests go first: they don't wait for the rate
+// limits, which leave room for them.
 func Urgent(ctx context.Context) context.Context { return context.WithValue(ctx, urgentKey{}, true) }
 
 func (c *Client) admit(ctx context.Context, writes int) error {
 	if ctx.Value(urgentKey{}) != nil {
-		now := time.Now()
-		c.reqs.ReserveN(now, 1)
-		for range writes {
-			c.writes.ReserveN(now, 1)
-		}
 		return nil
 	}
 	if err := c.reqs.Wait(ctx); err != nil {
