node: any controller can compare any open job; refused ones pass requests on

The leader tells the versions of open records, so that every poll is compared with others in one call that does not wait; a job that was open and is not has ended, and only its final record is read. A controller that the state service refuses while it answers a sibling passes users' requests on, and finds the leader by asking its siblings.

--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -375,10 +375,10 @@
 }
 
 // Open calls f for every open job with its counts.
-func (d *Dealer) Open(f func(id model.JobID, done, running int)) {
+func (d *Dealer) Open(f func(id model.JobID, version uint64, done, running int)) {
 	for _, j := range d.sortedJobs() {
 		if !j.ended {
-			f(j.spec.ID, int(j.nDone), d.Count(j.spec.ID).Running)
+			f(j.spec.ID, j.version, int(j.nDone), d.Count(j.spec.ID).Running)
 		}
 	}
 }
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -82,6 +82,7 @@
 type Request struct {
 	kind  Kind
 	tries int
+	seen  bool // the open record
 }
 
 // New starts a request and returns its first operation. version is the open
@@ -115,7 +116,8 @@
 		if res.Outcome == OK {
 			return Op{}, &Answer{Status: http.StatusOK, Stage: Queued}
 		}
-		return Op{Kind: ReadOpen}, nil
+		r.seen = true // it was open, so it has ended
+		return Op{Kind: ReadFinal}, nil
 	case ReadOpen:
 		if res.Outcome == Missing {
 			return Op{Kind: ReadFinal}, nil
@@ -128,7 +130,7 @@
 		if res.Outcome == OK {
 			return Op{}, &Answer{Status: http.StatusOK, Stage: res.Stage}
 		}
-		if r.kind == Submit {
+		if r.kind == Submit || r.seen {
 			// Neither record, though one stood in the way: try once more later.
 			return Op{}, unavailable
 		}
--- /dev/null
+++ b/internal/node/forward.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"honeylock/internal/core/jobs"
+	"honeylock/internal/core/model"
+	"honeylock/internal/wire"
+)
+
+// A controller that the state service refuses, or that is cut off from it, while
+// it answers a sibling passes users' requests on: until the load balancer has
+// noticed, and for the connections that stay, they would all fail.
+
+// missedState is for how long the state service has not answered a controller
+// that no longer tries it first.
+const missedState = 2200 * time.Millisecond
+
+// forwarded is a user's request passed on to a sibling.
+type forwarded struct {
+	Kind jobs.Kind
+	Job  model.JobID
+	Sub  *wire.Submission
+}
+
+// helper is the address of a sibling that the state service answers, "" if none
+// is known. first tells that it has not answered this controller for a while.
+func (n *Node) helper() (addr string, first bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	first = now-n.stateAt > missedState
+	if n.lead != nil {
+		for _, k := range n.lead.links {
+			if now-k.stateAt < missedState {
+				return n.siblingAddr(k.host), first
+			}
+		}
+	} else if n.leader != "" && now-n.leaderStateAt < missedState {
+		return n.siblingAddr(n.leader), first
+	}
+	return "", first
+}
+
+func (n *Node) forward(ctx context.Context, addr string, k jobs.Kind, id model.JobID, sub *wire.Submission) (Reply, bool) {
+	var r Reply
+	if err := n.dialer.Forward(ctx, addr, forwarded{Kind: k, Job: id, Sub: sub}, &r); err != nil {
+		n.log.Debug("request not passed on", "job", wire.JobName(id), "err", err)
+		return r, false
+	}
+	if r.Status == http.StatusOK && r.State != nil && jobs.Stage(r.State.Stage).Ended() {
+		n.keepFinal(id, jobs.Stage(r.State.Stage))
+	}
+	return r, true
+}
+
+// serveForwarded answers what a sibling passes on; it is not passed on again.
+func (n *Node) serveForwarded(w http.ResponseWriter, r *http.Request) {
+	var f forwarded
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 128<<10))
+	if err == nil {
+		err = json.Unmarshal(b, &f)
+	}
+	if err != nil || f.Kind == jobs.Submit && f.Sub == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	reply := n.ask(r.Context(), f.Kind, f.Job, f.Sub)
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		n.log.Debug("answer not passed back", "err", err)
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -380,10 +380,10 @@
 	l.n.progress = map[model.JobID]progress{}
 	open := map[model.JobID]bool{}
 	p := &peerpb.Progress{StateAgeUs: (l.n.now() - l.n.stateAt).Microseconds()}
-	l.d.Open(func(id model.JobID, done, running int) {
-		l.n.progress[id] = progress{done, running}
+	l.d.Open(func(id model.JobID, version uint64, done, running int) {
+		l.n.progress[id] = progress{done, running, version}
 		open[id] = true
-		p.Jobs = append(p.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running)})
+		p.Jobs = append(p.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running), Version: version})
 	})
 	l.n.seat.s.Open(open)
 	return &peerpb.Down{Msg: &peerpb.Down_Progress{Progress: p}}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
+	"honeylock/internal/peer"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 	"honeylock/internal/worker"
@@ -42,8 +43,10 @@
 	state *state.Client
 	cloud *cloud.Client
 	work  *worker.Client
-	start time.Time
-	ttl   time.Duration
+	// dialer opens connections to siblings for users' requests.
+	dialer *peer.Dialer
+	start  time.Time
+	ttl    time.Duration
 
 	mu            sync.Mutex
 	names         *wire.Names
@@ -85,12 +88,12 @@
 	// One controller's part of the service's rates; the rest is for what is
 	// urgent. A leader writes and renews so much that its users' polls would
 	// wait for ever if both came out of one part.
-	share := 0.6 / float64(1+len(cfg.Siblings))
+	share := 0.7 / float64(1+len(cfg.Siblings))
 	n := &Node{
 		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
 		state: state.New(cfg.Services.State, state.Limits{RPS: cfg.Cluster.State.RPS * share, WriteRPS: cfg.Cluster.State.WriteRPS * share}, 1500*time.Millisecond),
 		cloud: cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.7, 5*time.Second),
-		work:  worker.New(2 * time.Second),
+		work:  worker.New(2 * time.Second), dialer: peer.NewDialer(),
 		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
 			Images: wire.NewTable(), Classes: wire.NewTable()},
 		finals:   map[model.JobID]jobs.Stage{},
--- a/internal/node/polls.go
+++ b/internal/node/polls.go
@@ -63,7 +63,7 @@
 	for g := range asked {
 		guards = append(guards, g)
 	}
-	failed, err := p.state.Compare(context.Background(), guards)
+	failed, err := p.state.Compare(state.Urgent(context.Background()), guards)
 	for g, cs := range asked {
 		o := jobs.OK
 		switch {
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -194,7 +194,10 @@
 	for ctx.Err() == nil && n.now() < config.Promise {
 		all := true
 		for _, s := range n.cfg.Siblings {
-			free[s.HostName] = free[s.HostName] || dialer.NotLeading(ctx, s.Address)
+			if !free[s.HostName] {
+				leads, known := dialer.Leading(ctx, s.Address)
+				free[s.HostName] = known && !leads
+			}
 			all = all && free[s.HostName]
 		}
 		if all {
@@ -214,7 +217,11 @@
 		n.mu.Lock()
 		host := n.el.Holder()
 		leading := n.lead != nil
+		missed := n.now()-n.stateAt > missedState
 		n.mu.Unlock()
+		if missed && !leading {
+			host = n.findLeader(ctx, dialer)
+		}
 		addr := n.siblingAddr(host)
 		if leading || addr == "" {
 			sleep(ctx, 100*time.Millisecond)
@@ -233,6 +240,17 @@
 	}
 }
 
+// findLeader asks the siblings who leads, for a controller that can't read the
+// leader's key.
+func (n *Node) findLeader(ctx context.Context, dialer *peer.Dialer) string {
+	for _, s := range n.cfg.Siblings {
+		if leads, _ := dialer.Leading(ctx, s.Address); leads {
+			return s.HostName
+		}
+	}
+	return ""
+}
+
 var errSilent = errors.New("nothing heard from the other side")
 
 func (n *Node) member(ctx context.Context, dialer *peer.Dialer, host, addr string) error {
@@ -303,7 +321,7 @@
 			}
 			for _, j := range msg.Progress.GetJobs() {
 				open[model.JobID(j.GetJob())] = true
-				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning())}
+				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning()), j.GetVersion()}
 			}
 		case *peerpb.Down_Grant:
 			if st == nil {
@@ -334,8 +352,11 @@
 	}
 }
 
-// progress of a job, for display.
-type progress struct{ done, running int }
+// progress of an open job, for display, with its open record's version.
+type progress struct {
+	done, running int
+	version       uint64
+}
 
 // link is the leader's end of a member's stream.
 type link struct {
@@ -354,6 +375,7 @@
 func (n *Node) ServePeers(ctx context.Context, addr string) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+peer.Path, n.serveMember)
+	mux.HandleFunc("POST "+peer.UserPath, n.serveForwarded)
 	mux.HandleFunc("GET "+peer.LeadingPath, func(w http.ResponseWriter, _ *http.Request) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -118,7 +118,25 @@
 	return n.run(ctx, jobs.Withdraw, id, nil)
 }
 
+// run answers a request here, or by way of a sibling if the state service does
+// not answer this controller.
 func (n *Node) run(ctx context.Context, k jobs.Kind, id model.JobID, sub *wire.Submission) Reply {
+	helper, first := n.helper()
+	if helper != "" && first {
+		if r, ok := n.forward(ctx, helper, k, id, sub); ok {
+			return r
+		}
+	}
+	r := n.ask(ctx, k, id, sub)
+	if r.Status == http.StatusServiceUnavailable && helper != "" && !first {
+		if f, ok := n.forward(ctx, helper, k, id, sub); ok {
+			return f
+		}
+	}
+	return r
+}
+
+func (n *Node) ask(ctx context.Context, k jobs.Kind, id model.JobID, sub *wire.Submission) Reply {
 	if st, ok := n.final(id); ok {
 		return n.stateReply(http.StatusOK, id, st)
 	}
@@ -206,7 +224,10 @@
 func (n *Node) version(id model.JobID) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.versions[id]
+	if v := n.versions[id]; v != 0 {
+		return v
+	}
+	return n.progress[id].version
 }
 
 func (n *Node) keepVersion(id model.JobID, version uint64) {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -21,6 +23,10 @@
 // LeadingPath answers 204 where the controller does not lead.
 const LeadingPath = "/peer/leading"
 
+// UserPath takes users' requests that a controller without the state service
+// passes on.
+const UserPath = "/peer/user"
+
 const maxMessage = 4 << 20
 
 var errFull = errors.New("the other side does not keep up")
@@ -128,20 +134,44 @@
 	return pw, res.Body, nil
 }
 
-// NotLeading asks whether a controller surely does not lead now.
-func (d *Dialer) NotLeading(ctx context.Context, addr string) bool {
+// Leading asks whether a controller leads now; known is false without an answer.
+func (d *Dialer) Leading(ctx context.Context, addr string) (leads, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+LeadingPath, nil)
 	if err != nil {
-		return false
+		return false, false
 	}
 	res, err := d.client.Do(req)
 	if err != nil {
-		return false
+		return false, false
 	}
 	res.Body.Close()
-	return res.StatusCode == http.StatusNoContent
+	return res.StatusCode == http.StatusConflict, res.StatusCode == http.StatusConflict || res.StatusCode == http.StatusNoContent
+}
+
+// Forward passes a user's request on to a sibling, and decodes what it answers.
+func (d *Dialer) Forward(ctx context.Context, addr string, request, reply any) error {
+	b, err := json.Marshal(request)
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+UserPath, bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	res, err := d.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("forward: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("forward: status %d", res.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxMessage)).Decode(reply); err != nil {
+		return fmt.Errorf("forward: %w", err)
+	}
+	return nil
 }
 
 // NewServer serves the streams of other controllers.
