core: files by concern; what a report and a deal cost is bounded by tests

Both new tests fail if every report looks at all machines, or if the heap of rooms orders otherwise than a plain scan.

--- /dev/null
+++ b/internal/core/dealer/book.go
@@ -0,0 +1,252 @@
+package dealer
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// hold is a task charged to its team: dealt to a shard, or adrift.
+type hold struct {
+	zone   model.Name
+	shard  model.ShardID
+	adrift *adrift // nil: a living shard holds it
+}
+
+type clearing struct {
+	shard   model.ShardID
+	machine model.MachineID
+	task    model.Task
+	attempt uint64
+}
+
+type job struct {
+	spec    *model.Spec
+	version uint64 // of its stored record
+	done    []uint64
+	nDone   int32
+	held    map[int32]hold
+	next    int32 // tasks from here on were never dealt by this leader
+	back    []int32
+	since   time.Duration // began to wait
+	old     bool          // accepted before this term: its tasks may be anywhere
+	ended   bool
+	within  bool
+	price   float64
+	dirty   map[int32]bool // chunks to be stored
+	writing bool
+	stored  time.Duration
+	clears  []clearing
+	errors  int
+	blocked time.Duration
+}
+
+// AddJob takes an open job. done holds its stored chunks; old tells that it
+// was accepted before this term.
+func (d *Dealer) AddJob(now time.Duration, sp *model.Spec, version uint64, waited time.Duration, old bool) {
+	if d.jobs[sp.ID] != nil || int(sp.Team) >= len(d.p.Teams) {
+		return
+	}
+	j := &job{spec: sp, version: version, done: make([]uint64, (sp.Tasks+63)/64), held: map[int32]hold{}, since: now - waited,
+		old: old, dirty: map[int32]bool{}}
+	j.price = price(sp.Rank, false)
+	d.jobs[sp.ID] = j
+	i, _ := slices.BinarySearchFunc(d.inOrder, j, compareJobs)
+	d.inOrder = slices.Insert(d.inOrder, i, j)
+	d.repriced = 0
+}
+
+// AddDone takes a stored chunk of a job's done set.
+func (d *Dealer) AddDone(id model.JobID, chunk int32, b []byte) {
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	base := chunk * d.p.ChunkSize
+	for i, x := range b {
+		for ; x != 0; x &= x - 1 {
+			if no := base + int32(i*8+bits.TrailingZeros8(x)); no < j.spec.Tasks {
+				d.setDone(j, no)
+			}
+		}
+	}
+}
+
+func (j *job) isDone(no int32) bool { return j.done[no/64]&(1<<(no%64)) != 0 }
+
+func (d *Dealer) setDone(j *job, no int32) bool {
+	if j.isDone(no) {
+		return false
+	}
+	j.done[no/64] |= 1 << (no % 64)
+	j.nDone++
+	return true
+}
+
+// Withdrawn takes the news that a job's open record is gone: cancelled, or
+// ended otherwise.
+func (d *Dealer) Withdrawn(id model.JobID) {
+	if j := d.jobs[id]; j != nil && !j.ended {
+		d.end(j)
+	}
+}
+
+func (d *Dealer) end(j *job) {
+	j.ended = true
+	d.toAll(model.Order{Kind: model.EndJob, Job: j.spec.ID})
+	d.forget(j)
+}
+
+// forget drops an ended job once none of its tasks is charged any more.
+func (d *Dealer) forget(j *job) {
+	if j.ended && len(j.held) == 0 && !j.writing {
+		delete(d.jobs, j.spec.ID)
+		if i, ok := slices.BinarySearchFunc(d.inOrder, j, compareJobs); ok {
+			d.inOrder = slices.Delete(d.inOrder, i, i+1)
+		}
+	}
+}
+
+func (d *Dealer) holds(j *job, no int32, id model.ShardID) bool {
+	h, ok := j.held[no]
+	return ok && h.adrift == nil && h.shard == id
+}
+
+func (d *Dealer) found(now time.Duration, from model.ShardID, e model.Event) {
+	j := d.jobs[e.Task.Job]
+	known := j != nil && !j.ended && e.Task.No < j.spec.Tasks
+	m := d.machines[e.Machine]
+	if e.Cell.Stage == model.Exited {
+		if known && e.Cell.Cause == model.CauseDone && !j.spec.Daemon {
+			d.finished(now, from, e)
+			return
+		}
+		d.order(from, model.Order{Kind: model.ClearIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
+		return
+	}
+	if m != nil && (m.releasing || m.gone || m.owner != from) {
+		return // the next owner will find it
+	}
+	if m != nil && known && !j.isDone(e.Task.No) && j.spec.Allows(&m.Machine) && d.adoptable(j, e.Task.No, m) {
+		if h, ok := j.held[e.Task.No]; ok {
+			delete(h.adrift.tasks, e.Task)
+			h.shard, h.adrift, h.zone = from, nil, m.Zone
+			j.held[e.Task.No] = h
+		} else {
+			d.hold(j, e.Task.No, m.Zone, from)
+		}
+		d.give(from, model.Deal{Task: e.Task, Spec: j.spec, Price: j.price, Zone: j.pin(m.Zone), Since: j.since,
+			Machine: e.Machine, Attempt: e.Attempt})
+		return
+	}
+	// It takes room, and its team's share, until it is gone.
+	d.aliens[e.Attempt] = alien{e.Machine, from}
+	d.order(from, model.Order{Kind: model.KillIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
+}
+
+// adoptable: nobody holds the task, or it was adrift and may be there.
+func (d *Dealer) adoptable(j *job, no int32, m *machine) bool {
+	h, ok := j.held[no]
+	return !ok || h.adrift != nil && h.adrift.machines[m.ID]
+}
+
+func (d *Dealer) give(to model.ShardID, deal model.Deal) {
+	if m := d.members[to]; m != nil {
+		m.deals++
+	}
+	d.order(to, model.Order{Kind: model.Give, Deal: deal})
+}
+
+func (j *job) pin(zone model.Name) model.Name {
+	if j.spec.Together || j.spec.Spread {
+		return zone
+	}
+	return model.None
+}
+
+func (d *Dealer) isHeld(j *job, no int32) bool { _, ok := j.held[no]; return ok }
+
+func (d *Dealer) hold(j *job, no int32, zone model.Name, shard model.ShardID) {
+	j.held[no] = hold{zone: zone, shard: shard}
+	d.usage[j.spec.Team] = d.usage[j.spec.Team].Add(j.spec.Each)
+}
+
+func (d *Dealer) release(j *job, no int32) {
+	if _, ok := j.held[no]; ok {
+		delete(j.held, no)
+		d.usage[j.spec.Team] = d.usage[j.spec.Team].Sub(j.spec.Each)
+	}
+}
+
+func (d *Dealer) finished(now time.Duration, from model.ShardID, e model.Event) {
+	j := d.jobs[e.Task.Job]
+	clear := clearing{from, e.Machine, e.Task, e.Attempt}
+	if j != nil && e.Held && d.holds(j, e.Task.No, from) {
+		d.release(j, e.Task.No)
+	}
+	if j == nil || j.ended || e.Task.No >= j.spec.Tasks {
+		if j != nil {
+			d.forget(j)
+		}
+		d.clearIt(clear)
+		return
+	}
+	if h, ok := j.held[e.Task.No]; ok && h.adrift == nil {
+		// It is done, yet started again elsewhere.
+		d.order(h.shard, model.Order{Kind: model.Recall, Task: e.Task})
+	}
+	if j.spec.Daemon { // a replica has no end: it runs again
+		if _, ok := j.held[e.Task.No]; !ok {
+			j.back = append(j.back, e.Task.No)
+		}
+		d.clearIt(clear)
+		return
+	}
+	c := e.Task.No / d.p.ChunkSize
+	if d.setDone(j, e.Task.No) {
+		j.dirty[c] = true
+	} else if !j.dirty[c] && !j.writing {
+		d.clearIt(clear)
+		return
+	}
+	j.clears = append(j.clears, clear)
+}
+
+func (d *Dealer) clearIt(c clearing) {
+	d.order(c.shard, model.Order{Kind: model.ClearIt, ID: c.machine, Task: c.task, Attempt: c.attempt})
+}
+
+// freed takes the certainty that a held task is nowhere.
+func (d *Dealer) freed(j *job, no int32) {
+	d.release(j, no)
+	if j.ended {
+		d.forget(j)
+	} else if !j.isDone(no) {
+		j.back = append(j.back, no)
+	}
+}
+
+func (d *Dealer) returned(now time.Duration, j *job, e model.Event) {
+	d.freed(j, e.Task.No)
+	if e.Cause == model.CauseError {
+		// Mostly the machine; a job that fails everywhere must not hog room.
+		j.errors++
+		if j.errors >= 4 {
+			j.blocked = now + min(time.Minute, time.Second<<min(6, j.errors-4))
+		}
+	}
+	if e.Cause == model.CauseUnknown {
+		j.blocked = max(j.blocked, now+2*time.Second)
+	}
+}
+
+func compareJobs(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.spec.SubmittedMS, b.spec.SubmittedMS), cmp.Compare(a.spec.ID, b.spec.ID))
+}
+
+// sortedJobs are all jobs, the earliest first: a copy, for jobs may go
+// while it is walked.
+func (d *Dealer) sortedJobs() []*job { return slices.Clone(d.inOrder) }
--- /dev/null
+++ b/internal/core/dealer/owners.go
@@ -0,0 +1,341 @@
+package dealer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// adrift is a set of tasks whose shard was lost, or let go of a machine. They
+// may be on any of the machines, and are free once each of those has been
+// accounted for: its worker fenced by a new owner, its lease surely over, or
+// the machine gone. Those found are adopted before that.
+type adrift struct {
+	machines map[model.MachineID]bool
+	tasks    map[model.Task]bool
+}
+
+type machine struct {
+	model.Machine
+	token    uint64
+	recorded bool // surely in its block's record
+	stored   bool // perhaps in it
+	silent   bool
+	// lapsed: nothing is there, and nothing goes there: it leaves the record,
+	// so that a later leader need not look for it.
+	lapsed    bool
+	gone      bool
+	owner     model.ShardID // 0: none
+	next      model.ShardID // gets it once the owner has let go
+	releasing bool          // the owner was asked to let go
+	// authority is when the last shard that was lost as its owner could
+	// answer it for the last time.
+	authority time.Duration
+	lost      time.Duration // authority of this term's lost shards alone
+	groups    []*adrift
+	orphaned  time.Duration       // seen without an owner since, 0: it has one
+	status    model.MachineStatus // as its owner last told
+	told      model.ShardID       // the owner that told it, 0: none has
+	avail     model.Resources     // of status, less what was dealt since
+	movedTo   model.ShardID       // its worker was told to report there
+	movedAt   time.Duration
+}
+
+// alien is an attempt that must go; it runs unaccounted until it has.
+type alien struct {
+	machine model.MachineID
+	owner   model.ShardID
+}
+
+// Lost takes the loss of a shard, which may have acted, unseen, until end. Its
+// tasks stay charged until each of its machines is accounted for.
+func (d *Dealer) Lost(id model.ShardID, end time.Duration) {
+	if d.members[id] == nil {
+		return
+	}
+	delete(d.members, id)
+	g := &adrift{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
+	for _, m := range d.sortedMachines() {
+		if m.next == id {
+			m.next = 0
+		}
+		if m.owner == id {
+			m.owner, m.next, m.releasing = 0, 0, false
+			m.lost = max(m.lost, end)
+			m.authority = max(m.authority, end)
+			m.silent = false
+			g.machines[m.ID] = true
+			m.groups = append(m.groups, g)
+		}
+	}
+	for _, j := range d.sortedJobs() {
+		for no, h := range j.held {
+			if h.shard == id && h.adrift == nil {
+				d.setAdrift(j, no, g)
+			}
+		}
+	}
+	d.settle(g)
+}
+
+func (d *Dealer) setAdrift(j *job, no int32, g *adrift) {
+	h := j.held[no]
+	h.shard, h.adrift = 0, g
+	j.held[no] = h
+	g.tasks[model.Task{Job: j.spec.ID, No: no}] = true
+}
+
+// settle frees what is still adrift once no machine is left to look at.
+func (d *Dealer) settle(g *adrift) {
+	if len(g.machines) > 0 {
+		return
+	}
+	tasks := make([]model.Task, 0, len(g.tasks))
+	for t := range g.tasks {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, model.Task.Compare)
+	for _, t := range tasks {
+		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
+			d.freed(j, t.No)
+		}
+	}
+	g.tasks = nil
+}
+
+// resolve accounts for a machine: all that an earlier owner left there has
+// been found, or is gone.
+func (d *Dealer) resolve(m *machine) {
+	delete(d.suspects, m.ID)
+	for id, a := range d.aliens {
+		if a.machine == m.ID && a.owner != m.owner {
+			delete(d.aliens, id) // its owner has found it again, or it is gone
+		}
+	}
+	groups := m.groups
+	m.groups = nil
+	for _, g := range groups {
+		delete(g.machines, m.ID)
+		d.settle(g)
+	}
+}
+
+// EveryoneHere tells that all controllers have joined this term: nobody acts
+// for an earlier one.
+func (d *Dealer) EveryoneHere(now time.Duration) { d.oldEnd = min(d.oldEnd, now) }
+
+// Tick settles what time alone decides.
+func (d *Dealer) Tick(now time.Duration) {
+	d.spread(now)
+	members := d.sortedMembers()
+	for _, m := range d.sortedMachines() {
+		if d.suspects[m.ID] {
+			m.authority = max(d.oldEnd, m.lost)
+		}
+		if m.owner != 0 || len(m.groups) == 0 && !d.suspects[m.ID] {
+			m.orphaned = 0
+			continue
+		}
+		if now > m.authority+d.p.SureLease {
+			d.resolve(m)
+			continue
+		}
+		// Nobody's, and work waits until it is accounted for: a shard is to
+		// reach for its worker, for that may not report for long.
+		if m.orphaned == 0 {
+			m.orphaned = now
+		} else if now-m.orphaned >= orphanPatience && len(members) > 0 && !m.gone {
+			d.own(m, members[d.turn%len(members)].id)
+			d.turn++
+		}
+	}
+}
+
+// orphanPatience is how long a machine that lost its owner is left to report to
+// another one by itself.
+const orphanPatience = time.Second
+
+// Recovered tells whether every machine that an earlier leader may have used
+// has been accounted for.
+func (d *Dealer) Recovered() bool { return len(d.suspects) == 0 }
+
+// SetTypes takes the cloud's catalog.
+func (d *Dealer) SetTypes(types []model.MachineType) {
+	for _, t := range types {
+		d.types[t.Name] = t
+	}
+	for _, m := range d.sortedMachines() {
+		if t, ok := d.types[m.Type]; ok && m.Cap != t.Cap {
+			m.Cap, m.FetchRate = t.Cap, t.FetchRate
+			if m.owner != 0 {
+				d.own(m, m.owner)
+			}
+		}
+	}
+}
+
+func compareMachines(a, b *machine) int { return cmp.Compare(a.ID, b.ID) }
+
+// sortedMachines are all machines by id: a copy, for machines may go while it
+// is walked.
+func (d *Dealer) sortedMachines() []*machine { return slices.Clone(d.byID) }
+
+func (d *Dealer) addMachine(m *machine) {
+	d.machines[m.ID] = m
+	i, _ := slices.BinarySearchFunc(d.byID, m, compareMachines)
+	d.byID = slices.Insert(d.byID, i, m)
+}
+
+func (d *Dealer) dropMachine(m *machine) {
+	delete(d.machines, m.ID)
+	if i, ok := slices.BinarySearchFunc(d.byID, m, compareMachines); ok {
+		d.byID = slices.Delete(d.byID, i, i+1)
+	}
+}
+
+// Recorded takes a machine that an earlier leader may have given tasks. It is
+// suspect until its worker is fenced or its lease is surely over.
+func (d *Dealer) Recorded(m model.Machine, version uint64) {
+	if d.machines[m.ID] != nil {
+		return
+	}
+	d.block(m.ID).version = version
+	r := &machine{Machine: m, recorded: true, stored: true, authority: d.oldEnd}
+	if t, ok := d.types[m.Type]; ok {
+		r.Cap, r.FetchRate = t.Cap, t.FetchRate
+	}
+	d.addMachine(r)
+	d.suspects[m.ID] = true
+}
+
+// own gives the machine to a shard, under a token never used before.
+func (d *Dealer) own(m *machine, to model.ShardID) {
+	if m.owner != to {
+		m.silent, m.told = false, 0
+	}
+	d.owned++
+	m.owner, m.next = to, 0
+	m.token = d.p.Term<<32 | d.owned
+	d.order(to, model.Order{Kind: model.Own, Machine: m.Machine, Token: m.token, Usable: m.usable()})
+}
+
+// Gone takes the certainty that a machine and everything on it are gone.
+func (d *Dealer) Gone(id model.MachineID) {
+	if m := d.machines[id]; m != nil && !m.gone {
+		m.gone = true
+		d.order(m.owner, model.Order{Kind: model.Disown, ID: id})
+		d.resolve(m)
+		if m.stored {
+			d.block(id).dirty = true
+		} else {
+			d.dropMachine(m)
+		}
+	}
+}
+
+// Unseen returns the machines of earlier terms that are not accounted for yet,
+// if they are at most that share of all, or only one.
+func (d *Dealer) Unseen(share float64) []model.MachineID {
+	if len(d.suspects) > max(1, int(share*float64(len(d.machines)))) {
+		return nil
+	}
+	var out []model.MachineID
+	for _, m := range d.byID {
+		if d.suspects[m.ID] {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// Suspects counts the machines of earlier terms that are not accounted for.
+func (d *Dealer) Suspects() int { return len(d.suspects) }
+
+// HasMachines tells whether there is any machine.
+func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
+
+// Silent tells whether no shard has answered a machine for its whole lease.
+func (d *Dealer) Silent(id model.MachineID) bool {
+	m := d.machines[id]
+	return m == nil || m.silent || m.gone || m.owner == 0
+}
+
+// Use lets tasks be placed on a machine, or not.
+func (d *Dealer) Use(id model.MachineID, usable bool) {
+	if m := d.machines[id]; m != nil {
+		d.order(m.owner, model.Order{Kind: model.Use, ID: id, Usable: usable && m.usable()})
+	}
+}
+
+// usable: a machine gets tasks only while its record is stored for sure.
+func (m *machine) usable() bool { return m.recorded && !m.lapsed && m.Cap.CPU > 0 }
+
+// alive takes the news that a machine's worker reports.
+func (d *Dealer) alive(m *machine) {
+	m.silent = false
+	if !m.lapsed {
+		return
+	}
+	m.lapsed = false
+	if !m.recorded {
+		d.block(m.ID).dirty = true
+	}
+	d.Use(m.ID, true)
+}
+
+func (d *Dealer) unowned(now time.Duration, from model.ShardID, r *model.Report) {
+	m := d.machines[r.Machine.ID]
+	if m != nil {
+		d.arrived(now, m, from)
+	}
+	switch {
+	case m == nil:
+		t, ok := d.types[r.Machine.Type]
+		if !ok {
+			return // the catalog is not known yet
+		}
+		m = &machine{Machine: r.Machine}
+		m.Cap, m.FetchRate = t.Cap, t.FetchRate
+		d.addMachine(m)
+		d.block(m.ID).dirty = true
+		// It gets tasks only once its record is stored: a later leader must
+		// know every machine that may hold something.
+		d.own(m, from)
+	case m.gone: // its record is being dropped: next time
+	case m.owner == 0:
+		m.Addr = r.Machine.Addr
+		d.own(m, from)
+	case m.owner == from: // the order is on its way
+	case m.releasing:
+		m.next = from
+	default:
+		// The worker has moved. What its owner knows of it must not be lost.
+		m.next, m.releasing = from, true
+		d.order(m.owner, model.Order{Kind: model.Release, ID: m.ID})
+	}
+}
+
+func (d *Dealer) released(now time.Duration, from model.ShardID, m *machine, e model.Event) {
+	if m == nil || m.owner != from {
+		return
+	}
+	g := &adrift{machines: map[model.MachineID]bool{m.ID: true}, tasks: map[model.Task]bool{}}
+	for _, t := range e.Tasks {
+		if j := d.jobs[t.Job]; j != nil && d.holds(j, t.No, from) {
+			d.setAdrift(j, t.No, g)
+		}
+	}
+	m.groups = append(m.groups, g)
+	m.owner, m.releasing = 0, false
+	// It was answered until now at the latest.
+	m.lost = max(m.lost, now)
+	m.authority = max(m.authority, now)
+	if m.gone {
+		d.resolve(m)
+	} else if d.members[m.next] != nil {
+		d.own(m, m.next)
+	}
+	m.next = 0
+}
--- /dev/null
+++ b/internal/core/dealer/writes.go
@@ -0,0 +1,120 @@
+package dealer
+
+import (
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Write is a change for the state service.
+type Write struct {
+	Kind     WriteKind
+	Block    uint64          // PutBlock
+	Machines []model.Machine // PutBlock: all that the block is to hold
+	Version  uint64          // PutBlock: the block's; Finish: the job's
+	Job      model.JobID
+	Chunk    int32
+	Bits     []byte
+	Chunks   int32 // Finish: how many chunk keys may exist
+
+	clears []clearing
+}
+
+// WriteKind tells writes apart.
+type WriteKind uint8
+
+// Writes.
+const (
+	PutBlock WriteKind = iota
+	PutChunk
+	Finish
+)
+
+// Writes returns the changes to be stored now, at most n, the ends of jobs
+// first. Each comes back through Stored.
+func (d *Dealer) Writes(now time.Duration, n int) []Write {
+	var out []Write
+	jobs := d.sortedJobs()
+	for _, j := range jobs {
+		if len(out) >= n {
+			return out
+		}
+		if !j.ended && !j.writing && !j.spec.Daemon && j.nDone == j.spec.Tasks {
+			j.writing = true
+			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version, Chunks: (j.spec.Tasks + d.p.ChunkSize - 1) / d.p.ChunkSize})
+		}
+	}
+	out = d.blockWrites(out, n)
+	slices.SortStableFunc(jobs, func(a, b *job) int { return int(a.stored - b.stored) })
+	for _, j := range jobs {
+		if j.ended || j.writing || now-j.stored < d.p.Progress {
+			continue
+		}
+		for c := range j.dirty {
+			if len(out) >= n {
+				return out
+			}
+			delete(j.dirty, c)
+			j.writing, j.stored = true, now
+			w := Write{Kind: PutChunk, Job: j.spec.ID, Chunk: c, Bits: d.chunk(j, c)}
+			j.clears = slices.DeleteFunc(j.clears, func(cl clearing) bool {
+				if cl.task.No/d.p.ChunkSize != c {
+					return false
+				}
+				w.clears = append(w.clears, cl)
+				return true
+			})
+			out = append(out, w)
+			break // one at a time
+		}
+	}
+	return out
+}
+
+func (d *Dealer) chunk(j *job, c int32) []byte {
+	lo := c * d.p.ChunkSize
+	hi := min(lo+d.p.ChunkSize, j.spec.Tasks)
+	b := make([]byte, (hi-lo+7)/8)
+	for no := lo; no < hi; no++ {
+		if j.isDone(no) {
+			b[(no-lo)/8] |= 1 << ((no - lo) % 8)
+		}
+	}
+	return b
+}
+
+// Stored takes a write's outcome. lost tells that a Finish found the job's
+// record gone, for somebody else has ended it, or that a PutBlock found the
+// block at another version, which is the revision then.
+func (d *Dealer) Stored(now time.Duration, w Write, revision uint64, ok, lost bool) {
+	switch w.Kind {
+	case PutBlock:
+		d.blockStored(w, revision, ok, lost)
+	case PutChunk:
+		j := d.jobs[w.Job]
+		if j == nil {
+			return
+		}
+		j.writing = false
+		if ok {
+			for _, c := range w.clears {
+				d.clearIt(c)
+			}
+		} else {
+			j.dirty[w.Chunk] = true
+			j.clears = append(j.clears, w.clears...)
+		}
+		d.forget(j)
+	case Finish:
+		j := d.jobs[w.Job]
+		if j == nil {
+			return
+		}
+		j.writing = false
+		if (ok || lost) && !j.ended {
+			d.end(j)
+		}
+		d.forget(j)
+	}
+}
--- /dev/null
+++ b/internal/core/shard/direct.go
@@ -0,0 +1,100 @@
+package shard
+
+import (
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Direct is a command to be sent straight to a worker. Its outcome comes back
+// through DirectDone.
+type Direct struct {
+	ID       uint64
+	Machine  model.MachineID
+	Addr     string
+	Token    uint64
+	Session  uint64
+	Commands []model.Command
+}
+
+// inFlight is a direct command under way, with the launches it carries.
+type inFlight struct {
+	m        *machine
+	launched []*slot
+}
+
+// Directs takes away the commands to send.
+func (s *Shard) Directs() []Direct {
+	d := s.directs
+	s.directs = nil
+	return d
+}
+
+// Flush sends commands that should not wait for the next report.
+func (s *Shard) Flush(now time.Duration) {
+	if !s.Granted(now) {
+		return
+	}
+	for _, m := range s.order {
+		if len(s.pending) >= s.p.MaxDirect {
+			return // a thousand at once would all be late
+		}
+		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent {
+			continue
+		}
+		m.wake = false
+		cmds := s.commands(now, m, 0, true)
+		if len(cmds) == 0 && m.fenced {
+			continue
+		}
+		s.directID++
+		d := Direct{ID: s.directID, Machine: m.ID, Addr: m.Addr, Token: m.token, Session: max(1, m.session), Commands: cmds}
+		var launched []*slot
+		for _, c := range cmds {
+			if c.Verb == model.Launch {
+				sl := m.slots[key{c.Task, c.Attempt}]
+				sl.direct++
+				launched = append(launched, sl)
+			}
+		}
+		s.pending[d.ID] = inFlight{m, launched}
+		m.inFlight++
+		s.directs = append(s.directs, d)
+	}
+}
+
+// DirectDone takes the outcome of a direct command: the worker's report after
+// it (nil: no answer) and whether it was executed.
+func (s *Shard) DirectDone(now time.Duration, d Direct, r *model.Report, executed bool) {
+	sent := s.pending[d.ID]
+	delete(s.pending, d.ID)
+	for _, sl := range sent.launched {
+		sl.direct--
+		if r == nil {
+			// It may be executed minutes later, as long as token and session match.
+			sl.doubt = max(sl.doubt, d.Token)
+		}
+	}
+	m := s.machines[d.Machine]
+	if m == nil || m != sent.m {
+		return // let go of meanwhile
+	}
+	m.inFlight--
+	if r == nil {
+		m.quietUntil = now + s.p.DoubtPause
+		return
+	}
+	if !executed && r.Token <= m.token && r.Session >= m.session && !m.fenced {
+		m.wake = true // the session was unknown: once more, with it
+	}
+	if r.Machine.ID != m.ID {
+		return
+	}
+	if r.Token > m.token {
+		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
+		return
+	}
+	if r.Newer(m.session, m.seq) && s.Granted(now) {
+		s.take(now, m, r, false)
+	}
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -98,6 +98,7 @@
 		return cmp.Or(cmp.Compare(b.score(now), a.score(now)), cmp.Compare(a.job, b.job), cmp.Compare(a.zone, b.zone))
 	})
 	var open []*machine
+	s.Stats.Looked += uint64(len(s.order))
 	for _, m := range s.order {
 		if m.Cap.CPU-m.used.CPU >= least && s.ready(now, m) {
 			open = append(open, m)
@@ -124,6 +125,7 @@
 }
 
 func (s *Shard) allows(now time.Duration, g *group, m *machine) bool {
+	s.Stats.Looked++
 	return s.ready(now, m) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap)
 }
 
@@ -252,6 +254,7 @@
 		return
 	}
 	v.known, v.lowest = true, math.Inf(1)
+	v.s.Stats.Looked += uint64(len(v.s.order))
 	for _, m := range v.s.order {
 		if p := m.cheapest(); !math.IsInf(p, 1) && v.s.ready(v.now, m) {
 			v.at = append(v.at, preyAt{m, p})
--- /dev/null
+++ b/internal/core/shard/reports.go
@@ -0,0 +1,403 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+type key struct {
+	task    model.Task
+	attempt uint64
+}
+
+type slotState uint8
+
+const (
+	starting slotState = iota // not seen on the worker yet
+	live
+	exited // seen exited, not cleared yet
+)
+
+// slot is an attempt that is, or may be, on a machine.
+type slot struct {
+	key
+	t        *task // nil: an attempt that nobody here holds
+	each     model.Resources
+	state    slotState
+	stage    model.Stage
+	sent     bool
+	sentSeq  uint64 // the report in whose answer the launch last went out
+	direct   int    // direct commands in flight that carry the launch
+	doubt    uint64 // token of a direct launch that went unanswered
+	stop     bool
+	grace    time.Duration
+	hardAt   time.Duration // a saving task is ended then
+	clear    bool
+	alien    bool          // found, and not adopted
+	runSince time.Duration // first seen running
+}
+
+// ran is how long the attempt has been seen running.
+func (sl *slot) ran(now time.Duration) time.Duration {
+	if sl.runSince == 0 {
+		return 0
+	}
+	return now - sl.runSince
+}
+
+// graceOf is the time that a task gets to save, with some room for timers.
+func graceOf(sp *model.Spec) time.Duration {
+	if sp == nil || sp.Checkpoint == 0 {
+		return 0
+	}
+	return sp.Save + sp.Save/10 + 100*time.Millisecond
+}
+
+func (s *Shard) stop(now time.Duration, m *machine, sl *slot, grace time.Duration) {
+	if sl.state == exited || sl.stop && grace >= sl.grace {
+		return
+	}
+	if !sl.sent {
+		// Never on its way: it is nowhere.
+		s.drop(now, m, sl)
+		s.landed(now, sl, model.CauseStopped)
+		return
+	}
+	sl.stop, sl.grace = true, grace
+	sl.hardAt = now + grace + s.p.Report + 2*time.Second
+	m.wake = true
+}
+
+// drop removes a slot from its machine's books.
+func (s *Shard) drop(now time.Duration, m *machine, sl *slot) {
+	if sl.state != exited {
+		s.free(m, sl)
+	}
+	delete(m.slots, sl.key)
+	if len(m.slots) == 0 {
+		m.idleSince = now
+	}
+}
+
+// free gives an attempt's room back to its machine.
+func (s *Shard) free(m *machine, sl *slot) {
+	m.used = m.used.Sub(sl.each)
+	if !m.roomier {
+		m.roomier = true
+		s.roomier = append(s.roomier, m)
+	}
+}
+
+// landed settles the task of an attempt that is surely not on a machine.
+func (s *Shard) landed(now time.Duration, sl *slot, c model.Cause) {
+	t := sl.t
+	if t == nil || t.slot != sl {
+		s.alienGone(sl)
+		return
+	}
+	sl.t = nil
+	if t.recalled || c == model.CauseError || c == model.CauseUnknown {
+		t.on, t.slot = nil, nil
+		s.release(t, c)
+		return
+	}
+	s.enqueue(now, t)
+}
+
+func (s *Shard) alienGone(sl *slot) {
+	if sl.alien {
+		sl.alien = false
+		s.emit(model.Event{Kind: model.AlienGone, Task: sl.task, Attempt: sl.attempt})
+	}
+}
+
+func (s *Shard) loseAll(now time.Duration, m *machine) {
+	for _, sl := range sorted(m.slots) {
+		s.drop(now, m, sl)
+		if sl.t != nil {
+			s.Stats.Lost++
+		}
+		s.landed(now, sl, model.CauseStopped)
+	}
+}
+
+func sorted(slots map[key]*slot) []*slot {
+	out := make([]*slot, 0, len(slots))
+	for _, sl := range slots {
+		out = append(out, sl)
+	}
+	slices.SortFunc(out, func(a, b *slot) int {
+		return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.attempt, b.attempt))
+	})
+	return out
+}
+
+// Answer to a report.
+type Answer struct {
+	OK       bool // false: not entitled
+	Token    uint64
+	Commands []model.Command
+}
+
+// Report takes a worker's report and tells whether this shard is entitled to
+// answer it.
+func (s *Shard) Report(now time.Duration, r *model.Report) bool {
+	if !s.Granted(now) {
+		return false
+	}
+	m := s.machines[r.Machine.ID]
+	if m == nil {
+		if s.moved[r.Machine.ID] != "" {
+			return false
+		}
+		s.emit(model.Event{Kind: model.Unowned, Machine: r.Machine.ID, Report: r})
+		return false
+	}
+	if r.Token > m.token {
+		// Somebody has been entitled after us: an answer would be dropped.
+		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
+		return false
+	}
+	if r.Session < m.session {
+		return false
+	}
+	if r.Newer(m.session, m.seq) {
+		s.take(now, m, r, true)
+	}
+	// An older message of the same session was overtaken by the answer to a
+	// direct command; it still wants its own answer.
+	return true
+}
+
+// Answer returns what a report that was taken is answered with. From here the
+// worker's lease counts as renewed.
+func (s *Shard) Answer(now time.Duration, r *model.Report) Answer {
+	m := s.machines[r.Machine.ID]
+	if m == nil || !s.Granted(now) {
+		return Answer{}
+	}
+	m.answered = now
+	if m.silent {
+		m.silent = false
+		s.emit(model.Event{Kind: model.Heard, Machine: m.ID})
+	}
+	cmds := append(s.vet(m, r), s.commands(now, m, r.Seq, false)...)
+	// A worker that is not fenced yet shows the token sooner when it is told
+	// directly as well.
+	m.wake = !m.fenced
+	return Answer{OK: true, Token: m.token, Commands: cmds}
+}
+
+// vet ends what a worker holds of jobs that are not open. This answer renews
+// its lease, so it must not wait for the worker to be fenced, or for the dealer
+// to judge what was found: under load, owners that followed each other each
+// answered a worker before any of them got that far, and a cancelled task ran on.
+func (s *Shard) vet(m *machine, r *model.Report) []model.Command {
+	var cmds []model.Command
+	if s.open == nil {
+		return nil
+	}
+	for _, c := range r.Cells {
+		if c.Stage == model.Exited || s.open[c.Task.Job] {
+			continue
+		}
+		if sl := m.slots[key{c.Task, c.Attempt}]; sl == nil || sl.t == nil && !sl.stop {
+			cmds = append(cmds, model.Command{Verb: model.Kill, Task: c.Task, Attempt: c.Attempt})
+		}
+	}
+	return cmds
+}
+
+// take brings a machine's books in line with a newer message of its worker.
+// isReport tells a report from the answer to a direct command: only a report
+// proves that the answer to the report before it has arrived or never will.
+func (s *Shard) take(now time.Duration, m *machine, r *model.Report, isReport bool) {
+	if r.Session > m.session && m.session != 0 {
+		// The worker has killed and forgotten all of its earlier session.
+		s.loseAll(now, m)
+	}
+	m.session, m.seq, m.shown = r.Session, r.Seq, r.Token
+	if m.Addr == "" {
+		m.Addr = r.Machine.Addr
+	}
+	if r.Notice >= 0 {
+		if m.noticeAt == 0 {
+			m.noticeAt = now + r.Notice
+		}
+	} else {
+		m.noticeAt = 0
+	}
+	if r.Token < m.first {
+		// Not fenced: an earlier owner's commands may still take effect.
+		m.wake = true
+		return
+	}
+	seen := make(map[key]bool, len(r.Cells))
+	for _, c := range r.Cells {
+		k := key{c.Task, c.Attempt}
+		seen[k] = true
+		s.cell(now, m, k, c)
+	}
+	for _, sl := range sorted(m.slots) {
+		if !seen[sl.key] {
+			s.absent(now, m, sl, r, isReport)
+		}
+	}
+	if !m.fenced {
+		m.fenced = true
+		s.replan = true
+		s.emit(model.Event{Kind: model.Fenced, Machine: m.ID})
+	}
+}
+
+func (s *Shard) cell(now time.Duration, m *machine, k key, c model.Cell) {
+	sl := m.slots[k]
+	if sl == nil {
+		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, alien: true}
+		m.slots[k] = sl
+		if c.Stage == model.Exited {
+			sl.state, sl.alien = exited, false
+		}
+		s.emit(model.Event{Kind: model.Found, Machine: m.ID, Task: k.task, Attempt: k.attempt, Cell: c})
+		return
+	}
+	if sl.state == exited {
+		return
+	}
+	sl.stage = c.Stage
+	if c.Stage != model.Exited {
+		sl.state = live
+		if c.Stage == model.Running && sl.runSince == 0 {
+			sl.runSince = now
+		}
+		return
+	}
+	s.free(m, sl)
+	sl.state = exited
+	t := sl.t
+	switch c.Cause {
+	case model.CauseDone:
+		held := t != nil && t.slot == sl
+		if held {
+			sl.t = nil
+			delete(s.tasks, t.Task)
+		}
+		s.alienGone(sl)
+		// Cleared once its completion is stored.
+		s.emit(model.Event{Kind: model.Finished, Machine: m.ID, Task: k.task, Attempt: k.attempt, Held: held})
+		return
+	case model.CauseError:
+		s.Stats.Errors++
+		s.blame(now, m, k.task.Job)
+	case model.CauseNoRoom, model.CauseBusy:
+		s.Stats.Refused++
+		// Our books were wrong about this machine: let reports catch up.
+		m.badUntil = max(m.badUntil, now+s.p.Report)
+	}
+	sl.clear = true
+	m.wake = true
+	s.landed(now, sl, c.Cause)
+}
+
+// blame notes an error. A machine that fails several jobs is faulty; a job
+// that fails on several machines is the dealer's business.
+func (s *Shard) blame(now time.Duration, m *machine, job model.JobID) {
+	m.errors = slices.DeleteFunc(m.errors, func(e jobError) bool { return now-e.at > 5*time.Minute })
+	m.errors = append(m.errors, jobError{job, now})
+	jobs := map[model.JobID]bool{}
+	for _, e := range m.errors {
+		jobs[e.job] = true
+	}
+	m.badUntil = max(m.badUntil, now+5*time.Second)
+	if len(jobs) >= 2 || len(m.errors) >= 4 {
+		m.badUntil = now + 2*time.Minute
+	}
+}
+
+// absent settles a slot that a newer message does not show.
+func (s *Shard) absent(now time.Duration, m *machine, sl *slot, r *model.Report, isReport bool) {
+	switch sl.state {
+	case exited: // cleared
+		s.drop(now, m, sl)
+	case live: // the worker knew it and knows it no more
+		s.drop(now, m, sl)
+		s.landed(now, sl, model.CauseStopped)
+	case starting:
+		if !sl.sent {
+			return
+		}
+		// A direct launch without an answer may yet be executed, until the
+		// worker has seen a higher token than it bears. A launch in an answer
+		// is over once a later report was made.
+		over := sl.direct == 0 && (sl.doubt == 0 || r.Token > sl.doubt) &&
+			(sl.sentSeq == 0 || isReport && r.Seq > sl.sentSeq)
+		if over && sl.stop {
+			s.drop(now, m, sl)
+			s.landed(now, sl, model.CauseStopped)
+		} else if over {
+			sl.sent, sl.doubt, sl.sentSeq = false, 0, 0
+		}
+	}
+}
+
+// commands returns what the worker must be told. They may be repeated until
+// its reports show their effect.
+func (s *Shard) commands(now time.Duration, m *machine, seq uint64, direct bool) []model.Command {
+	if !m.fenced {
+		return nil
+	}
+	var cmds []model.Command
+	room := m.Cap
+	slots := sorted(m.slots)
+	for _, sl := range slots {
+		if sl.state != exited && sl.sent {
+			room = room.Sub(sl.each)
+		}
+	}
+	for _, sl := range slots {
+		switch {
+		case sl.state == exited:
+			if sl.clear && (sl.doubt == 0 || m.shown > sl.doubt) && sl.direct == 0 {
+				cmds = append(cmds, model.Command{Verb: model.Clear, Task: sl.task, Attempt: sl.attempt})
+			} else if sl.clear && sl.doubt != 0 {
+				s.wantToken(m)
+			}
+		case sl.stop:
+			g := sl.grace
+			if sl.stage == model.Saving && now < sl.hardAt && g > 0 {
+				continue
+			}
+			if now >= sl.hardAt {
+				g = 0
+			}
+			if sl.state == starting && sl.doubt != 0 {
+				s.wantToken(m)
+			}
+			cmds = append(cmds, model.Command{Verb: model.Kill, Task: sl.task, Attempt: sl.attempt, Grace: g})
+		case sl.state == starting && sl.direct == 0:
+			if !sl.sent {
+				// A reservation waits until its victims are gone.
+				if !sl.each.Fits(room) || !m.usable {
+					continue
+				}
+				room = room.Sub(sl.each)
+			}
+			sl.sent = true
+			if !direct {
+				sl.sentSeq = seq
+			}
+			cmds = append(cmds, model.Command{Verb: model.Launch, Task: sl.task, Attempt: sl.attempt})
+		}
+	}
+	return cmds
+}
+
+func (s *Shard) wantToken(m *machine) {
+	if !m.needToken && m.token == m.shown {
+		m.needToken = true
+		s.emit(model.Event{Kind: model.NeedToken, Machine: m.ID})
+	}
+}
--- /dev/null
+++ b/internal/core/shard/scale_test.go
@@ -0,0 +1,92 @@
+package shard
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// full returns a shard whose machines are all full, with groups that wait.
+func full(t *testing.T, machines, groups int) *rig {
+	r := newRig(t)
+	for id := range model.MachineID(machines) {
+		r.own(id, 5, 4)
+		r.report(id, 5)
+	}
+	busy := r.spec(1, model.Prod, 4)
+	for no := range int32(machines) {
+		r.give(busy, no, 1000)
+	}
+	r.s.Place(r.now)
+	for id := range model.MachineID(machines) {
+		r.report(id, 5)
+	}
+	for i := range groups {
+		r.give(r.spec(model.JobID(2+i), model.Idle, 4), 0, 1)
+	}
+	r.s.Place(r.now)
+	return r
+}
+
+// What a report costs must not grow with the number of machines: a scan of all
+// of them for each report once kept every controller minutes behind.
+func TestReportCostsTheSameInALargeCluster(t *testing.T) {
+	cost := func(machines int) (looked uint64, allocs float64) {
+		r := full(t, machines, 100)
+		m := r.s.order[0]
+		var held key
+		for k := range m.slots {
+			held = k
+		}
+		before := r.s.Stats.Looked
+		got := r.report(m.ID, 5, model.Cell{Task: held.task, Attempt: held.attempt, Stage: model.Exited, Cause: model.CauseDone})
+		if len(got) != 1 || got[0].Verb != model.Launch {
+			t.Fatalf("commands %v, want the room filled in the answer", got)
+		}
+		looked = r.s.Stats.Looked - before
+		return looked, testing.AllocsPerRun(20, func() { r.report(m.ID, 5) })
+	}
+	smallLooked, smallAllocs := cost(20)
+	largeLooked, largeAllocs := cost(2000)
+	if largeLooked > smallLooked || largeLooked > 300 {
+		t.Errorf("a report looks at machines %d times among 2000, %d times among 20", largeLooked, smallLooked)
+	}
+	if largeAllocs > smallAllocs+2 {
+		t.Errorf("a report allocates %v times among 2000 machines, %v among 20", largeAllocs, smallAllocs)
+	}
+}
+
+// The heap of rooms must choose as a plain look at all machines does.
+func TestRoomsChooseAsAPlainScan(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		r := newRig(t)
+		for id := range model.MachineID(30) {
+			r.s.Order(r.now, model.Order{Kind: model.Own, Usable: true, Token: 5, Machine: model.Machine{ID: id, Addr: "x",
+				Spot: rng.IntN(2) == 0, Cap: model.Capacity(float64(4+4*rng.IntN(3)), 0, 64)}})
+			r.report(id, 5)
+		}
+		for i := range 60 { // some load, then the same choice both ways
+			sp := r.spec(model.JobID(1+i), model.Rank(rng.IntN(3)), float64(1+rng.IntN(4)))
+			sp.Image = model.Name(rng.IntN(4))
+			g := &group{job: sp.ID, zone: model.None, spec: sp, price: 1, tasks: []*task{{}}}
+			var plain *machine
+			for _, m := range r.s.order {
+				if !sp.Each.Fits(m.Cap.Sub(m.used)) {
+					continue
+				}
+				if plain == nil || m.level() < plain.level() || m.level() == plain.level() && preferred(sp, m, plain) {
+					plain = m
+				}
+			}
+			if got := r.s.rooms(r.now, g, r.s.order).best(); got != plain {
+				t.Fatalf("seed %d, task %d: %v chosen, %v by a plain scan", seed, i, got, plain)
+			}
+			r.give(sp, 0, 1)
+			r.s.Place(r.now)
+		}
+		r.now += time.Second
+	}
+}
--- /dev/null
+++ b/internal/core/shard/status.go
@@ -0,0 +1,83 @@
+package shard
+
+import (
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Stats count what the shard has done.
+type Stats struct {
+	Placed, Evicted, Demoted, Lost, Refused, Errors uint64
+	Looked                                          uint64 // machines looked at for waiting tasks
+}
+
+// Status summarises the machines whose summary has changed since it was last
+// asked for.
+func (s *Shard) Status(now time.Duration) []model.MachineStatus {
+	var out []model.MachineStatus
+	for _, m := range s.order {
+		st := model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
+			Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince, Bad: now < m.badUntil}
+		if st != m.last {
+			m.last = st
+			out = append(out, st)
+		}
+	}
+	return out
+}
+
+// Waiting returns how many tasks wait, and what they ask for together.
+func (s *Shard) Waiting() (int, model.Resources) {
+	n, sum := 0, model.Resources{}
+	for _, g := range s.queue {
+		n += len(g.tasks)
+		sum = sum.Add(g.spec.Each.Times(int64(len(g.tasks))))
+	}
+	return n, sum
+}
+
+// Images tells, for each of the shard's machines, the images that it has been
+// given tasks for.
+func (s *Shard) Images() map[model.MachineID]map[model.Name]bool {
+	out := make(map[model.MachineID]map[model.Name]bool, len(s.order))
+	for _, m := range s.order {
+		out[m.ID] = m.images
+	}
+	return out
+}
+
+// Remember takes what the controller's shard of an earlier term knew of images:
+// a hint for placing, which the machines keep when a leader is lost.
+func (s *Shard) Remember(images map[model.MachineID]map[model.Name]bool) { s.images = images }
+
+// Owns tells whether the machine is this shard's.
+func (s *Shard) Owns(id model.MachineID) bool { return s.machines[id] != nil }
+
+// Deals counts the deals received.
+func (s *Shard) Deals() uint64 { return s.deals }
+
+// Jobs counts the waiting and the running tasks of each job. The running ones,
+// which are for display only, are counted once a second.
+func (s *Shard) Jobs(now time.Duration) map[model.JobID]model.JobCount {
+	if s.running == nil || now-s.counted >= time.Second {
+		s.running, s.counted = map[model.JobID]int{}, now
+		for _, m := range s.order {
+			for k, sl := range m.slots {
+				if sl.t != nil && sl.state == live && sl.stage == model.Running {
+					s.running[k.task.Job]++
+				}
+			}
+		}
+	}
+	out := make(map[model.JobID]model.JobCount, len(s.running))
+	for id, n := range s.running {
+		out[id] = model.JobCount{Running: n}
+	}
+	for k, g := range s.queue {
+		c := out[k.job]
+		c.Waiting += len(g.tasks)
+		out[k.job] = c
+	}
+	return out
+}
--- a/internal/core/sim/sim_test.go
+++ b/internal/core/sim/sim_test.go
@@ -18,10 +18,22 @@
 	return p
 }
 
+// grown has many machines behind few controllers, with workers that report
+// seldom.
+func grown() params {
+	p := longLease()
+	p.controllers, p.machines, p.jobs, p.report, p.length = 5, 120, 400, 8*time.Second, 4*time.Minute
+	return p
+}
+
 // TestRulesHold plays random days with every kind of failure; no rule may break.
 func TestRulesHold(t *testing.T) {
-	for name, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease()} {
-		for seed := range uint64(25) {
+	for name, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease(), "grown": grown()} {
+		seeds := uint64(25)
+		if name == "grown" {
+			seeds = 6
+		}
+		for seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				w := newWorld(seed, p)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -63,6 +63,7 @@
 	users   map[model.JobID]*user
 	broken  []string
 	started int
+	slow    time.Duration // until when the store answers slowly
 	log     []string
 }
 
@@ -110,6 +111,9 @@
 		return
 	}
 	at := w.now + w.between(time.Millisecond, 8*time.Millisecond)
+	if w.now < w.slow && to == "store" {
+		at += w.between(20*time.Millisecond, 2*time.Second)
+	}
 	if !stream && w.rng.IntN(200) == 0 {
 		at += w.between(0, 3*time.Second)
 	}
@@ -151,7 +155,7 @@
 	}
 	c := w.ctls[w.rng.IntN(len(w.ctls))]
 	d := w.between(time.Second, 40*time.Second)
-	switch w.rng.IntN(9) {
+	switch w.rng.IntN(11) {
 	case 0, 1:
 		w.note("fault: %s crashes", c.host)
 		c.crash(w.between(time.Second, 6*time.Second))
@@ -189,6 +193,16 @@
 		} else {
 			m.restart()
 		}
+	case 9:
+		w.note("fault: controllers refuse each other for %v", d)
+		for i, a := range w.ctls {
+			for _, b := range w.ctls[:i] {
+				w.cutFor(a.host, b.host, d)
+			}
+		}
+	case 10:
+		w.note("fault: the store is slow for %v", d)
+		w.slow = w.now + d
 	case 8:
 		w.note("fault: %s is cut off for %v", c.host, d)
 		w.cutFor(c.host, "store", d)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -46,5 +46,6 @@
 	counter("tasks_evicted", "Tasks evicted for higher-priced ones by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Evicted }))
 	counter("tasks_demoted", "Demotions by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Demoted }))
 	counter("tasks_lost", "Tasks lost with their machines by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Lost }))
+	counter("machines_looked_at", "Machines looked at for waiting tasks by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Looked }))
 	counter("task_errors", "Tasks that ended with an error by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Errors }))
 }
