fleet: a machine that leaves the list is gone; dealer: return what left a command unanswered

A machine listed long enough before a list was asked for must be in it, so it is gone if it is not (PROTOCOL: once listed, a machine stays listed until it is gone). Machines also spread over the controllers in proportion to the difference: one every three seconds would have taken a restarted controller half an hour.

--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -244,6 +244,10 @@
 		if owner && !m.gone && (e.Kind == model.NeedToken || e.Token>>32 == d.p.Term) {
 			d.own(m, from)
 		}
+	case model.Unanswered:
+		if owner {
+			m.unanswered = true
+		}
 	case model.Remembered:
 		// Its worker will report there again: it is fenced there, and need not
 		// change hands.
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -32,15 +32,16 @@
 	releasing bool          // the owner was asked to let go
 	// authority is when the last shard that was lost as its owner could
 	// answer it for the last time.
-	authority time.Duration
-	lost      time.Duration // authority of this term's lost shards alone
-	groups    []*adrift
-	orphaned  time.Duration       // seen without an owner since, 0: it has one
-	status    model.MachineStatus // as its owner last told
-	told      model.ShardID       // the owner that told it, 0: none has
-	avail     model.Resources     // of status, less what was dealt since
-	movedTo   model.ShardID       // its worker was told to report there
-	movedAt   time.Duration
+	authority  time.Duration
+	lost       time.Duration // authority of this term's lost shards alone
+	groups     []*adrift
+	unanswered bool                // a direct command to its worker was not answered
+	orphaned   time.Duration       // seen without an owner since, 0: it has one
+	status     model.MachineStatus // as its owner last told
+	told       model.ShardID       // the owner that told it, 0: none has
+	avail      model.Resources     // of status, less what was dealt since
+	movedTo    model.ShardID       // its worker was told to report there
+	movedAt    time.Duration
 }
 
 // alien is an attempt that must go; it runs unaccounted until it has.
@@ -250,8 +251,16 @@
 	return out
 }
 
-// Suspects counts the machines of earlier terms that are not accounted for.
-func (d *Dealer) Suspects() int { return len(d.suspects) }
+// Unanswering tells whether each machine of earlier terms that is not accounted
+// for has left a command unanswered.
+func (d *Dealer) Unanswering() bool {
+	for id := range d.suspects {
+		if !d.machines[id].unanswered {
+			return false
+		}
+	}
+	return true
+}
 
 // HasMachines tells whether there is any machine.
 func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
--- a/internal/core/dealer/spread.go
+++ b/internal/core/dealer/spread.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	spreadEvery = 3 * time.Second  // one machine at a time
+	spreadEvery = 3 * time.Second  // one machine at a time, or a twentieth of the difference
 	settled     = 10 * time.Second // a shard so old gets and gives machines
 	shun        = 2 * time.Minute
 )
@@ -52,13 +52,16 @@
 	if most == nil || owns[most.id]-owns[least.id] < max(3, len(d.machines)/8) {
 		return
 	}
-	for _, m := range d.sortedMachines() {
+	move := max(1, (owns[most.id]-owns[least.id])/20)
+	for _, m := range d.byID {
 		if m.owner != most.id || m.releasing || m.silent || m.gone || now < d.shunned[reach{m.Zone, least.host}] {
 			continue
 		}
 		m.releasing, m.movedTo, m.movedAt = true, least.id, now
 		d.order(most.id, model.Order{Kind: model.Release, ID: m.ID, Keeper: least.host})
-		return
+		if move--; move == 0 {
+			return
+		}
 	}
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -33,6 +33,7 @@
 	since  time.Duration // known since
 	heard  bool          // its worker has reported
 	listed time.Duration // last time that it was listed
+	first  time.Duration // first time that it was, by this leader
 	failed bool
 	silent time.Duration // since when it is silent, 0: it is not
 	drop   bool          // being returned
@@ -99,8 +100,12 @@
 	Age    time.Duration
 }
 
-// List takes the machine list. It lags, so absence from it proves nothing yet.
-func (f *Fleet) List(now time.Duration, l []Listed) {
+// List takes the machine list that was asked for then, and returns the machines
+// that it shows to be gone. It describes a time up to twice its lag ago, so that
+// absence alone proves nothing; but a machine, once listed, stays so until it is
+// gone, and one that was listed long enough before the question was asked must
+// be there.
+func (f *Fleet) List(now, asked time.Duration, l []Listed) []model.MachineID {
 	f.listed = true
 	for id, at := range f.gone {
 		if now-at > 3*f.p.ListLag+time.Minute {
@@ -117,10 +122,26 @@
 			u.since = now - e.Age
 		}
 		u.listed = now
+		if u.first == 0 {
+			u.first = now
+		}
 		u.failed = u.failed || e.Failed
 	}
+	var gone []model.MachineID
+	for id, u := range f.units {
+		if u.first != 0 && u.listed != now && asked-u.first > 2*f.p.ListLag+listMargin {
+			gone = append(gone, id)
+			delete(f.units, id)
+			f.gone[id] = now
+		}
+	}
+	slices.Sort(gone)
+	return gone
 }
 
+// listMargin is on top of twice the list's lag, for drifting clocks and slow answers.
+const listMargin = 5 * time.Second
+
 // Rented takes the outcome of a rental: the machines, or why there are none.
 func (f *Fleet) Rented(now time.Duration, a Action, got []model.MachineID, refused, doubt bool) {
 	delete(f.renting, a.Rent)
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -11,7 +11,7 @@
 func newFleet() *Fleet {
 	f := New(Params{Term: 7, ListLag: 10 * time.Second, IdleReturn: time.Minute, Horizon: 30 * time.Second, Probe: 15 * time.Second})
 	f.SetTypes([]model.MachineType{{Name: 0, Cap: model.Capacity(8, 0, 32), Price: 1, SpotPrice: 0.3, Boot: 20 * time.Second, Zones: []model.Name{0}}})
-	f.List(0, nil)
+	f.List(0, 0, nil)
 	return f
 }
 
@@ -100,7 +100,7 @@
 	}
 	f.Returned(2*time.Minute, as[0], true)
 	// The list lags: it is not a new machine.
-	f.List(2*time.Minute+time.Second, []Listed{{ID: 1, Spot: true}})
+	f.List(2*time.Minute+time.Second, 2*time.Minute+time.Second, []Listed{{ID: 1, Spot: true}})
 	if len(f.units) != 0 {
 		t.Error("a returned machine is back")
 	}
@@ -112,7 +112,7 @@
 	began := time.Hour
 	f := New(Params{Term: 7, Began: began, ListLag: 10 * time.Second, IdleReturn: time.Minute, Horizon: 30 * time.Second, Probe: 15 * time.Second})
 	f.SetTypes([]model.MachineType{{Name: 0, Cap: model.Capacity(8, 0, 32), Price: 1, SpotPrice: 0.3, Boot: 20 * time.Second, Zones: []model.Name{0}}})
-	f.List(began, []Listed{{ID: 1, Age: time.Hour}})
+	f.List(began, began, []Listed{{ID: 1, Age: time.Hour}})
 	silent := func(model.MachineID) bool { return true }
 	for _, c := range []struct {
 		after time.Duration
@@ -128,3 +128,24 @@
 		}
 	}
 }
+
+// A machine taken without notice leaves the list long before its lease is over,
+// and its tasks need not wait for that. But a list may be older than the one
+// before: a machine listed only lately may be missing from it.
+func TestAMachineThatLeavesTheListIsGone(t *testing.T) {
+	f := newFleet()
+	both, one := []Listed{{ID: 1}, {ID: 2}}, []Listed{{ID: 1}}
+	f.List(5*time.Second, 5*time.Second, both)
+	if gone := f.List(29*time.Second, 29*time.Second, one); len(gone) != 0 {
+		t.Fatalf("%v gone by a list that may be older than the first", gone)
+	}
+	if gone := f.List(40*time.Second, 29*time.Second, one); len(gone) != 0 {
+		t.Fatalf("%v gone by a list that was asked for too early", gone)
+	}
+	if gone := f.List(31*time.Second, 31*time.Second, one); len(gone) != 1 || gone[0] != 2 {
+		t.Fatalf("%v gone, want the machine that is listed no more", gone)
+	}
+	if gone := f.List(35*time.Second, 35*time.Second, one); len(gone) != 0 {
+		t.Fatalf("%v gone once more", gone)
+	}
+}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -85,6 +85,7 @@
 	Found                       // an attempt that the shard doesn't know
 	Finished                    // a task completed
 	Gone                        // a task is nowhere, and this shard holds it no more
+	Unanswered                  // a direct command to a worker that is not fenced went unanswered
 	Remembered                  // the controller's shard of an earlier term owned the machine
 	AlienGone                   // a found attempt that was not adopted is nowhere now
 )
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -82,6 +82,9 @@
 	m.inFlight--
 	if r == nil {
 		m.quietUntil = now + s.p.DoubtPause
+		if !m.fenced {
+			s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID})
+		}
 		return
 	}
 	if !executed && r.Token <= m.token && r.Session >= m.session && !m.fenced {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -56,10 +56,6 @@
 	// settling: machines that can't be reached are being returned.
 	settling bool
 	loadedAt time.Duration
-	// suspects are the machines of earlier terms not accounted for, and since
-	// when they are as many.
-	suspects   int
-	suspectsAt time.Duration
 }
 
 // followLeadership starts and drops the leader's part as the election says.
@@ -472,8 +468,6 @@
 }
 
 const (
-	// reachWait is how long a worker that lives takes to answer a direct command.
-	reachWait = 2500 * time.Millisecond
 	// Of all machines, a part that may be given up for the rest: the few that
 	// answer no command; more once every worker that lives has reported, too.
 	// A zone that is cut off is more than that, and waits for its leases.
@@ -489,15 +483,12 @@
 	if l.healed || l.settling {
 		return
 	}
-	if n := l.d.Suspects(); n != l.suspects {
-		l.suspects, l.suspectsAt = n, now
-	}
 	waited := now - l.loadedAt
 	share := 0.0
 	switch {
-	case waited > config.Seconds(1.25*l.n.cfg.Cluster.Workers.ReportS)+reachWait-250*time.Millisecond:
+	case waited > config.Seconds(1.25*l.n.cfg.Cluster.Workers.ReportS)+2250*time.Millisecond:
 		share = someUnseen
-	case waited > reachWait+time.Second && now-l.suspectsAt > reachWait:
+	case l.d.Unanswering():
 		share = fewUnseen
 	default:
 		return
@@ -670,6 +661,7 @@
 func (l *leadership) runCloud() {
 	n := l.n
 	for l.ctx.Err() == nil {
+		asked := n.now()
 		list, err := n.cloud.List(l.ctx)
 		if err != nil {
 			n.log.Info("machine list not read", "err", err)
@@ -687,7 +679,14 @@
 				Failed: m.Stage == "failed", Age: config.Seconds(m.AgeS)})
 		}
 		slices.SortFunc(out, func(a, b fleet.Listed) int { return cmp.Compare(a.ID, b.ID) })
-		l.f.List(n.now(), out)
+		gone := l.f.List(n.now(), asked, out)
+		for _, id := range gone {
+			l.d.Gone(id)
+		}
+		if n.lead == l && len(gone) > 0 {
+			n.log.Info("machines gone from the list", "count", len(gone))
+			n.soon()
+		}
 		n.mu.Unlock()
 		sleep(l.ctx, 4*time.Second)
 	}
