--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -227,7 +227,7 @@
 		f.want = now
 	}
 	if !f.giving {
-		if ids := f.surplus(now, status, rooms, slack(rooms, demand)); len(ids) > 0 {
+		if ids := f.surplus(now, status, rooms, slackening(rooms, demand)); len(ids) > 0 {
 			out = append(out, Action{Machine: ids})
 			f.giving = true
 		}
@@ -485,10 +485,9 @@
 	return n
 }
 
-// slack is the part of their patience that idle machines keep: all of it while
-// open work could fill half of the machines or more, and less the less there is,
-// for a day ends, and what is idle will hardly be wanted soon.
-func slack(rooms []room, demand []Demand) float64 {
+// slackening tells that open work has become little beside the machines: a day
+// ends, and what is idle will hardly be wanted soon.
+func slackening(rooms []room, demand []Demand) bool {
 	var cpu, have int64
 	for i := range demand {
 		cpu += int64(demand[i].Need.Open) * demand[i].Need.Spec.Each.CPU
@@ -496,14 +495,17 @@
 	for i := range rooms {
 		have += rooms[i].m.Cap.CPU
 	}
-	return min(1, max(1.0/6, 2*float64(cpu)/float64(max(1, have))))
+	return cpu < have/8
 }
 
 // patience is how long a machine may stand idle: the dearer, the shorter. In a
 // lull it is long, for a machine that is rented anew boots and fetches images
 // first.
-func (f *Fleet) patience(m *model.Machine, slack float64) time.Duration {
-	d := time.Duration(float64(f.p.IdleReturn) * slack)
+func (f *Fleet) patience(m *model.Machine, slackening bool) time.Duration {
+	d := f.p.IdleReturn
+	if slackening {
+		d /= 6
+	}
 	if t := f.typeOf(m.Type); t != nil {
 		d = time.Duration(float64(d) / max(1, perCPU(t, m.Spot)/f.cheapest()))
 	}
@@ -512,7 +514,7 @@
 
 // surplus picks machines to give back: those that never came up, failed, or
 // went silent for good, and those that stand idle.
-func (f *Fleet) surplus(now time.Duration, status []model.MachineStatus, rooms []room, slack float64) []model.MachineID {
+func (f *Fleet) surplus(now time.Duration, status []model.MachineStatus, rooms []room, slackening bool) []model.MachineID {
 	var out []model.MachineID
 	for id, u := range f.units {
 		if u.drop {
@@ -532,7 +534,7 @@
 		if r.status == nil || r.used || r.status.Slots > 0 {
 			continue
 		}
-		if p := f.patience(&r.m, slack); now-r.status.IdleSince < p || now-f.want < p/2 {
+		if p := f.patience(&r.m, slackening); now-r.status.IdleSince < p || now-f.want < p/2 {
 			continue
 		}
 		if u := f.units[r.m.ID]; u != nil && !u.drop && u.silent == 0 {
