--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -227,7 +227,8 @@
 }
 
 // dealAhead deals a few tasks without room to the shards with machines for
-// them, in turn: there they may find victims.
+// them: there they may find victims, the more the more machines there are. A
+// controller that has just come back has hardly any.
 func (d *Dealer) dealAhead(j *job, n int64, members []*member) {
 	ahead := min(n, int64(d.p.Ahead-d.Count(j.spec.ID).Waiting))
 	if ahead <= 0 {
@@ -239,8 +240,9 @@
 			able = append(able, m)
 		}
 	}
+	share := func(m *member) float64 { return float64(m.jobs[j.spec.ID].Waiting+1) / float64(m.ready) }
 	for i := int64(0); i < ahead && len(able) > 0; i++ {
-		m := able[i%int64(len(able))]
+		m := slices.MinFunc(able, func(a, b *member) int { return cmp.Compare(share(a), share(b)) })
 		if !d.dealOne(j, m.id, model.None) {
 			return
 		}
@@ -289,13 +291,14 @@
 		least = min(least, j.spec.Each.CPU)
 	}
 	for _, s := range members {
-		s.rooms, s.kinds = s.rooms[:0], s.kinds[:0]
+		s.rooms, s.kinds, s.ready = s.rooms[:0], s.kinds[:0], 0
 	}
 	for _, m := range d.byID {
 		s := d.members[m.owner]
 		if s == nil || !m.known() || !m.status.Ready || m.status.Draining {
 			continue
 		}
+		s.ready++
 		if !slices.ContainsFunc(s.kinds, func(k *machine) bool { return k.Type == m.Type && k.Zone == m.Zone && k.Spot == m.Spot }) {
 			s.kinds = append(s.kinds, m)
 		}
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -33,7 +33,8 @@
 	dealtOn  map[*machine]bool // with room taken since the shard's last word on them
 	jobs     map[model.JobID]model.JobCount
 	rooms    []*machine // while dealing: its machines with room
-	kinds    []*machine // ... and one of each kind that it has
+	kinds    []*machine // ... one of each kind that it has
+	ready    int        // ... and how many may get tasks
 	deals    uint64     // sent
 	statusAt time.Duration
 	joined   time.Duration
--- a/internal/core/dealer/scale_test.go
+++ b/internal/core/dealer/scale_test.go
@@ -40,3 +40,29 @@
 		t.Errorf("a deal allocates %v times among 2000 machines, %v among 20", large, small)
 	}
 }
+
+// What is dealt beyond the free room, to find victims, goes where the machines
+// are: half of it once went to a controller that had just come back with five.
+func TestDealtAheadByMachines(t *testing.T) {
+	r := newRig(t, 1e6)
+	r.d.p.Ahead = 12
+	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
+	for id := range model.MachineID(12) {
+		to := a
+		if id == 0 {
+			to = b
+		}
+		r.machine(0, id, to)
+		r.d.Status(0, to, []model.MachineStatus{{Machine: model.Machine{ID: id}, Ready: true}}, nil, 0)
+	}
+	r.d.Orders()
+	r.job(1, 100, false)
+	r.d.Deal(time.Second)
+	to := map[model.ShardID]int{}
+	for _, o := range r.orders(model.Give) {
+		to[o.To]++
+	}
+	if to[a] != 11 || to[b] != 1 {
+		t.Errorf("dealt ahead %v to shards with 11 machines and 1", to)
+	}
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -299,17 +299,23 @@
 	var bestAt int
 	var bestVictims []*slot
 	var bestCost, bestTotal time.Duration
+	tooDear := false
 	for _, i := range v.sample(g, s.p.Sample) {
 		m := v.at[i].m
 		victims, cost, ok := s.victims(now, m, g)
 		total := cost + m.fetch(g.spec)
+		tooDear = tooDear || ok && cost > s.p.PaybackLimit
 		if ok && cost <= s.p.PaybackLimit && (best == nil || total < bestTotal) {
 			best, bestAt, bestVictims, bestCost, bestTotal = m, i, victims, cost, total
 		}
 	}
 	if best == nil {
-		g.nextEvict = now + time.Second
-		if g.price > 1 {
+		// Only victims that are too dear lower a price. Without any the task waits
+		// as it is: else what came to a shard whose victims were all being
+		// stopped sank to the lowest price within seconds, and stayed there.
+		g.nextEvict = now + time.Second/4
+		if tooDear && g.price > 1 {
+			g.nextEvict = now + time.Second
 			s.Stats.Demoted++
 			g.price = max(1, g.price/s.p.DemoteStep)
 		}
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -424,3 +424,25 @@
 		}
 	}
 }
+
+// Only victims that are too dear lower a price. A task that came to a shard
+// without any sank to the lowest price within seconds, and could evict nothing
+// once there were some.
+func TestNoVictimsNoDemotion(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 4)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 4), 0, 10)
+	r.report(1, 5)
+	running := cell(1, 0, 1001, model.Running, 0)
+	r.report(1, 5, running)
+	r.give(r.spec(2, model.Standard, 4), 0, 10)
+	for range 20 {
+		r.now += time.Second
+		r.report(1, 5, running)
+		r.s.Tick(r.now)
+	}
+	if r.s.Stats.Demoted != 0 {
+		t.Errorf("demoted %d times beside equals", r.s.Stats.Demoted)
+	}
+}
