--- a/internal/core/dealer/scale_test.go
+++ b/internal/core/dealer/scale_test.go
@@ -66,3 +66,68 @@
 		t.Errorf("dealt ahead %v to shards with 11 machines and 1", to)
 	}
 }
+
+// The largest job there may be: each task is dealt once, what is done survives a
+// change of leader in chunks, and the job ends with its last task.
+func TestJobOfAHundredThousandTasks(t *testing.T) {
+	const tasks, chunk = 100_000, 65_536
+	r := newRig(t, 1e6)
+	r.d.p.ChunkSize = chunk
+	s := r.d.Join(0, "a")
+	r.machine(0, 1, s)
+	sp := r.job(1, tasks, false)
+	sp.Each = model.Request(0.001, 0, 0)
+	given := make([]bool, tasks)
+	var stored []Write
+	now, done := time.Second, 0
+	for done < tasks/2 {
+		now += 2 * time.Second
+		r.status(now, s, 1)
+		r.d.Deal(now)
+		for _, o := range r.orders(model.Give) {
+			no := o.Deal.Task.No
+			if given[no] {
+				t.Fatalf("task %d dealt twice", no)
+			}
+			given[no] = true
+			done++
+			r.d.Event(now, s, model.Event{Kind: model.Finished, Machine: 1, Task: o.Deal.Task, Attempt: uint64(no), Held: true})
+		}
+		for _, w := range r.d.Writes(now, 10) {
+			if w.Kind != PutChunk {
+				t.Fatalf("%+v with half of the tasks done", w)
+			}
+			stored = append(stored, w)
+			r.d.Stored(now, w, 60, true, false)
+		}
+	}
+	// The next leader knows what was done, and deals only the rest.
+	next := newRig(t, 1e6)
+	next.d.p.ChunkSize = chunk
+	s = next.d.Join(0, "b")
+	next.machine(0, 1, s)
+	next.job(1, tasks, true).Each = sp.Each
+	for _, w := range stored {
+		next.d.AddDone(1, w.Chunk, w.Bits)
+	}
+	for range 30 {
+		now += 2 * time.Second
+		next.status(now, s, 1)
+		next.d.Deal(now)
+		for _, o := range next.orders(model.Give) {
+			if given[o.Deal.Task.No] {
+				t.Fatalf("task %d, stored as done, is dealt again", o.Deal.Task.No)
+			}
+			done++
+			next.d.Event(now, s, model.Event{Kind: model.Finished, Machine: 1, Task: o.Deal.Task, Attempt: 1, Held: true})
+		}
+	}
+	if done != tasks {
+		t.Fatalf("%d tasks were dealt", done)
+	}
+	for _, w := range next.d.Writes(now, 1) {
+		if w.Kind != Finish || w.Chunks != 2 {
+			t.Errorf("%+v, want the end of the job and its two chunks", w)
+		}
+	}
+}
