--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -305,10 +305,10 @@
 			}
 			err = lerr
 		}
+		if l.ctx.Err() == nil {
+			n.complaints.note("open jobs not followed", err)
+		}
 		if err != nil {
-			if l.ctx.Err() == nil {
-				n.log.Info("open jobs not followed", "err", err)
-			}
 			sleep(l.ctx, 300*time.Millisecond)
 			continue
 		}
@@ -663,8 +663,10 @@
 	for l.ctx.Err() == nil {
 		asked := n.now()
 		list, err := n.cloud.List(l.ctx)
+		if l.ctx.Err() == nil {
+			n.complaints.note("machine list not read", err)
+		}
 		if err != nil {
-			n.log.Info("machine list not read", "err", err)
 			sleep(l.ctx, time.Second)
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,9 +44,10 @@
 	cloud *cloud.Client
 	work  *worker.Client
 	// dialer opens connections to siblings for users' requests.
-	dialer *peer.Dialer
-	start  time.Time
-	ttl    time.Duration
+	dialer     *peer.Dialer
+	complaints *complaints
+	start      time.Time
+	ttl        time.Duration
 
 	mu            sync.Mutex
 	names         *wire.Names
@@ -93,7 +94,7 @@
 		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
 		state: state.New(cfg.Services.State, state.Limits{RPS: cfg.Cluster.State.RPS * share, WriteRPS: cfg.Cluster.State.WriteRPS * share}, 1500*time.Millisecond),
 		cloud: cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.7, 5*time.Second),
-		work:  worker.New(2 * time.Second), dialer: peer.NewDialer(),
+		work:  worker.New(2 * time.Second), dialer: peer.NewDialer(), complaints: newComplaints(log),
 		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
 			Images: wire.NewTable(), Classes: wire.NewTable()},
 		finals:   map[model.JobID]jobs.Stage{},
@@ -197,9 +198,7 @@
 	case election.Renew:
 		err := n.state.Extend(ctx, op.Lease)
 		res.OK, res.Not = err == nil, errors.Is(err, state.ErrNotFound)
-		if err != nil {
-			n.log.Info("leader's lease not renewed", "err", err)
-		}
+		n.complaints.note("leader's lease not renewed", err)
 	case election.End:
 		res.OK = n.state.End(ctx, op.Lease) == nil
 	}
@@ -267,8 +266,8 @@
 		pause := time.Minute
 		cat, err := n.cloud.Catalog(ctx)
 		fresh := err == nil
+		n.complaints.note("catalog not read", err)
 		if err != nil {
-			n.log.Info("catalog not read", "err", err)
 			pause = time.Second
 			n.mu.Lock()
 			known := len(n.types) > 0
