dealer: a lost shard's tasks don't wait for a machine that is gone

A machine that is gone stays in the books until its block is written without it, and kept its owner; when that was lost meanwhile, the group of adrift tasks waited for the machine, which was then forgotten, so that the group was never settled. Excluded: polls (503 as few as in good runs), queues of shards (room for all), aliens. The window was there before, but with machines gone by the list every few seconds a crash meets it.

--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -456,3 +456,30 @@
 		t.Fatalf("machines per shard: %v", to)
 	}
 }
+
+// A machine that is gone stays in the books until its record is written without
+// it. If its owner is lost meanwhile, nothing more can be learnt of it, and the
+// tasks of the lost shard must not wait for it: hundreds once waited for ever.
+func TestLostShardsTasksDoNotWaitForAMachineThatIsGone(t *testing.T) {
+	r := newRig(t, 100)
+	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
+	r.machine(0, 1, a)
+	r.machine(0, 2, a)
+	r.status(0, a, 1, 2)
+	r.job(1, 8, false)
+	r.d.Deal(time.Second)
+	r.d.Orders()
+	r.d.Gone(1)
+	r.d.Lost(a, 2*time.Second)
+	for _, w := range r.d.Writes(2*time.Second, 10) {
+		r.d.Stored(2*time.Second, w, 60, true, false)
+	}
+	r.d.Event(3*time.Second, b, model.Event{Kind: model.Unowned, Machine: 2, Report: &model.Report{Machine: model.Machine{ID: 2}}})
+	r.d.Event(4*time.Second, b, model.Event{Kind: model.Fenced, Machine: 2})
+	r.d.Orders()
+	r.status(5*time.Second, b, 2)
+	r.d.Deal(5 * time.Second)
+	if n := len(r.orders(model.Give)); n < 4 {
+		t.Fatalf("%d tasks dealt anew", n)
+	}
+}
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -67,6 +67,9 @@
 			m.lost = max(m.lost, end)
 			m.authority = max(m.authority, end)
 			m.silent = false
+			if m.gone {
+				continue // nothing is there, and it will be forgotten before it could be accounted for
+			}
 			g.machines[m.ID] = true
 			m.groups = append(m.groups, g)
 		}
