dealer: tasks released with a forgotten machine are free

Found on a last reading, beside the groups that waited for a machine that was gone: a shard that is asked to let go of a machine drops its tasks and names them. If the machine was gone, and its record written without it, before that arrived, the event was dropped and the tasks stayed charged to a shard that had them no more, for ever. Only machines that are surely gone are forgotten, so the tasks are nowhere.

--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -483,3 +483,28 @@
 		t.Fatalf("%d tasks dealt anew", n)
 	}
 }
+
+// A shard that was asked to let go of a machine says what was there. If the
+// machine is gone and forgotten by then, those tasks are nowhere: nobody else
+// would ever give them back.
+func TestTasksReleasedWithAForgottenMachineAreFree(t *testing.T) {
+	r := newRig(t, 100)
+	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
+	r.machine(0, 1, a)
+	r.machine(0, 2, b)
+	r.status(0, a, 1)
+	r.job(1, 1, false)
+	r.d.Deal(time.Second)
+	r.d.Event(time.Second, b, model.Event{Kind: model.Unowned, Machine: 1, Report: &model.Report{Machine: model.Machine{ID: 1}}})
+	r.d.Gone(1)
+	for _, w := range r.d.Writes(time.Second, 10) {
+		r.d.Stored(time.Second, w, 60, true, false)
+	}
+	r.d.Event(2*time.Second, a, model.Event{Kind: model.Released, Machine: 1, Tasks: []model.Task{{Job: 1}}})
+	r.d.Orders()
+	r.status(3*time.Second, b, 2)
+	r.d.Deal(3 * time.Second)
+	if g := r.orders(model.Give); len(g) != 1 || g[0].To != b {
+		t.Fatalf("orders %+v, want the task dealt anew", g)
+	}
+}
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -330,15 +330,20 @@
 }
 
 func (d *Dealer) released(now time.Duration, from model.ShardID, m *machine, e model.Event) {
-	if m == nil || m.owner != from {
+	if m != nil && m.owner != from {
 		return
 	}
-	g := &adrift{machines: map[model.MachineID]bool{m.ID: true}, tasks: map[model.Task]bool{}}
+	g := &adrift{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
 	for _, t := range e.Tasks {
 		if j := d.jobs[t.Job]; j != nil && d.holds(j, t.No, from) {
 			d.setAdrift(j, t.No, g)
 		}
 	}
+	if m == nil { // only machines that are gone are forgotten: nothing is there
+		d.settle(g)
+		return
+	}
+	g.machines[m.ID] = true
 	m.groups = append(m.groups, g)
 	m.owner, m.releasing = 0, false
 	// It was answered until now at the latest.
