core, node: one way to put a group's next task and to pass events on

Read once more: two loops took a group's first task by hand, tell and tellLeader differed by who leads, a turn exchanged events twice before it dealt, a rental's room was summed up by hand, and Waiting returned resources that nobody read. Behaviour as before.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -281,7 +281,7 @@
 	t := f.typeOf(a.Type)
 	m := a.machine(t)
 	var left []lack
-	free := model.Resources{CPU: t.Cap.CPU * int64(a.Count), GPU: t.Cap.GPU * int64(a.Count), Mem: t.Cap.Mem * int64(a.Count)}
+	free := t.Cap.Times(int64(a.Count))
 	for _, l := range lacking {
 		if l.spec.Allows(&m) && l.spec.Each.Fits(t.Cap) {
 			k := min(l.n, l.spec.Each.Count(free))
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -72,9 +72,7 @@
 			continue
 		}
 		for len(g.tasks) > 0 && g.spec.Each.Fits(m.Cap.Sub(m.used)) {
-			t := g.tasks[0]
-			g.tasks = g.tasks[1:]
-			s.put(now, m, t)
+			s.putNext(m, g)
 		}
 		s.leave(g)
 	}
@@ -115,9 +113,7 @@
 					break
 				}
 			}
-			t := g.tasks[0]
-			g.tasks = g.tasks[1:]
-			s.put(now, m, t)
+			s.putNext(m, g)
 			r.taken()
 		}
 		s.leave(g)
@@ -387,7 +383,10 @@
 	return time.Duration(sp.ImageGB / m.FetchRate * float64(time.Second))
 }
 
-func (s *Shard) put(now time.Duration, m *machine, t *task) {
+// putNext puts the next of a group's tasks on a machine.
+func (s *Shard) putNext(m *machine, g *group) {
+	t := g.tasks[0]
+	g.tasks = g.tasks[1:]
 	s.attempt++
 	sl := &slot{key: key{t.Task, s.attempt}, t: t, each: t.Spec.Each}
 	m.slots[sl.key] = sl
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -27,14 +27,13 @@
 	return out
 }
 
-// Waiting returns how many tasks wait, and what they ask for together.
-func (s *Shard) Waiting() (int, model.Resources) {
-	n, sum := 0, model.Resources{}
+// Waiting returns how many tasks wait.
+func (s *Shard) Waiting() int {
+	n := 0
 	for _, g := range s.queue {
 		n += len(g.tasks)
-		sum = sum.Add(g.spec.Each.Times(int64(len(g.tasks))))
 	}
-	return n, sum
+	return n
 }
 
 // Images tells, for each of the shard's machines, the images that it has been
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -434,12 +434,12 @@
 	}
 }
 
-// deal deals tasks with what the shards have told of their room.
+// deal deals tasks with what the shards have told of their room, once their
+// events have been exchanged.
 func (l *leadership) deal(now time.Duration) {
 	began := l.n.now()
 	l.due, l.dealt = false, now
 	s := l.n.seat.s
-	l.exchange(now)
 	l.d.Status(now, l.local, s.Status(now), s.Jobs(now), l.d.Dealt(l.local))
 	l.d.Deal(now)
 	l.dealCost = l.n.now() - began
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,8 +29,7 @@
 		if n.seat == nil {
 			return 0
 		}
-		w, _ := n.seat.s.Waiting()
-		return float64(w)
+		return float64(n.seat.s.Waiting())
 	})
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -88,13 +88,17 @@
 	}
 	n.seat.s.Place(now)
 	n.flush(now)
-	n.tell()
+	n.tell(now)
 	n.seat.dirty = true
 }
 
-// tell sends the shard's events to the leader. Without a link they are lost:
-// the next shard of this controller finds out anew what there is.
-func (n *Node) tell() {
+// tell passes the shard's events to the dealer, wherever it is. Without a link
+// they are lost: the next shard of this controller finds out anew what there is.
+func (n *Node) tell(now time.Duration) {
+	if n.lead != nil {
+		n.lead.exchange(now)
+		return
+	}
 	for _, e := range n.seat.s.Events() {
 		if n.seat.out != nil {
 			n.seat.out.Send(n.seat.codec.Event(&e))
@@ -102,15 +106,6 @@
 	}
 }
 
-// tellLeader passes the shard's events on at once: a worker waits for its owner.
-func (n *Node) tellLeader(now time.Duration) {
-	if n.lead != nil {
-		n.lead.exchange(now)
-	} else {
-		n.tell()
-	}
-}
-
 func (n *Node) flush(now time.Duration) {
 	st := n.seat
 	st.s.Flush(now)
@@ -147,7 +142,7 @@
 	st.ticked = now
 	st.s.Tick(now)
 	n.flush(now)
-	n.tell()
+	n.tell(now)
 	if st.out == nil {
 		return
 	}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -323,7 +323,7 @@
 		a = s.Answer(now, r)
 	} else {
 		keeper = s.Moved(r.Machine.ID)
-		n.tellLeader(now)
+		n.tell(now) // at once: the worker waits for its owner
 	}
 	n.soon()
 	return a, keeper, !ok && keeper == "" && !s.Owns(r.Machine.ID)
