--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -52,6 +54,7 @@
 	dealCost time.Duration
 	fleeted  time.Duration
 	shown    time.Duration
+	toldLoad time.Duration
 	healed   bool
 	// settling: machines that can't be reached are being returned.
 	settling bool
@@ -432,6 +435,58 @@
 		l.fleeted = now
 		l.runFleet(now)
 	}
+	if now-l.toldLoad >= loadEvery {
+		l.toldLoad = now
+		l.logLoad()
+	}
+}
+
+// loadEvery is how often the leader's log tells what is open and what there is
+// for it.
+const loadEvery = 15 * time.Second
+
+// classLoad sums up the open jobs of a class.
+type classLoad struct{ jobs, open, held, running int }
+
+// logLoad tells the load at info: without it a day can't be understood
+// afterwards.
+func (l *leadership) logLoad() {
+	if !l.n.log.Enabled(l.ctx, slog.LevelInfo) {
+		return
+	}
+	classes := map[model.Name]*classLoad{}
+	for _, need := range l.d.Needs() {
+		c := classes[need.Spec.Class]
+		if c == nil {
+			c = &classLoad{}
+			classes[need.Spec.Class] = c
+		}
+		c.jobs++
+		c.open += int(need.Open)
+		c.held += int(need.Held)
+		c.running += l.d.Count(need.Spec.ID).Running
+	}
+	var machines, ready, spot, bad int
+	var cpus, free int64
+	for _, st := range l.d.Machines() {
+		machines++
+		if st.Machine.Spot {
+			spot++
+		}
+		if st.Bad {
+			bad++
+		}
+		if st.Ready {
+			ready++
+			cpus += st.Machine.Cap.CPU
+			free += max(0, st.Avail.CPU)
+		}
+	}
+	l.n.log.Info("load", "machines", machines, "spot", spot, "ready", ready, "bad", bad, "cpus", cpus/1000, "free", free/1000)
+	for _, name := range slices.Sorted(maps.Keys(classes)) {
+		c := classes[name]
+		l.n.log.Info("load of a class", "class", l.n.names.Classes.Name(name), "jobs", c.jobs, "open", c.open, "held", c.held, "running", c.running)
+	}
 }
 
 // deal deals tasks with what the shards have told of their room, once their
