shard, dealer: tell broken jobs from faulty machines

Now a job that fails on two machines without a success is held to be broken: one task at a time, pauses from 2 s to 2 min, no renting, no share of the guarantee; its errors don't count against machines. A machine is faulty when several other jobs fail on it. A job keeps away for 30 s from a machine it failed on. Excluded: leases (11 tasks), the state service (none refused), processor time.

--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -40,7 +40,7 @@
 	writing bool
 	stored  time.Duration
 	clears  []clearing
-	errors  int
+	trouble trouble
 	blocked time.Duration
 }
 
@@ -207,6 +207,7 @@
 	}
 	c := e.Task.No / d.p.ChunkSize
 	if d.setDone(j, e.Task.No) {
+		j.trouble, j.blocked = trouble{}, 0
 		j.dirty[c] = true
 	} else if !j.dirty[c] && !j.writing {
 		d.clearIt(clear)
@@ -232,11 +233,7 @@
 func (d *Dealer) returned(now time.Duration, j *job, e model.Event) {
 	d.freed(j, e.Task.No)
 	if e.Cause == model.CauseError {
-		// Mostly the machine; a job that fails everywhere must not hog room.
-		j.errors++
-		if j.errors >= 4 {
-			j.blocked = now + min(time.Minute, time.Second<<min(6, j.errors-4))
-		}
+		d.failed(now, j, e.Machine)
 	}
 	if e.Cause == model.CauseUnknown {
 		j.blocked = max(j.blocked, now+2*time.Second)
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -32,7 +32,7 @@
 	d.repriced = now
 	sum := make([]model.Resources, len(d.p.Teams))
 	for _, j := range jobs {
-		if j.ended {
+		if j.ended || j.trouble.broken { // its one probe takes hardly any of the guarantee
 			continue
 		}
 		t := j.spec.Team
@@ -93,7 +93,11 @@
 	if j.ended || now < j.blocked || j.old && !d.Recovered() {
 		return 0
 	}
-	return j.spec.Tasks - j.nDone - int32(len(j.held))
+	n := j.spec.Tasks - j.nDone - int32(len(j.held))
+	if j.trouble.broken {
+		return j.probe(now, n)
+	}
+	return n
 }
 
 // take picks the next task to deal.
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -57,6 +57,7 @@
 	usage    []model.Resources
 	orders   []model.Order
 	types    map[model.Name]model.MachineType
+	broken   []model.JobID // newly held to be broken
 	repriced time.Duration
 	balanced time.Duration
 	spreadAt time.Duration
@@ -276,7 +277,11 @@
 		if j.ended {
 			continue
 		}
-		out = append(out, Need{Spec: j.spec, Open: j.spec.Tasks - j.nDone, Held: int32(len(j.held)), Within: j.within, Since: j.since})
+		open := j.spec.Tasks - j.nDone
+		if j.trouble.broken { // no machine is rented for it
+			open = int32(len(j.held))
+		}
+		out = append(out, Need{Spec: j.spec, Open: open, Held: int32(len(j.held)), Within: j.within, Since: j.since})
 	}
 	return out
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -249,7 +249,7 @@
 	for i := range status {
 		s := &status[i]
 		up[s.Machine.ID] = true
-		if !s.Draining && !s.Bad && f.units[s.Machine.ID].silent == 0 {
+		if !s.Draining && !s.Faulty && f.units[s.Machine.ID].silent == 0 {
 			out = append(out, room{m: s.Machine, avail: s.Avail, status: s})
 		}
 	}
@@ -543,7 +543,7 @@
 	}
 	for i := range status {
 		s := &status[i]
-		if u := f.units[s.Machine.ID]; u != nil && !u.drop && s.Bad && s.Slots == 0 {
+		if u := f.units[s.Machine.ID]; u != nil && !u.drop && s.Faulty && s.Slots == 0 {
 			out = append(out, s.Machine.ID)
 		}
 	}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -98,7 +98,7 @@
 	Draining  bool
 	Slots     int
 	IdleSince time.Duration
-	Bad       bool
+	Faulty    bool // held to be faulty
 }
 
 // JobCount counts a job's tasks at a shard.
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -11,7 +11,7 @@
 )
 
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && !m.silent && m.noticeAt == 0 && now >= m.badUntil && !m.needToken && !s.quiet(now, m)
+	return m.fenced && m.usable && !m.silent && m.noticeAt == 0 && now >= m.faultyUntil && now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
 }
 
 // level is the lowest priority that runs on the machine. A machine that runs
@@ -122,7 +122,7 @@
 
 func (s *Shard) allows(now time.Duration, g *group, m *machine) bool {
 	s.Stats.Looked++
-	return s.ready(now, m) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap)
+	return s.ready(now, m) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap) && !s.shuns(now, g.job, m)
 }
 
 // rooms are the machines with a group's full request free, as a heap: the one
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -100,8 +100,7 @@
 	}
 	sl.t = nil
 	if t.recalled || c == model.CauseError || c == model.CauseUnknown {
-		t.on, t.slot = nil, nil
-		s.release(t, c)
+		s.release(t, c) // it still tells where it was
 		return
 	}
 	s.enqueue(now, t)
@@ -280,6 +279,7 @@
 	t := sl.t
 	switch c.Cause {
 	case model.CauseDone:
+		s.succeeded(k.task.Job)
 		held := t != nil && t.slot == sl
 		if held {
 			sl.t = nil
@@ -295,28 +295,13 @@
 	case model.CauseNoRoom, model.CauseBusy:
 		s.Stats.Refused++
 		// Our books were wrong about this machine: let reports catch up.
-		m.badUntil = max(m.badUntil, now+s.p.Report)
+		m.refusedUntil = now + s.p.Report
 	}
 	sl.clear = true
 	m.wake = true
 	s.landed(now, sl, c.Cause)
 }
 
-// blame notes an error. A machine that fails several jobs is faulty; a job
-// that fails on several machines is the dealer's business.
-func (s *Shard) blame(now time.Duration, m *machine, job model.JobID) {
-	m.errors = slices.DeleteFunc(m.errors, func(e jobError) bool { return now-e.at > 5*time.Minute })
-	m.errors = append(m.errors, jobError{job, now})
-	jobs := map[model.JobID]bool{}
-	for _, e := range m.errors {
-		jobs[e.job] = true
-	}
-	m.badUntil = max(m.badUntil, now+5*time.Second)
-	if len(jobs) >= 2 || len(m.errors) >= 4 {
-		m.badUntil = now + 2*time.Minute
-	}
-}
-
 // absent settles a slot that a newer message does not show.
 func (s *Shard) absent(now time.Duration, m *machine, sl *slot, r *model.Report, isReport bool) {
 	switch sl.state {
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -43,17 +43,13 @@
 	needToken    bool
 	idleSince    time.Duration
 	errors       []jobError
-	badUntil     time.Duration
+	faultyUntil  time.Duration       // held to be faulty
+	refusedUntil time.Duration       // it had less room than the books say
 	wake         bool                // has commands that should go out directly
 	roomier      bool                // has had room freed since waiting tasks were placed
 	last         model.MachineStatus // as last told to the dealer
 }
 
-type jobError struct {
-	job model.JobID
-	at  time.Duration
-}
-
 type task struct {
 	model.Deal
 	price  float64 // after demotions
@@ -100,6 +96,7 @@
 	deals    uint64
 	moved    map[model.MachineID]string
 	images   map[model.MachineID]map[model.Name]bool // remembered
+	records  map[model.JobID]*record                 // of jobs that have failed
 	events   []model.Event
 	directs  []Direct
 	Stats    Stats
@@ -109,7 +106,7 @@
 // attempt numbers that are this shard's alone.
 func New(p Params, attempts uint64, rng *rand.Rand) *Shard {
 	return &Shard{p: p, rng: rng, attempt: attempts, machines: map[model.MachineID]*machine{}, tasks: map[model.Task]*task{},
-		queue: map[groupKey]*group{}, pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}}
+		queue: map[groupKey]*group{}, pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}, records: map[model.JobID]*record{}}
 }
 
 // Grant lets the shard act until the given time.
@@ -165,6 +162,7 @@
 		}
 	case model.EndJob:
 		delete(s.open, o.Job)
+		delete(s.records, o.Job)
 		s.endJob(now, o.Job)
 	case model.Reprice:
 		s.reprice(o.Job, o.Price)
@@ -320,7 +318,12 @@
 // release gives a task that is nowhere back to the dealer.
 func (s *Shard) release(t *task, c model.Cause) {
 	delete(s.tasks, t.Task)
-	s.emit(model.Event{Kind: model.Gone, Task: t.Task, Cause: c})
+	e := model.Event{Kind: model.Gone, Task: t.Task, Cause: c}
+	if t.on != nil {
+		e.Machine = t.on.ID
+	}
+	t.on, t.slot = nil, nil
+	s.emit(e)
 }
 
 func (s *Shard) endJob(now time.Duration, job model.JobID) {
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -325,7 +325,7 @@
 	r.report(1, 5)
 	r.report(1, 5, cell(1, 0, 1001, model.Exited, model.CauseError), cell(2, 0, 1002, model.Exited, model.CauseError))
 	gone := r.events(model.Gone)
-	if !r.s.Status(r.now)[0].Bad || len(gone) != 2 {
+	if !r.s.Status(r.now)[0].Faulty || len(gone) != 2 {
 		t.Fatalf("gone %v: want the machine condemned and both tasks back", gone)
 	}
 }
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -18,7 +18,7 @@
 	var out []model.MachineStatus
 	for _, m := range s.order {
 		st := model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
-			Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince, Bad: now < m.badUntil}
+			Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince, Faulty: now < m.faultyUntil}
 		if st != m.last {
 			m.last = st
 			out = append(out, st)
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -425,6 +425,9 @@
 		l.d.Tick(now)
 		l.due = true
 		l.turn(now)
+		for _, id := range l.d.Broken() {
+			l.n.log.Info("job held to be broken: it fails on several machines, and is tried with one task at a time", "job", wire.JobName(id))
+		}
 		l.store(now)
 	}
 	if now-l.shown >= time.Second {
@@ -466,15 +469,15 @@
 		c.held += int(need.Held)
 		c.running += l.d.Count(need.Spec.ID).Running
 	}
-	var machines, ready, spot, bad int
+	var machines, ready, spot, faulty int
 	var cpus, free int64
 	for _, st := range l.d.Machines() {
 		machines++
 		if st.Machine.Spot {
 			spot++
 		}
-		if st.Bad {
-			bad++
+		if st.Faulty {
+			faulty++
 		}
 		if st.Ready {
 			ready++
@@ -482,7 +485,7 @@
 			free += max(0, st.Avail.CPU)
 		}
 	}
-	l.n.log.Info("load", "machines", machines, "spot", spot, "ready", ready, "bad", bad, "cpus", cpus/1000, "free", free/1000)
+	l.n.log.Info("load", "machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "cpus", cpus/1000, "free", free/1000)
 	for _, name := range slices.Sorted(maps.Keys(classes)) {
 		c := classes[name]
 		l.n.log.Info("load of a class", "class", l.n.names.Classes.Name(name), "jobs", c.jobs, "open", c.open, "held", c.held, "running", c.running)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -72,7 +72,7 @@
 	for i := range ms {
 		m := &ms[i]
 		p.Machines = append(p.Machines, &peerpb.MachineStatus{Id: uint64(m.Machine.ID), Cpu: m.Avail.CPU, Gpu: m.Avail.GPU, Mem: m.Avail.Mem,
-			Ready: m.Ready, Draining: m.Draining, Slots: int32(m.Slots), IdleUs: (now - m.IdleSince).Microseconds(), Bad: m.Bad})
+			Ready: m.Ready, Draining: m.Draining, Slots: int32(m.Slots), IdleUs: (now - m.IdleSince).Microseconds(), Bad: m.Faulty})
 	}
 	for id, n := range jobs {
 		p.Jobs = append(p.Jobs, &peerpb.JobStatus{Job: uint64(id), Waiting: int32(n.Waiting), Running: int32(n.Running)})
@@ -87,7 +87,7 @@
 	for _, m := range p.GetMachines() {
 		ms = append(ms, model.MachineStatus{Machine: model.Machine{ID: model.MachineID(m.GetId())},
 			Avail: model.Resources{CPU: m.GetCpu(), GPU: m.GetGpu(), Mem: m.GetMem()}, Ready: m.GetReady(), Draining: m.GetDraining(),
-			Slots: int(m.GetSlots()), IdleSince: now - us(m.GetIdleUs()), Bad: m.GetBad()})
+			Slots: int(m.GetSlots()), IdleSince: now - us(m.GetIdleUs()), Faulty: m.GetBad()})
 	}
 	jobs := make(map[model.JobID]model.JobCount, len(p.GetJobs()))
 	for _, j := range p.GetJobs() {
