dealer, shard, fleet: work without a stated aim comes after its equals

The settings' objectives say which classes have aims; priority of the others is a hundredth, their price the same, so nothing of equal rank is evicted; machines are rented for them only after ten rent horizons.

--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -130,7 +130,7 @@
 		return
 	}
 	d.open(jobs, members)
-	score := func(j *job) float64 { return model.Priority(j.price) * (now - j.since + time.Second/10).Seconds() }
+	score := func(j *job) float64 { return j.spec.Priority(j.price) * (now - j.since + time.Second/10).Seconds() }
 	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(score(b), score(a)) })
 	exposure := d.exposure()
 	for _, j := range jobs {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -21,6 +21,7 @@
 	IdleReturn time.Duration // an unneeded machine is given back after so long
 	Horizon    time.Duration // waiting work should be done within so long
 	Probe      time.Duration // a kind that was refused is asked for again after
+	Patience   time.Duration // work that no aim speaks of waits so long for idle room
 }
 
 type kind struct {
@@ -212,7 +213,7 @@
 	}
 	f.again = nil
 	rooms := f.rooms(now, status)
-	lacking := unmet(rooms, demand, limit)
+	lacking := unmet(rooms, f.pressing(now, demand), limit)
 	left := lacking
 	for len(f.renting) < atOnce && len(left) > 0 {
 		a, ok := f.rent(now, left)
@@ -303,6 +304,14 @@
 	stuck bool
 }
 
+// pressing is the demand that machines are rented for: work that no aim speaks
+// of waits for what stands idle, but not for ever.
+func (f *Fleet) pressing(now time.Duration, demand []Demand) []Demand {
+	return slices.DeleteFunc(slices.Clone(demand), func(d Demand) bool {
+		return d.Need.Spec.CanWait && now-d.Need.Since < f.p.Patience
+	})
+}
+
 // unmet is the waiting work for which there is no room, now or soon.
 func unmet(rooms []room, demand []Demand, limit func(model.Name) model.Resources) []lack {
 	left := map[model.Name]int64{}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -149,3 +149,18 @@
 		t.Fatalf("%v gone once more", gone)
 	}
 }
+
+// No machine is rented for guests' work that can wait for idle ones, yet it is
+// not forgotten where there never are any.
+func TestWorkWithoutAnAimRentsOnlyAfterAWhile(t *testing.T) {
+	f := newFleet()
+	f.p.Patience = 5 * time.Minute
+	d := demand(40, true)
+	d[0].Need.Spec.CanWait = true
+	if a := rented(f.Step(time.Second, nil, d, noLimit)); a != nil {
+		t.Errorf("%+v for work that can wait", a)
+	}
+	if a := rented(f.Step(6*time.Minute, nil, d, noLimit)); a == nil {
+		t.Error("it waits for ever")
+	}
+}
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -32,11 +32,24 @@
 	Prod
 )
 
-// Priority of a task of that price, which its wait is multiplied by: the price
-// squared. Prices a factor of ten apart would let low work that has waited for
-// minutes, as in a burst or with a zone cut off, go before high work that has
-// waited for seconds.
-func Priority(price float64) float64 { return price * price }
+// Priority of a job's tasks at that price, which their wait is multiplied by: the
+// price squared. Prices a factor of ten apart would let low work that has waited
+// for minutes, as in a burst or with a zone cut off, go before high work that has
+// waited for seconds. Work that no aim speaks of comes after work of its price
+// that has one: guests' jobs for idle time once filled a whole cluster, and what
+// had to be done in minutes waited behind them. The price is the same, so neither
+// can evict the other.
+func (s *Spec) Priority(price float64) float64 {
+	p := price * price
+	if s.CanWait {
+		p /= waiting
+	}
+	return p
+}
+
+// waiting is how much longer work that no aim speaks of waits than other work of
+// its price.
+const waiting = 100
 
 // Resources are amounts in thousandths, so that sums are exact.
 type Resources struct{ CPU, GPU, Mem int64 }
@@ -101,6 +114,7 @@
 	Checkpoint             time.Duration
 	Save                   time.Duration
 	Deadline               time.Duration // from submission; 0: none
+	CanWait                bool          // the users state no aim for its class
 	SubmittedMS            int64         // time of day at acceptance; ordering and deadlines only, never a rule
 }
 
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -27,7 +27,7 @@
 }
 
 func (g *group) score(now time.Duration) float64 {
-	return model.Priority(g.price) * (now - g.since + time.Second/10).Seconds()
+	return g.spec.Priority(g.price) * (now - g.since + time.Second/10).Seconds()
 }
 
 // Place puts waiting tasks on machines, the highest price times wait first. As
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -99,7 +99,7 @@
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
 	l.f = fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
-		Horizon: n.set.RentHorizon, Probe: 15 * time.Second})
+		Horizon: n.set.RentHorizon, Probe: 15 * time.Second, Patience: 10 * n.set.RentHorizon})
 	l.setTypes(n.types)
 	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
 	return l
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,12 @@
 		versions: map[model.JobID]uint64{},
 		waits:    map[model.MachineID][]chan struct{}{},
 	}
+	n.names.Aimed = map[model.Name]bool{}
+	for _, o := range cfg.Cluster.Objectives {
+		if o.Class != "" {
+			n.names.Aimed[n.names.Classes.ID(o.Class)] = true
+		}
+	}
 	n.polls = newPolls(n.state, cfg.Cluster.State.TxnOps)
 	index := 0
 	for _, s := range cfg.Siblings {
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -83,4 +83,11 @@
 // Names holds the tables of one process.
 type Names struct {
 	Teams, Types, Zones, Images, Classes *Table
+	// Aimed are the classes of jobs that the users state an aim for. Without
+	// any, no class is told from another.
+	Aimed map[model.Name]bool
 }
+
+// CanWait tells whether the users state no aim for a class, though they do for
+// others.
+func (n *Names) CanWait(class model.Name) bool { return len(n.Aimed) > 0 && !n.Aimed[class] }
