fleet: drain dear machines once a fifth of all room is free

Kept: only kinds that cost three times the cheapest, a fifth of the room stays free, drained machines are wanted again for work that lacks room before any is rented.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -38,11 +38,13 @@
 	failed bool
 	silent time.Duration // since when it is silent, 0: it is not
 	drop   bool          // being returned
+	drain  bool          // gets no tasks any more, and goes once it is empty
 }
 
-// Action for the cloud. Its outcome comes back through Rented or Returned.
+// Action to carry out. The cloud's outcome comes back through Rented or Returned.
 type Action struct {
-	Rent    string // the request's name; "": a return
+	Kind    Kind
+	Rent    string // Rent: the request's name
 	Type    model.Name
 	Zone    model.Name
 	Spot    bool
@@ -50,6 +52,17 @@
 	Machine []model.MachineID
 }
 
+// Kind tells actions apart.
+type Kind uint8
+
+// Actions.
+const (
+	Return Kind = iota
+	Rent
+	Drain   // no more tasks for these machines
+	Undrain // they are wanted again
+)
+
 // Fleet is the state machine.
 type Fleet struct {
 	p       Params
@@ -63,6 +76,7 @@
 	gone    map[model.MachineID]time.Duration // given back; the list shows them for a while
 	n       uint64
 	want    time.Duration
+	tight   time.Duration // little room was free, or work lacked some
 }
 
 // New returns a fleet that knows no machines.
@@ -213,7 +227,15 @@
 	}
 	f.again = nil
 	rooms := f.rooms(now, status)
-	lacking := unmet(rooms, f.pressing(now, demand), limit)
+	pressing := f.pressing(now, demand)
+	lacking := unmet(rooms, pressing, limit)
+	if len(lacking) > 0 {
+		f.want, f.tight = now, now
+		var again []Action
+		again, lacking = f.undrain(status, lacking)
+		out = append(out, again...)
+	}
+	out = append(out, f.drain(now, rooms)...)
 	left := lacking
 	for len(f.renting) < atOnce && len(left) > 0 {
 		a, ok := f.rent(now, left)
@@ -224,9 +246,6 @@
 		out = append(out, a)
 		left = f.cover(left, a)
 	}
-	if len(lacking) > 0 {
-		f.want = now
-	}
 	if !f.giving {
 		if ids := f.surplus(now, status, rooms, slackening(rooms, demand)); len(ids) > 0 {
 			out = append(out, Action{Machine: ids})
@@ -250,7 +269,7 @@
 	for i := range status {
 		s := &status[i]
 		up[s.Machine.ID] = true
-		if !s.Draining && !s.Faulty && f.units[s.Machine.ID].silent == 0 {
+		if u := f.units[s.Machine.ID]; !s.Draining && !s.Faulty && u.silent == 0 && !u.drain {
 			out = append(out, room{m: s.Machine, avail: s.Avail, status: s})
 		}
 	}
@@ -281,10 +300,14 @@
 func (f *Fleet) cover(lacking []lack, a Action) []lack {
 	t := f.typeOf(a.Type)
 	m := a.machine(t)
+	return fill(lacking, &m, t.Cap.Times(int64(a.Count)))
+}
+
+// fill is what is still lacking beside so much more room on machines of a kind.
+func fill(lacking []lack, m *model.Machine, free model.Resources) []lack {
 	var left []lack
-	free := t.Cap.Times(int64(a.Count))
 	for _, l := range lacking {
-		if l.spec.Allows(&m) && l.spec.Each.Fits(t.Cap) {
+		if l.spec.Allows(m) && l.spec.Each.Fits(m.Cap) {
 			k := min(l.n, l.spec.Each.Count(free))
 			free = free.Sub(l.spec.Each.Times(k))
 			l.n, l.stuck = l.n-k, false
@@ -477,7 +500,7 @@
 			continue
 		}
 		f.n++
-		return Action{Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, max(4, count/3), maxRent))}, true
+		return Action{Kind: Rent, Rent: fmt.Sprintf("t%d-%d", f.p.Term, f.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: int(min(count, max(4, count/3), maxRent))}, true
 	}
 	return Action{}, false
 }
@@ -552,7 +575,7 @@
 	}
 	for i := range status {
 		s := &status[i]
-		if u := f.units[s.Machine.ID]; u != nil && !u.drop && s.Faulty && s.Slots == 0 {
+		if u := f.units[s.Machine.ID]; u != nil && !u.drop && (s.Faulty || u.drain) && s.Slots == 0 {
 			out = append(out, s.Machine.ID)
 		}
 	}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -164,3 +164,56 @@
 		t.Error("it waits for ever")
 	}
 }
+
+// Spread tasks kept every dear machine of a burst from ever standing empty.
+func TestDearMachinesAreDrainedAndWantedAgain(t *testing.T) {
+	f := newFleet()
+	var status []model.MachineStatus
+	for id := range model.MachineID(10) {
+		status = append(status, model.MachineStatus{Machine: model.Machine{ID: id, Spot: id < 5, Cap: model.Capacity(8, 0, 32)},
+			Avail: model.Capacity(4, 0, 16), Slots: 1, Ready: true})
+	}
+	f.Observe(0, status, func(model.MachineID) bool { return false })
+	kinds := func(as []Action) (drained, wanted []model.MachineID) {
+		for _, a := range as {
+			switch a.Kind {
+			case Drain:
+				drained = append(drained, a.Machine...)
+			case Undrain:
+				wanted = append(wanted, a.Machine...)
+			}
+		}
+		return drained, wanted
+	}
+	if d, _ := kinds(f.Step(time.Second, status, nil, noLimit)); d != nil {
+		t.Fatalf("%v drained at once", d)
+	}
+	d, _ := kinds(f.Step(20*time.Second, status, nil, noLimit))
+	if len(d) == 0 {
+		t.Fatal("half of all room is free, and nothing is drained")
+	}
+	for _, id := range d {
+		if id < 5 {
+			t.Errorf("machine %d is cheap, and drained", id)
+		}
+	}
+	// More work than the rest has room for: they are wanted before any is rented.
+	as := f.Step(21*time.Second, status, demand(8, true), noLimit)
+	if _, w := kinds(as); len(w) == 0 || rented(as) != nil {
+		t.Errorf("%+v, want drained machines again, and none rented", as)
+	}
+	// Empty, a drained machine goes at once.
+	for _, id := range d {
+		status[id].Avail, status[id].Slots, status[id].IdleSince = status[id].Machine.Cap, 0, 39*time.Second
+	}
+	f.Step(40*time.Second, status, nil, noLimit)
+	var back []model.MachineID
+	for _, a := range f.Step(41*time.Second, status, nil, noLimit) {
+		if a.Kind == Return {
+			back = append(back, a.Machine...)
+		}
+	}
+	if !f.giving && len(back) == 0 {
+		t.Error("no empty machine returned")
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -671,19 +671,24 @@
 		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(l.d.Count(need.Spec.ID).Waiting)})
 	}
 	for _, a := range l.f.Step(now, status, demand, l.d.Limit) {
-		if a.Rent == "" {
+		if a.Kind != fleet.Rent {
 			for _, id := range a.Machine {
-				l.d.Use(id, false)
+				l.d.Use(id, a.Kind == fleet.Undrain)
 			}
 		}
-		go l.cloudAction(a)
+		switch a.Kind {
+		case fleet.Rent, fleet.Return:
+			go l.cloudAction(a)
+		default:
+			l.n.log.Info("machines drained or wanted again", "drained", a.Kind == fleet.Drain, "count", len(a.Machine))
+		}
 	}
 	l.n.soon()
 }
 
 func (l *leadership) cloudAction(a fleet.Action) {
 	n := l.n
-	if a.Rent == "" {
+	if a.Kind == fleet.Return {
 		names := make([]string, len(a.Machine))
 		for i, id := range a.Machine {
 			names[i] = wire.MachineName(id)
