--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -25,6 +25,56 @@
 	lead   *lead
 	seat   *seat
 	kept   []model.MachineID // of the seat before
+	halt   halt
+}
+
+// halt is a process that stands still while its clocks run on: what is sent to
+// it waits in its sockets, its timers are late, and it may have decided to send
+// something, yet not sent it.
+type halt struct {
+	until time.Duration // of the present or last halt
+	span  time.Duration // of a halt that is due: it begins in the midst of sending
+	sends int           // ... after so many messages more
+}
+
+func (c *ctl) halted() bool { return c.up && c.w.now < c.halt.until }
+
+// haltIn makes the controller stand still for d, once it has sent some more.
+func (c *ctl) haltIn(sends int, d time.Duration) {
+	c.halt.span, c.halt.sends = d, sends
+	life := c.life
+	c.w.after(200*time.Millisecond, func() { // it sends little: then here
+		if c.up && c.life == life {
+			c.beginHalt()
+		}
+	})
+}
+
+func (c *ctl) beginHalt() {
+	if c.halt.span > 0 {
+		c.w.note("%s stands still for %v", c.host, c.halt.span)
+		c.halt.until, c.halt.span = c.w.now+c.halt.span, 0
+	}
+}
+
+// awake runs f as the controller: at once, or when it moves again.
+func (c *ctl) awake(f func()) {
+	if c.halted() {
+		c.w.after(c.halt.until-c.w.now, func() { c.awake(f) })
+		return
+	}
+	f()
+}
+
+// timer runs f later, as the controller.
+func (c *ctl) timer(d time.Duration, f func()) {
+	c.w.after(d, func() {
+		if c.halted() { // timers and sockets come in any order afterwards
+			c.w.after(c.halt.until-c.w.now+c.w.between(0, 20*time.Millisecond), func() { c.awake(f) })
+			return
+		}
+		f()
+	})
 }
 
 type lead struct {
@@ -74,6 +124,7 @@
 func (c *ctl) start() {
 	c.up = true
 	c.life++
+	c.halt = halt{}
 	c.origin = c.w.now
 	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond), promise, 0)
 	c.lead, c.seat = nil, nil
@@ -109,7 +160,7 @@
 			c.w.send("store", c.host, false, func() { finish(v) })
 		}
 	})
-	c.w.after(1500*time.Millisecond, func() { finish(nil) })
+	c.timer(1500*time.Millisecond, func() { finish(nil) })
 }
 
 func (c *ctl) runElection(ops []election.Op) {
@@ -255,7 +306,7 @@
 	if !c.up || c.life != life {
 		return
 	}
-	c.w.after(c.w.between(80*time.Millisecond, 130*time.Millisecond), func() { c.tick(life) })
+	c.timer(c.w.between(80*time.Millisecond, 130*time.Millisecond), func() { c.tick(life) })
 	c.runElection(c.el.Step(c.now()))
 	c.follow()
 	if c.lead != nil {
@@ -404,7 +455,7 @@
 				c.w.send(m.host, c.host, false, func() { finish(r, ok) })
 			})
 		})
-		c.w.after(2*time.Second, func() { finish(nil, false) })
+		c.timer(2*time.Second, func() { finish(nil, false) })
 	}
 }
 
@@ -588,7 +639,7 @@
 		refuse()
 		return
 	}
-	c.w.after(300*time.Millisecond, func() {
+	c.timer(300*time.Millisecond, func() {
 		if !try() {
 			refuse()
 		}
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -104,6 +104,26 @@
 // send carries a message between two hosts, in order where stream is true.
 // A cut holds it back until it heals, or drops it.
 func (w *world) send(from, to string, stream bool, f func()) {
+	if c := w.ctl(from); c != nil {
+		if c.halt.span > 0 {
+			if c.halt.sends--; c.halt.sends < 0 {
+				c.beginHalt()
+			}
+		}
+		if c.halted() {
+			life := c.life
+			c.awake(func() {
+				if c.up && c.life == life {
+					w.send(from, to, stream, f)
+				}
+			})
+			return
+		}
+	}
+	if c := w.ctl(to); c != nil {
+		deliver := f
+		f = func() { c.awake(deliver) }
+	}
 	if hold, cut := w.cuts[pair{from, to}]; cut {
 		if hold {
 			w.held = append(w.held, held{from, to, f})
@@ -124,6 +144,15 @@
 	w.after(at-w.now, f)
 }
 
+func (w *world) ctl(host string) *ctl {
+	for _, c := range w.ctls {
+		if c.host == host {
+			return c
+		}
+	}
+	return nil
+}
+
 func (w *world) cut(a, b string, hold bool) { w.cuts[pair{a, b}], w.cuts[pair{b, a}] = hold, hold }
 
 func (w *world) heal(a, b string) {
@@ -155,7 +184,7 @@
 	}
 	c := w.ctls[w.rng.IntN(len(w.ctls))]
 	d := w.between(time.Second, 40*time.Second)
-	switch w.rng.IntN(11) {
+	switch w.rng.IntN(14) {
 	case 0, 1:
 		w.note("fault: %s crashes", c.host)
 		c.crash(w.between(time.Second, 6*time.Second))
@@ -203,6 +232,12 @@
 	case 10:
 		w.note("fault: the store is slow for %v", d)
 		w.slow = w.now + d
+	case 11, 12:
+		c.haltIn(w.rng.IntN(6), w.between(500*time.Millisecond, 60*time.Second))
+	case 13: // two in succession
+		c.haltIn(w.rng.IntN(6), d)
+		o := w.ctls[w.rng.IntN(len(w.ctls))]
+		w.after(w.between(0, 10*time.Second), func() { o.haltIn(w.rng.IntN(6), w.between(time.Second, 60*time.Second)) })
 	case 8:
 		w.note("fault: %s is cut off for %v", c.host, d)
 		w.cutFor(c.host, "store", d)
