node, shard: what is decided under a grant is not sent after it; halts are told

A process that stands still between deciding and sending acts late. Direct commands bear the end of their grant and are given up then, connecting included; cloud calls ask for leadership once more; a tick that is a second late is logged and counted. Metrics for halts, jobs held to be broken, machines held to be faulty.

--- a/internal/core/dealer/trouble.go
+++ b/internal/core/dealer/trouble.go
@@ -61,6 +61,17 @@
 	return 0
 }
 
+// BrokenNow counts the jobs held to be broken.
+func (d *Dealer) BrokenNow() int {
+	n := 0
+	for _, j := range d.inOrder {
+		if j.trouble.broken && !j.ended {
+			n++
+		}
+	}
+	return n
+}
+
 // Broken takes away the jobs newly held to be broken.
 func (d *Dealer) Broken() []model.JobID {
 	b := d.broken
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -15,6 +15,7 @@
 	Token    uint64
 	Session  uint64
 	Commands []model.Command
+	Until    time.Duration // the shard's authority ends: not to be sent after
 }
 
 // inFlight is a direct command under way, with the launches it carries.
@@ -48,7 +49,7 @@
 			continue
 		}
 		s.directID++
-		d := Direct{ID: s.directID, Machine: m.ID, Addr: m.Addr, Token: m.token, Session: max(1, m.session), Commands: cmds}
+		d := Direct{ID: s.directID, Machine: m.ID, Addr: m.Addr, Token: m.token, Session: max(1, m.session), Commands: cmds, Until: s.until}
 		var launched []*slot
 		for _, c := range cmds {
 			if c.Verb == model.Launch {
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -446,3 +446,19 @@
 		t.Errorf("demoted %d times beside equals", r.s.Stats.Demoted)
 	}
 }
+
+// A process may stand still between deciding and sending: a direct command says
+// until when it may go out.
+func TestDirectCommandsBearTheEndOfTheGrant(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.s.Grant(r.now + 3*time.Second)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.s.Place(r.now)
+	r.s.Flush(r.now)
+	d := r.s.Directs()
+	if len(d) != 1 || d[0].Until != r.now+3*time.Second {
+		t.Fatalf("commands %+v, want one to be sent within the grant", d)
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -686,6 +686,13 @@
 	l.n.soon()
 }
 
+// leads tells whether this term's authority still stands, right now.
+func (l *leadership) leads() bool {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	return l.n.lead == l && l.n.el.Leading(l.n.now())
+}
+
 func (l *leadership) cloudAction(a fleet.Action) {
 	n := l.n
 	if a.Kind == fleet.Return {
@@ -693,7 +700,10 @@
 		for i, id := range a.Machine {
 			names[i] = wire.MachineName(id)
 		}
-		err := n.cloud.Return(l.ctx, names)
+		err := errTermOver
+		if l.leads() { // it may have stood still since this was decided
+			err = n.cloud.Return(l.ctx, names)
+		}
 		n.log.Info("machines returned", "machines", names, "err", err)
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -714,7 +724,11 @@
 	n.mu.Lock()
 	r := wire.Rental{Request: a.Rent, Type: n.names.Types.Name(a.Type), Zone: n.names.Zones.Name(a.Zone), Spot: a.Spot, Count: a.Count}
 	n.mu.Unlock()
-	got, refused, doubt := n.rent(l.ctx, r)
+	var got []model.MachineID
+	refused, doubt := false, true
+	if l.leads() {
+		got, refused, doubt = n.rent(l.ctx, r)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l.f.Rented(n.now(), a, got, refused, doubt)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -31,6 +31,25 @@
 		}
 		return float64(n.seat.s.Waiting())
 	})
+	counter("halts", "Times that this controller stood still for more than a second.", func() uint64 { return n.stats.Halts })
+	gauge("jobs_broken", "Open jobs held to be broken, on the leader.", func() float64 {
+		if n.lead == nil {
+			return 0
+		}
+		return float64(n.lead.d.BrokenNow())
+	})
+	gauge("machines_faulty", "Machines held to be faulty, on the leader.", func() float64 {
+		if n.lead == nil {
+			return 0
+		}
+		faulty := 0
+		for _, st := range n.lead.d.Machines() {
+			if st.Faulty {
+				faulty++
+			}
+		}
+		return float64(faulty)
+	})
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
 	stat := func(f func() uint64) func() uint64 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,15 +70,21 @@
 	kept          map[model.MachineID]map[model.Name]bool // machines of this controller's last shard, with their images
 	turning       bool                                    // a turn is due
 	cost          time.Duration                           // of the last turn
+	ticked        time.Duration
 }
 
 // Stats are counts for operators.
 type Stats struct {
-	Reports, Redirected uint64
+	Reports, Redirected, Halts uint64
 }
 
 const maxFinals = 20_000
 
+const (
+	tickEvery = 50 * time.Millisecond
+	haltedFor = time.Second // a tick so late: the process did not run, or far too slowly
+)
+
 // New builds a controller. The random numbers' seed is injected, so that a
 // test can repeat a run.
 func New(cfg *config.Platform, set *config.Settings, log *slog.Logger, rng *rand.Rand) *Node {
@@ -126,7 +132,7 @@
 	go n.watchLeader(ctx)
 	go n.runMember(ctx)
 	go n.askSiblings(ctx)
-	t := time.NewTicker(50 * time.Millisecond)
+	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -142,6 +148,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
+	if late := now - n.ticked; n.ticked != 0 && late > haltedFor {
+		n.stats.Halts++
+		n.log.Info("this controller stood still", "for", late, "leading", n.lead != nil)
+	}
+	n.ticked = now
+	// First of all authority that ended meanwhile goes.
 	n.runElection(ctx, n.el.Step(now))
 	n.followLeadership(ctx, now)
 	if n.lead != nil {
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -115,7 +115,11 @@
 }
 
 func (n *Node) direct(st *seat, d shard.Direct) {
-	raw, executed, err := n.work.Send(context.Background(), d.Addr, d.Token, d.Session, d.Commands)
+	// Opening the connection takes time, and the process may stand still: what is
+	// decided under a grant is not sent once it is over.
+	ctx, cancel := context.WithTimeout(context.Background(), d.Until-n.now())
+	defer cancel()
+	raw, executed, err := n.work.Send(ctx, d.Addr, d.Token, d.Session, d.Commands)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
