--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -114,7 +114,7 @@
 	Checkpoint             time.Duration
 	Save                   time.Duration
 	Deadline               time.Duration // from submission; 0: none
-	CanWait                bool          // the users state no aim for its class
+	CanWait                bool          // no aim is stated for its class, and its team has no guarantee
 	SubmittedMS            int64         // time of day at acceptance; ordering and deadlines only, never a rule
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,10 @@
 		versions: map[model.JobID]uint64{},
 		waits:    map[model.MachineID][]chan struct{}{},
 	}
-	n.names.Aimed = map[model.Name]bool{}
+	n.names.Aimed, n.names.Guaranteed = map[model.Name]bool{}, map[model.Name]bool{}
+	for i, t := range cfg.Cluster.Teams {
+		n.names.Guaranteed[model.Name(i)] = t.CPUs > 0 || t.GPUs > 0
+	}
 	for _, o := range cfg.Cluster.Objectives {
 		if o.Class != "" {
 			n.names.Aimed[n.names.Classes.ID(o.Class)] = true
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -118,7 +118,7 @@
 		ImageGB: p.GetImageGb(), Zone: model.None, Together: p.GetTogether(), Spread: p.GetSpread(), Spot: p.GetSpot(),
 		Estimate: us(p.GetEstimateUs()), Checkpoint: us(p.GetCheckpointUs()), Save: us(p.GetSaveUs()), Deadline: us(p.GetDeadlineUs()),
 		SubmittedMS: p.GetSubmittedMs()}
-	s.CanWait = c.names.CanWait(s.Class)
+	s.CanWait = c.names.CanWait(s.Class, s.Team)
 	if !p.GetAnyType() {
 		s.Types = []model.Name{}
 		for _, t := range p.GetTypes() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	maxBody      = 64 << 10
-	maxUserCalls = 64 // at once; more are told to come back
-	userTimeout  = 1800 * time.Millisecond
+	maxBody     = 64 << 10
+	maxPolls    = 48 // at once; more are told to come back
+	maxChanges  = 64 // submissions and cancellations at once
+	userTimeout = 1800 * time.Millisecond
 )
 
 // Server is the door.
@@ -34,10 +35,22 @@
 	http  *http.Server
 	limit int
 	users *userConns
-	calls atomic.Int32
-	shed  prometheus.Counter
+	// Apart, so that a storm of polls leaves room for what changes jobs.
+	polls, changes gate
+	shed           *prometheus.CounterVec
 }
 
+// gate bounds how many calls of a kind are served at once.
+type gate struct {
+	kind string
+	most int32
+	now  atomic.Int32
+}
+
+// enter tells whether one more may be served; leave follows in either case.
+func (g *gate) enter() bool { return g.now.Add(1) <= g.most }
+func (g *gate) leave()      { g.now.Add(-1) }
+
 // userConns counts the connections that have carried a user's request, so that
 // users can't crowd out workers, who come through the same port.
 type userConns struct {
@@ -72,7 +85,9 @@
 func New(n *node.Node, fdLimit int, log *slog.Logger, reg *prometheus.Registry) *Server {
 	own := min(fdLimit/4, 160)
 	s := &Server{node: n, limit: fdLimit - own, users: &userConns{max: (fdLimit - own) * 6 / 10, open: map[net.Conn]bool{}},
-		shed: prometheus.NewCounter(prometheus.CounterOpts{Name: "honeylock_requests_shed_total", Help: "Users' requests refused for overload."})}
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_requests_shed_total", Help: "Users' requests refused for overload."}, []string{"kind"})}
+	s.polls.kind, s.polls.most = "poll", maxPolls
+	s.changes.kind, s.changes.most = "change", maxChanges
 	reg.MustRegister(s.shed)
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -91,9 +106,9 @@
 		}
 	}
 	e.POST("/agent/beat", s.report)
-	e.POST("/v1/jobs", s.user(s.submit))
-	e.GET("/v1/jobs/:id", s.user(s.poll))
-	e.POST("/v1/jobs/:id/withdraw", s.user(s.withdraw))
+	e.POST("/v1/jobs", s.user(&s.changes, s.submit))
+	e.GET("/v1/jobs/:id", s.user(&s.polls, s.poll))
+	e.POST("/v1/jobs/:id/withdraw", s.user(&s.changes, s.withdraw))
 	e.GET("/healthz", s.health)
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(reg, promhttp.HandlerOpts{})))
 	s.http = &http.Server{
@@ -133,17 +148,17 @@
 	Error string `json:"error"`
 }
 
-func (s *Server) user(h echo.HandlerFunc) echo.HandlerFunc {
+func (s *Server) user(g *gate, h echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		conn, _ := c.Request().Context().Value(connKey{}).(net.Conn)
-		over := s.calls.Add(1) > maxUserCalls
-		defer s.calls.Add(-1)
+		over := !g.enter()
+		defer g.leave()
 		crowded := conn != nil && !s.users.admit(conn)
 		if crowded {
 			c.Response().Header().Set("Connection", "close")
 		}
 		if over || crowded {
-			s.shed.Inc()
+			s.shed.WithLabelValues(g.kind).Inc()
 			return reply(c, node.Reply{Status: http.StatusServiceUnavailable, Err: "overloaded"})
 		}
 		ctx, cancel := context.WithTimeout(c.Request().Context(), userTimeout)
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -86,8 +86,12 @@
 	// Aimed are the classes of jobs that the users state an aim for. Without
 	// any, no class is told from another.
 	Aimed map[model.Name]bool
+	// Guaranteed are the teams with a guarantee.
+	Guaranteed map[model.Name]bool
 }
 
-// CanWait tells whether the users state no aim for a class, though they do for
-// others.
-func (n *Names) CanWait(class model.Name) bool { return len(n.Aimed) > 0 && !n.Aimed[class] }
+// CanWait tells of work that may wait for idle machines: its class has no stated
+// aim, though others have, and its team no guarantee.
+func (n *Names) CanWait(class, team model.Name) bool {
+	return len(n.Aimed) > 0 && !n.Aimed[class] && !n.Guaranteed[team]
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -135,7 +135,7 @@
 		Estimate: Duration(*s.EstimateS), Checkpoint: Duration(*s.CheckpointS), Save: Duration(*s.SaveS),
 		SubmittedMS: s.SubmittedMS,
 	}
-	sp.CanWait = n.CanWait(sp.Class)
+	sp.CanWait = n.CanWait(sp.Class, sp.Team)
 	if s.DeadlineS != nil {
 		sp.Deadline = Duration(*s.DeadlineS)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -71,3 +71,20 @@
 		t.Fatal(diff)
 	}
 }
+
+// A day whose only stated aim was for one class made all other classes wait for
+// minutes, those of teams with a guarantee included.
+func TestOnlyGuestsWithoutAnAimCanWait(t *testing.T) {
+	n := &Names{Aimed: map[model.Name]bool{1: true}, Guaranteed: map[model.Name]bool{1: true}}
+	for _, c := range []struct {
+		class, team model.Name
+		want        bool
+	}{{1, 0, false}, {1, 1, false}, {0, 1, false}, {0, 0, true}} {
+		if got := n.CanWait(c.class, c.team); got != c.want {
+			t.Errorf("class %d of team %d can wait: %v", c.class, c.team, got)
+		}
+	}
+	if (&Names{}).CanWait(0, 0) {
+		t.Error("no aims at all, yet a class can wait")
+	}
+}
