--- a/cmd/honeylock/main.go
+++ b/cmd/honeylock/main.go
@@ -21,7 +21,7 @@
 	"honeylock/internal/server"
 )
 
-const version = "0.2.0"
+const version = "0.3.0"
 
 func main() {
 	if err := command().Execute(); err != nil {
