--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -72,6 +72,8 @@
 			}
 			a.Stage, a.on = model.Running, true
 			m.w.starts(m, k.t)
+		case a.Stage == model.Running && w.now >= a.endAt && w.users[k.t.Job].fails:
+			m.exit(a, model.CauseError)
 		case a.Stage == model.Running && w.now >= a.endAt:
 			m.results[k.t] = true
 			for _, o := range w.workers {
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -22,6 +22,7 @@
 	ended     jobs.Stage
 	endedAt   time.Duration
 	done      map[int32]bool
+	fails     bool // submitted with a mistake: its tasks fail everywhere
 }
 
 func (w *world) submit(id model.JobID) {
@@ -41,9 +42,19 @@
 		sp.Checkpoint, sp.Save = 5*time.Second, time.Second
 	}
 	u := &user{spec: sp, submitted: true, done: map[int32]bool{}}
+	if w.p.guests {
+		switch {
+		case id%20 == 0: // one array of many small tasks
+			sp.Tasks, sp.Each, sp.Rank, sp.CanWait = 400, model.Request(0.25, 0, 0.25), model.Idle, true
+			sp.Estimate, sp.Together, sp.Spread, sp.Zone = w.between(time.Second, 3*time.Second), false, false, model.None
+		case id%3 == 0: // a swarm of single small ones
+			sp.Tasks, sp.Each, sp.CanWait = 1, model.Request(0.25, 0, 0.25), true
+		}
+		u.fails = r.IntN(8) == 0
+	}
 	w.users[id] = u
 	w.ask(u, jobs.Submit)
-	if r.IntN(5) == 0 {
+	if u.fails || r.IntN(5) == 0 {
 		w.after(w.between(0, 30*time.Second), func() {
 			u.wants = true
 			w.ask(u, jobs.Withdraw)
--- a/internal/core/sim/sim_test.go
+++ b/internal/core/sim/sim_test.go
@@ -26,11 +26,19 @@
 	return p
 }
 
+// visited has guests: arrays of many small tasks, swarms of single ones, and jobs
+// that fail on every machine until their users cancel them.
+func visited() params {
+	p := almatyLike()
+	p.guests, p.jobs, p.controllers = true, 80, 5
+	return p
+}
+
 // TestRulesHold plays random days with every kind of failure; no rule may break.
 func TestRulesHold(t *testing.T) {
-	for name, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease(), "grown": grown()} {
+	for name, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease(), "grown": grown(), "visited": visited()} {
 		seeds := uint64(25)
-		if name == "grown" {
+		if name == "grown" || name == "visited" {
 			seeds = 6
 		}
 		for seed := range seeds {
@@ -52,17 +60,20 @@
 // TestQuietDayCompletes: without failures all jobs end, each task is started
 // hardly more than once, and nobody waits for ever.
 func TestQuietDayCompletes(t *testing.T) {
-	p := almatyLike()
-	p.faults = false
-	w := newWorld(1, p)
-	w.run()
-	if len(w.broken) > 0 {
-		t.Fatal(strings.Join(w.broken, "\n"))
-	}
-	for id, u := range w.users {
-		if u.accepted && u.ended == "" {
-			t.Errorf("job %d (%+v) has not ended", id, u.spec)
-		}
+	for name, p := range map[string]params{"short lease": almatyLike(), "visited": visited()} {
+		t.Run(name, func(t *testing.T) {
+			p.faults = false
+			w := newWorld(1, p)
+			w.run()
+			if len(w.broken) > 0 {
+				t.Fatal(strings.Join(w.broken, "\n"))
+			}
+			for id, u := range w.users {
+				if u.accepted && u.ended == "" {
+					t.Errorf("job %d (%+v, fails: %v) has not ended", id, u.spec, u.fails)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -15,6 +15,7 @@
 	report, lease, cancel, ttl, deaf time.Duration
 	length                           time.Duration
 	faults                           bool
+	guests                           bool // swarms of small tasks, and jobs that always fail
 	forgetRecords                    bool // a broken guard: a new leader ignores the machines' records
 	trustOldEnd                      bool // a broken guard: old grants are taken for over at once
 	freeOnLoss                       bool // a broken guard: a lost shard's machines count as accounted for
