fleet: a drained machine that changes its owner is drained again

Seen on reading: a new owner lets tasks go to a machine that the fleet counts as drained, where it would fill up unseen. Told again as long as it says that it may get tasks.

--- a/internal/core/fleet/drain.go
+++ b/internal/core/fleet/drain.go
@@ -18,8 +18,24 @@
 	dear    = 3   // times the cheapest kind's price: such machines are drained
 )
 
-// drain picks machines to run empty, once nothing has lacked room for a while.
-func (f *Fleet) drain(now time.Duration, rooms []room) []Action {
+// drain tells which machines are to get no more tasks.
+func (f *Fleet) drain(now time.Duration, status []model.MachineStatus, rooms []room) []Action {
+	var ids []model.MachineID
+	for i := range status {
+		// A machine that has changed its owner gets tasks again.
+		if s := &status[i]; s.Ready && f.units[s.Machine.ID].drain {
+			ids = append(ids, s.Machine.ID)
+		}
+	}
+	ids = append(ids, f.toDrain(now, rooms)...)
+	if len(ids) == 0 {
+		return nil
+	}
+	return []Action{{Kind: Drain, Machine: ids}}
+}
+
+// toDrain picks machines to run empty, once nothing has lacked room for a while.
+func (f *Fleet) toDrain(now time.Duration, rooms []room) []model.MachineID {
 	var free, have int64
 	var cands []*room
 	low := f.cheapest()
@@ -48,10 +64,7 @@
 			ids = append(ids, r.m.ID)
 		}
 	}
-	if len(ids) == 0 {
-		return nil
-	}
-	return []Action{{Kind: Drain, Machine: ids}}
+	return ids
 }
 
 // price is what a CPU of the machine costs.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -235,7 +235,7 @@
 		again, lacking = f.undrain(status, lacking)
 		out = append(out, again...)
 	}
-	out = append(out, f.drain(now, rooms)...)
+	out = append(out, f.drain(now, status, rooms)...)
 	left := lacking
 	for len(f.renting) < atOnce && len(left) > 0 {
 		a, ok := f.rent(now, left)
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -197,6 +197,13 @@
 			t.Errorf("machine %d is cheap, and drained", id)
 		}
 	}
+	// With another owner they would get tasks again: they are drained once more.
+	if again, _ := kinds(f.Step(20*time.Second, status, nil, noLimit)); len(again) < len(d) {
+		t.Errorf("%v drained once more of %v that get tasks", again, d)
+	}
+	for _, id := range d {
+		status[id].Ready = false
+	}
 	// More work than the rest has room for: they are wanted before any is rented.
 	as := f.Step(21*time.Second, status, demand(8, true), noLimit)
 	if _, w := kinds(as); len(w) == 0 || rented(as) != nil {
