core, server: one price, one threshold, one way to find a controller

The fleet's patience uses the price that draining uses; candidates for draining are gathered only when room is free, not on each turn; dealer and shard share the number of machines from which a job is held to be broken; returns are named as such; the whole-system test looks hosts up in one place. The test of draining now asks for the return itself: it fails without the guard, which its former form left to a flag.

--- a/internal/core/dealer/trouble.go
+++ b/internal/core/dealer/trouble.go
@@ -18,8 +18,7 @@
 }
 
 const (
-	brokenNew    = 2 // machines that a job without any completed task fails on
-	brokenProven = 4 // ... one with some
+	brokenProven = 4 // machines that a job with completed tasks fails on; without: model.BrokenFrom
 	firstPause   = 2 * time.Second
 	longestPause = 2 * time.Minute
 )
@@ -31,7 +30,7 @@
 		t.on = map[model.MachineID]bool{}
 	}
 	t.on[on] = true
-	enough := brokenNew
+	enough := model.BrokenFrom
 	if j.nDone > 0 {
 		enough = brokenProven
 	}
--- a/internal/core/fleet/drain.go
+++ b/internal/core/fleet/drain.go
@@ -37,15 +37,9 @@
 // toDrain picks machines to run empty, once nothing has lacked room for a while.
 func (f *Fleet) toDrain(now time.Duration, rooms []room) []model.MachineID {
 	var free, have int64
-	var cands []*room
-	low := f.cheapest()
 	for i := range rooms {
-		r := &rooms[i]
-		free += max(0, r.avail.CPU)
-		have += r.m.Cap.CPU
-		if r.status != nil && f.price(&r.m) >= dear*low {
-			cands = append(cands, r)
-		}
+		free += max(0, rooms[i].avail.CPU)
+		have += rooms[i].m.Cap.CPU
 	}
 	if float64(free) < reserve*float64(have) {
 		f.tight = now
@@ -53,6 +47,13 @@
 	if now-max(f.tight, f.p.Began) < f.p.Horizon/2 {
 		return nil
 	}
+	var cands []*room
+	low := f.cheapest()
+	for i := range rooms {
+		if r := &rooms[i]; r.status != nil && f.price(&r.m) >= dear*low {
+			cands = append(cands, r)
+		}
+	}
 	slices.SortStableFunc(cands, func(a, b *room) int {
 		return cmp.Or(cmp.Compare(f.price(&b.m), f.price(&a.m)), cmp.Compare(b.avail.CPU, a.avail.CPU))
 	})
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -248,7 +248,7 @@
 	}
 	if !f.giving {
 		if ids := f.surplus(now, status, rooms, slackening(rooms, demand)); len(ids) > 0 {
-			out = append(out, Action{Machine: ids})
+			out = append(out, Action{Kind: Return, Machine: ids})
 			f.giving = true
 		}
 	}
@@ -538,10 +538,7 @@
 	if slackening {
 		d /= 6
 	}
-	if t := f.typeOf(m.Type); t != nil {
-		d = time.Duration(float64(d) / max(1, perCPU(t, m.Spot)/f.cheapest()))
-	}
-	return d
+	return time.Duration(float64(d) / max(1, f.price(m)/f.cheapest()))
 }
 
 // surplus picks machines to give back: those that never came up, failed, or
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -213,14 +214,7 @@
 	for _, id := range d {
 		status[id].Avail, status[id].Slots, status[id].IdleSince = status[id].Machine.Cap, 0, 39*time.Second
 	}
-	f.Step(40*time.Second, status, nil, noLimit)
-	var back []model.MachineID
-	for _, a := range f.Step(41*time.Second, status, nil, noLimit) {
-		if a.Kind == Return {
-			back = append(back, a.Machine...)
-		}
-	}
-	if !f.giving && len(back) == 0 {
+	if !slices.ContainsFunc(f.Step(40*time.Second, status, nil, noLimit), func(a Action) bool { return a.Kind == Return && len(a.Machine) > 0 }) {
 		t.Error("no empty machine returned")
 	}
 }
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -101,5 +101,9 @@
 	Faulty    bool // held to be faulty
 }
 
+// BrokenFrom is how many machines a job without a completed task fails on until
+// it, and not they, is held to be at fault.
+const BrokenFrom = 2
+
 // JobCount counts a job's tasks at a shard.
 type JobCount struct{ Waiting, Running int }
--- a/internal/core/shard/faults.go
+++ b/internal/core/shard/faults.go
@@ -17,7 +17,6 @@
 	shunFor    = 30 * time.Second // a job keeps away from a machine that it failed on
 	faultyFor  = 2 * time.Minute
 	rememberIt = 5 * time.Minute
-	brokenFrom = 2 // machines that a job without a success has failed on
 	faultyJobs = 2 // jobs, not held to be broken, that failed on a machine
 	faultyRuns = 4 // errors of such jobs on a machine
 )
@@ -34,7 +33,7 @@
 }
 
 // broken tells whether the job, not the machines, is held to be at fault.
-func (r *record) broken() bool { return r != nil && !r.ok && len(r.on) >= brokenFrom }
+func (r *record) broken() bool { return r != nil && !r.ok && len(r.on) >= model.BrokenFrom }
 
 // blame notes an error of a job's task on a machine.
 func (s *Shard) blame(now time.Duration, m *machine, job model.JobID) {
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -527,7 +527,7 @@
 		return
 	}
 	life := c.life
-	for _, o := range c.ctlsNamed(host) {
+	if o := c.w.ctl(host); o != nil {
 		c.w.send(c.host, host, true, func() {
 			l := o.lead
 			if l == nil || !l.loaded || !o.up {
@@ -585,15 +585,6 @@
 	}
 }
 
-func (c *ctl) ctlsNamed(host string) []*ctl {
-	for _, o := range c.w.ctls {
-		if o.host == host {
-			return []*ctl{o}
-		}
-	}
-	return nil
-}
-
 func (c *ctl) onReport(r *model.Report, answer func(bool, uint64, []model.Command, string)) {
 	if !c.up {
 		return
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -558,7 +558,7 @@
 	l.settling = true
 	l.n.log.Info("returning machines that can't be reached", "count", len(ids))
 	for part := range slices.Chunk(ids, fleet.MaxReturn) {
-		go l.cloudAction(fleet.Action{Machine: part})
+		go l.cloudAction(fleet.Action{Kind: fleet.Return, Machine: part})
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,9 +85,8 @@
 func New(n *node.Node, fdLimit int, log *slog.Logger, reg *prometheus.Registry) *Server {
 	own := min(fdLimit/4, 160)
 	s := &Server{node: n, limit: fdLimit - own, users: &userConns{max: (fdLimit - own) * 6 / 10, open: map[net.Conn]bool{}},
+		polls: gate{kind: "poll", most: maxPolls}, changes: gate{kind: "change", most: maxChanges},
 		shed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_requests_shed_total", Help: "Users' requests refused for overload."}, []string{"kind"})}
-	s.polls.kind, s.polls.most = "poll", maxPolls
-	s.changes.kind, s.changes.most = "change", maxChanges
 	reg.MustRegister(s.shed)
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
