node: the leader as a list of parts; its writes share one budget by priority

lead.go held dealing, renting, loading and writing in one struct of thirty fields, and each later power would have been one more. A part reads its records, is ticked, follows the world and gives writes by class; dealing and renting are the first two. core/budget lets ends of jobs and machines' records go first, then progress, then operators' records, which wait 10 s at most.

--- /dev/null
+++ b/internal/core/budget/budget.go
@@ -0,0 +1,69 @@
+// Package budget shares what the state service lets the leader write among its
+// parts: what ends jobs and guards rules first, then progress, then operators'
+// records. It is a state machine without input or output.
+package budget
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Class of a write, the most urgent first.
+type Class uint8
+
+// Classes.
+const (
+	Finals   Class = iota // ends of jobs, and records that placing waits for
+	Progress              // what is done of open jobs
+	Records               // operators' plans, verdicts and audit
+	classes
+)
+
+// patience is how long operators' records give way to everything else.
+const patience = 10 * time.Second
+
+// Budget is the state machine. Its times are the steady clock's.
+type Budget struct {
+	l       *rate.Limiter
+	burst   float64
+	waiting [classes]time.Duration // since when a class was refused, 0: it was not
+}
+
+// New returns a budget of so many changes a second, with a burst.
+func New(perSecond float64, burst int) *Budget {
+	return &Budget{l: rate.NewLimiter(rate.Limit(perSecond), burst), burst: float64(burst)}
+}
+
+func at(now time.Duration) time.Time { return time.Unix(1, 0).Add(now) }
+
+// Left is how many changes of a class may be made now. Records leave half of the
+// burst to the others, until they have waited for long.
+func (b *Budget) Left(now time.Duration, c Class) int {
+	left := b.l.TokensAt(at(now))
+	if since := b.waiting[c]; c == Records && (since == 0 || now-since < patience) {
+		left -= b.burst / 2
+	}
+	return max(0, int(left))
+}
+
+// Spend takes n changes of a class.
+func (b *Budget) Spend(now time.Duration, c Class, n int) {
+	b.waiting[c] = 0
+	b.l.AllowN(at(now), n)
+}
+
+// Refused notes that a class had more to write than was left.
+func (b *Budget) Refused(now time.Duration, c Class) {
+	if b.waiting[c] == 0 {
+		b.waiting[c] = max(1, now)
+	}
+}
+
+// Waiting is for how long a class has had something to write and could not.
+func (b *Budget) Waiting(now time.Duration, c Class) time.Duration {
+	if b.waiting[c] == 0 {
+		return 0
+	}
+	return now - b.waiting[c]
+}
--- /dev/null
+++ b/internal/core/budget/budget_test.go
@@ -0,0 +1,32 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+// Operators' records give way to finals, but a busy day must not starve them: a
+// plan that is never stored is never begun.
+func TestRecordsGiveWayButNotForEver(t *testing.T) {
+	b := New(4, 8)
+	b.Spend(0, Finals, 5)
+	if f, r := b.Left(0, Finals), b.Left(0, Records); f != 3 || r != 0 {
+		t.Fatalf("finals %d, records %d", f, r)
+	}
+	b.Refused(0, Records)
+	now := time.Duration(0)
+	for b.Left(now, Records) == 0 {
+		now += 250 * time.Millisecond
+		b.Spend(now, Finals, b.Left(now, Finals)-1) // a busy day: one is always left over
+		if now > time.Minute {
+			t.Fatal("records wait for ever")
+		}
+	}
+	if w := b.Waiting(now, Records); now < patience || w < patience {
+		t.Errorf("taken at %v, told to have waited %v", now, w)
+	}
+	b.Spend(now, Records, 1)
+	if b.Waiting(now, Records) != 0 {
+		t.Error("still told to wait")
+	}
+}
--- a/internal/core/dealer/writes.go
+++ b/internal/core/dealer/writes.go
@@ -31,12 +31,17 @@
 	Finish
 )
 
-// Writes returns the changes to be stored now, at most n, the ends of jobs
-// first. Each comes back through Stored.
+// Writes returns the changes to be stored now, at most n, the most urgent first.
 func (d *Dealer) Writes(now time.Duration, n int) []Write {
+	out := d.Urgent(n)
+	return append(out, d.Progress(now, n-len(out))...)
+}
+
+// Urgent returns at most n ends of jobs, then records of machines, to be stored
+// now. Each comes back through Stored.
+func (d *Dealer) Urgent(n int) []Write {
 	var out []Write
-	jobs := d.sortedJobs()
-	for _, j := range jobs {
+	for _, j := range d.inOrder {
 		if len(out) >= n {
 			return out
 		}
@@ -45,7 +50,14 @@
 			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version, Chunks: (j.spec.Tasks + d.p.ChunkSize - 1) / d.p.ChunkSize})
 		}
 	}
-	out = d.blockWrites(out, n)
+	return d.blockWrites(out, n)
+}
+
+// Progress returns at most n chunks of what is done, the longest not stored
+// first. Each comes back through Stored.
+func (d *Dealer) Progress(now time.Duration, n int) []Write {
+	var out []Write
+	jobs := d.sortedJobs()
 	slices.SortStableFunc(jobs, func(a, b *job) int { return int(a.stored - b.stored) })
 	for _, j := range jobs {
 		if j.ended || j.writing || now-j.stored < d.p.Progress {
--- /dev/null
+++ b/internal/node/dealing.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"honeylock/internal/core/budget"
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/jobs"
+	"honeylock/internal/core/model"
+	"honeylock/internal/peer/peerpb"
+	"honeylock/internal/wire"
+)
+
+// dealing is the leader's part that deals tasks to the shards.
+type dealing struct {
+	l *leadership
+	d *dealer.Dealer
+	// fresh is when the last question about open jobs that was answered was
+	// asked: a leader that hears of no cancellations must not go on.
+	fresh   time.Duration
+	rev     uint64   // the open jobs were listed at
+	orphans []string // keys of jobs that have ended
+	ticked  time.Duration
+	due     bool // to deal
+	dealt   time.Duration
+	// dealCost is what dealing took the last time.
+	dealCost time.Duration
+	shown    time.Duration
+	toldLoad time.Duration
+	healed   bool
+}
+
+func (p *dealing) tick(now time.Duration) {
+	l := p.l
+	if !p.healed && p.d.Recovered() {
+		p.healed = true
+		l.n.log.Info("all machines of earlier terms accounted for", "term", l.term)
+	}
+	if now-p.ticked >= 100*time.Millisecond {
+		p.ticked = now
+		l.n.seat.s.Tick(now)
+		p.d.Tick(now)
+		p.due = true
+		p.turn(now)
+		for _, id := range p.d.Broken() {
+			l.n.log.Info("job held to be broken: it fails on several machines, and is tried with one task at a time", "job", wire.JobName(id))
+		}
+	}
+	if now-p.shown >= time.Second {
+		p.shown = now
+		p.showProgress()
+	}
+	if now-p.toldLoad >= loadEvery {
+		p.toldLoad = now
+		p.logLoad()
+	}
+}
+
+// deal deals tasks with what the shards have told of their room, once their
+// events have been exchanged.
+func (p *dealing) deal(now time.Duration) {
+	began := p.l.n.now()
+	p.due, p.dealt = false, now
+	s := p.l.n.seat.s
+	p.d.Status(now, p.l.local, s.Status(now), s.Jobs(now), p.d.Dealt(p.l.local))
+	p.d.Deal(now)
+	p.dealCost = p.l.n.now() - began
+}
+
+// exchange carries orders and events between the dealer and the shards.
+func (p *dealing) exchange(now time.Duration) {
+	s := p.l.n.seat.s
+	for {
+		orders, events := p.d.Orders(), s.Events()
+		if len(orders) == 0 && len(events) == 0 {
+			return
+		}
+		for i := range orders {
+			if o := &orders[i]; o.To == p.l.local {
+				s.Order(now, *o)
+				p.l.n.owned(o)
+			} else if k := p.l.links[o.To]; k != nil {
+				k.out.Send(k.codec.Order(now, o))
+			}
+		}
+		for _, e := range events {
+			p.d.Event(now, p.l.local, e)
+		}
+	}
+}
+
+// turn lets dealer and shards settle, and sends the direct commands. Dealing
+// looks at all that is open, so it is done less often the longer it takes.
+func (p *dealing) turn(now time.Duration) {
+	if !p.l.loaded {
+		return
+	}
+	p.exchange(now)
+	if p.due && now-p.dealt >= max(4*gather, 6*p.dealCost) {
+		p.deal(now)
+		p.exchange(now)
+	}
+	p.l.n.seat.s.Place(now)
+	p.exchange(now)
+	p.l.n.flush(now)
+}
+
+// showProgress tells all controllers how far the open jobs are.
+func (p *dealing) showProgress() {
+	m := p.progress()
+	for _, k := range p.l.links {
+		k.out.Send(m)
+	}
+}
+
+// progress gathers how far the open jobs are, for this controller and others.
+func (p *dealing) progress() *peerpb.Down {
+	p.l.n.progress = map[model.JobID]progress{}
+	open := map[model.JobID]bool{}
+	m := &peerpb.Progress{StateAgeUs: (p.l.n.now() - p.l.n.stateAt).Microseconds()}
+	p.d.Open(func(id model.JobID, version uint64, done, running int) {
+		p.l.n.progress[id] = progress{done, running, version}
+		open[id] = true
+		m.Jobs = append(m.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running), Version: version})
+	})
+	p.l.n.seat.s.Open(open)
+	return &peerpb.Down{Msg: &peerpb.Down_Progress{Progress: m}}
+}
+
+// writes are the ends of jobs and the machines' records, then progress.
+func (p *dealing) writes(now time.Duration, c budget.Class, n int) []write {
+	var out []write
+	switch c {
+	case budget.Finals:
+		for _, w := range p.d.Urgent(n) {
+			out = append(out, p.encode(w))
+		}
+	case budget.Progress:
+		for _, w := range p.d.Progress(now, n) {
+			out = append(out, p.encode(w))
+		}
+	}
+	return out
+}
+
+func (p *dealing) encode(w dealer.Write) write {
+	out := write{done: func(now time.Duration, o outcome) {
+		// A Finish is lost once the job's record is gone, a block's write once
+		// the block is at another version.
+		lost := o.conflict && (w.Kind == dealer.PutBlock || o.at == 0)
+		if o.conflict {
+			o.rev = o.at
+		}
+		p.d.Stored(now, w, o.rev, o.err == nil, lost)
+	}}
+	switch w.Kind {
+	case dealer.PutBlock:
+		// Its version: applied late, this must not undo a later record.
+		key := blockKey(w.Block)
+		out.guards = []wire.Guard{{Key: key, Version: w.Version}}
+		out.ops = []wire.Op{{Put: key, Value: encode(wire.EncodeMachines(w.Machines, p.l.n.names))}}
+	case dealer.PutChunk:
+		out.ops = []wire.Op{{Put: chunkKey(w.Job, w.Chunk), Value: encode(wire.Chunk{Bits: w.Bits})}}
+		out.joins = true
+	case dealer.Finish:
+		out.guards = []wire.Guard{{Key: openKeys + wire.JobName(w.Job), Version: w.Version}}
+		out.ops = finalOps(w.Job, jobs.Done)
+		for c := range w.Chunks {
+			out.ops = append(out.ops, wire.Op{Delete: chunkKey(w.Job, c)})
+		}
+	}
+	return out
+}
+
+func chunkKey(id model.JobID, c int32) string {
+	return fmt.Sprintf("%s%s/%d", doneKeys, wire.JobName(id), c)
+}
+
+func blockKey(no uint64) string { return fmt.Sprintf("%s%08d", recordKeys, no) }
+
+// finalOps ends a job: from its open record to its final one.
+func finalOps(id model.JobID, stage jobs.Stage) []wire.Op {
+	name := wire.JobName(id)
+	return []wire.Op{{Delete: openKeys + name}, {Put: finalKeys + name, Value: encode(wire.Final{Stage: string(stage)})}}
+}
--- /dev/null
+++ b/internal/node/loadlog.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// loadEvery is how often the leader's log tells what is open and what there is
+// for it.
+const loadEvery = 15 * time.Second
+
+// classLoad sums up the open jobs of a class.
+type classLoad struct{ jobs, open, held, running int }
+
+// logLoad tells the load at info: without it a day can't be understood
+// afterwards.
+func (p *dealing) logLoad() {
+	if !p.l.n.log.Enabled(p.l.ctx, slog.LevelInfo) {
+		return
+	}
+	classes := map[model.Name]*classLoad{}
+	for _, need := range p.d.Needs() {
+		c := classes[need.Spec.Class]
+		if c == nil {
+			c = &classLoad{}
+			classes[need.Spec.Class] = c
+		}
+		c.jobs++
+		c.open += int(need.Open)
+		c.held += int(need.Held)
+		c.running += p.d.Count(need.Spec.ID).Running
+	}
+	var machines, ready, spot, faulty int
+	var cpus, free int64
+	for _, st := range p.d.Machines() {
+		machines++
+		if st.Machine.Spot {
+			spot++
+		}
+		if st.Faulty {
+			faulty++
+		}
+		if st.Ready {
+			ready++
+			cpus += st.Machine.Cap.CPU
+			free += max(0, st.Avail.CPU)
+		}
+	}
+	p.l.n.log.Info("load", "machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "cpus", cpus/1000, "free", free/1000)
+	for _, name := range slices.Sorted(maps.Keys(classes)) {
+		c := classes[name]
+		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "open", c.open, "held", c.held, "running", c.running)
+	}
+}
--- /dev/null
+++ b/internal/node/part.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"honeylock/internal/core/budget"
+	"honeylock/internal/state"
+	"honeylock/internal/wire"
+)
+
+// part is one of the leader's powers: it loads what earlier leaders stored, then
+// is ticked, and gives what must be written. What it decides, a core decides. All
+// but read and run are called under the controller's lock.
+type part interface {
+	// read gets the part's records from the store, without the lock; take brings
+	// them in once every part has read its own.
+	read(ctx context.Context) (take func(now time.Duration) error, err error)
+	// run follows the outside world until the term ends.
+	run()
+	// tick is called a few times a second.
+	tick(now time.Duration)
+	// writes gives at most n changes of a class.
+	writes(now time.Duration, c budget.Class, n int) []write
+}
+
+// write is a transaction of the leader's. It bears the leader's guard besides
+// its own.
+type write struct {
+	guards []wire.Guard
+	ops    []wire.Op
+	joins  bool // may share a transaction with others of its part
+	done   func(now time.Duration, o outcome)
+}
+
+// outcome of a write.
+type outcome struct {
+	rev uint64
+	err error
+	// conflict tells that the write's own guard failed: its key is at version at
+	// now (0: absent).
+	conflict bool
+	at       uint64
+}
+
+// maxWrites are the changes given at a time.
+const maxWrites = 32
+
+// store writes what must last, the most urgent first.
+func (l *leadership) store(now time.Duration) {
+	for c := budget.Finals; c <= budget.Records; c++ {
+		for _, p := range l.parts {
+			n := min(l.budget.Left(now, c), maxWrites)
+			if n < 1 {
+				continue
+			}
+			l.send(now, c, p.writes(now, c, n))
+		}
+	}
+}
+
+// send carries writes out, those that join in one transaction.
+func (l *leadership) send(now time.Duration, c budget.Class, ws []write) {
+	var batch []write
+	flush := func() {
+		if len(batch) > 0 {
+			go l.write(batch)
+			batch = nil
+		}
+	}
+	for _, w := range ws {
+		l.budget.Spend(now, c, 1)
+		if !w.joins {
+			go l.write([]write{w})
+			continue
+		}
+		if batch = append(batch, w); len(batch) >= min(l.n.cfg.Cluster.State.TxnOps, 4) {
+			flush()
+		}
+	}
+	flush()
+}
+
+func (l *leadership) write(batch []write) {
+	n := l.n
+	t := wire.Txn{Guards: []wire.Guard{l.guard}}
+	for _, w := range batch {
+		t.Guards = append(t.Guards, w.guards...)
+		t.Then = append(t.Then, w.ops...)
+	}
+	ctx := state.Urgent(l.ctx)
+	var o outcome
+	o.rev, o.err = n.state.Txn(ctx, t)
+	if errors.Is(o.err, state.ErrConflict) && len(t.Guards) > 1 {
+		// Ours is the leader's key still, or else nothing matters any more.
+		it, err := n.state.Get(ctx, t.Guards[1].Key)
+		switch {
+		case err == nil:
+			o.conflict, o.at = true, it.Version
+		case errors.Is(err, state.ErrNotFound):
+			o.conflict = true
+		}
+	}
+	if o.err != nil {
+		n.log.Debug("not stored", "writes", len(batch), "err", o.err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	for _, w := range batch {
+		w.done(now, o)
+	}
+	if n.lead == l {
+		n.soon()
+	}
+}
--- /dev/null
+++ b/internal/node/renting.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"honeylock/internal/config"
+	"honeylock/internal/core/budget"
+	"honeylock/internal/core/fleet"
+	"honeylock/internal/core/model"
+	"honeylock/internal/wire"
+)
+
+// renting is the leader's part that rents machines and gives them back.
+type renting struct {
+	l       *leadership
+	f       *fleet.Fleet
+	fleeted time.Duration
+	// settling: machines that can't be reached are being returned.
+	settling bool
+}
+
+// read has nothing to get: the cloud's list and the workers' reports tell all.
+func (p *renting) read(context.Context) (func(time.Duration) error, error) {
+	return func(time.Duration) error { return nil }, nil
+}
+
+func (p *renting) tick(now time.Duration) {
+	p.settleUnseen(now)
+	if now-p.fleeted >= 500*time.Millisecond {
+		p.fleeted = now
+		p.runFleet(now)
+	}
+}
+
+func (p *renting) writes(time.Duration, budget.Class, int) []write { return nil }
+
+const (
+	// Of all machines, a part that may be given up for the rest: the few that
+	// answer no command; more once every worker that lives has reported, too.
+	// A zone that is cut off is more than that, and waits for its leases.
+	fewUnseen  = 0.02
+	someUnseen = 0.15
+)
+
+// settleUnseen returns the machines of earlier terms that answer neither
+// reports nor commands, if they are few. All old jobs wait for them, so they
+// are worth less than the time until their leases are over: once returned they
+// are surely gone.
+func (p *renting) settleUnseen(now time.Duration) {
+	if p.l.deals.healed || p.settling {
+		return
+	}
+	waited := now - p.l.loadedAt
+	share := 0.0
+	switch {
+	case waited > config.Seconds(1.25*p.l.n.cfg.Cluster.Workers.ReportS)+2250*time.Millisecond:
+		share = someUnseen
+	case p.l.d.Unanswering():
+		share = fewUnseen
+	default:
+		return
+	}
+	ids := p.l.d.Unseen(share)
+	if len(ids) == 0 {
+		return
+	}
+	p.settling = true
+	p.l.n.log.Info("returning machines that can't be reached", "count", len(ids))
+	for some := range slices.Chunk(ids, fleet.MaxReturn) {
+		go p.cloudAction(fleet.Action{Kind: fleet.Return, Machine: some})
+	}
+}
+
+func (p *renting) runFleet(now time.Duration) {
+	status := p.l.d.Machines()
+	p.f.Observe(now, status, p.l.d.Silent)
+	var demand []fleet.Demand
+	for _, need := range p.l.d.Needs() {
+		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(p.l.d.Count(need.Spec.ID).Waiting)})
+	}
+	for _, a := range p.f.Step(now, status, demand, p.l.d.Limit) {
+		if a.Kind != fleet.Rent {
+			for _, id := range a.Machine {
+				p.l.d.Use(id, a.Kind == fleet.Undrain)
+			}
+		}
+		switch a.Kind {
+		case fleet.Rent, fleet.Return:
+			go p.cloudAction(a)
+		default:
+			p.l.n.log.Info("machines drained or wanted again", "drained", a.Kind == fleet.Drain, "count", len(a.Machine))
+		}
+	}
+	p.l.n.soon()
+}
+
+func (p *renting) cloudAction(a fleet.Action) {
+	n := p.l.n
+	if a.Kind == fleet.Return {
+		names := make([]string, len(a.Machine))
+		for i, id := range a.Machine {
+			names[i] = wire.MachineName(id)
+		}
+		err := errTermOver
+		if p.l.leads() { // it may have stood still since this was decided
+			err = n.cloud.Return(p.l.ctx, names)
+		}
+		n.log.Info("machines returned", "machines", names, "err", err)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		now := n.now()
+		p.f.Returned(now, a, err == nil)
+		for _, id := range a.Machine {
+			if err == nil {
+				p.l.d.Gone(id)
+			} else {
+				p.l.d.Use(id, true)
+			}
+		}
+		if n.lead == p.l {
+			n.soon()
+		}
+		return
+	}
+	n.mu.Lock()
+	r := wire.Rental{Request: a.Rent, Type: n.names.Types.Name(a.Type), Zone: n.names.Zones.Name(a.Zone), Spot: a.Spot, Count: a.Count}
+	n.mu.Unlock()
+	var got []model.MachineID
+	refused, doubt := false, true
+	if p.l.leads() {
+		got, refused, doubt = n.rent(p.l.ctx, r)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.f.Rented(n.now(), a, got, refused, doubt)
+}
+
+// run keeps the machine list.
+func (p *renting) run() {
+	n := p.l.n
+	for p.l.ctx.Err() == nil {
+		asked := n.now()
+		list, err := n.cloud.List(p.l.ctx)
+		if p.l.ctx.Err() == nil {
+			n.complaints.note("machine list not read", err)
+		}
+		if err != nil {
+			sleep(p.l.ctx, time.Second)
+			continue
+		}
+		n.mu.Lock()
+		var out []fleet.Listed
+		for _, m := range list {
+			id, err := wire.ParseMachine(m.Name)
+			if err != nil {
+				continue
+			}
+			out = append(out, fleet.Listed{ID: id, Type: n.names.Types.ID(m.Type), Zone: n.names.Zones.ID(m.Zone), Spot: m.Spot,
+				Failed: m.Stage == "failed", Age: config.Seconds(m.AgeS)})
+		}
+		slices.SortFunc(out, func(a, b fleet.Listed) int { return cmp.Compare(a.ID, b.ID) })
+		gone := p.f.List(n.now(), asked, out)
+		for _, id := range gone {
+			p.l.d.Gone(id)
+		}
+		if n.lead == p.l && len(gone) > 0 {
+			n.log.Info("machines gone from the list", "count", len(gone))
+			n.soon()
+		}
+		n.mu.Unlock()
+		sleep(p.l.ctx, 4*time.Second)
+	}
+}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -80,7 +80,7 @@
 // turn lets shard and dealer settle, and sends what they have to say.
 func (n *Node) turn(now time.Duration) {
 	if n.lead != nil {
-		n.lead.turn(now)
+		n.lead.deals.turn(now)
 		return
 	}
 	if n.seat == nil {
@@ -96,7 +96,7 @@
 // they are lost: the next shard of this controller finds out anew what there is.
 func (n *Node) tell(now time.Duration) {
 	if n.lead != nil {
-		n.lead.exchange(now)
+		n.lead.deals.exchange(now)
 		return
 	}
 	for _, e := range n.seat.s.Events() {
@@ -496,7 +496,7 @@
 	id := l.d.Join(now, host)
 	l.links[id] = k
 	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id)}}})
-	k.out.Send(l.progress())
+	k.out.Send(l.deals.progress())
 	l.n.log.Info("member joined", "host", host, "shard", id)
 	l.hosts[host] = true
 	all := true
@@ -540,7 +540,7 @@
 	case *peerpb.Up_Status:
 		ms, jobs := k.codec.FromStatus(now, msg.Status)
 		l.d.Status(now, id, ms, jobs, msg.Status.GetDeals())
-		l.due = true
+		l.deals.due = true
 		l.n.soon()
 	}
 }
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -315,7 +315,7 @@
 	s := n.seat.s
 	ok := s.Report(now, r)
 	if !ok && n.lead != nil { // the dealer is at hand: it may be ours by now
-		n.lead.exchange(now)
+		n.lead.deals.exchange(now)
 		ok = s.Report(now, r)
 	}
 	if ok {
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,247 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+	"golang.org/x/time/rate"
+)
+
+// StoreLimits are the state service's limits; 0 means none.
+type StoreLimits struct {
+	RPS, WriteRPS float64
+	ValueKB       float64
+	TxnOps        int
+}
+
+// keptChanges is how many changes a watch can look back.
+const keptChanges = 10_000
+
+type entry struct {
+	key   string
+	value json.RawMessage
+	frame uint64
+	lease uint64
+}
+
+type change struct {
+	key   string
+	value json.RawMessage // nil: dropped
+	frame uint64
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is a stand-in of the state service.
+type Store struct {
+	mu      sync.Mutex
+	limits  StoreLimits
+	reqs    *rate.Limiter
+	writes  *rate.Limiter
+	rev     uint64
+	keys    *btree.BTreeG[entry]
+	leases  map[uint64]*lease
+	lastID  uint64
+	changes []change
+	oldest  uint64 // changes after this revision are kept
+	changed chan struct{}
+	out     bool
+	doors   []*door
+}
+
+// NewStore returns an empty store.
+func NewStore(l StoreLimits) *Store {
+	limiter := func(r float64) *rate.Limiter {
+		if r <= 0 {
+			return rate.NewLimiter(rate.Inf, 1)
+		}
+		return rate.NewLimiter(rate.Limit(r), max(1, int(math.Ceil(r))))
+	}
+	return &Store{limits: l, reqs: limiter(l.RPS), writes: limiter(l.WriteRPS), rev: 1, leases: map[uint64]*lease{},
+		keys: btree.NewG(16, func(a, b entry) bool { return a.key < b.key }), changed: make(chan struct{})}
+}
+
+// Front is one controller's way to the store, which may refuse it, or be slow.
+type Front struct {
+	Addr    string
+	mu      sync.Mutex
+	refuses bool
+	slow    time.Duration
+}
+
+// Refuse lets the store answer this controller alone with 503, or no longer.
+func (f *Front) Refuse(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuses = on
+}
+
+// Slow delays every answer to this controller.
+func (f *Front) Slow(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow = d
+}
+
+func (f *Front) fault() (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refuses, f.slow
+}
+
+// Front opens a way to the store.
+func (s *Store) Front() (*Front, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /store/{key...}", s.get)
+	mux.HandleFunc("GET /store", s.list)
+	mux.HandleFunc("POST /txn", s.txn)
+	mux.HandleFunc("POST /grants", s.grant)
+	mux.HandleFunc("POST /grants/{id}/extend", s.extend)
+	mux.HandleFunc("DELETE /grants/{id}", s.end)
+	f := &Front{}
+	watch := func(w http.ResponseWriter, r *http.Request) { s.watch(w, r, f) }
+	mux.HandleFunc("GET /watch", watch)
+	d, err := open(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		refuses, slow := f.fault()
+		time.Sleep(slow)
+		switch {
+		case refuses || s.isOut():
+			answer(w, http.StatusServiceUnavailable, object{})
+		case !s.reqs.Allow():
+			answer(w, http.StatusTooManyRequests, object{})
+		default:
+			mux.ServeHTTP(w, r)
+		}
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("stand-in store: %w", err)
+	}
+	f.Addr = d.addr
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doors = append(s.doors, d)
+	return f, nil
+}
+
+// Close ends all fronts.
+func (s *Store) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.doors {
+		d.close()
+	}
+}
+
+// Out begins or ends an outage; at its end every lease has its full time again.
+func (s *Store) Out(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out = on
+	if !on {
+		for _, l := range s.leases {
+			l.end = time.Now().Add(l.ttl)
+		}
+	}
+}
+
+func (s *Store) isOut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out
+}
+
+// Peek reads a key past all limits; nil if it is absent.
+func (s *Store) Peek(key string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, _ := s.keys.Get(entry{key: key})
+	return e.value
+}
+
+// Poke writes a key past all limits, as another release might have left it.
+func (s *Store) Poke(key string, v json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.put(key, v, 0)
+	s.tell()
+}
+
+// Below calls f for every key with the prefix, in order.
+func (s *Store) Below(prefix string, f func(key string, v json.RawMessage)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys.AscendGreaterOrEqual(entry{key: prefix}, func(e entry) bool {
+		if !strings.HasPrefix(e.key, prefix) {
+			return false
+		}
+		f(e.key, e.value)
+		return true
+	})
+}
+
+// expire ends the leases whose time is over. While the store is out none ends.
+func (s *Store) expire() {
+	if s.out {
+		return
+	}
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	s.keys.Ascend(func(e entry) bool {
+		if e.lease == id {
+			gone = append(gone, e.key)
+		}
+		return true
+	})
+	if len(gone) == 0 {
+		return
+	}
+	s.rev++
+	for _, k := range gone {
+		s.drop(k)
+	}
+	s.tell()
+}
+
+func (s *Store) put(key string, v json.RawMessage, lease uint64) {
+	s.keys.ReplaceOrInsert(entry{key, v, s.rev, lease})
+	s.note(change{key, v, s.rev})
+}
+
+func (s *Store) drop(key string) {
+	if _, ok := s.keys.Delete(entry{key: key}); ok {
+		s.note(change{key, nil, s.rev})
+	}
+}
+
+func (s *Store) note(c change) {
+	s.changes = append(s.changes, c)
+	if n := len(s.changes) - keptChanges; n > 0 {
+		s.oldest = s.changes[n-1].frame
+		s.changes = append([]change(nil), s.changes[n:]...)
+	}
+}
+
+// tell wakes the watches.
+func (s *Store) tell() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
