--- /dev/null
+++ b/internal/client/users.go
@@ -0,0 +1,168 @@
+// Package client speaks to controllers as users and operators do: with tries
+// that keep to the protocol, and errors that say what to do.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"honeylock/internal/wire"
+)
+
+// Users is a client of the users' door. It turns from one address to the next
+// where one does not answer.
+type Users struct {
+	addrs []string
+	next  int
+	http  *http.Client
+	rng   *rand.Rand
+}
+
+// NewUsers returns a client; addrs are HOST:PORT.
+func NewUsers(addrs []string, rng *rand.Rand) (*Users, error) {
+	if len(addrs) == 0 {
+		return nil, errors.New("no address of a controller is given")
+	}
+	for _, a := range addrs {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return nil, fmt.Errorf("address %q: must be HOST:PORT", a)
+		}
+	}
+	return &Users{addrs: addrs, next: rng.IntN(len(addrs)), rng: rng, http: &http.Client{Timeout: 5 * time.Second}}, nil
+}
+
+// Refused is a final answer: trying again does not help.
+type Refused struct {
+	Status int
+	Why    string
+}
+
+func (r *Refused) Error() string { return fmt.Sprintf("refused (%d): %s", r.Status, r.Why) }
+
+const (
+	giveUp   = time.Minute
+	mostWait = 30 * time.Second
+)
+
+// Submit hands a job in, again and again for up to a minute. known tells that it
+// was accepted before.
+func (u *Users) Submit(ctx context.Context, job []byte) (st *wire.JobState, known bool, err error) {
+	status, st, err := u.insist(ctx, http.MethodPost, "/v1/jobs", job)
+	return st, status == http.StatusOK, err
+}
+
+// Withdraw cancels a job.
+func (u *Users) Withdraw(ctx context.Context, id string) (*wire.JobState, error) {
+	_, st, err := u.insist(ctx, http.MethodPost, "/v1/jobs/"+id+"/withdraw", nil)
+	return st, err
+}
+
+// Status asks for a job's state.
+func (u *Users) Status(ctx context.Context, id string) (*wire.JobState, error) {
+	_, st, err := u.insist(ctx, http.MethodGet, "/v1/jobs/"+id, nil)
+	return st, err
+}
+
+// Ended tells whether a job in this state has ended.
+func Ended(st *wire.JobState) bool { return st.Stage == "done" || st.Stage == "aborted" }
+
+// Wait polls until a job has ended; told gets every state seen.
+func (u *Users) Wait(ctx context.Context, id string, every time.Duration, told func(*wire.JobState)) (*wire.JobState, error) {
+	for {
+		st, err := u.Status(ctx, id)
+		if err != nil {
+			return nil, err
+		}
+		told(st)
+		if Ended(st) {
+			return st, nil
+		}
+		if err := pause(ctx, every); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// insist repeats a request until it has a final answer.
+func (u *Users) insist(ctx context.Context, method, path string, body []byte) (int, *wire.JobState, error) {
+	ctx, cancel := context.WithTimeout(ctx, giveUp)
+	defer cancel()
+	var last error
+	for {
+		status, st, after, err := u.once(ctx, method, path, body)
+		var final *Refused
+		if err == nil || errors.As(err, &final) {
+			return status, st, err
+		}
+		if ctx.Err() == nil {
+			last = err
+		}
+		u.next++
+		if perr := pause(ctx, after+time.Duration(u.rng.Int64N(int64(after/4)))); perr != nil {
+			return 0, nil, fmt.Errorf("no answer: %w", errors.Join(last, perr))
+		}
+	}
+}
+
+// once makes a request. Without a final answer it tells when to come back.
+func (u *Users) once(ctx context.Context, method, path string, body []byte) (int, *wire.JobState, time.Duration, error) {
+	after := time.Second
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.addrs[u.next%len(u.addrs)]+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, after, &Refused{Why: err.Error()}
+	}
+	res, err := u.http.Do(req)
+	if err != nil {
+		return 0, nil, after, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, 64<<10))
+	if err != nil {
+		return 0, nil, after, err
+	}
+	switch res.StatusCode {
+	case http.StatusOK, http.StatusCreated:
+		var st wire.JobState
+		if err := json.Unmarshal(b, &st); err != nil {
+			return 0, nil, after, fmt.Errorf("unreadable answer: %w", err)
+		}
+		return res.StatusCode, &st, 0, nil
+	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusNotFound:
+		return res.StatusCode, nil, 0, &Refused{res.StatusCode, told(b)}
+	}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
+		after = min(max(after, time.Duration(s)*time.Second), mostWait)
+	}
+	return 0, nil, after, fmt.Errorf("status %d: %s", res.StatusCode, told(b))
+}
+
+// told is the reason in an answer.
+func told(b []byte) string {
+	var e struct {
+		Error string `json:"error"`
+	}
+	if json.Unmarshal(b, &e) == nil && e.Error != "" {
+		return e.Error
+	}
+	return string(bytes.TrimSpace(b))
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/dev/cluster.go
@@ -0,0 +1,206 @@
+// Package dev runs a whole cluster in one process on loopback: controllers as
+// they are deployed, against stand-ins of all else. It is for trying things out
+// and for tests; its figures say nothing about speed.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"honeylock/internal/config"
+	"honeylock/internal/node"
+	"honeylock/internal/server"
+	"honeylock/internal/standin"
+)
+
+// Options of a cluster.
+type Options struct {
+	Controllers int
+	Kinds       []standin.Kind
+	Seeds       []Seed // machines that are up from the beginning
+	Teams       []config.Team
+	Zones       []string
+	Report      time.Duration
+	Lease       time.Duration
+	Cancel      time.Duration
+	ListLag     time.Duration
+	Dying       time.Duration
+	CloudRPS    float64
+	Limits      standin.StoreLimits
+	Settings    func(host string) (*config.Settings, error) // nil: defaults
+	Log         *slog.Logger
+	Seed        uint64
+	Depot       *standin.Depot
+}
+
+// Seed is a number of machines of a kind.
+type Seed struct {
+	Kind int
+	Zone string
+	Spot bool
+	N    int
+}
+
+// Controller of a cluster.
+type Controller struct {
+	Cfg   *config.Platform
+	Front *standin.Front
+	Node  *node.Node
+	o     *Options
+	stop  context.CancelFunc
+}
+
+// Cluster is all that runs.
+type Cluster struct {
+	Store       *standin.Store
+	Cloud       *standin.Cloud
+	Depot       *standin.Depot
+	Controllers []*Controller
+}
+
+// Start brings a cluster up.
+func Start(o Options) (c *Cluster, err error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	}
+	c = &Cluster{Store: standin.NewStore(o.Limits), Depot: o.Depot}
+	if c.Depot == nil {
+		c.Depot = standin.NewDepot()
+	}
+	if c.Depot.Look == nil { // users of this cluster upload nothing: what they submit is in the store
+		c.Depot.Look = c.Find
+	}
+	defer func() {
+		if err != nil {
+			c.Close()
+		}
+	}()
+	var hosts []standin.Host
+	for i := range o.Controllers {
+		k, err := newController(c, &o, i)
+		if err != nil {
+			return c, err
+		}
+		c.Controllers = append(c.Controllers, k)
+		hosts = append(hosts, standin.Host{Name: k.Cfg.HostName, Addr: k.Cfg.Bind})
+	}
+	c.Cloud, err = standin.NewCloud(standin.CloudParams{Kinds: o.Kinds, ListLag: o.ListLag, Dying: o.Dying, RPS: o.CloudRPS,
+		Timing: standin.Timing{Report: o.Report, Lease: o.Lease}}, c.Depot, hosts, rand.New(rand.NewPCG(o.Seed, 3)))
+	if err != nil {
+		return c, err
+	}
+	for _, k := range c.Controllers {
+		k.Cfg.Services.Cloud = c.Cloud.Addr()
+		for _, s := range c.Controllers {
+			if s != k {
+				k.Cfg.Siblings = append(k.Cfg.Siblings, config.Sibling{HostName: s.Cfg.HostName, Zone: s.Cfg.Zone, Address: s.Cfg.PeerListen})
+			}
+		}
+	}
+	for _, k := range c.Controllers {
+		if err := k.Start(); err != nil {
+			return c, err
+		}
+	}
+	for _, s := range o.Seeds {
+		if err := c.Cloud.Seed(s.Kind, s.Zone, s.Spot, s.N); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// Find returns a job's open record.
+func (c *Cluster) Find(name string) []byte { return c.Store.Peek("open/" + name) }
+
+func newController(c *Cluster, o *Options, i int) (*Controller, error) {
+	front, err := c.Store.Front()
+	if err != nil {
+		return nil, err
+	}
+	k := &config.Platform{HostName: fmt.Sprintf("hive-%d", i), Zone: o.Zones[i%len(o.Zones)]}
+	for _, a := range []*string{&k.Bind, &k.PeerListen} {
+		if *a, err = FreeAddr(); err != nil {
+			return nil, err
+		}
+	}
+	k.Services.State = front.Addr
+	cl := &k.Cluster
+	cl.Zones, cl.Teams = o.Zones, o.Teams
+	cl.Workers.ReportS, cl.Workers.LeaseS, cl.Workers.CancelS = o.Report.Seconds(), o.Lease.Seconds(), o.Cancel.Seconds()
+	cl.State.RPS, cl.State.WriteRPS, cl.State.ValueKB, cl.State.TxnOps = o.Limits.RPS, o.Limits.WriteRPS, o.Limits.ValueKB, o.Limits.TxnOps
+	cl.Cloud.RPS, cl.Cloud.ListLagS = o.CloudRPS, o.ListLag.Seconds()
+	cl.Resources.MemMB, cl.Resources.FDLimit = 300, 500
+	return &Controller{Cfg: k, Front: front, o: o}, nil
+}
+
+// Start runs the controller, with nothing left of an earlier life.
+func (k *Controller) Start() error {
+	set := config.DefaultSettings()
+	if k.o.Settings != nil {
+		var err error
+		if set, err = k.o.Settings(k.Cfg.HostName); err != nil {
+			return fmt.Errorf("settings of %s: %w", k.Cfg.HostName, err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	k.stop = cancel
+	log := k.o.Log.With("host", k.Cfg.HostName)
+	Serve(ctx, k, set, log)
+	return nil
+}
+
+// Serve runs a controller's doors and its node until the context ends.
+func Serve(ctx context.Context, k *Controller, set *config.Settings, log *slog.Logger) {
+	rng := rand.New(rand.NewPCG(k.o.Seed, rand.Uint64()))
+	k.Node = node.New(k.Cfg, set, log, rng)
+	reg := prometheus.NewRegistry()
+	k.Node.Register(reg)
+	go server.New(k.Node, k.Cfg.Cluster.Resources.FDLimit, log, reg).Serve(ctx, k.Cfg.Bind, log)
+	go k.Node.ServePeers(ctx, k.Cfg.PeerListen)
+	go k.Node.Run(ctx)
+}
+
+// Stop kills the controller.
+func (k *Controller) Stop() {
+	if k.stop != nil {
+		k.stop()
+	}
+}
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	for _, k := range c.Controllers {
+		k.Stop()
+	}
+	if c.Cloud != nil {
+		c.Cloud.Close()
+	}
+	c.Store.Close()
+}
+
+// Addrs are the users' doors.
+func (c *Cluster) Addrs() []string {
+	var out []string
+	for _, k := range c.Controllers {
+		out = append(out, k.Cfg.Bind)
+	}
+	return out
+}
+
+// FreeAddr returns a loopback address that was free just now.
+func FreeAddr() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("no free port: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -2,86 +2,54 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"honeylock/internal/config"
-	"honeylock/internal/node"
-	"honeylock/internal/server"
+	"honeylock/internal/dev"
+	"honeylock/internal/standin"
 )
 
-type controller struct {
-	cfg   *config.Platform
-	state *front
-	stop  context.CancelFunc
-}
+type object = map[string]any
 
-func (c *controller) start(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.stop = cancel
-	t.Cleanup(cancel)
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	n := node.New(c.cfg, config.DefaultSettings(), log, rand.New(rand.NewPCG(1, 2)))
-	reg := prometheus.NewRegistry()
-	n.Register(reg)
-	go server.New(n, c.cfg.Cluster.Resources.FDLimit, log, reg).Serve(ctx, c.cfg.Bind, log)
-	go n.ServePeers(ctx, c.cfg.PeerListen)
-	go n.Run(ctx)
+func options() dev.Options {
+	return dev.Options{
+		Controllers: 3, Zones: []string{"a", "b"}, Teams: []config.Team{{Name: "vision", CPUs: 8, CPUsMax: 24}},
+		Kinds: []standin.Kind{{Label: "g8", Cpus: 8, MemGb: 32, LocalGb: 50, PullGbPerS: 20, Hourly: 1, MarketPrice: 0.3, ReadyS: 10,
+			Yards: []string{"a", "b"}}},
+		Report: 300 * time.Millisecond, Lease: 10 * time.Second, Cancel: 40 * time.Second, ListLag: time.Second, Dying: time.Second,
+		CloudRPS: 10, Limits: standin.StoreLimits{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 16}, Seed: 1,
+	}
 }
 
-// cluster starts three controllers with their stand-ins.
-func cluster(t *testing.T, workers []*agent) []*controller {
-	_, fronts := newState(t, 3)
-	cloud := newCloud(t, workers)
-	var out []*controller
-	nodes := map[string]string{}
-	var hosts []string
-	for i := range 3 {
-		c := &config.Platform{HostName: fmt.Sprintf("hive-%d", i), Zone: "a", Bind: freeAddr(t), PeerListen: freeAddr(t)}
-		c.Services.State, c.Services.Cloud = fronts[i].addr, cloud
-		c.Cluster.Zones = []string{"a", "b"}
-		c.Cluster.Teams = []config.Team{{Name: "vision", CPUs: 8, CPUsMax: 24}}
-		c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 0.3, 10, 40
-		c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB, c.Cluster.State.TxnOps = 1000, 1000, 16, 16
-		c.Cluster.Cloud.RPS, c.Cluster.Cloud.ListLagS = 10, 1
-		c.Cluster.Resources.MemMB, c.Cluster.Resources.FDLimit = 300, 500
-		nodes[c.HostName] = c.Bind
-		hosts = append(hosts, c.HostName)
-		out = append(out, &controller{cfg: c, state: fronts[i]})
+// cluster starts three controllers with their stand-ins and n workers.
+func cluster(t *testing.T, n int) *dev.Cluster {
+	t.Helper()
+	o := options()
+	o.Seeds = []dev.Seed{{Zone: "a", N: n}}
+	c, err := dev.Start(o)
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, c := range out {
-		for _, o := range out {
-			if o != c {
-				c.cfg.Siblings = append(c.cfg.Siblings, config.Sibling{HostName: o.cfg.HostName, Zone: "a", Address: o.cfg.PeerListen})
-			}
+	t.Cleanup(func() {
+		c.Close()
+		if b := c.Depot.Broken(); len(b) > 0 {
+			t.Error(b)
 		}
-		c.start(t)
-	}
-	stop := make(chan struct{})
-	t.Cleanup(func() { close(stop) })
-	for _, w := range workers {
-		w.nodes, w.hosts = nodes, hosts
-		go w.run(stop)
-	}
-	return out
+	})
+	return c
 }
 
-func call(c *controller, method, path string, body any) (int, map[string]any) {
+func call(c *dev.Controller, method, path string, body any) (int, map[string]any) {
 	b, _ := json.Marshal(body)
 	if s, ok := body.(string); ok {
 		b = []byte(s)
 	}
-	req, _ := http.NewRequest(method, "http://"+c.cfg.Bind+path, bytes.NewReader(b))
+	req, _ := http.NewRequest(method, "http://"+c.Cfg.Bind+path, bytes.NewReader(b))
 	res, err := (&http.Client{Timeout: 3 * time.Second}).Do(req)
 	if err != nil {
 		return 0, nil
@@ -105,10 +73,10 @@
 
 func submission(id string, tasks int) object {
 	return object{"NameId": id, "Comb": "train", "Colony": "vision", "Shape": "batch", "Rank": "standard", "Cells": tasks, "Cpus": 2, "Accelerators": 0,
-		"MemGb": 1, "Wax": "img", "ImageGb": 1, "Together": false, "Spread": false, "SwarmBoxes": false, "ForageS": 1, "CapIntervalS": 0, "CapS": 0}
+		"MemGb": 1, "Wax": "img", "ImageGb": 1, "Together": false, "Spread": false, "SwarmBoxes": false, "ForageS": 0.5, "CapIntervalS": 0, "CapS": 0}
 }
 
-func accept(t *testing.T, c *controller, job object) {
+func accept(t *testing.T, c *dev.Controller, job object) {
 	t.Helper()
 	until(t, "submission", func() bool {
 		st, _ := call(c, http.MethodPost, "/v1/jobs", job)
@@ -116,17 +84,14 @@
 	})
 }
 
-func stage(c *controller, id string) any {
+func stage(c *dev.Controller, id string) any {
 	_, v := call(c, http.MethodGet, "/v1/jobs/"+id, nil)
 	return v["Stage"]
 }
 
 func TestJobsRunThroughTheLossOfControllers(t *testing.T) {
-	var workers []*agent
-	for i := range 4 {
-		workers = append(workers, newAgent(t, i+1, 500*time.Millisecond))
-	}
-	cs := cluster(t, workers)
+	cl := cluster(t, 4)
+	cs := cl.Controllers
 	accept(t, cs[0], submission("job-000001", 20))
 	until(t, "first job", func() bool { return stage(cs[1], "job-000001") == "done" })
 	if st, v := call(cs[2], http.MethodPost, "/v1/jobs", submission("job-000001", 20)); st != http.StatusOK || v["Stage"] != "done" {
@@ -136,26 +101,24 @@
 	accept(t, cs[1], submission("job-000002", 40))
 	// Every controller is killed in turn and started again.
 	for i, c := range cs {
-		c.stop()
+		c.Stop()
 		other := cs[(i+1)%3]
 		accept(t, other, submission(fmt.Sprintf("job-%06d", 10+i), 6))
 		time.Sleep(300 * time.Millisecond)
-		c.start(t)
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
 		until(t, "the controller is back", func() bool { st, _ := call(c, http.MethodGet, "/healthz", nil); return st == http.StatusOK })
 	}
 	for _, id := range []string{"job-000002", "job-000010", "job-000011", "job-000012"} {
 		until(t, id, func() bool { return stage(cs[0], id) == "done" })
 	}
-	for _, w := range workers {
-		w.mu.Lock()
-		for task, n := range w.starts {
-			if n > 3 {
-				t.Errorf("%s started %d times on %s", task, n, w.name)
-			}
+	starts := map[string]int{}
+	for _, r := range cl.Depot.Runs() {
+		if starts[r.Task]++; starts[r.Task] > 3 {
+			t.Errorf("%s started %d times", r.Task, starts[r.Task])
 		}
-		w.mu.Unlock()
 	}
-
 	// Tasks that must share a zone run too.
 	together := submission("job-000030", 6)
 	together["Together"] = true
@@ -166,42 +129,21 @@
 	svc := submission("job-000020", 2)
 	svc["Shape"] = "daemon"
 	accept(t, cs[0], svc)
-	until(t, "the service starts", func() bool { return starts(workers, "job-000020/1") > 0 })
+	until(t, "the service starts", func() bool { return cl.Depot.Running("job-000020") == 2 })
 	until(t, "cancel", func() bool {
 		st, v := call(cs[1], http.MethodPost, "/v1/jobs/job-000020/withdraw", nil)
 		return st == http.StatusOK && v["Stage"] == "aborted"
 	})
-	until(t, "its tasks go", func() bool {
-		for _, w := range workers {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			for k, c := range w.cells {
-				if len(k) > 10 && k[:10] == "job-000020" && c.stage == "running" {
-					return false
-				}
-			}
-		}
-		return true
-	})
+	until(t, "its tasks go", func() bool { return cl.Depot.Running("job-000020") == 0 })
 	for _, c := range cs {
 		if s := stage(c, "job-000020"); s != "aborted" {
-			t.Errorf("%s says %v of a cancelled job", c.cfg.HostName, s)
+			t.Errorf("%s says %v of a cancelled job", c.Cfg.HostName, s)
 		}
 	}
 }
 
-func starts(workers []*agent, task string) int {
-	n := 0
-	for _, w := range workers {
-		w.mu.Lock()
-		n += w.starts[task]
-		w.mu.Unlock()
-	}
-	return n
-}
-
 func TestAnswersToUsers(t *testing.T) {
-	cs := cluster(t, []*agent{newAgent(t, 1, time.Second)})
+	cs := cluster(t, 1).Controllers
 	accept(t, cs[0], submission("job-000001", 1))
 	with := func(k string, v any) object {
 		s := submission("job-000099", 1)
@@ -241,12 +183,12 @@
 // A controller that the state service alone refuses passes users' requests on:
 // for the seconds until the load balancer has noticed they would all fail.
 func TestRefusedControllerPassesRequestsOn(t *testing.T) {
-	cs := cluster(t, []*agent{newAgent(t, 1, time.Second)})
+	cs := cluster(t, 1).Controllers
 	for _, c := range cs {
 		accept(t, c, submission("job-000001", 1))
 	}
 	for i, c := range cs { // the leader is one of them
-		c.state.refuses.Store(true)
+		c.Front.Refuse(true)
 		id := fmt.Sprintf("job-%06d", 10+i)
 		until(t, "submission", func() bool {
 			st, _ := call(c, http.MethodPost, "/v1/jobs", submission(id, 1))
@@ -255,7 +197,7 @@
 		if st, _ := call(cs[(i+1)%3], http.MethodGet, "/v1/jobs/"+id, nil); st != http.StatusOK {
 			t.Errorf("the job is known to a sibling as %d", st)
 		}
-		c.state.refuses.Store(false)
+		c.Front.Refuse(false)
 		time.Sleep(2 * time.Second)
 	}
 }
@@ -268,13 +210,19 @@
 		t.Fatal(err)
 	}
 	defer silent.Close()
-	c := &controller{cfg: &config.Platform{HostName: "hive-0", Bind: freeAddr(t), PeerListen: freeAddr(t)}}
-	c.cfg.Services.State, c.cfg.Services.Cloud = silent.Addr().String(), silent.Addr().String()
-	c.cfg.Cluster.Workers.ReportS, c.cfg.Cluster.Workers.LeaseS, c.cfg.Cluster.Workers.CancelS = 1, 10, 40
-	c.cfg.Cluster.State.RPS, c.cfg.Cluster.State.WriteRPS, c.cfg.Cluster.State.ValueKB, c.cfg.Cluster.State.TxnOps = 1e6, 1e6, 16, 16
-	c.cfg.Cluster.Cloud.RPS = 10
-	c.cfg.Cluster.Resources.MemMB, c.cfg.Cluster.Resources.FDLimit = 300, 500
-	c.start(t)
+	o := options()
+	o.Controllers, o.Limits.RPS, o.Limits.WriteRPS = 1, 1e6, 1e6
+	cl, err := dev.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cl.Close()
+	c := cl.Controllers[0]
+	c.Stop()
+	c.Cfg.Services.State = silent.Addr().String()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
 	until(t, "the port is open", func() bool { st, _ := call(c, http.MethodGet, "/metrics", nil); return st == http.StatusOK })
 	answers := make(chan int, 150)
 	for range 150 {
--- /dev/null
+++ b/internal/standin/depot.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Job is what a worker must know of a job: the user's description.
+type Job struct {
+	NameId, Comb, Colony, Shape, Rank, Wax string
+	Cells                                  int
+	Cpus, Accelerators, MemGb, ImageGb     float64
+	ForageS, CapIntervalS, CapS            float64
+}
+
+// Run is one attempt of a task on a machine, for checkers and reports.
+type Run struct {
+	Task, Machine string
+	Attempt       uint64
+	Began, Ended  time.Time // Ended is zero while it runs
+	Cause         string
+}
+
+// Depot is what lives outside the machines: descriptions of jobs, results and
+// saved progress, and what is where, which proves or disproves that a task never
+// runs twice at a time.
+type Depot struct {
+	// Look finds the description of a job that nobody has uploaded, nil if there
+	// is none.
+	Look func(name string) []byte
+	// Factor is how much longer than estimated a task runs; nil: 1.
+	Factor func(task string) float64
+	// Fails tells whether an attempt of a task ends with an error; nil: never.
+	Fails func(task, machine string) bool
+
+	mu     sync.Mutex
+	jobs   map[string]*Job
+	done   map[string]bool
+	saved  map[string]time.Duration
+	on     map[string]string // task -> machine
+	runs   []*Run
+	broken []string
+}
+
+// NewDepot returns an empty depot.
+func NewDepot() *Depot {
+	return &Depot{jobs: map[string]*Job{}, done: map[string]bool{}, saved: map[string]time.Duration{}, on: map[string]string{}}
+}
+
+// job returns a job's description, nil if it has not been submitted.
+func (d *Depot) job(name string) *Job {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j := d.jobs[name]; j != nil || d.Look == nil {
+		return j
+	}
+	raw := d.Look(name)
+	if raw == nil {
+		return nil
+	}
+	var j Job
+	if json.Unmarshal(raw, &j) != nil {
+		return nil
+	}
+	d.jobs[name] = &j
+	return &j
+}
+
+func (d *Depot) factor(task string) float64 {
+	if d.Factor == nil {
+		return 1
+	}
+	return d.Factor(task)
+}
+
+func (d *Depot) fails(task, machine string) bool { return d.Fails != nil && d.Fails(task, machine) }
+
+// begin notes that a task is on a machine, and returns what it had saved.
+func (d *Depot) begin(task, machine string, attempt uint64) (r *Run, saved time.Duration, done bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if other, ok := d.on[task]; ok && other != machine {
+		d.broken = append(d.broken, fmt.Sprintf("%s starts on %s while it is on %s", task, machine, other))
+	}
+	d.on[task] = machine
+	r = &Run{Task: task, Machine: machine, Attempt: attempt, Began: time.Now()}
+	d.runs = append(d.runs, r)
+	return r, d.saved[task], d.done[task]
+}
+
+// end notes that a task has left its machine.
+func (d *Depot) end(r *Run, cause string, progress time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.Ended, r.Cause = time.Now(), cause
+	if d.on[r.Task] == r.Machine {
+		delete(d.on, r.Task)
+	}
+	if cause == "done" {
+		d.done[r.Task] = true
+	}
+	d.saved[r.Task] = max(d.saved[r.Task], progress)
+}
+
+// Broken tells of tasks that ran on two machines at a time.
+func (d *Depot) Broken() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.broken...)
+}
+
+// Runs returns all attempts so far, the earliest first.
+func (d *Depot) Runs() []Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]Run, len(d.runs))
+	for i, r := range d.runs {
+		out[i] = *r
+	}
+	return out
+}
+
+// Running counts the tasks of a job that are on machines now.
+func (d *Depot) Running(job string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for t := range d.on {
+		if strings.HasPrefix(t, job+"/") {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -1,8 +1,6 @@
 // Package standin plays the outside world of the controllers on loopback, by its
 // published protocol: the state service, the cloud and the workers. Tests and
-// `honeylock dev` use it; nothing of it runs in a deployed controller. A pace
-// above 1 makes the world's own times shorter (runs, boots, fetches, lags); the
-// controllers' leases and reports keep theirs.
+// `honeylock dev` use it; nothing of it runs in a deployed controller.
 package standin
 
 import (
@@ -20,20 +18,6 @@
 	_ = json.NewEncoder(w).Encode(v) // a reader that is gone is no concern of a stand-in's
 }
 
-// Pace is how many times faster than life the world's own times are.
-type Pace float64
-
-// Of is how long something that takes d in life takes here.
-func (p Pace) Of(d time.Duration) time.Duration {
-	if p <= 0 {
-		return d
-	}
-	return time.Duration(float64(d) / float64(p))
-}
-
-// Seconds is Of for a number of seconds.
-func (p Pace) Seconds(s float64) time.Duration { return p.Of(time.Duration(s * float64(time.Second))) }
-
 // door serves a handler on a loopback port of its own.
 type door struct {
 	addr string
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,430 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kind is an entry of the cloud's catalog.
+type Kind struct {
+	Label                       string
+	Cpus, Accelerators, MemGb   float64
+	LocalGb, PullGbPerS         float64
+	Hourly, MarketPrice, ReadyS float64
+	Yards                       []string
+	Room                        int `json:"-"` // machines of each zone and kind to be had; 0: none
+}
+
+// Timing of workers, from the platform's settings.
+type Timing struct {
+	Report, Lease time.Duration
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Host is a controller as workers know it.
+type Host struct{ Name, Addr string }
+
+type cell struct {
+	task         string
+	attempt      uint64
+	job          *Job
+	stage, cause string
+	saved        bool
+	run          *Run
+	base         time.Duration // progress at its beginning
+	began        time.Time     // running since
+	need         time.Duration // run time still needed then
+	saveEnd      time.Time
+	fails        bool
+}
+
+// progress is the work done so far, in the world's own time.
+func (c *cell) progress(now time.Time) time.Duration {
+	if c.began.IsZero() {
+		return c.base
+	}
+	return c.base + min(now.Sub(c.began), c.need)
+}
+
+// Worker is a stand-in of one machine with its worker.
+type Worker struct {
+	Name, Yard string
+	Spot       bool
+	kind       Kind
+	timing     Timing
+	depot      *Depot
+	hosts      []Host
+	door       *door
+	stop       context.CancelFunc
+
+	mu      sync.Mutex
+	dead    bool
+	hung    time.Time // does not run until then
+	session uint64
+	seq     uint64
+	token   uint64
+	cells   map[string]*cell
+	images  map[string]bool
+	fetches map[string]time.Time // when they are complete
+	target  int
+	renewed time.Time // when the last answered report was sent
+	notice  time.Time // the cloud takes the machine then
+	changed bool
+}
+
+// StartWorker brings a machine up.
+func StartWorker(name, yard string, spot bool, k Kind, t Timing, d *Depot, hosts []Host, first int) (*Worker, error) {
+	w := &Worker{Name: name, Yard: yard, Spot: spot, kind: k, timing: t, depot: d, hosts: hosts, target: first, session: 1,
+		cells: map[string]*cell{}, images: map[string]bool{}, fetches: map[string]time.Time{}, renewed: time.Now()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /commands", w.commands)
+	mux.HandleFunc("GET /inspect", func(rw http.ResponseWriter, _ *http.Request) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		answer(rw, http.StatusOK, w.report(time.Now()))
+	})
+	var err error
+	if w.door, err = open(mux); err != nil {
+		return nil, fmt.Errorf("stand-in worker %s: %w", name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	go w.live(ctx)
+	go w.talk(ctx)
+	return w, nil
+}
+
+// Addr is where the worker takes commands.
+func (w *Worker) Addr() string { return w.door.addr }
+
+// Kill ends the machine with all that is on it.
+func (w *Worker) Kill() {
+	w.stop()
+	w.door.close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.dead {
+		w.dead = true
+		w.forget(time.Now())
+	}
+}
+
+// Hang lets the machine stand still for a while; its tasks make no progress.
+func (w *Worker) Hang(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hung = time.Now().Add(d)
+}
+
+// Notice tells the worker that the cloud takes the machine then.
+func (w *Worker) Notice(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notice, w.changed = time.Now().Add(d), true
+}
+
+// forget kills all tasks.
+func (w *Worker) forget(now time.Time) {
+	for k, c := range w.cells {
+		w.leave(c, now, "killed")
+		delete(w.cells, k)
+	}
+}
+
+// leave ends a task's stay; what it last saved by itself is kept.
+func (w *Worker) leave(c *cell, now time.Time, cause string) {
+	if c.run == nil || !c.run.Ended.IsZero() {
+		return
+	}
+	kept := c.base
+	if every := seconds(c.job.CapIntervalS); every > 0 {
+		p := c.progress(now)
+		kept = max(kept, p-p%every)
+		if c.saved {
+			kept = p
+		}
+	}
+	w.depot.end(c.run, cause, kept)
+}
+
+// live moves the machine's tasks on.
+func (w *Worker) live(ctx context.Context) {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		w.mu.Lock()
+		if now := time.Now(); now.After(w.hung) && !w.dead {
+			w.step(now)
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (w *Worker) step(now time.Time) {
+	if now.Sub(w.renewed) > w.timing.Lease {
+		w.forget(now)
+		w.session++
+		w.renewed, w.changed = now, true
+	}
+	for img, end := range w.fetches {
+		if now.After(end) {
+			w.images[img] = true
+			delete(w.fetches, img)
+		}
+	}
+	for _, c := range w.cells {
+		switch c.stage {
+		case "fetching":
+			w.fetch(now, c)
+		case "running":
+			if c.job.Shape != "daemon" && now.Sub(c.began) >= c.need {
+				cause := "done"
+				if c.fails {
+					cause = "error"
+				}
+				w.exit(now, c, cause)
+			}
+		case "saving":
+			if now.After(c.saveEnd) {
+				c.saved = true
+				w.exit(now, c, "stopped")
+			}
+		}
+	}
+}
+
+func (w *Worker) fetch(now time.Time, c *cell) {
+	if !w.images[c.job.Wax] {
+		if _, ok := w.fetches[c.job.Wax]; !ok {
+			w.fetches[c.job.Wax] = now.Add(seconds(c.job.ImageGb / w.kind.PullGbPerS))
+		}
+		return
+	}
+	r, base, done := w.depot.begin(c.task, w.Name, c.attempt)
+	c.run, c.base, c.began, c.stage = r, base, now, "running"
+	c.need = seconds(c.job.ForageS*w.depot.factor(c.task)) - base
+	if c.fails = w.depot.fails(c.task, w.Name); c.fails {
+		c.need /= 4
+	}
+	w.changed = true
+	if done {
+		w.exit(now, c, "done")
+	}
+}
+
+func (w *Worker) exit(now time.Time, c *cell, cause string) {
+	w.leave(c, now, cause)
+	c.stage, c.cause = "exited", cause
+	w.changed = true
+}
+
+type command struct {
+	Dance, Cell string
+	Brood       uint64
+	SettleS     float64
+}
+
+func (w *Worker) execute(now time.Time, cmds []command) {
+	for _, d := range cmds {
+		key := fmt.Sprintf("%s#%d", d.Cell, d.Brood)
+		c := w.cells[key]
+		switch {
+		case d.Dance == "launch" && c == nil:
+			w.cells[key] = w.launch(d)
+			w.changed = true
+		case d.Dance == "kill" && c != nil && c.stage != "exited":
+			w.kill(now, c, d.SettleS)
+		case d.Dance == "clear" && c != nil && c.stage == "exited":
+			delete(w.cells, key)
+			w.changed = true
+		}
+	}
+	w.step(now)
+}
+
+func (w *Worker) launch(d command) *cell {
+	name, _, _ := strings.Cut(d.Cell, "/")
+	c := &cell{task: d.Cell, attempt: d.Brood, stage: "exited"}
+	c.job = w.depot.job(name)
+	if c.job == nil {
+		c.cause = "unknown"
+		return c
+	}
+	cpus, gpus, mem := c.job.Cpus, c.job.Accelerators, c.job.MemGb
+	for _, o := range w.cells {
+		if o.stage == "exited" {
+			continue
+		}
+		if o.task == c.task {
+			c.cause = "busy"
+			return c
+		}
+		cpus, gpus, mem = cpus+o.job.Cpus, gpus+o.job.Accelerators, mem+o.job.MemGb
+	}
+	const slack = 1e-6
+	if cpus > w.kind.Cpus+slack || gpus > w.kind.Accelerators+slack || mem > w.kind.MemGb+slack {
+		c.cause = "no_room"
+		return c
+	}
+	c.stage = "fetching"
+	return c
+}
+
+func (w *Worker) kill(now time.Time, c *cell, settle float64) {
+	saves := c.job.CapIntervalS > 0 && c.stage == "running" && settle >= c.job.CapS
+	if !saves {
+		if c.stage == "saving" && settle > 0 {
+			return
+		}
+		w.exit(now, c, "stopped")
+		return
+	}
+	c.stage, c.saveEnd = "saving", now.Add(seconds(c.job.CapS))
+	w.changed = true
+}
+
+func (w *Worker) report(now time.Time) object {
+	w.seq++
+	cells := []object{}
+	for _, c := range w.cells {
+		cells = append(cells, object{"Cell": c.task, "Brood": c.attempt, "Stage": c.stage, "Cause": c.cause, "Saved": c.saved})
+	}
+	r := object{"Hive": w.Name, "Addr": w.door.addr, "Breed": w.kind.Label, "Yard": w.Yard, "SwarmBoxes": w.Spot,
+		"Flight": w.session, "Buzz": w.seq, "QueenMark": w.token, "SmokeS": nil, "Cells": cells}
+	if !w.notice.IsZero() {
+		r["SmokeS"] = max(0, w.notice.Sub(now).Seconds())
+	}
+	return r
+}
+
+// commands takes what comes straight from a controller.
+func (w *Worker) commands(rw http.ResponseWriter, r *http.Request) {
+	var b struct {
+		QueenMark, Flight *uint64
+		Dances            []command
+	}
+	if json.NewDecoder(r.Body).Decode(&b) != nil || b.QueenMark == nil || b.Flight == nil {
+		answer(rw, http.StatusBadRequest, object{})
+		return
+	}
+	w.awake(r.Context())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if *b.QueenMark < w.token || *b.Flight != w.session || w.dead {
+		answer(rw, http.StatusConflict, w.report(now))
+		return
+	}
+	w.see(*b.QueenMark)
+	w.execute(now, b.Dances)
+	answer(rw, http.StatusOK, w.report(now))
+}
+
+func (w *Worker) see(token uint64) {
+	if token > w.token {
+		w.token, w.changed = token, true
+	}
+}
+
+// awake waits while the machine hangs.
+func (w *Worker) awake(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		d := time.Until(w.hung)
+		w.mu.Unlock()
+		if d <= 0 {
+			return
+		}
+		time.Sleep(min(d, 20*time.Millisecond))
+	}
+}
+
+// talk reports to one controller at a time.
+func (w *Worker) talk(ctx context.Context) {
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		w.awake(ctx)
+		sent := time.Now()
+		w.mu.Lock()
+		w.changed = false
+		session := w.session
+		body, err := json.Marshal(w.report(sent))
+		host := w.hosts[w.target%len(w.hosts)]
+		w.mu.Unlock()
+		if err != nil {
+			return // a report of plain values always encodes
+		}
+		pause := w.exchange(ctx, client, host, session, sent, body)
+		w.wait(ctx, pause)
+	}
+}
+
+// exchange sends a report and takes its answer; it returns when to report next.
+func (w *Worker) exchange(ctx context.Context, c *http.Client, h Host, session uint64, sent time.Time, body []byte) time.Duration {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Addr+"/agent/beat", bytes.NewReader(body))
+	if err != nil {
+		return time.Second
+	}
+	var ans struct {
+		QueenMark uint64
+		Dances    []command
+		Keeper    string
+	}
+	status := 0
+	if res, err := c.Do(req); err == nil {
+		b, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		if json.Unmarshal(b, &ans) == nil {
+			status = res.StatusCode
+		}
+	}
+	w.awake(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.dead:
+	case status == http.StatusOK:
+		if ans.QueenMark >= w.token && session == w.session {
+			w.renewed = sent
+			w.see(ans.QueenMark)
+			w.execute(time.Now(), ans.Dances)
+		}
+		return w.timing.Report
+	case status == http.StatusMisdirectedRequest && ans.Keeper != "" && ans.Keeper != h.Name:
+		if i := slices.IndexFunc(w.hosts, func(o Host) bool { return o.Name == ans.Keeper }); i >= 0 {
+			w.target = i
+			return 50 * time.Millisecond
+		}
+	}
+	w.target++
+	return time.Second
+}
+
+// wait lets a pause go by, or less if something changes meanwhile.
+func (w *Worker) wait(ctx context.Context, pause time.Duration) {
+	began := time.Now()
+	for ctx.Err() == nil && time.Since(began) < pause {
+		time.Sleep(20 * time.Millisecond)
+		w.mu.Lock()
+		early := w.changed && time.Since(began) >= min(pause, 500*time.Millisecond)
+		w.mu.Unlock()
+		if early {
+			return
+		}
+	}
+}
