--- /dev/null
+++ b/cmd/honeylock/dev.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"honeylock/internal/dev"
+)
+
+type devFlags struct {
+	controllers, workers int
+	length               time.Duration
+	speed                float64
+	workload             string
+	seed                 uint64
+}
+
+func devCommand() *cobra.Command {
+	var f devFlags
+	c := &cobra.Command{Use: "dev", Short: "Run a whole cluster on loopback, with stand-ins and a small workload", Args: cobra.NoArgs,
+		Long: `Runs controllers against stand-ins of the state service, the cloud and the
+workers, all in this process and on loopback, and lets a small workload arrive.
+No file is needed. At the end it prints one line of jobs, and the exit code is 1
+if a job was lost or a task ran twice at a time.`,
+		RunE: func(c *cobra.Command, _ []string) error { return f.run(c) }}
+	c.Flags().IntVar(&f.controllers, "controllers", 3, "controllers, 1 to 9")
+	c.Flags().IntVar(&f.workers, "workers", 6, "machines that are up at the start, 1 to 200; as many again can be rented")
+	c.Flags().DurationVar(&f.length, "for", 30*time.Second, "jobs arrive for so long; 0: until interrupted")
+	c.Flags().Float64Var(&f.speed, "speed", 10, "runs, boots and fetches take so many times less than in life, 0.1 to 100")
+	c.Flags().StringVar(&f.workload, "workload", "", "a workload in protobuf text format, or none")
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "of all that is random")
+	return c
+}
+
+func (f *devFlags) check() error {
+	var errs []error
+	if f.controllers < 1 || f.controllers > 9 {
+		errs = append(errs, fmt.Errorf("--controllers = %d: must be from 1 to 9", f.controllers))
+	}
+	if f.workers < 1 || f.workers > 200 {
+		errs = append(errs, fmt.Errorf("--workers = %d: must be from 1 to 200", f.workers))
+	}
+	if !(f.speed >= 0.1 && f.speed <= 100) {
+		errs = append(errs, fmt.Errorf("--speed = %v: must be from 0.1 to 100", f.speed))
+	}
+	if f.length < 0 {
+		errs = append(errs, fmt.Errorf("--for = %v: must not be negative", f.length))
+	}
+	return errors.Join(errs...)
+}
+
+func (f *devFlags) classes() ([]dev.Class, error) {
+	switch f.workload {
+	case "":
+		return dev.DefaultWorkload(), nil
+	case "none":
+		return nil, nil
+	}
+	b, err := os.ReadFile(f.workload)
+	if err != nil {
+		return nil, fmt.Errorf("--workload: %w", err)
+	}
+	cs, err := dev.ParseWorkload(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", f.workload, err)
+	}
+	return cs, nil
+}
+
+func (f *devFlags) run(c *cobra.Command) error {
+	classes, err := f.classes()
+	if err = errors.Join(f.check(), err); err != nil {
+		return err
+	}
+	o := dev.Trial(f.controllers, f.workers, f.speed, f.seed)
+	o.Log = slog.New(slog.DiscardHandler)
+	if level := os.Getenv("LOG_LEVEL"); level != "" {
+		o.Log = logger(os.Stderr, level)
+	}
+	cl, err := dev.Start(o)
+	if err != nil {
+		return failed(err)
+	}
+	defer cl.Close()
+	out := c.OutOrStdout()
+	fmt.Fprintf(out, "users        %s\n", strings.Join(cl.Addrs(), ","))
+	users := dev.NewUsers(cl.Addrs(), classes, f.speed, f.seed)
+	arrive, all, stop := f.bounds(c.Context(), len(classes) > 0)
+	defer stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		users.Run(arrive, all)
+		if len(classes) == 0 {
+			<-arrive.Done()
+		}
+	}()
+	f.follow(c, users, ended)
+	n := users.Counts()
+	broken := cl.Depot.Broken()
+	for _, s := range append(n.Losses, broken...) {
+		fmt.Fprintln(c.ErrOrStderr(), s)
+	}
+	fmt.Fprintf(out, "jobs: %d accepted, %d done, %d cancelled, %d open, %d refused, %d lost; tasks run twice: %d\n",
+		n.Accepted, n.Done, n.Cancelled, n.Open, n.Refused, n.Lost, len(broken))
+	if n.Lost > 0 || len(broken) > 0 {
+		return failed(errors.New("jobs were lost, or tasks ran twice"))
+	}
+	return nil
+}
+
+// bounds are until when jobs arrive, and until when they are waited for: a
+// minute longer, unless interrupted.
+func (f *devFlags) bounds(ctx context.Context, busy bool) (arrive, all context.Context, stop func()) {
+	if f.length == 0 {
+		return ctx, ctx, func() {}
+	}
+	rest := time.Minute
+	if !busy {
+		rest = 0
+	}
+	arrive, stop1 := context.WithTimeout(ctx, f.length)
+	all, stop2 := context.WithTimeout(ctx, f.length+rest)
+	return arrive, all, func() { stop1(); stop2() }
+}
+
+// follow tells how it goes, on a terminal in one line.
+func (f *devFlags) follow(c *cobra.Command, u *dev.Users, ended <-chan struct{}) {
+	began := time.Now()
+	terminal := false
+	if st, err := os.Stderr.Stat(); err == nil {
+		terminal = st.Mode()&os.ModeCharDevice != 0
+	}
+	every := 5 * time.Second
+	if terminal {
+		every = 500 * time.Millisecond
+	}
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ended:
+			if terminal {
+				fmt.Fprintln(c.ErrOrStderr())
+			}
+			return
+		case <-t.C:
+			n := u.Counts()
+			line := fmt.Sprintf("%4.0f s  %d accepted, %d done, %d cancelled, %d open", time.Since(began).Seconds(), n.Accepted, n.Done, n.Cancelled, n.Open)
+			if terminal {
+				fmt.Fprintf(c.ErrOrStderr(), "\r%-70s", line)
+			} else {
+				fmt.Fprintln(c.ErrOrStderr(), line)
+			}
+		}
+	}
+}
