--- a/cmd/honeylock/dev.go
+++ b/cmd/honeylock/dev.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -11,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"honeylock/internal/config"
 	"honeylock/internal/dev"
 )
 
@@ -84,6 +87,10 @@
 	if level := os.Getenv("LOG_LEVEL"); level != "" {
 		o.Log = logger(os.Stderr, level)
 	}
+	token, err := f.operators(&o)
+	if err != nil {
+		return failed(err)
+	}
 	cl, err := dev.Start(o)
 	if err != nil {
 		return failed(err)
@@ -91,6 +98,7 @@
 	defer cl.Close()
 	out := c.OutOrStdout()
 	fmt.Fprintf(out, "users        %s\n", strings.Join(cl.Addrs(), ","))
+	fmt.Fprintf(out, "operators    %s\ntoken        %s\n", strings.Join(cl.OpsAddrs(), ","), token)
 	users := dev.NewUsers(cl.Addrs(), classes, f.speed, f.seed)
 	arrive, all, stop := f.bounds(c.Context(), len(classes) > 0)
 	defer stop()
@@ -116,6 +124,17 @@
 	return nil
 }
 
+// operators gives every controller a door for operators, behind one token.
+func (f *devFlags) operators(o *dev.Options) (token string, err error) {
+	b := make([]byte, 16)
+	if _, err := rand.Read(b); err != nil {
+		return "", err
+	}
+	token = hex.EncodeToString(b)
+	o.Settings = func(string) (*config.Settings, error) { return dev.Operated(token) }
+	return token, nil
+}
+
 // bounds are until when jobs arrive, and until when they are waited for: a
 // minute longer, unless interrupted.
 func (f *devFlags) bounds(ctx context.Context, busy bool) (arrive, all context.Context, stop func()) {
--- /dev/null
+++ b/cmd/honeylock/drain.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"honeylock/internal/client"
+	"honeylock/internal/core/ledger"
+	"honeylock/internal/node"
+	"honeylock/internal/planfile"
+)
+
+// door is how an operator's command reaches the controllers.
+type door struct {
+	addrs         []string
+	tokenFile, ca string
+	asJSON        bool
+}
+
+func (d *door) flags(c *cobra.Command) {
+	addrFlag(c, &d.addrs, "HONEYLOCK_OPS_ADDR", "operators' doors of controllers")
+	c.PersistentFlags().StringVar(&d.tokenFile, "token-file", "", "a file that holds your token (default: $HONEYLOCK_TOKEN)")
+	c.PersistentFlags().StringVar(&d.ca, "ca", "", "the authority (PEM) of the controllers' certificates: calls go over TLS")
+	c.PersistentFlags().BoolVar(&d.asJSON, "json", false, "print JSON")
+}
+
+func (d *door) dial() (*client.Operators, error) {
+	token := os.Getenv("HONEYLOCK_TOKEN")
+	if d.tokenFile != "" {
+		b, err := os.ReadFile(d.tokenFile)
+		if err != nil {
+			return nil, fmt.Errorf("--token-file: %w", err)
+		}
+		token = strings.TrimSpace(string(b))
+	}
+	return client.NewOperators(d.addrs, token, d.ca)
+}
+
+// get asks a question and shows the answer.
+func get[T any](c *cobra.Command, d *door, path string, show func(io.Writer, *T) error) error {
+	o, err := d.dial()
+	if err != nil {
+		return err
+	}
+	var v T
+	if err := o.Get(c.Context(), path, &v); err != nil {
+		return failed(err)
+	}
+	if d.asJSON {
+		return showJSON(c.OutOrStdout(), v)
+	}
+	return show(c.OutOrStdout(), &v)
+}
+
+// change makes a change and shows its outcome.
+func (d *door) change(c *cobra.Command, path string, body []byte) error {
+	o, err := d.dial()
+	if err != nil {
+		return err
+	}
+	var out node.Outcome
+	if err := o.Change(c.Context(), path, body, &out); err != nil {
+		return failed(err)
+	}
+	if d.asJSON {
+		return showJSON(c.OutOrStdout(), out)
+	}
+	_, err = fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", out.Name, out.Outcome)
+	return failed(err)
+}
+
+func drainCommand() *cobra.Command {
+	var d door
+	c := &cobra.Command{Use: "drain", Short: "Empty machines by plan, to patch them or give them back"}
+	d.flags(c)
+	about := func(use, short string) *cobra.Command {
+		return &cobra.Command{Use: use + " NAME", Short: short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			return d.change(c, "drains/"+url.PathEscape(args[0])+"/"+use, nil)
+		}}
+	}
+	c.AddCommand(checkPlanCommand(), applyCommand(&d), drainStatusCommand(&d),
+		&cobra.Command{Use: "list", Short: "List the plans", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			return get(c, &d, "drains", showPlans)
+		}},
+		about("pause", "Stop a plan: no machine is begun, nothing moves"),
+		about("resume", "Let a paused plan go on"),
+		about("cancel", "End a plan: its machines are wanted again"),
+		&cobra.Command{Use: "patched NAME MACHINE", Short: "Say that a machine of a plan is patched: it is wanted again", Args: cobra.ExactArgs(2),
+			RunE: func(c *cobra.Command, args []string) error {
+				return d.change(c, "drains/"+url.PathEscape(args[0])+"/machines/"+url.PathEscape(args[1])+"/patched", nil)
+			}})
+	return c
+}
+
+func checkPlanCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE|-", Short: "Check a plan without a cluster, reporting all mistakes", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			_, err := readPlan(c, args[0])
+			if err == nil {
+				_, err = fmt.Fprintln(c.OutOrStdout(), "the plan is fine")
+			}
+			return err
+		}}
+}
+
+func readPlan(c *cobra.Command, path string) ([]byte, error) {
+	b, err := readFile(c, path)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := planfile.Parse(b); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return b, nil
+}
+
+func applyCommand(d *door) *cobra.Command {
+	return &cobra.Command{Use: "apply FILE|-", Short: "Begin a plan", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+		b, err := readPlan(c, args[0])
+		if err != nil {
+			return err
+		}
+		return d.change(c, "drains", b)
+	}}
+}
+
+func drainStatusCommand(d *door) *cobra.Command {
+	var watch bool
+	c := &cobra.Command{Use: "status NAME", Short: "Show how a plan stands, machine by machine", Args: cobra.ExactArgs(1)}
+	c.Flags().BoolVar(&watch, "watch", false, "show it again until the plan has ended; exit code 1 unless it is done")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		path := "drains/" + url.PathEscape(args[0])
+		if !watch {
+			return get(c, d, path, showPlan)
+		}
+		return d.watch(c, path)
+	}
+	return c
+}
+
+// watch follows a plan to its end.
+func (d *door) watch(c *cobra.Command, path string) error {
+	o, err := d.dial()
+	if err != nil {
+		return err
+	}
+	last := ""
+	for {
+		var s node.PlanStatus
+		if err := o.Get(c.Context(), path, &s); err != nil {
+			return failed(err)
+		}
+		if line := planLine(&s); line != last {
+			last = line
+			fmt.Fprintf(c.OutOrStdout(), "%s  %s\n", time.Now().Format("15:04:05"), line)
+		}
+		switch {
+		case s.Phase == "done":
+			return nil
+		case s.Phase != "active" && s.Phase != "paused":
+			return failed(fmt.Errorf("plan %s is %s", s.Name, s.Phase))
+		}
+		select {
+		case <-c.Context().Done():
+			return failed(c.Context().Err())
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func counts(m map[string]int) string {
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, fmt.Sprintf("%d %s", m[k], k))
+	}
+	return strings.Join(out, ", ")
+}
+
+func planLine(s *node.PlanStatus) string {
+	line := s.Phase + ": " + counts(s.Counts)
+	for _, x := range []string{s.Held, s.Note} {
+		if x != "" {
+			line += "; " + x
+		}
+	}
+	return line
+}
+
+func showPlans(w io.Writer, plans *[]node.PlanStatus) error {
+	var rows [][]string
+	for _, s := range *plans {
+		rows = append(rows, []string{s.Name, s.Phase, s.By, counts(s.Counts), s.Held + s.Note})
+	}
+	return table(w, []string{"PLAN", "PHASE", "BY", "MACHINES", "WAITS FOR"}, rows)
+}
+
+func showPlan(w io.Writer, s *node.PlanStatus) error {
+	if _, err := fmt.Fprintf(w, "%s  %s\n", s.Name, planLine(s)); err != nil {
+		return failed(err)
+	}
+	var rows [][]string
+	for _, t := range s.Steps {
+		rows = append(rows, []string{t.Machine, t.State, time.Duration(t.ForS * float64(time.Second)).Round(time.Second).String(), t.Replacement, t.Held})
+	}
+	return table(w, []string{"MACHINE", "STATE", "FOR", "REPLACEMENT", "WAITS FOR"}, rows)
+}
+
+func auditCommand() *cobra.Command {
+	var d door
+	c := &cobra.Command{Use: "audit", Short: "What operators changed"}
+	d.flags(c)
+	c.AddCommand(&cobra.Command{Use: "list", Short: "List the newest changes, made or refused", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return get(c, &d, "audit", showAudit) }})
+	return c
+}
+
+func showAudit(w io.Writer, es *[]ledger.Entry) error {
+	var rows [][]string
+	for _, e := range *es {
+		rows = append(rows, []string{time.UnixMilli(e.AtMS).Format(time.RFC3339), e.Who, e.What, e.Name, fmt.Sprint(e.Status), e.Outcome})
+	}
+	return table(w, []string{"AT", "WHO", "WHAT", "NAME", "STATUS", "OUTCOME"}, rows)
+}
--- a/cmd/honeylock/serve.go
+++ b/cmd/honeylock/serve.go
@@ -17,6 +17,7 @@
 
 	"honeylock/internal/config"
 	"honeylock/internal/node"
+	"honeylock/internal/ops"
 	"honeylock/internal/server"
 )
 
@@ -37,8 +38,7 @@
 		if err != nil {
 			return err
 		}
-		serve(c.Context(), cfg, set)
-		return nil
+		return failed(serve(c.Context(), cfg, set))
 	}})
 }
 
@@ -87,7 +87,7 @@
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l}))
 }
 
-func serve(ctx context.Context, cfg *config.Platform, set *config.Settings) {
+func serve(ctx context.Context, cfg *config.Platform, set *config.Settings) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(cfg.Cluster.Resources.MemMB * 0.7 * (1 << 20)))
 	log := logger(os.Stderr, os.Getenv("LOG_LEVEL"))
@@ -98,6 +98,14 @@
 	srv := server.New(n, cfg.Cluster.Resources.FDLimit, log, reg)
 	go srv.Serve(ctx, cfg.Bind, log)
 	go n.ServePeers(ctx, cfg.PeerListen)
+	if set.Operator != nil {
+		door, err := ops.New(n, set.Operator, log, reg)
+		if err != nil {
+			return err
+		}
+		go door.Serve(ctx, set.Operator.Listen)
+	}
 	log.Info("starting", "host", cfg.HostName, "zone", cfg.Zone, "version", version)
 	n.Run(ctx)
+	return nil
 }
--- /dev/null
+++ b/internal/client/operators.go
@@ -0,0 +1,113 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// Operators is a client of the operators' door.
+type Operators struct {
+	addrs  []string
+	token  string
+	scheme string
+	next   int
+	http   *http.Client
+}
+
+// NewOperators returns a client; addrs are HOST:PORT. caFile names the authority
+// that signed the controllers' certificates: with it calls go over TLS.
+func NewOperators(addrs []string, token, caFile string) (*Operators, error) {
+	if len(addrs) == 0 {
+		return nil, errors.New("no address of an operators' door is given (--addr or $HONEYLOCK_OPS_ADDR)")
+	}
+	if token == "" {
+		return nil, errors.New("no token is given (--token-file or $HONEYLOCK_TOKEN)")
+	}
+	o := &Operators{addrs: addrs, token: token, scheme: "http", http: &http.Client{Timeout: 10 * time.Second}}
+	if caFile == "" {
+		return o, nil
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, fmt.Errorf("--ca: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("--ca: %s holds no certificate", caFile)
+	}
+	o.scheme = "https"
+	o.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return o, nil
+}
+
+// Get asks a question.
+func (o *Operators) Get(ctx context.Context, path string, out any) error {
+	return o.insist(ctx, http.MethodGet, path, "", nil, out)
+}
+
+// Change makes a change, once, however often it has to be asked for.
+func (o *Operators) Change(ctx context.Context, path string, body []byte, out any) error {
+	id := make([]byte, 12)
+	_, _ = rand.Read(id) // it never fails
+	return o.insist(ctx, http.MethodPost, path, hex.EncodeToString(id), body, out)
+}
+
+// insist repeats a call under one id until it has a final answer.
+func (o *Operators) insist(ctx context.Context, method, path, id string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, giveUp)
+	defer cancel()
+	for {
+		last, err := o.once(ctx, method, path, id, body, out)
+		if last {
+			return err
+		}
+		o.next++
+		if perr := pause(ctx, time.Second); perr != nil {
+			return fmt.Errorf("no answer: %w", errors.Join(err, perr))
+		}
+	}
+}
+
+// once makes a call; last tells that its outcome is final.
+func (o *Operators) once(ctx context.Context, method, path, id string, body []byte, out any) (last bool, err error) {
+	req, err := http.NewRequestWithContext(ctx, method, o.scheme+"://"+o.addrs[o.next%len(o.addrs)]+"/ops/v1/"+path, bytes.NewReader(body))
+	if err != nil {
+		return true, err
+	}
+	req.Header.Set("Authorization", "Bearer "+o.token)
+	if id != "" {
+		req.Header.Set("Request-Id", id)
+	}
+	res, err := o.http.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, 16<<20))
+	switch {
+	case err != nil:
+		return false, err
+	case res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests:
+		return false, fmt.Errorf("status %d: %s", res.StatusCode, told(b))
+	case res.StatusCode != http.StatusOK:
+		return true, &Refused{res.StatusCode, told(b)}
+	}
+	if out == nil {
+		return true, nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return true, fmt.Errorf("unreadable answer: %w", err)
+	}
+	return true, nil
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,6 +19,7 @@
 	DealAhead    int
 	IdleReturn   time.Duration
 	RentHorizon  time.Duration
+	Operator     *Operator // nil: no operators' door
 }
 
 // DefaultSettings are in force where the operator says nothing.
@@ -79,5 +80,10 @@
 		num("fleet.idle_return_s", c.IdleReturnS, 1, 86400, func(v float64) { s.IdleReturn = Seconds(v) })
 		num("fleet.rent_horizon_s", c.RentHorizonS, 1, 86400, func(v float64) { s.RentHorizon = Seconds(v) })
 	}
+	if p.Operator != nil {
+		var err error
+		s.Operator, err = operator(p.Operator)
+		errs = append(errs, err)
+	}
 	return s, errors.Join(errs...)
 }
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -63,12 +63,13 @@
 	spreadAt time.Duration
 	turn     int                     // whose turn it is to get a machine without an owner
 	shunned  map[reach]time.Duration // controllers that a zone's workers did not reach
+	barred   map[model.MachineID]bool
 }
 
 // New returns a dealer for a term that begins now. No shard of an earlier term
 // acts beyond oldEnd.
 func New(p Params, oldEnd time.Duration) *Dealer {
-	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, blocks: map[uint64]*block{}, suspects: map[model.MachineID]bool{},
+	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{}, barred: map[model.MachineID]bool{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, blocks: map[uint64]*block{}, suspects: map[model.MachineID]bool{},
 		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
 
@@ -294,5 +295,67 @@
 	Since      time.Duration
 }
 
+// Bar keeps tasks from a machine, whoever owns it, or lets it have some again.
+func (d *Dealer) Bar(id model.MachineID, on bool) {
+	if on {
+		d.barred[id] = true
+	} else {
+		delete(d.barred, id)
+	}
+	if m := d.machines[id]; m != nil && m.barred != on {
+		m.barred = on
+		d.Use(id, !on)
+	}
+}
+
+// LookAt asks a machine's owner what runs there. It answers with Looked, which
+// bears the number.
+func (d *Dealer) LookAt(id model.MachineID, seq uint64) {
+	if m := d.machines[id]; m != nil {
+		d.order(m.owner, model.Order{Kind: model.LookAt, ID: id, Token: seq})
+	}
+}
+
+// RecallFrom has a task leave a machine, saving what it can. Wherever else it has
+// gone meanwhile it stays.
+func (d *Dealer) RecallFrom(id model.MachineID, t model.Task) {
+	if m := d.machines[id]; m != nil {
+		d.order(m.owner, model.Order{Kind: model.Recall, ID: id, Task: t})
+	}
+}
+
+// Known are all machines that this leader knows, and whether their owners have
+// told how they are.
+func (d *Dealer) Known(f func(st model.MachineStatus, told bool)) {
+	for _, m := range d.byID {
+		st := model.MachineStatus{Machine: m.Machine}
+		told := m.known() && !m.gone
+		if told {
+			st = m.status
+			st.Avail = m.avail
+		}
+		if !m.gone {
+			f(st, told)
+		}
+	}
+}
+
+// Spec is an open job's, nil if there is none.
+func (d *Dealer) Spec(id model.JobID) *model.Spec {
+	if j := d.jobs[id]; j != nil && !j.ended {
+		return j.spec
+	}
+	return nil
+}
+
+// Spare is the CPU that teams have left of their guarantees, in thousandths.
+func (d *Dealer) Spare() int64 {
+	var sum int64
+	for i, t := range d.p.Teams {
+		sum += max(0, t.Guarantee.CPU-d.usage[i].CPU)
+	}
+	return sum
+}
+
 // Limit is a team's limit.
 func (d *Dealer) Limit(team model.Name) model.Resources { return d.p.Teams[team].Limit }
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -27,6 +27,7 @@
 	// so that a later leader need not look for it.
 	lapsed    bool
 	gone      bool
+	barred    bool          // gets no tasks
 	owner     model.ShardID // 0: none
 	next      model.ShardID // gets it once the owner has let go
 	releasing bool          // the owner was asked to let go
@@ -188,6 +189,7 @@
 
 func (d *Dealer) addMachine(m *machine) {
 	d.machines[m.ID] = m
+	m.barred = d.barred[m.ID]
 	i, _ := slices.BinarySearchFunc(d.byID, m, compareMachines)
 	d.byID = slices.Insert(d.byID, i, m)
 }
@@ -282,7 +284,7 @@
 }
 
 // usable: a machine gets tasks only while its record is stored for sure.
-func (m *machine) usable() bool { return m.recorded && !m.lapsed && m.Cap.CPU > 0 }
+func (m *machine) usable() bool { return m.recorded && !m.lapsed && !m.barred && m.Cap.CPU > 0 }
 
 // alive takes the news that a machine's worker reports.
 func (d *Dealer) alive(m *machine) {
--- /dev/null
+++ b/internal/core/drain/engine.go
@@ -0,0 +1,556 @@
+package drain
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Params of an engine.
+type Params struct {
+	Term uint64
+	// Report is how often workers report: what is told of a machine is fresh for
+	// a few of them.
+	Report time.Duration
+	// Probe is when what the cloud refused is asked for again.
+	Probe time.Duration
+	// Most machines of a plan, so that its record fits into a value.
+	Most int
+}
+
+// ActionKind tells actions apart.
+type ActionKind uint8
+
+// Actions. Rent and Give come back through Rented and Given.
+const (
+	Bar    ActionKind = iota // the machine gets no more tasks
+	Unbar                    // it is wanted again
+	Look                     // its owner is asked what runs there, and answers through Seen
+	Recall                   // the task is to leave the machine
+	Rent                     // a machine like this one, under this request's name
+	Give                     // back to the cloud
+)
+
+// Action to carry out.
+type Action struct {
+	Kind    ActionKind
+	Machine model.MachineID
+	Task    model.Task
+	Plan    string // Rent, Give
+	Step    int    // Rent, Give
+	Request string // Rent
+	Seq     uint64 // Look
+}
+
+// Engine is the state machine.
+type Engine struct {
+	p      Params
+	plans  map[string]*Plan
+	uids   uint64
+	price  map[model.MachineID]bool // drained for their price
+	giving map[model.MachineID]bool // of price: being given back
+	barred map[model.MachineID]bool // as last told
+	seen   map[model.MachineID]seen
+	asked  map[model.MachineID]asked // Look
+	looks  uint64
+	moved  map[model.JobID]time.Duration // services: when a replica was last moved
+	out    []Action
+}
+
+// asked is the last question what runs on a machine.
+type asked struct {
+	at  time.Duration
+	seq uint64
+}
+
+// New returns an engine without plans.
+func New(p Params) *Engine {
+	return &Engine{p: p, plans: map[string]*Plan{}, price: map[model.MachineID]bool{}, giving: map[model.MachineID]bool{},
+		barred: map[model.MachineID]bool{}, seen: map[model.MachineID]seen{}, asked: map[model.MachineID]asked{}, moved: map[model.JobID]time.Duration{}}
+}
+
+// Idle tells that there is nothing to do: no plan that is not over, and no
+// machine drained for its price.
+func (e *Engine) Idle() bool {
+	for _, p := range e.plans {
+		if p.foreign == "" && (!p.ended() || !p.synced()) {
+			return false
+		}
+	}
+	return len(e.price) == 0 && len(e.barred) == 0
+}
+
+func (e *Engine) sorted() []*Plan {
+	out := make([]*Plan, 0, len(e.plans))
+	for _, p := range e.plans {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *Plan) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Refusal says why a change can't be made.
+type Refusal struct{ Why string }
+
+func (r *Refusal) Error() string { return r.Why }
+
+func refuse(format string, args ...any) error { return &Refusal{fmt.Sprintf(format, args...)} }
+
+// Check tells whether a plan could be applied now.
+func (e *Engine) Check(s *Spec, name func(model.MachineID) string) error {
+	if p := e.plans[s.Name]; p != nil && p.foreign != "" {
+		return refuse("name: plan %q is there already, %s", s.Name, p.foreign)
+	} else if p != nil && !p.ended() {
+		return refuse("name: plan %q is %s", s.Name, p.Phase)
+	}
+	if len(s.Machines) == 0 {
+		return refuse("machines: none is like that now")
+	}
+	if len(s.Machines) > e.p.Most {
+		return refuse("machines: %d, a plan holds %d at most: split it", len(s.Machines), e.p.Most)
+	}
+	var errs []error
+	for _, p := range e.sorted() {
+		for i := range p.Steps {
+			if id := p.Steps[i].Machine; !p.Steps[i].State.over() && slices.Contains(s.Machines, id) {
+				errs = append(errs, refuse("machines: %s is wanted by plan %q and by %q", name(id), p.Name, s.Name))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Apply begins a plan that Check took.
+func (e *Engine) Apply(now time.Duration, wall time.Time, s *Spec, source []byte, by string) *Plan {
+	e.uids++
+	p := &Plan{Spec: *s, UID: fmt.Sprintf("%d-%d", e.p.Term, e.uids), Source: source, By: by, At: wall, Phase: Active, gen: 1}
+	for _, id := range s.Machines {
+		p.Steps = append(p.Steps, Step{Machine: id})
+		delete(e.price, id) // the plan decides from now on
+	}
+	p.rt = make([]runtime, len(p.Steps))
+	for i := range p.rt {
+		p.rt[i].since = now
+	}
+	if old := e.plans[s.Name]; old != nil {
+		p.version = old.version
+	}
+	e.plans[s.Name] = p
+	return p
+}
+
+// plan finds one that can be changed.
+func (e *Engine) plan(name string) (*Plan, error) {
+	p := e.plans[name]
+	switch {
+	case p == nil:
+		return nil, refuse("no plan is named %q", name)
+	case p.foreign != "":
+		return nil, refuse("plan %q can't be changed here: %s", name, p.foreign)
+	}
+	return p, nil
+}
+
+// Pause stops a plan: no step begins and nothing moves. What is being drained
+// gets no tasks still.
+func (e *Engine) Pause(name string) error { return e.turn(name, Active, Paused) }
+
+// Resume lets a paused plan go on.
+func (e *Engine) Resume(name string) error { return e.turn(name, Paused, Active) }
+
+func (e *Engine) turn(name string, from, to Phase) error {
+	p, err := e.plan(name)
+	if err != nil {
+		return err
+	}
+	if p.Phase == to {
+		return nil
+	}
+	if p.Phase != from {
+		return refuse("plan %q is %s", name, p.Phase)
+	}
+	p.Phase = to
+	p.gen++
+	return nil
+}
+
+// Cancel ends a plan: its machines are wanted again, but for those that are being
+// given back, which can't be undone.
+func (e *Engine) Cancel(now time.Duration, name string) error {
+	p, err := e.plan(name)
+	if err != nil {
+		return err
+	}
+	if p.Phase == Cancelled {
+		return nil
+	}
+	if p.Phase == Done || p.ended() {
+		return refuse("plan %q is %s", name, p.Phase)
+	}
+	e.end(now, p, Cancelled)
+	return nil
+}
+
+// end lets go of all steps that can still be undone.
+func (e *Engine) end(now time.Duration, p *Plan, to Phase) {
+	p.Phase = to
+	p.gen++
+	for i := range p.Steps {
+		s := p.Steps[i].State
+		if s.over() || s == Giving || to == Overdue && s != Waiting && s != Renting {
+			continue
+		}
+		p.set(now, i, Left)
+	}
+}
+
+// Patched takes an operator's word that a machine of a plan is patched: it is
+// wanted again.
+func (e *Engine) Patched(now time.Duration, name string, id model.MachineID, machine string) error {
+	p, err := e.plan(name)
+	if err != nil {
+		return err
+	}
+	for i := range p.Steps {
+		if p.Steps[i].Machine != id {
+			continue
+		}
+		switch p.Steps[i].State {
+		case Finished:
+			return nil
+		case Patching:
+			p.set(now, i, Finished)
+			return nil
+		}
+		return refuse("%s is %s: only a machine that is patching can be patched", machine, p.Steps[i].State)
+	}
+	return refuse("plan %q has no machine %s", name, machine)
+}
+
+// Empty drains machines for their price: they go once they are empty. That is
+// not stored: a new leader judges prices anew.
+func (e *Engine) Empty(ids []model.MachineID) {
+	wanted := e.wanted()
+	for _, id := range ids {
+		if !wanted[id] {
+			e.price[id] = true
+		}
+	}
+}
+
+// Keep wants machines again that were drained for their price.
+func (e *Engine) Keep(ids []model.MachineID) {
+	for _, id := range ids {
+		if !e.giving[id] {
+			delete(e.price, id)
+		}
+	}
+}
+
+// wanted are the machines that plans have.
+func (e *Engine) wanted() map[model.MachineID]bool {
+	out := map[model.MachineID]bool{}
+	for _, p := range e.plans {
+		for i := range p.Steps {
+			if !p.Steps[i].State.over() {
+				out[p.Steps[i].Machine] = true
+			}
+		}
+	}
+	return out
+}
+
+// Plans tells whether a plan drains a machine now, and whether one has it at all.
+func (e *Engine) Plans() func(model.MachineID) (drains, wants bool) {
+	wanted := e.wanted()
+	return func(id model.MachineID) (bool, bool) { return e.barred[id] && wanted[id], wanted[id] }
+}
+
+// Seen takes what a machine's owner told of its tasks, in answer to the Look of
+// that number. Only the answer to the newest counts: one that was asked before
+// the machine was barred proves nothing of after.
+func (e *Engine) Seen(now time.Duration, id model.MachineID, seq uint64, on []model.OnMachine, spec func(model.JobID) *model.Spec) {
+	if a, ok := e.asked[id]; !ok || a.seq != seq {
+		return
+	}
+	s := seen{at: now, none: len(on) == 0}
+	for _, t := range on {
+		if sp := spec(t.Task.Job); sp != nil {
+			s.tasks = append(s.tasks, task{t, sp})
+		}
+	}
+	e.seen[id] = s
+}
+
+// Rented takes the outcome of a rental: the machine, or why there is none.
+func (e *Engine) Rented(now time.Duration, a Action, got []model.MachineID, refused bool) {
+	p := e.plans[a.Plan]
+	if p == nil || a.Step >= len(p.Steps) || p.Steps[a.Step].State != Renting || a.Request != p.request(a.Step) {
+		return
+	}
+	r := &p.rt[a.Step]
+	r.asking, r.asked = false, now
+	switch {
+	case len(got) > 0:
+		r.renewed = got[0]
+	case refused:
+		r.held = "the cloud has no machine to replace it"
+	default:
+		r.held = "the cloud does not answer"
+	}
+}
+
+// Given takes the outcome of a return.
+func (e *Engine) Given(now time.Duration, id model.MachineID, ok bool) {
+	if e.price[id] {
+		delete(e.giving, id)
+		if ok {
+			delete(e.price, id)
+			delete(e.barred, id)
+		}
+		return
+	}
+	for _, p := range e.sorted() {
+		for i := range p.Steps {
+			if p.Steps[i].Machine != id || p.Steps[i].State != Giving {
+				continue
+			}
+			p.rt[i].asking, p.rt[i].asked = false, now
+			if ok {
+				p.set(now, i, Finished)
+			} else {
+				p.rt[i].held = "the cloud does not take it back"
+			}
+		}
+	}
+}
+
+// request is the name under which a step's replacement is asked for: the same for
+// every leader, so that it is rented once.
+func (p *Plan) request(i int) string {
+	return fmt.Sprintf("drain-%s-%d-%d", p.UID, i, p.Steps[i].Try)
+}
+
+func (e *Engine) act(a Action) { e.out = append(e.out, a) }
+
+// Tick moves the plans on and returns what to do.
+func (e *Engine) Tick(v *View) []Action {
+	e.out = nil
+	for _, p := range e.sorted() {
+		if p.foreign == "" && !p.ended() {
+			e.step(v, p)
+		}
+	}
+	e.drainPrice(v)
+	e.bars()
+	return e.out
+}
+
+// Bars tells which machines get no tasks, before the first Tick: a new leader
+// must not place anything there meanwhile.
+func (e *Engine) Bars() []Action {
+	e.out = nil
+	e.bars()
+	return e.out
+}
+
+// bars tells what has changed about which machines get tasks. What lets a machine
+// have tasks again counts at once; what keeps it from them, once it is stored.
+func (e *Engine) bars() {
+	want := map[model.MachineID]bool{}
+	for id := range e.price {
+		want[id] = true
+	}
+	for _, p := range e.plans {
+		for i := range p.Steps {
+			if s := &p.Steps[i]; s.State.barred() && (p.synced() || e.barred[s.Machine]) {
+				want[s.Machine] = true
+			}
+		}
+	}
+	for _, id := range sortedIDs(want) {
+		if !e.barred[id] {
+			e.act(Action{Kind: Bar, Machine: id})
+			e.unlook(id)
+		}
+	}
+	for _, id := range sortedIDs(e.barred) {
+		if !want[id] {
+			e.act(Action{Kind: Unbar, Machine: id})
+			e.unlook(id)
+		}
+	}
+	e.barred = want
+}
+
+func sortedIDs(m map[model.MachineID]bool) []model.MachineID {
+	out := make([]model.MachineID, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// drainPrice gives back what was drained for its price and is empty.
+func (e *Engine) drainPrice(v *View) {
+	for _, id := range sortedIDs(e.price) {
+		m, ok := v.Machines[id]
+		switch {
+		case !ok && v.Settled:
+			delete(e.price, id)
+			delete(e.giving, id)
+		case ok && !e.giving[id] && e.empty(v.Now, &m):
+			e.giving[id] = true
+			e.act(Action{Kind: Give, Machine: id})
+		}
+	}
+}
+
+// step moves one plan on.
+func (e *Engine) step(v *View, p *Plan) {
+	if p.Phase == Active && !p.LatestEnd.IsZero() && v.Wall.After(p.LatestEnd) {
+		e.end(v.Now, p, Overdue)
+	}
+	for i := range p.Steps {
+		if _, ok := v.Machines[p.Steps[i].Machine]; !ok && v.Settled && !p.Steps[i].State.over() {
+			p.set(v.Now, i, Gone)
+		}
+	}
+	if !p.synced() {
+		return // nothing is done before it is stored
+	}
+	e.begin(v, p)
+	for i := range p.Steps {
+		switch p.Steps[i].State {
+		case Renting:
+			e.renting(v, p, i)
+		case Draining:
+			e.draining(v, p, i)
+		case Giving:
+			e.giveBack(v, p, i)
+		}
+	}
+	if p.Phase == Active && !slices.ContainsFunc(p.Steps, func(s Step) bool { return !s.State.over() }) {
+		p.Phase = Done
+		p.gen++
+	}
+}
+
+// begin begins as many steps as may be under way, if nothing speaks against it.
+func (e *Engine) begin(v *View, p *Plan) {
+	if p.Phase != Active {
+		return
+	}
+	busy, zones := 0, map[model.Name]int{}
+	for i := range p.Steps {
+		if s := p.Steps[i].State; !s.over() && s != Waiting {
+			busy++
+			zones[v.Machines[p.Steps[i].Machine].Machine.Zone]++
+		}
+	}
+	barred := e.planned()
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		if s.State != Waiting {
+			continue
+		}
+		m := v.Machines[s.Machine]
+		if busy >= p.AtOnce {
+			p.rt[i].held = ""
+			return
+		}
+		if p.PerZone > 0 && zones[m.Machine.Zone] >= p.PerZone {
+			p.rt[i].held = "enough machines of its zone are being drained"
+			continue
+		}
+		next := Draining
+		if p.RentFirst {
+			next = Renting
+		} else if why := e.hold(v, p, s.Machine, barred); why != "" {
+			p.rt[i].held = why
+			return // in the order of the plan
+		}
+		busy++
+		zones[m.Machine.Zone]++
+		barred[s.Machine] = true
+		p.set(v.Now, i, next)
+	}
+}
+
+// planned are the machines that no task will be given, stored or not.
+func (e *Engine) planned() map[model.MachineID]bool {
+	out := map[model.MachineID]bool{}
+	for id := range e.price {
+		out[id] = true
+	}
+	for _, p := range e.plans {
+		for i := range p.Steps {
+			if p.Steps[i].State.barred() {
+				out[p.Steps[i].Machine] = true
+			}
+		}
+	}
+	return out
+}
+
+// renting waits for a step's replacement.
+func (e *Engine) renting(v *View, p *Plan, i int) {
+	r, s := &p.rt[i], &p.Steps[i]
+	m := v.Machines[s.Machine].Machine
+	if r.renewed != 0 {
+		n, ok := v.Machines[r.renewed]
+		switch {
+		case p.Phase != Active:
+		case ok && n.Told && n.Ready:
+			if why := e.hold(v, p, s.Machine, e.planned()); why != "" {
+				r.held = why
+				return
+			}
+			p.set(v.Now, i, Draining)
+		case v.Now-r.asked > 4*v.Boot(m.Type)+20*time.Second:
+			// It never came up, or is gone: another.
+			s.Try++
+			p.set(v.Now, i, Renting)
+			p.rt[i].renewed = 0
+		default:
+			r.held = "its replacement has not come up yet"
+		}
+		return
+	}
+	if !r.asking && p.Phase == Active && (r.asked == 0 || v.Now-r.asked >= e.p.Probe) {
+		r.asking = true
+		e.act(Action{Kind: Rent, Machine: s.Machine, Plan: p.Name, Step: i, Request: p.request(i)})
+	}
+}
+
+// giveBack returns a machine until the cloud has it. A leader that comes in
+// between can't know what was placed there before it had heard of the plan: it
+// looks once more, and drains the machine again if it must.
+func (e *Engine) giveBack(v *View, p *Plan, i int) {
+	r := &p.rt[i]
+	m := v.Machines[p.Steps[i].Machine]
+	switch {
+	case r.asking:
+	case m.Told && m.Slots > 0:
+		p.set(v.Now, i, Draining)
+	case !e.empty(v.Now, &m):
+		r.held = "its controller has not told that it is empty"
+	case r.asked == 0 || v.Now-r.asked >= time.Second:
+		r.asking = true
+		e.act(Action{Kind: Give, Machine: p.Steps[i].Machine, Plan: p.Name, Step: i})
+	}
+}
+
+// names joins a few names for people.
+func names(all []string) string {
+	if len(all) > 3 {
+		return strings.Join(all[:3], ", ") + fmt.Sprintf(" and %d more", len(all)-3)
+	}
+	return strings.Join(all, ", ")
+}
--- /dev/null
+++ b/internal/core/drain/hold.go
@@ -0,0 +1,251 @@
+package drain
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// What is told of a machine counts for so many reports.
+const freshReports = 5
+
+// look asks the machine's owner now and then what runs there.
+func (e *Engine) look(now time.Duration, id model.MachineID) {
+	if a, ok := e.asked[id]; !ok || now-a.at >= 2*e.p.Report {
+		e.looks++
+		e.asked[id] = asked{now, e.looks}
+		e.act(Action{Kind: Look, Machine: id, Seq: e.looks})
+	}
+}
+
+// unlook forgets what was told of a machine.
+func (e *Engine) unlook(id model.MachineID) {
+	delete(e.seen, id)
+	delete(e.asked, id)
+}
+
+// empty tells that nothing is on a barred machine, and nothing will be: its owner
+// has said so after it heard that the machine gets no tasks.
+func (e *Engine) empty(now time.Duration, m *Machine) bool {
+	id := m.Machine.ID
+	if !m.Told || m.Slots > 0 || !e.barred[id] {
+		return false
+	}
+	e.look(now, id)
+	s, ok := e.seen[id]
+	return ok && s.none && now-s.at <= freshReports*e.p.Report
+}
+
+// tasks are what runs on the machine, if that is known well enough.
+func (e *Engine) tasks(now time.Duration, id model.MachineID) ([]task, bool) {
+	s, ok := e.seen[id]
+	return s.tasks, ok && now-s.at <= freshReports*e.p.Report
+}
+
+// hold tells why a machine can't be drained at present, "" if it can. It is asked
+// anew every time, so a reason goes away by itself.
+func (e *Engine) hold(v *View, p *Plan, id model.MachineID, barred map[model.MachineID]bool) string {
+	m := v.Machines[id]
+	if !m.Told {
+		return "no controller has told how it is"
+	}
+	r := v.rooms(barred)
+	if why := floor(v, p, r, id); why != "" {
+		return why
+	}
+	if why := stranded(v, r, id); why != "" {
+		return why
+	}
+	if len(p.Windows) > 0 {
+		e.look(v.Now, id)
+		tasks, fresh := e.tasks(v.Now, id)
+		if !fresh {
+			return "its controller has not told what runs there"
+		}
+		for i := range tasks {
+			if !p.moves(tasks[i].sp) {
+				continue
+			}
+			if why := late(v, p, &tasks[i]); why != "" {
+				return why
+			}
+		}
+	}
+	return crowded(v, p, r, id)
+}
+
+// floor: what teams have left of their guarantees stays free elsewhere, as far
+// as the plan asks for.
+func floor(v *View, p *Plan, r *rooms, id model.MachineID) string {
+	need := int64(p.Floor * float64(v.Spare))
+	if free := r.without(id); free < need {
+		return fmt.Sprintf("%.1f CPUs would be free elsewhere, the floor of teams' guarantees is %.1f", cpus(free), cpus(need))
+	}
+	return ""
+}
+
+func cpus(n int64) float64 { return float64(n) / 1000 }
+
+// stranded: a job with open tasks must have some machine left that it may use.
+func stranded(v *View, r *rooms, id model.MachineID) string {
+	m := v.Machines[id].Machine
+	var out []string
+	for _, j := range v.Jobs {
+		if j.Open > 0 && j.Spec.Allows(&m) && j.Spec.Each.Fits(m.Cap) && r.holds(j.Spec, id) == 0 {
+			out = append(out, jobName(j.Spec.ID))
+		}
+	}
+	if len(out) > 0 {
+		return "no other machine could run " + names(out)
+	}
+	return ""
+}
+
+func jobName(id model.JobID) string { return fmt.Sprintf("job-%06d", uint64(id)) }
+
+// Of all tasks of a class so many take no longer than is reckoned with.
+const (
+	careful = 0.9
+	likely  = 0.5
+)
+
+// late: a task that is stopped here and goes on elsewhere ends past a window that
+// it would have kept where it is.
+func late(v *View, p *Plan, t *task) string {
+	for i := range p.Windows {
+		w := &p.Windows[i]
+		limit, ok := w.limit(t.sp)
+		if !ok || !w.covers(t.sp) || v.Wall.After(limit) {
+			continue
+		}
+		stays, moved := v.Wall.Add(v.left(t, likely)), v.Wall.Add(v.anew(t, careful))
+		if moved.After(limit) && !stays.After(limit) {
+			return fmt.Sprintf("%s would end at %s if it moved, past %s at %s", jobName(t.sp.ID), clock(moved, w), w.Name, clock(limit, w))
+		}
+	}
+	return ""
+}
+
+func clock(t time.Time, w *Window) string {
+	if w.Location != nil {
+		t = t.In(w.Location)
+	}
+	return t.Format("15:04:05")
+}
+
+// crowded: the tasks of a job that wait would end past a window for want of the
+// machine's room, even had they all that is left to themselves.
+func crowded(v *View, p *Plan, r *rooms, id model.MachineID) string {
+	for _, j := range v.Jobs {
+		waiting := int64(j.Open - j.Running)
+		if waiting <= 0 {
+			continue
+		}
+		for i := range p.Windows {
+			w := &p.Windows[i]
+			limit, ok := w.limit(j.Spec)
+			if !ok || !w.covers(j.Spec) || v.Wall.After(limit) {
+				continue
+			}
+			with := ends(v, j.Spec, waiting, r.holds(j.Spec, 0))
+			without := ends(v, j.Spec, waiting, r.holds(j.Spec, id))
+			if without.After(limit) && !with.After(limit) {
+				return fmt.Sprintf("%s has %d tasks waiting and would end at %s without its room, past %s at %s",
+					jobName(j.Spec.ID), waiting, clock(without, w), w.Name, clock(limit, w))
+			}
+		}
+	}
+	return ""
+}
+
+// ends is when so many tasks end with room for a number at a time.
+func ends(v *View, sp *model.Spec, tasks, atOnce int64) time.Time {
+	each := time.Duration(float64(sp.Estimate) * v.Learned(sp.Class, careful))
+	rounds := (tasks + max(1, atOnce) - 1) / max(1, atOnce)
+	return v.Wall.Add(time.Duration(rounds) * each)
+}
+
+// draining moves what runs on a machine, and goes on once it is empty.
+func (e *Engine) draining(v *View, p *Plan, i int) {
+	s, r := &p.Steps[i], &p.rt[i]
+	m := v.Machines[s.Machine]
+	if !m.Told {
+		r.held = "no controller has told how it is"
+		return
+	}
+	if p.Phase == Paused {
+		r.held = "the plan is paused"
+		return
+	}
+	if e.empty(v.Now, &m) {
+		if p.After == Patch {
+			p.set(v.Now, i, Patching)
+		} else {
+			p.set(v.Now, i, Giving)
+		}
+		return
+	}
+	r.held = ""
+	e.look(v.Now, s.Machine)
+	tasks, fresh := e.tasks(v.Now, s.Machine)
+	if !fresh || !e.barred[s.Machine] {
+		return
+	}
+	e.moveTasks(v, p, i, tasks)
+}
+
+// moveTasks recalls what the plan moves, as far as there is room elsewhere and
+// nothing is pushed past a window.
+func (e *Engine) moveTasks(v *View, p *Plan, i int, tasks []task) {
+	id, room := p.Steps[i].Machine, v.rooms(e.planned())
+	var held []string
+	moving := map[model.JobID]bool{}
+	for k := range tasks {
+		t := &tasks[k]
+		if !p.moves(t.sp) || t.Stopping {
+			moving[t.sp.ID] = moving[t.sp.ID] || t.Stopping
+			continue
+		}
+		why := ""
+		switch {
+		case t.sp.Daemon && (moving[t.sp.ID] || !allRun(v, t.sp) || e.movedLately(v.Now, t.sp.ID)):
+			why = jobName(t.sp.ID) + ": its replicas move one at a time, once all run"
+		default:
+			why = late(v, p, t)
+		}
+		if why == "" && !room.take(t.sp, id) {
+			why = "no room elsewhere for " + jobName(t.sp.ID)
+		}
+		if why != "" {
+			if !slices.Contains(held, why) {
+				held = append(held, why)
+			}
+			continue
+		}
+		moving[t.sp.ID], t.Stopping = true, true // until it is looked at anew
+		if t.sp.Daemon {
+			e.moved[t.sp.ID] = v.Now
+		}
+		e.act(Action{Kind: Recall, Machine: id, Task: t.Task})
+	}
+	p.rt[i].held = names(held)
+}
+
+// movedLately: what is told of how many replicas run may be older than the last
+// move.
+func (e *Engine) movedLately(now time.Duration, id model.JobID) bool {
+	at, ok := e.moved[id]
+	return ok && now-at < 3*time.Second+freshReports*e.p.Report
+}
+
+// allRun tells whether all replicas of a service run.
+func allRun(v *View, sp *model.Spec) bool {
+	for _, j := range v.Jobs {
+		if j.Spec.ID == sp.ID {
+			return j.Running >= int(sp.Tasks)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/drain/plan.go
@@ -0,0 +1,198 @@
+// Package drain empties machines: those of operators' plans, in a chosen order
+// and pace, and those that cost too much. It decides when a machine gets no more
+// tasks, which of its tasks move, and when it is given back or handed over to be
+// patched. It is a state machine of the leader's: a new leader goes on from what
+// was stored, and nothing is done before the step that allows it is stored.
+package drain
+
+import (
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// How running work leaves a machine.
+type How uint8
+
+// Ways for running work.
+const (
+	Finish    How = iota // it ends where it runs
+	MoveSaved            // what can save does, and goes on elsewhere; the rest ends where it runs
+	Move                 // all goes on elsewhere; what can't save begins anew
+)
+
+// After is what becomes of an empty machine.
+type After uint8
+
+// Ends of a step.
+const (
+	Return After = iota // it is given back to the cloud
+	Patch               // it waits until an operator says that it is patched
+)
+
+// Rule says how the running work of a class or rank leaves.
+type Rule struct {
+	Class model.Name // None: any
+	Rank  int        // -1: any
+	How   How
+}
+
+// Window is an hour that the jobs of some classes may not be pushed past.
+type Window struct {
+	Classes  []model.Name // nil: all
+	Deadline bool         // the jobs' own deadlines
+	Clock    time.Duration
+	Location *time.Location // of Clock
+	Name     string         // for people
+}
+
+// covers tells whether the window is about a job.
+func (w *Window) covers(sp *model.Spec) bool {
+	for _, c := range w.Classes {
+		if c == sp.Class {
+			return true
+		}
+	}
+	return len(w.Classes) == 0
+}
+
+// limit is the time that a job may not be pushed past, if there is one.
+func (w *Window) limit(sp *model.Spec) (time.Time, bool) {
+	submitted := time.UnixMilli(sp.SubmittedMS)
+	if w.Deadline {
+		return submitted.Add(sp.Deadline), sp.Deadline > 0
+	}
+	in := submitted.In(w.Location)
+	h, m := int(w.Clock/time.Hour), int(w.Clock/time.Minute)%60
+	at := time.Date(in.Year(), in.Month(), in.Day(), h, m, 0, 0, w.Location)
+	if !at.After(in) {
+		at = time.Date(in.Year(), in.Month(), in.Day()+1, h, m, 0, 0, w.Location)
+	}
+	return at, true
+}
+
+// Spec is a plan as declared, with the machines that it was found to mean.
+type Spec struct {
+	Name      string
+	Machines  []model.MachineID // in the order in which they are drained
+	AtOnce    int
+	PerZone   int     // 0: no bound but AtOnce
+	Floor     float64 // of what teams have left of their guarantees, free elsewhere
+	Rules     []Rule  // the first that fits
+	Default   How
+	LatestEnd time.Time // zero: none; no step begins after it
+	Windows   []Window
+	RentFirst bool
+	After     After
+}
+
+// how a task of the job leaves. A replica never ends by itself, so it moves.
+func (s *Spec) how(sp *model.Spec) How {
+	if sp.Daemon {
+		return Move
+	}
+	for _, r := range s.Rules {
+		if (r.Class == model.None || r.Class == sp.Class) && (r.Rank < 0 || r.Rank == int(sp.Rank)) {
+			return r.How
+		}
+	}
+	return s.Default
+}
+
+// moves tells whether the plan moves a running task of the job.
+func (s *Spec) moves(sp *model.Spec) bool {
+	h := s.how(sp)
+	return h == Move || h == MoveSaved && sp.Checkpoint > 0
+}
+
+// Phase of a plan.
+type Phase string
+
+// Phases.
+const (
+	Active    Phase = "active"
+	Paused    Phase = "paused"
+	Cancelled Phase = "cancelled"
+	Done      Phase = "done"
+	Overdue   Phase = "overdue" // its latest end came first
+)
+
+// State of one machine's step.
+type State uint8
+
+// States of a step. Their numbers are stored.
+const (
+	Waiting  State = iota
+	Renting        // its replacement has been asked for
+	Draining       // it gets no tasks; what runs there ends or moves
+	Giving         // it is empty, and is being given back
+	Patching       // it is empty, and waits to be patched
+	Finished       // given back, or patched and wanted again
+	Gone           // it stopped, was taken, or was given back by somebody else
+	Left           // the plan ended before its turn, or let it go
+)
+
+// String is the state's name for people.
+func (s State) String() string {
+	return [...]string{"waiting", "renting", "draining", "giving-back", "patching", "finished", "gone", "left"}[s]
+}
+
+func (s State) over() bool { return s >= Finished }
+
+// barred tells whether the machine gets no tasks in this state.
+func (s State) barred() bool { return s == Draining || s == Giving || s == Patching }
+
+// Step is one machine of a plan.
+type Step struct {
+	Machine model.MachineID
+	State   State
+	Try     int // of renting its replacement
+}
+
+// Plan is a plan under way.
+type Plan struct {
+	Spec
+	UID    string // never used twice: what is asked of the cloud is named after it
+	Source []byte // as declared, for people and for a later leader
+	By     string
+	At     time.Time
+	Phase  Phase
+	Steps  []Step
+
+	version uint64 // of the stored record, 0: none
+	gen     uint64 // grows with every change
+	stored  uint64 // the newest that is surely stored
+	sending uint64 // being stored, 0: none
+	foreign string // why this release does not touch it
+	rt      []runtime
+}
+
+// runtime is what is known of a step in this term only.
+type runtime struct {
+	since   time.Duration // in its state, as far as this leader knows
+	held    string        // why it does not go on
+	asked   time.Duration // rentals and returns: the last
+	asking  bool
+	renewed model.MachineID // its replacement, once rented
+}
+
+// synced tells whether all of the plan is surely stored: only then it acts.
+func (p *Plan) synced() bool { return p.stored == p.gen }
+
+func (p *Plan) ended() bool {
+	if p.Phase == Active || p.Phase == Paused {
+		return false
+	}
+	for i := range p.Steps {
+		if !p.Steps[i].State.over() {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Plan) set(now time.Duration, i int, s State) {
+	p.Steps[i].State = s
+	p.rt[i] = runtime{since: now, renewed: p.rt[i].renewed}
+	p.gen++
+}
--- /dev/null
+++ b/internal/core/drain/record.go
@@ -0,0 +1,160 @@
+package drain
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// recordVersion of stored plans. A leader leaves alone what it does not know.
+const recordVersion = 1
+
+// record is a stored plan. Machines are numbers, each given by its distance from
+// the one before (zigzag, varint), and the states are a byte each, so that 1,600
+// machines take 8 KiB.
+type record struct {
+	V        int         `json:"v"`
+	Name     string      `json:"name"`
+	UID      string      `json:"uid"`
+	By       string      `json:"by"`
+	AtMS     int64       `json:"at_ms"`
+	Phase    Phase       `json:"phase"`
+	Source   []byte      `json:"source"`
+	Machines []byte      `json:"machines"`
+	States   []byte      `json:"states"`
+	Tries    map[int]int `json:"tries,omitempty"` // of steps that rent
+}
+
+func (p *Plan) encode() ([]byte, error) {
+	r := record{V: recordVersion, Name: p.Name, UID: p.UID, By: p.By, AtMS: p.At.UnixMilli(), Phase: p.Phase, Source: p.Source}
+	last := int64(0)
+	for i, s := range p.Steps {
+		r.Machines = binary.AppendVarint(r.Machines, int64(s.Machine)-last)
+		last = int64(s.Machine)
+		r.States = append(r.States, byte(s.State))
+		if s.Try > 0 {
+			if r.Tries == nil {
+				r.Tries = map[int]int{}
+			}
+			r.Tries[i] = s.Try
+		}
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode plan %s: %w", p.Name, err)
+	}
+	return b, nil
+}
+
+// Stored is a record of the state service.
+type Stored struct {
+	Name    string
+	Value   []byte
+	Version uint64
+}
+
+// Load takes a stored plan. resolve turns its source into its terms. A record
+// that can't be understood, or that a newer release wrote, is kept as it is, and
+// told.
+func (e *Engine) Load(now time.Duration, s Stored, resolve func(source []byte) (*Spec, error)) {
+	p := &Plan{Spec: Spec{Name: s.Name}, version: s.Version}
+	if err := p.decode(now, s.Value, resolve); err != nil {
+		p = &Plan{Spec: Spec{Name: s.Name}, version: s.Version, foreign: err.Error()}
+	}
+	e.plans[s.Name] = p
+}
+
+func (p *Plan) decode(now time.Duration, value []byte, resolve func([]byte) (*Spec, error)) error {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("its record is unreadable: %w", err)
+	}
+	if r.V != recordVersion {
+		return fmt.Errorf("a newer release wrote it (version %d)", r.V)
+	}
+	spec, err := resolve(r.Source)
+	if err != nil {
+		return fmt.Errorf("its source is unreadable: %w", err)
+	}
+	name := p.Name
+	p.Spec = *spec
+	p.Name, p.UID, p.By, p.At, p.Phase, p.Source = name, r.UID, r.By, time.UnixMilli(r.AtMS), r.Phase, r.Source
+	last, left := int64(0), r.Machines
+	for i, st := range r.States {
+		d, n := binary.Varint(left)
+		if n <= 0 || State(st) > Left {
+			return fmt.Errorf("its record is damaged at step %d", i)
+		}
+		left, last = left[n:], last+d
+		p.Machines = append(p.Machines, model.MachineID(last))
+		p.Steps = append(p.Steps, Step{Machine: model.MachineID(last), State: State(st), Try: r.Tries[i]})
+	}
+	p.rt = make([]runtime, len(p.Steps))
+	for i := range p.rt {
+		p.rt[i].since = now
+	}
+	return nil
+}
+
+// Write is a change for the state service. It comes back through Wrote.
+type Write struct {
+	Name    string
+	Version uint64 // of the record that it replaces, 0: none
+	Value   []byte // nil: the record goes
+	uid     string
+	gen     uint64
+}
+
+// keptPlans that have ended; older ones go.
+const keptPlans = 32
+
+// Writes returns at most n records to be stored.
+func (e *Engine) Writes(n int) []Write {
+	var out []Write
+	var ended []*Plan
+	for _, p := range e.sorted() {
+		if p.foreign != "" || p.sending != 0 {
+			continue
+		}
+		if p.ended() && p.synced() {
+			ended = append(ended, p)
+		}
+		if p.synced() || len(out) >= n {
+			continue
+		}
+		b, err := p.encode()
+		if err != nil {
+			continue // a record of plain values always encodes
+		}
+		p.sending = p.gen
+		out = append(out, Write{Name: p.Name, Version: p.version, Value: b, uid: p.UID, gen: p.gen})
+	}
+	if len(ended) > keptPlans && len(out) < n {
+		old := slices.MinFunc(ended, func(a, b *Plan) int { return a.At.Compare(b.At) })
+		old.sending = old.gen
+		out = append(out, Write{Name: old.Name, Version: old.version, uid: old.UID, gen: old.gen})
+	}
+	return out
+}
+
+// Wrote takes a write's outcome. conflict tells that the record is at version at:
+// a write of this leader's without an answer got through after all.
+func (e *Engine) Wrote(w Write, rev uint64, ok, conflict bool, at uint64) {
+	p := e.plans[w.Name]
+	if p == nil || p.UID != w.uid || p.sending != w.gen {
+		return
+	}
+	p.sending = 0
+	switch {
+	case ok && w.Value == nil:
+		delete(e.plans, w.Name)
+	case ok:
+		p.version, p.stored = rev, w.gen
+	case conflict:
+		p.version = at
+	}
+}
--- a/internal/core/fleet/drain.go
+++ b/internal/core/fleet/drain.go
@@ -18,16 +18,10 @@
 	dear    = 3   // times the cheapest kind's price: such machines are drained
 )
 
-// drain tells which machines are to get no more tasks.
-func (f *Fleet) drain(now time.Duration, status []model.MachineStatus, rooms []room) []Action {
-	var ids []model.MachineID
-	for i := range status {
-		// A machine that has changed its owner gets tasks again.
-		if s := &status[i]; s.Ready && f.units[s.Machine.ID].drain {
-			ids = append(ids, s.Machine.ID)
-		}
-	}
-	ids = append(ids, f.toDrain(now, rooms)...)
+// drain tells which machines are to get no more tasks. How they are emptied and
+// given back is core/drain's.
+func (f *Fleet) drain(now time.Duration, rooms []room) []Action {
+	ids := f.toDrain(now, rooms)
 	if len(ids) == 0 {
 		return nil
 	}
@@ -50,7 +44,7 @@
 	var cands []*room
 	low := f.cheapest()
 	for i := range rooms {
-		if r := &rooms[i]; r.status != nil && f.price(&r.m) >= dear*low {
+		if r := &rooms[i]; r.status != nil && !f.units[r.m.ID].wanted && f.price(&r.m) >= dear*low {
 			cands = append(cands, r)
 		}
 	}
@@ -81,7 +75,7 @@
 func (f *Fleet) undrain(status []model.MachineStatus, lacking []lack) ([]Action, []lack) {
 	var cands []*model.MachineStatus
 	for i := range status {
-		if u := f.units[status[i].Machine.ID]; u != nil && u.drain && !u.drop && u.silent == 0 && !status[i].Faulty && !status[i].Draining {
+		if u := f.units[status[i].Machine.ID]; u != nil && u.drain && !u.drop && !u.held && u.silent == 0 && !status[i].Faulty && !status[i].Draining {
 			cands = append(cands, &status[i])
 		}
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -39,6 +39,8 @@
 	silent time.Duration // since when it is silent, 0: it is not
 	drop   bool          // being returned
 	drain  bool          // gets no tasks any more, and goes once it is empty
+	held   bool          // a plan drains it: neither room nor surplus
+	wanted bool          // a plan will drain it
 }
 
 // Action to carry out. The cloud's outcome comes back through Rented or Returned.
@@ -186,6 +188,54 @@
 	}
 }
 
+// Hold takes which machines plans drain, which are neither room nor surplus, and
+// which they will, whose price is no longer asked about.
+func (f *Fleet) Hold(plans func(model.MachineID) (drains, wants bool)) {
+	for id, u := range f.units {
+		u.held, u.wanted = plans(id)
+		u.drain = u.drain && !u.wanted
+	}
+}
+
+// Give begins a return that somebody else has decided on; false tells that one is
+// under way, and to come back.
+func (f *Fleet) Give(ids []model.MachineID) bool {
+	if f.giving {
+		return false
+	}
+	f.giving = true
+	for _, id := range ids {
+		if u := f.units[id]; u != nil {
+			u.drop = true
+		}
+	}
+	return true
+}
+
+// Adopt takes machines that somebody else has rented, as room to come.
+func (f *Fleet) Adopt(now time.Duration, ids []model.MachineID, like model.Machine) {
+	for _, id := range ids {
+		f.unit(now, id, kind{like.Type, like.Zone, like.Spot})
+	}
+}
+
+// Units are the machines known, with since when. listed tells that the cloud's
+// list has been read.
+func (f *Fleet) Units(do func(m model.Machine, since time.Duration)) (listed bool) {
+	for id, u := range f.units {
+		do(model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot}, u.since)
+	}
+	return f.listed
+}
+
+// Boot is how long a machine of a type takes to come up, as the catalog has it.
+func (f *Fleet) Boot(machineType model.Name) time.Duration {
+	if t := f.typeOf(machineType); t != nil {
+		return t.Boot
+	}
+	return time.Minute
+}
+
 const (
 	atOnce  = 3  // rentals under way
 	maxRent = 50 // machines the cloud rents in one call
@@ -235,7 +285,7 @@
 		again, lacking = f.undrain(status, lacking)
 		out = append(out, again...)
 	}
-	out = append(out, f.drain(now, status, rooms)...)
+	out = append(out, f.drain(now, rooms)...)
 	left := lacking
 	for len(f.renting) < atOnce && len(left) > 0 {
 		a, ok := f.rent(now, left)
@@ -269,13 +319,13 @@
 	for i := range status {
 		s := &status[i]
 		up[s.Machine.ID] = true
-		if u := f.units[s.Machine.ID]; !s.Draining && !s.Faulty && u.silent == 0 && !u.drain {
+		if u := f.units[s.Machine.ID]; !s.Draining && !s.Faulty && u.silent == 0 && !u.drain && !u.held {
 			out = append(out, room{m: s.Machine, avail: s.Avail, status: s})
 		}
 	}
 	for id, u := range f.units {
 		t := f.typeOf(u.typ)
-		if up[id] || u.drop || u.failed || t == nil || now-u.since > 2*t.Boot+10*time.Second {
+		if up[id] || u.drop || u.held || u.failed || t == nil || now-u.since > 2*t.Boot+10*time.Second {
 			continue
 		}
 		out = append(out, room{m: model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot, Cap: t.Cap}, avail: t.Cap})
@@ -572,7 +622,7 @@
 	}
 	for i := range status {
 		s := &status[i]
-		if u := f.units[s.Machine.ID]; u != nil && !u.drop && (s.Faulty || u.drain) && s.Slots == 0 {
+		if u := f.units[s.Machine.ID]; u != nil && !u.drop && !u.held && s.Faulty && s.Slots == 0 {
 			out = append(out, s.Machine.ID)
 		}
 	}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -26,7 +26,7 @@
 	Machine Machine   // Own
 	Token   uint64    // Own
 	Usable  bool      // Own, Use: tasks may be placed there
-	ID      MachineID // Disown, Use, Clear, Kill
+	ID      MachineID // Disown, Use, Clear, Kill, LookAt; Recall: only if it is there, 0: anywhere
 	Deal    Deal      // Deal
 	Task    Task      // Recall, Clear, Kill
 	Attempt uint64    // Clear, Kill
@@ -53,6 +53,7 @@
 	RecallWaiting                  // give back up to Count waiting tasks of Job
 	Release                        // another shard is to own the machine: let go of it
 	Lapse                          // its worker's lease is surely over
+	LookAt                         // tell what runs on the machine
 )
 
 // Event is what a shard tells the dealer.
@@ -62,11 +63,13 @@
 	Report  *Report // Unowned
 	Task    Task
 	Attempt uint64
-	Cell    Cell   // Found
-	Cause   Cause  // Gone
-	Token   uint64 // Superseded
-	Held    bool   // Finished: the task held here ended with it
-	Tasks   []Task // Released: tasks that were on the machine
+	Cell    Cell          // Found
+	Cause   Cause         // Gone
+	Token   uint64        // Superseded
+	Held    bool          // Finished: the task held here ended with it
+	Tasks   []Task        // Released: tasks that were on the machine
+	On      []OnMachine   // Looked
+	Ran     time.Duration // Finished: it was seen running for so long; 0: not known
 }
 
 // EventKind tells events apart.
@@ -88,8 +91,17 @@
 	Unanswered                  // a direct command to a worker that is not fenced went unanswered
 	Remembered                  // the controller's shard of an earlier term owned the machine
 	AlienGone                   // a found attempt that was not adopted is nowhere now
+	Looked                      // what runs on the machine
 )
 
+// OnMachine is a task on a machine, as its owner sees it.
+type OnMachine struct {
+	Task     Task
+	Stage    Stage
+	Ran      time.Duration // seen running for so long
+	Stopping bool          // it was told to stop
+}
+
 // MachineStatus is a shard's summary of a machine.
 type MachineStatus struct {
 	Machine   Machine
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -141,13 +141,18 @@
 		if m := s.machines[o.ID]; m != nil {
 			m.usable = o.Usable
 			s.replan = true
+			if !o.Usable {
+				s.unreserve(now, m)
+			}
 		}
 	case model.Give:
 		s.give(now, o.Deal)
 	case model.Recall:
-		if t := s.tasks[o.Task]; t != nil {
+		if t := s.tasks[o.Task]; t != nil && (o.ID == 0 || t.on != nil && t.on.ID == o.ID) {
 			s.recall(now, t)
 		}
+	case model.LookAt:
+		s.lookAt(now, o)
 	case model.ClearIt:
 		if m := s.machines[o.ID]; m != nil {
 			if sl := m.slots[key{o.Task, o.Attempt}]; sl != nil {
@@ -180,6 +185,16 @@
 	}
 }
 
+// unreserve takes tasks back that are not on their way to a machine yet: nothing
+// is launched there any more.
+func (s *Shard) unreserve(now time.Duration, m *machine) {
+	for _, sl := range sorted(m.slots) {
+		if !sl.sent {
+			s.stop(now, m, sl, 0)
+		}
+	}
+}
+
 func (s *Shard) recallWaiting(job model.JobID, n int) {
 	for k, g := range s.queue {
 		if k.job != job {
@@ -381,11 +396,7 @@
 			s.evacuate(now, m)
 		}
 		if s.quiet(now, m) {
-			for _, sl := range sorted(m.slots) {
-				if !sl.sent {
-					s.stop(now, m, sl, 0)
-				}
-			}
+			s.unreserve(now, m)
 		}
 	}
 	if s.Granted(now) {
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -80,3 +80,19 @@
 	}
 	return out
 }
+
+// lookAt tells what runs on a machine. It goes out behind what was said of the
+// machine before, so it holds for after every order that came first.
+func (s *Shard) lookAt(now time.Duration, o model.Order) {
+	m := s.machines[o.ID]
+	if m == nil {
+		return // the next owner is asked
+	}
+	e := model.Event{Kind: model.Looked, Machine: m.ID, Token: o.Token}
+	for _, sl := range sorted(m.slots) {
+		if sl.state != exited {
+			e.On = append(e.On, model.OnMachine{Task: sl.task, Stage: sl.stage, Ran: sl.ran(now), Stopping: sl.stop})
+		}
+	}
+	s.emit(e)
+}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,6 +17,7 @@
 
 	"honeylock/internal/config"
 	"honeylock/internal/node"
+	"honeylock/internal/ops"
 	"honeylock/internal/server"
 	"honeylock/internal/standin"
 )
@@ -53,6 +55,7 @@
 	Cfg   *config.Platform
 	Front *standin.Front
 	Node  *node.Node
+	Ops   string // its operators' door, if there is one
 	o     *Options
 	stop  context.CancelFunc
 }
@@ -153,12 +156,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k.stop = cancel
 	log := k.o.Log.With("host", k.Cfg.HostName)
-	Serve(ctx, k, set, log)
-	return nil
+	return k.serve(ctx, set, log)
 }
 
-// Serve runs a controller's doors and its node until the context ends.
-func Serve(ctx context.Context, k *Controller, set *config.Settings, log *slog.Logger) {
+// serve runs a controller's doors and its node until the context ends.
+func (k *Controller) serve(ctx context.Context, set *config.Settings, log *slog.Logger) error {
 	rng := rand.New(rand.NewPCG(k.o.Seed, rand.Uint64()))
 	k.Node = node.New(k.Cfg, set, log, rng)
 	reg := prometheus.NewRegistry()
@@ -166,6 +168,16 @@
 	go server.New(k.Node, k.Cfg.Cluster.Resources.FDLimit, log, reg).Serve(ctx, k.Cfg.Bind, log)
 	go k.Node.ServePeers(ctx, k.Cfg.PeerListen)
 	go k.Node.Run(ctx)
+	if set.Operator == nil {
+		return nil
+	}
+	door, err := ops.New(k.Node, set.Operator, log, reg)
+	if err != nil {
+		return err
+	}
+	k.Ops = set.Operator.Listen
+	go door.Serve(ctx, k.Ops)
+	return nil
 }
 
 // Stop kills the controller.
@@ -195,6 +207,26 @@
 	return out
 }
 
+// OpsAddrs are the operators' doors.
+func (c *Cluster) OpsAddrs() []string {
+	var out []string
+	for _, k := range c.Controllers {
+		if k.Ops != "" {
+			out = append(out, k.Ops)
+		}
+	}
+	return out
+}
+
+// Operated returns settings with an operators' door on a free port, behind one
+// token.
+func Operated(token string) (*config.Settings, error) {
+	s := config.DefaultSettings()
+	addr, err := FreeAddr()
+	s.Operator = &config.Operator{Listen: addr, Access: []config.Access{{Name: "dev", Hash: sha256.Sum256([]byte(token)), Operate: true}}}
+	return s, err
+}
+
 // FreeAddr returns a loopback address that was free just now.
 func FreeAddr() (string, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -85,7 +85,7 @@
 			}
 		}
 		for _, e := range events {
-			p.d.Event(now, p.l.local, e)
+			p.l.hear(now, p.l.local, e)
 		}
 	}
 }
--- /dev/null
+++ b/internal/node/draining.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"honeylock/internal/config"
+	"honeylock/internal/core/budget"
+	"honeylock/internal/core/drain"
+	"honeylock/internal/core/fleet"
+	"honeylock/internal/core/ledger"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/runtimes"
+	"honeylock/internal/planfile"
+	"honeylock/internal/state"
+	"honeylock/internal/wire"
+)
+
+// Keys of what operators have declared and changed.
+const (
+	planKeys  = "ops/plan/"
+	auditKeys = "ops/audit/"
+)
+
+// auditSlots are the operators' changes that are kept.
+const auditSlots = 256
+
+// draining is the leader's part that empties machines, for operators' plans and
+// for their price, and keeps the record of what operators change.
+type draining struct {
+	l      *leadership
+	e      *drain.Engine
+	led    *ledger.Ledger
+	learnt *runtimes.Book
+	ticked time.Duration
+}
+
+func (l *leadership) newDraining() *draining {
+	c := &l.n.cfg.Cluster
+	// A step takes three bytes as base64 for its number, two for its state.
+	most := int(c.State.ValueKB*1024-2*planfile.MaxSource) / 5
+	return &draining{l: l, led: ledger.New(auditSlots), learnt: runtimes.New(), e: drain.New(drain.Params{
+		Term: l.term, Report: config.Seconds(c.Workers.ReportS), Probe: rentProbe, Most: max(1, most)})}
+}
+
+// read gets the stored plans and the audit record, where there is an operators'
+// door: without one there are none.
+func (p *draining) read(ctx context.Context) (func(time.Duration) error, error) {
+	var plans []drain.Stored
+	var entries []ledger.Entry
+	if p.l.n.set.Operator != nil {
+		if _, err := p.l.n.state.List(ctx, planKeys, func(it *wire.Item) error {
+			plans = append(plans, drain.Stored{Name: strings.TrimPrefix(it.Key, planKeys), Value: it.Value, Version: it.Version})
+			return nil
+		}); err != nil {
+			return nil, err
+		}
+		if _, err := p.l.n.state.List(ctx, auditKeys, func(it *wire.Item) error {
+			var e ledger.Entry
+			if err := json.Unmarshal(it.Value, &e); err != nil {
+				p.l.n.log.Error("audit record unreadable", "key", it.Key, "err", err)
+				return nil
+			}
+			entries = append(entries, e)
+			return nil
+		}); err != nil {
+			return nil, err
+		}
+	}
+	return func(now time.Duration) error {
+		for _, s := range plans {
+			p.e.Load(now, s, p.resolve)
+		}
+		for _, e := range entries {
+			p.led.Load(e)
+		}
+		for _, a := range p.e.Bars() {
+			p.do(now, a)
+		}
+		return nil
+	}, nil
+}
+
+// resolve turns a stored plan into the cores' terms.
+func (p *draining) resolve(source []byte) (*drain.Spec, error) {
+	pb, err := planfile.Decode(source)
+	if err != nil {
+		return nil, err
+	}
+	return planfile.Spec(pb, p.l.n.names), nil
+}
+
+// run has nothing to follow.
+func (p *draining) run() {}
+
+// tick moves what is being drained on.
+func (p *draining) tick(now time.Duration) {
+	if now-p.ticked < 500*time.Millisecond {
+		return
+	}
+	p.ticked = now
+	if p.e.Idle() {
+		return
+	}
+	p.l.rents.f.Hold(p.e.Plans())
+	for _, a := range p.e.Tick(p.view(now)) {
+		p.do(now, a)
+	}
+	p.l.n.soon()
+}
+
+// do carries out what the engine asks for.
+func (p *draining) do(now time.Duration, a drain.Action) {
+	l := p.l
+	switch a.Kind {
+	case drain.Bar, drain.Unbar:
+		l.d.Bar(a.Machine, a.Kind == drain.Bar)
+		l.n.log.Info("machine drained or wanted again", "machine", wire.MachineName(a.Machine), "drained", a.Kind == drain.Bar)
+	case drain.Look:
+		l.d.LookAt(a.Machine, a.Seq)
+	case drain.Recall:
+		l.d.RecallFrom(a.Machine, a.Task)
+	case drain.Give:
+		ids := []model.MachineID{a.Machine}
+		if !l.rents.f.Give(ids) {
+			p.e.Given(now, a.Machine, false) // one return at a time
+			return
+		}
+		go func() {
+			ok := l.rents.giveBack(fleet.Action{Kind: fleet.Return, Machine: ids})
+			l.n.mu.Lock()
+			defer l.n.mu.Unlock()
+			p.e.Given(l.n.now(), a.Machine, ok)
+		}()
+	case drain.Rent:
+		go p.rent(a)
+	}
+}
+
+// rent asks the cloud for a machine like the one that is to go.
+func (p *draining) rent(a drain.Action) {
+	n := p.l.n
+	n.mu.Lock()
+	like, ok := p.l.rents.machine(a.Machine)
+	r := wire.Rental{Request: a.Request, Type: n.names.Types.Name(like.Type), Zone: n.names.Zones.Name(like.Zone), Spot: like.Spot, Count: 1}
+	n.mu.Unlock()
+	var got []model.MachineID
+	refused := false
+	if ok && p.l.leads() {
+		got, refused, _ = n.rent(p.l.ctx, r)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	p.l.rents.f.Adopt(now, got, like)
+	p.e.Rented(now, a, got, refused)
+}
+
+// hear takes what shards tell.
+func (p *draining) hear(now time.Duration, e *model.Event) {
+	switch e.Kind {
+	case model.Looked:
+		p.e.Seen(now, e.Machine, e.Token, e.On, p.l.d.Spec)
+	case model.Finished:
+		if p.l.n.set.Operator == nil {
+			return
+		}
+		if sp := p.l.d.Spec(e.Task.Job); sp != nil {
+			p.learnt.Add(sp.Class, sp.Estimate, e.Ran)
+		}
+	}
+}
+
+// view is the present for the engine.
+func (p *draining) view(now time.Duration) *drain.View {
+	l := p.l
+	v := &drain.View{Now: now, Wall: time.Now(), Machines: map[model.MachineID]drain.Machine{}, Spare: l.d.Spare(),
+		Learned: p.learnt.Factor, Boot: l.rents.f.Boot}
+	listed := l.rents.f.Units(func(m model.Machine, _ time.Duration) {
+		v.Machines[m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: m}}
+	})
+	l.d.Known(func(st model.MachineStatus, told bool) {
+		v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: told}
+	})
+	v.Settled = listed && l.d.Recovered()
+	for _, need := range l.d.Needs() {
+		v.Jobs = append(v.Jobs, drain.Job{Spec: need.Spec, Open: int(need.Open), Running: l.d.Count(need.Spec.ID).Running})
+	}
+	return v
+}
+
+// writes are the plans that have changed, each with the audit entries about it,
+// and entries that stand alone.
+func (p *draining) writes(now time.Duration, c budget.Class, n int) []write {
+	if c != budget.Records {
+		return nil
+	}
+	var out []write
+	most := max(1, min(3, p.l.n.cfg.Cluster.State.TxnOps-1))
+	busy := map[string]bool{}
+	for _, w := range p.e.Writes(n) {
+		busy[w.Name] = true
+		out = append(out, p.planWrite(w, p.led.Unstored(most, func(name string) bool { return name == w.Name })))
+	}
+	alone := p.led.Unstored(most, func(name string) bool { return !busy[name] && p.e.Synced(name) })
+	if len(alone) > 0 && len(out) < n {
+		out = append(out, p.auditWrite(alone))
+	}
+	return out
+}
+
+// pending tells whether something is to be stored.
+func (p *draining) pending() bool {
+	return !p.e.AllSynced() || len(p.led.Unstored(1, func(string) bool { return true })) > 0
+}
+
+func (p *draining) planWrite(w drain.Write, about []*ledger.Entry) write {
+	key := planKeys + w.Name
+	op := wire.Op{Put: key, Value: w.Value}
+	if w.Value == nil {
+		op = wire.Op{Delete: key}
+	}
+	out := p.auditWrite(about)
+	out.guards = []wire.Guard{{Key: key, Version: w.Version}}
+	out.ops = append([]wire.Op{op}, out.ops...)
+	entries := out.done
+	out.done = func(now time.Duration, o outcome) {
+		p.e.Wrote(w, o.rev, o.err == nil, o.conflict, o.at)
+		entries(now, o)
+	}
+	return out
+}
+
+// auditWrite stores entries. One that is applied late can do no more harm than
+// show an entry older than the newest 256 again.
+func (p *draining) auditWrite(es []*ledger.Entry) write {
+	w := write{done: func(_ time.Duration, o outcome) {
+		if o.err == nil {
+			for _, e := range es {
+				p.led.Stored(e)
+			}
+		}
+	}}
+	for _, e := range es {
+		w.ops = append(w.ops, wire.Op{Put: fmt.Sprintf("%s%03d", auditKeys, p.led.Slot(e)), Value: encode(e)})
+	}
+	return w
+}
+
+var errRequest = errors.New("this request's id was used for something else")
+
+// known answers a request that was made before.
+func (p *draining) known(c *Call) (*ledger.Entry, error) {
+	e := p.led.Known(c.Request)
+	if e == nil {
+		return nil, state.ErrNotFound
+	}
+	if e.Digest != c.digest() {
+		return nil, errRequest
+	}
+	return e, nil
+}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -9,6 +9,7 @@
 
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
+	"honeylock/internal/peer"
 	"honeylock/internal/wire"
 )
 
@@ -48,7 +49,7 @@
 
 func (n *Node) forward(ctx context.Context, addr string, k jobs.Kind, id model.JobID, sub *wire.Submission) (Reply, bool) {
 	var r Reply
-	if err := n.dialer.Forward(ctx, addr, forwarded{Kind: k, Job: id, Sub: sub}, &r); err != nil {
+	if err := n.dialer.Forward(ctx, addr, peer.UserPath, forwarded{Kind: k, Job: id, Sub: sub}, &r); err != nil {
 		n.log.Debug("request not passed on", "job", wire.JobName(id), "err", err)
 		return r, false
 	}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -14,6 +14,9 @@
 	"honeylock/internal/wire"
 )
 
+// rentProbe is when what the cloud refused is asked for again.
+const rentProbe = 15 * time.Second
+
 var errTermOver = errors.New("the term is over")
 
 // leadership is all that a controller keeps while it leads one term: its
@@ -36,6 +39,7 @@
 	lost     time.Duration // the last member
 	deals    *dealing
 	rents    *renting
+	drains   *draining
 	parts    []part
 	budget   *budget.Budget
 	stored   time.Duration
@@ -79,10 +83,11 @@
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
 	f := fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
-		Horizon: n.set.RentHorizon, Probe: 15 * time.Second, Patience: 10 * n.set.RentHorizon})
+		Horizon: n.set.RentHorizon, Probe: rentProbe, Patience: 10 * n.set.RentHorizon})
 	l.deals = &dealing{l: l, d: l.d, fresh: now}
 	l.rents = &renting{l: l, f: f}
-	l.parts = []part{l.deals, l.rents}
+	l.drains = l.newDraining()
+	l.parts = []part{l.deals, l.rents, l.drains}
 	l.setTypes(n.types)
 	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
 	return l
@@ -211,3 +216,9 @@
 	defer l.n.mu.Unlock()
 	return l.n.lead == l && l.n.el.Leading(l.n.now())
 }
+
+// hear takes an event of a shard.
+func (l *leadership) hear(now time.Duration, from model.ShardID, e model.Event) {
+	l.drains.hear(now, &e)
+	l.d.Event(now, from, e)
+}
--- /dev/null
+++ b/internal/node/operate.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"honeylock/internal/core/drain"
+	"honeylock/internal/core/ledger"
+	"honeylock/internal/core/model"
+	"honeylock/internal/peer"
+	"honeylock/internal/planfile"
+	"honeylock/internal/planfile/planpb"
+	"honeylock/internal/state"
+	"honeylock/internal/wire"
+)
+
+// Verb of an operator's call.
+type Verb string
+
+// Verbs. Those from Apply on change something.
+const (
+	AuditList   Verb = "audit list"
+	DrainList   Verb = "drain list"
+	DrainStatus Verb = "drain status"
+	DrainApply  Verb = "drain apply"
+	DrainPause  Verb = "drain pause"
+	DrainResume Verb = "drain resume"
+	DrainCancel Verb = "drain cancel"
+	DrainDone   Verb = "drain patched"
+)
+
+func (v Verb) changes() bool {
+	switch v {
+	case AuditList, DrainList, DrainStatus:
+		return false
+	}
+	return true
+}
+
+// Call is an operator's request, as one controller passes it to another.
+type Call struct {
+	Verb    Verb
+	Name    string // of the plan
+	Machine string // DrainDone
+	Plan    string // DrainApply: protobuf text
+	Who     string
+	Request string // the asker's id; a change repeated under it is not made twice
+}
+
+// digest tells changes apart.
+func (c *Call) digest() string {
+	h := sha256.New()
+	for _, s := range []string{string(c.Verb), c.Name, c.Machine, c.Plan} {
+		h.Write([]byte(s))
+		h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil)[:12])
+}
+
+// CallReply answers an operator.
+type CallReply struct {
+	Status int
+	Body   json.RawMessage `json:",omitempty"`
+	Err    string          `json:",omitempty"`
+}
+
+func callError(status int, err error) CallReply { return CallReply{Status: status, Err: err.Error()} }
+
+func body(v any) CallReply { return CallReply{Status: http.StatusOK, Body: encode(v)} }
+
+var (
+	errNoLeader = errors.New("no leader can be reached: come back")
+	errUnstored = errors.New("it is not known yet whether this is stored: ask again under the same request id")
+)
+
+// Operate answers an operator here, or passes the call to the leader.
+func (n *Node) Operate(ctx context.Context, c Call) CallReply {
+	n.mu.Lock()
+	l, leader := n.lead, n.leader
+	n.mu.Unlock()
+	if l != nil {
+		return l.operate(ctx, &c)
+	}
+	addr := n.siblingAddr(leader)
+	if addr == "" {
+		return callError(http.StatusServiceUnavailable, errNoLeader)
+	}
+	var r CallReply
+	if err := n.dialer.Forward(ctx, addr, peer.OpsPath, c, &r); err != nil {
+		n.log.Debug("operator's call not passed on", "verb", c.Verb, "err", err)
+		return callError(http.StatusServiceUnavailable, errNoLeader)
+	}
+	return r
+}
+
+// serveCall answers what a sibling passes on; it is not passed on again.
+func (n *Node) serveCall(w http.ResponseWriter, r *http.Request) {
+	var c Call
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 128<<10))
+	if err == nil {
+		err = json.Unmarshal(b, &c)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	n.mu.Lock()
+	l := n.lead
+	n.mu.Unlock()
+	reply := callError(http.StatusServiceUnavailable, errNoLeader)
+	if l != nil {
+		reply = l.operate(r.Context(), &c)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		n.log.Debug("answer not passed back", "err", err)
+	}
+}
+
+// operate answers on the leader.
+func (l *leadership) operate(ctx context.Context, c *Call) CallReply {
+	n := l.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lead != l || !l.loaded || !n.el.Leading(n.now()) {
+		return callError(http.StatusServiceUnavailable, errNoLeader)
+	}
+	now := n.now()
+	if !c.Verb.changes() {
+		return l.drains.ask(now, c)
+	}
+	e, err := l.drains.known(c)
+	if errors.Is(err, errRequest) {
+		return callError(http.StatusConflict, err)
+	}
+	if e == nil {
+		e = l.drains.change(now, c)
+		n.log.Info("operator's change", "who", c.Who, "what", c.Verb, "name", c.Name, "status", e.Status, "outcome", e.Outcome)
+	}
+	return l.settle(ctx, e)
+}
+
+// settle answers a change once it is surely stored: before, a new leader might
+// not know of it.
+func (l *leadership) settle(ctx context.Context, e *ledger.Entry) CallReply {
+	for !l.drains.led.IsStored(e) || !l.drains.e.Synced(e.Name) && e.Status == http.StatusOK {
+		l.n.mu.Unlock()
+		sleep(ctx, 20*time.Millisecond)
+		l.n.mu.Lock()
+		if ctx.Err() != nil || l.n.lead != l {
+			return callError(http.StatusServiceUnavailable, errUnstored)
+		}
+	}
+	if e.Status != http.StatusOK {
+		return CallReply{Status: e.Status, Err: e.Outcome}
+	}
+	return body(Outcome{Name: e.Name, Outcome: e.Outcome})
+}
+
+// Outcome of a change.
+type Outcome struct {
+	Name    string `json:"name"`
+	Outcome string `json:"outcome"`
+}
+
+// change makes a change, or refuses it; the entry tells.
+func (p *draining) change(now time.Duration, c *Call) *ledger.Entry {
+	e := ledger.Entry{AtMS: time.Now().UnixMilli(), Who: c.Who, Request: c.Request, Digest: c.digest(), What: string(c.Verb), Name: c.Name,
+		Status: http.StatusOK}
+	outcome, err := p.make(now, c)
+	e.Name = c.Name // of a plan that is applied
+	if err != nil {
+		e.Status, outcome = http.StatusConflict, err.Error()
+		var r *drain.Refusal
+		if !errors.As(err, &r) {
+			e.Status = http.StatusBadRequest
+		}
+	}
+	const most = 1024 // an entry must fit into a value
+	e.Outcome = outcome[:min(len(outcome), most)]
+	return p.led.Add(e)
+}
+
+// make makes a change.
+func (p *draining) make(now time.Duration, c *Call) (outcome string, err error) {
+	switch c.Verb {
+	case DrainApply:
+		return p.apply(now, c)
+	case DrainPause:
+		return "paused", p.e.Pause(c.Name)
+	case DrainResume:
+		return "resumed", p.e.Resume(c.Name)
+	case DrainCancel:
+		return "cancelled", p.e.Cancel(now, c.Name)
+	case DrainDone:
+		id, err := wire.ParseMachine(c.Machine)
+		if err != nil {
+			return "", err
+		}
+		return c.Machine + " is patched", p.e.Patched(now, c.Name, id, c.Machine)
+	}
+	return "", errors.New("unknown verb " + string(c.Verb))
+}
+
+func (p *draining) apply(now time.Duration, c *Call) (string, error) {
+	pb, err := planfile.Parse([]byte(c.Plan))
+	if err != nil {
+		return "", err
+	}
+	c.Name = pb.GetName()
+	source, err := planfile.Encode(pb)
+	if err != nil {
+		return "", err
+	}
+	s := planfile.Spec(pb, p.l.n.names)
+	s.Machines = planfile.Choose(pb, p.candidates(now), p.l.n.names)
+	if missing := unknown(pb, s.Machines); missing != "" {
+		return "", &drain.Refusal{Why: "machines.names: " + missing + " is no machine of this cluster, or not one that the other fields allow"}
+	}
+	if err := p.e.Check(s, wire.MachineName); err != nil {
+		return "", err
+	}
+	plan := p.e.Apply(now, time.Now(), s, source, c.Who)
+	return "applied to " + count(len(plan.Steps), "machine"), nil
+}
+
+// unknown is the first machine that a plan names and does not get.
+func unknown(pb *planpb.Plan, got []model.MachineID) string {
+	have := map[string]bool{}
+	for _, id := range got {
+		have[wire.MachineName(id)] = true
+	}
+	for _, n := range pb.GetMachines().GetNames() {
+		if !have[n] {
+			return n
+		}
+	}
+	return ""
+}
+
+// candidates are the machines that a plan may mean.
+func (p *draining) candidates(now time.Duration) []planfile.Candidate {
+	ages := map[model.MachineID]time.Duration{}
+	p.l.rents.f.Units(func(m model.Machine, since time.Duration) { ages[m.ID] = now - since })
+	var out []planfile.Candidate
+	p.l.d.Known(func(st model.MachineStatus, told bool) {
+		out = append(out, planfile.Candidate{Machine: st.Machine, Age: ages[st.Machine.ID], Free: st.Avail.CPU})
+	})
+	return out
+}
+
+// ask answers a question.
+func (p *draining) ask(now time.Duration, c *Call) CallReply {
+	switch c.Verb {
+	case AuditList:
+		return body(p.led.List(auditSlots))
+	case DrainList:
+		out := []PlanStatus{}
+		for _, s := range p.e.List() {
+			out = append(out, p.planStatus(&s))
+		}
+		return body(out)
+	case DrainStatus:
+		s := p.e.Status(now, c.Name)
+		if s == nil {
+			return callError(http.StatusNotFound, errors.New("no plan is named \""+c.Name+"\""))
+		}
+		return body(p.planStatus(s))
+	}
+	return callError(http.StatusBadRequest, state.ErrNotFound)
+}
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -53,6 +53,9 @@
 		for _, p := range l.parts {
 			n := min(l.budget.Left(now, c), maxWrites)
 			if n < 1 {
+				if c == budget.Records && l.drains.pending() {
+					l.budget.Refused(now, c)
+				}
 				continue
 			}
 			l.send(now, c, p.writes(now, c, n))
--- /dev/null
+++ b/internal/node/planstatus.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"honeylock/internal/core/drain"
+	"honeylock/internal/wire"
+)
+
+// PlanStatus is how a drain plan stands, as operators see it.
+type PlanStatus struct {
+	Name   string         `json:"name"`
+	Phase  string         `json:"phase,omitempty"`
+	By     string         `json:"by,omitempty"`
+	At     *time.Time     `json:"at,omitempty"`
+	Note   string         `json:"note,omitempty"`
+	Counts map[string]int `json:"counts"`
+	Held   string         `json:"held,omitempty"`
+	Steps  []PlanStep     `json:"steps,omitempty"`
+}
+
+// PlanStep is how a machine of a plan stands.
+type PlanStep struct {
+	Machine     string  `json:"machine"`
+	State       string  `json:"state"`
+	Held        string  `json:"held,omitempty"`
+	ForS        float64 `json:"for_s"`
+	Replacement string  `json:"replacement,omitempty"`
+}
+
+func (p *draining) planStatus(s *drain.Status) PlanStatus {
+	out := PlanStatus{Name: s.Name, Phase: string(s.Phase), By: s.By, Note: s.Note, Counts: s.Counts, Held: s.Held}
+	if !s.At.IsZero() {
+		out.At = &s.At
+	}
+	for _, t := range s.Steps {
+		step := PlanStep{Machine: wire.MachineName(t.Machine), State: t.State, Held: t.Held, ForS: t.For.Round(100 * time.Millisecond).Seconds()}
+		if t.Replacement != 0 {
+			step.Replacement = wire.MachineName(t.Replacement)
+		}
+		out.Steps = append(out.Steps, step)
+	}
+	return out
+}
+
+// count is a number of things, for people.
+func count(n int, what string) string {
+	if n == 1 {
+		return "1 " + what
+	}
+	return strconv.Itoa(n) + " " + what + "s"
+}
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -70,7 +70,7 @@
 	p.settling = true
 	p.l.n.log.Info("returning machines that can't be reached", "count", len(ids))
 	for some := range slices.Chunk(ids, fleet.MaxReturn) {
-		go p.cloudAction(fleet.Action{Kind: fleet.Return, Machine: some})
+		go p.giveBack(fleet.Action{Kind: fleet.Return, Machine: some})
 	}
 }
 
@@ -82,49 +82,54 @@
 		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(p.l.d.Count(need.Spec.ID).Waiting)})
 	}
 	for _, a := range p.f.Step(now, status, demand, p.l.d.Limit) {
-		if a.Kind != fleet.Rent {
+		switch a.Kind {
+		case fleet.Drain:
+			p.l.drains.e.Empty(a.Machine)
+		case fleet.Undrain:
+			p.l.drains.e.Keep(a.Machine)
+		case fleet.Return:
 			for _, id := range a.Machine {
-				p.l.d.Use(id, a.Kind == fleet.Undrain)
+				p.l.d.Use(id, false)
 			}
-		}
-		switch a.Kind {
-		case fleet.Rent, fleet.Return:
-			go p.cloudAction(a)
-		default:
-			p.l.n.log.Info("machines drained or wanted again", "drained", a.Kind == fleet.Drain, "count", len(a.Machine))
+			go p.giveBack(a)
+		case fleet.Rent:
+			go p.rent(a)
 		}
 	}
 	p.l.n.soon()
 }
 
-func (p *renting) cloudAction(a fleet.Action) {
+// giveBack returns machines to the cloud, and tells whether it has them.
+func (p *renting) giveBack(a fleet.Action) bool {
 	n := p.l.n
-	if a.Kind == fleet.Return {
-		names := make([]string, len(a.Machine))
-		for i, id := range a.Machine {
-			names[i] = wire.MachineName(id)
-		}
-		err := errTermOver
-		if p.l.leads() { // it may have stood still since this was decided
-			err = n.cloud.Return(p.l.ctx, names)
-		}
-		n.log.Info("machines returned", "machines", names, "err", err)
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		now := n.now()
-		p.f.Returned(now, a, err == nil)
-		for _, id := range a.Machine {
-			if err == nil {
-				p.l.d.Gone(id)
-			} else {
-				p.l.d.Use(id, true)
-			}
-		}
-		if n.lead == p.l {
-			n.soon()
+	names := make([]string, len(a.Machine))
+	for i, id := range a.Machine {
+		names[i] = wire.MachineName(id)
+	}
+	err := errTermOver
+	if p.l.leads() { // it may have stood still since this was decided
+		err = n.cloud.Return(p.l.ctx, names)
+	}
+	n.log.Info("machines returned", "machines", names, "err", err)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	p.f.Returned(now, a, err == nil)
+	for _, id := range a.Machine {
+		if err == nil {
+			p.l.d.Gone(id)
+		} else {
+			p.l.d.Use(id, true)
 		}
-		return
 	}
+	if n.lead == p.l {
+		n.soon()
+	}
+	return err == nil
+}
+
+func (p *renting) rent(a fleet.Action) {
+	n := p.l.n
 	n.mu.Lock()
 	r := wire.Rental{Request: a.Rent, Type: n.names.Types.Name(a.Type), Zone: n.names.Zones.Name(a.Zone), Spot: a.Spot, Count: a.Count}
 	n.mu.Unlock()
@@ -138,6 +143,16 @@
 	p.f.Rented(n.now(), a, got, refused, doubt)
 }
 
+// machine finds one that the leader or the cloud knows.
+func (p *renting) machine(id model.MachineID) (m model.Machine, ok bool) {
+	p.f.Units(func(u model.Machine, _ time.Duration) {
+		if u.ID == id {
+			m, ok = u, true
+		}
+	})
+	return m, ok
+}
+
 // run keeps the machine list.
 func (p *renting) run() {
 	n := p.l.n
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -375,6 +375,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+peer.Path, n.serveMember)
 	mux.HandleFunc("POST "+peer.UserPath, n.serveForwarded)
+	mux.HandleFunc("POST "+peer.OpsPath, n.serveCall)
 	mux.HandleFunc("GET "+peer.LeadingPath, func(w http.ResponseWriter, _ *http.Request) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -535,7 +536,7 @@
 		k.sent[k.number] = now
 		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(), ForUs: max(0, l.until()-now).Microseconds(), Number: k.number}}})
 	case *peerpb.Up_Event:
-		l.d.Event(now, id, k.codec.FromEvent(msg.Event))
+		l.hear(now, id, k.codec.FromEvent(msg.Event))
 		l.n.soon()
 	case *peerpb.Up_Status:
 		ms, jobs := k.codec.FromStatus(now, msg.Status)
--- /dev/null
+++ b/internal/ops/guard.go
@@ -0,0 +1,60 @@
+package ops
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
+
+	"honeylock/internal/config"
+	"honeylock/internal/node"
+)
+
+const whoKey = "who"
+
+// guard knows the hashes of the tokens. Wrong ones are taken a few times a second
+// only, so that nobody tries many.
+type guard struct {
+	access []config.Access
+	wrong  *rate.Limiter
+}
+
+func newGuard(a []config.Access) *guard { return &guard{a, rate.NewLimiter(5, 20)} }
+
+// find returns whose token it is. It compares hashes, all of them, in a time that
+// does not depend on what they hold.
+func (g *guard) find(token string) *config.Access {
+	hash := sha256.Sum256([]byte(token))
+	var found *config.Access
+	for i := range g.access {
+		if subtle.ConstantTimeCompare(hash[:], g.access[i].Hash[:]) == 1 {
+			found = &g.access[i]
+		}
+	}
+	return found
+}
+
+// authorise lets in who bears a token, and to changes who may operate.
+func (s *Server) authorise(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		token, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		var a *config.Access
+		if ok {
+			a = s.guard.find(token)
+		}
+		switch {
+		case a == nil && !s.guard.wrong.Allow():
+			return s.answer(c, node.CallReply{Status: http.StatusTooManyRequests, Err: "too many wrong tokens"})
+		case a == nil:
+			c.Response().Header().Set("WWW-Authenticate", "Bearer")
+			return s.answer(c, node.CallReply{Status: http.StatusUnauthorized, Err: "a bearer token of this cluster's operators is needed"})
+		case !a.Operate && c.Request().Method != http.MethodGet:
+			return s.answer(c, node.CallReply{Status: http.StatusForbidden, Err: a.Name + " may look, but not change anything (role operate)"})
+		}
+		c.Set(whoKey, a.Name)
+		return next(c)
+	}
+}
--- /dev/null
+++ b/internal/ops/ops.go
@@ -0,0 +1,160 @@
+// Package ops is the operators' door: an HTTP server of its own, behind bearer
+// tokens, on an address that users and workers don't use. Any controller takes a
+// call; the leader answers it.
+package ops
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"regexp"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/net/netutil"
+
+	"honeylock/internal/config"
+	"honeylock/internal/node"
+)
+
+const (
+	maxBody  = 64 << 10
+	maxConns = 32
+	timeout  = 8 * time.Second
+	// RequestHeader carries the asker's id of a change: repeated under it, the
+	// change is answered, not made again.
+	RequestHeader = "Request-Id"
+)
+
+// Operator is what the door opens to.
+type Operator interface {
+	Operate(context.Context, node.Call) node.CallReply
+}
+
+// Server is the door.
+type Server struct {
+	op    Operator
+	http  *http.Server
+	cert  *certificate // nil: no TLS
+	guard *guard
+	log   *slog.Logger
+	calls *prometheus.CounterVec
+}
+
+// New builds the door.
+func New(op Operator, set *config.Operator, log *slog.Logger, reg *prometheus.Registry) (*Server, error) {
+	s := &Server{op: op, log: log, guard: newGuard(set.Access),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_operator_calls_total", Help: "Operators' calls, by status."}, []string{"status"})}
+	reg.MustRegister(s.calls)
+	if set.CertFile != "" {
+		var err error
+		if s.cert, err = loadCertificate(set.CertFile, set.KeyFile, log); err != nil {
+			return nil, err
+		}
+	}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = s.failed
+	e.Use(s.authorise)
+	e.GET("/ops/v1/audit", s.call(node.AuditList))
+	e.GET("/ops/v1/drains", s.call(node.DrainList))
+	e.GET("/ops/v1/drains/:name", s.call(node.DrainStatus))
+	e.POST("/ops/v1/drains", s.call(node.DrainApply))
+	e.POST("/ops/v1/drains/:name/pause", s.call(node.DrainPause))
+	e.POST("/ops/v1/drains/:name/resume", s.call(node.DrainResume))
+	e.POST("/ops/v1/drains/:name/cancel", s.call(node.DrainCancel))
+	e.POST("/ops/v1/drains/:name/machines/:machine/patched", s.call(node.DrainDone))
+	s.http = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	return s, nil
+}
+
+// Serve listens until the context ends; a port that is taken is tried again.
+func (s *Server) Serve(ctx context.Context, addr string) {
+	go func() {
+		<-ctx.Done()
+		s.http.Close()
+	}()
+	for ctx.Err() == nil {
+		l, err := net.Listen("tcp4", addr)
+		if err == nil {
+			l = netutil.LimitListener(l, maxConns)
+			if s.cert != nil {
+				l = tls.NewListener(l, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: s.cert.get})
+			}
+			s.log.Info("serving operators", "addr", addr, "tls", s.cert != nil)
+			err = s.http.Serve(l)
+		}
+		if ctx.Err() == nil {
+			s.log.Error("not serving operators; trying again", "addr", addr, "err", err)
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// failed answers what no handler did.
+func (s *Server) failed(err error, c echo.Context) {
+	status, msg := http.StatusInternalServerError, "internal error"
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		status, msg = he.Code, http.StatusText(he.Code)
+	} else {
+		s.log.Error("operator's call failed", "path", c.Path(), "err", err)
+	}
+	if !c.Response().Committed {
+		s.answer(c, node.CallReply{Status: status, Err: msg})
+	}
+}
+
+var requestID = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,64}$`)
+
+// call hands a request to the leader.
+func (s *Server) call(verb node.Verb) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		b, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
+		if err != nil {
+			return s.answer(c, node.CallReply{Status: http.StatusBadRequest, Err: "the body is over 64 KiB or could not be read"})
+		}
+		id := c.Request().Header.Get(RequestHeader)
+		if id == "" {
+			id = newID()
+		}
+		if !requestID.MatchString(id) {
+			return s.answer(c, node.CallReply{Status: http.StatusBadRequest, Err: RequestHeader + ": must be 1 to 64 of letters, digits, . _ : and -"})
+		}
+		c.Response().Header().Set(RequestHeader, id)
+		ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
+		defer cancel()
+		who, _ := c.Get(whoKey).(string)
+		return s.answer(c, s.op.Operate(ctx, node.Call{Verb: verb, Name: c.Param("name"), Machine: c.Param("machine"), Plan: string(b),
+			Who: who, Request: id}))
+	}
+}
+
+func newID() string {
+	b := make([]byte, 12)
+	_, _ = rand.Read(b) // it never fails
+	return hex.EncodeToString(b)
+}
+
+func (s *Server) answer(c echo.Context, r node.CallReply) error {
+	s.calls.WithLabelValues(http.StatusText(r.Status)).Inc()
+	if r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests {
+		c.Response().Header().Set("Retry-After", "1")
+	}
+	if r.Err != "" {
+		return c.JSON(r.Status, errorBody{r.Err})
+	}
+	return c.JSONBlob(r.Status, r.Body)
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -41,7 +41,10 @@
 func (c *Codec) Event(e *model.Event) *peerpb.Up {
 	p := &peerpb.Event{Kind: uint32(e.Kind), Machine: uint64(e.Machine), Task: task(e.Task), Attempt: e.Attempt,
 		Stage: uint32(e.Cell.Stage), CellCause: uint32(e.Cell.Cause), Cause: uint32(e.Cause),
-		Token: e.Token, Held: e.Held}
+		Token: e.Token, Held: e.Held, RanUs: e.Ran.Microseconds()}
+	for _, o := range e.On {
+		p.On = append(p.On, &peerpb.OnMachine{Task: task(o.Task), Stage: uint32(o.Stage), RanUs: o.Ran.Microseconds(), Stopping: o.Stopping})
+	}
 	if e.Report != nil {
 		p.Reporter = c.machine(&e.Report.Machine)
 	}
@@ -56,7 +59,12 @@
 	t := fromTask(p.GetTask())
 	e := model.Event{Kind: model.EventKind(p.GetKind()), Machine: model.MachineID(p.GetMachine()), Task: t, Attempt: p.GetAttempt(),
 		Cell:  model.Cell{Task: t, Attempt: p.GetAttempt(), Stage: model.Stage(p.GetStage()), Cause: model.Cause(p.GetCellCause())},
-		Cause: model.Cause(p.GetCause()), Token: p.GetToken(), Held: p.GetHeld()}
+		Cause: model.Cause(p.GetCause()), Token: p.GetToken(), Held: p.GetHeld(),
+		Ran: time.Duration(p.GetRanUs()) * time.Microsecond}
+	for _, o := range p.GetOn() {
+		e.On = append(e.On, model.OnMachine{Task: fromTask(o.GetTask()), Stage: model.Stage(o.GetStage()),
+			Ran: time.Duration(o.GetRanUs()) * time.Microsecond, Stopping: o.GetStopping()})
+	}
 	if r := p.GetReporter(); r != nil {
 		e.Report = &model.Report{Machine: c.fromMachine(r)}
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -27,6 +27,9 @@
 // passes on.
 const UserPath = "/peer/user"
 
+// OpsPath takes operators' calls that a controller passes to the leader.
+const OpsPath = "/peer/ops"
+
 const maxMessage = 4 << 20
 
 var errFull = errors.New("the other side does not keep up")
@@ -150,13 +153,13 @@
 	return res.StatusCode == http.StatusConflict, res.StatusCode == http.StatusConflict || res.StatusCode == http.StatusNoContent
 }
 
-// Forward passes a user's request on to a sibling, and decodes what it answers.
-func (d *Dialer) Forward(ctx context.Context, addr string, request, reply any) error {
+// Forward passes a request on to a sibling, and decodes what it answers.
+func (d *Dialer) Forward(ctx context.Context, addr, path string, request, reply any) error {
 	b, err := json.Marshal(request)
 	if err != nil {
 		return fmt.Errorf("encode request: %w", err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+UserPath, bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(b))
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
--- /dev/null
+++ b/internal/planfile/planfile.go
@@ -0,0 +1,212 @@
+// Package planfile reads operators' drain plans: protobuf text, checked against
+// its schema, every mistake told with its field.
+package planfile
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	// Windows name time zones, and the controllers have no disk.
+	_ "time/tzdata"
+
+	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
+
+	"honeylock/internal/core/drain"
+	"honeylock/internal/core/model"
+	"honeylock/internal/planfile/planpb"
+	"honeylock/internal/wire"
+)
+
+// MaxSource is the longest plan that is taken, in bytes.
+const MaxSource = 4 << 10
+
+const (
+	maxAtOnce  = 1000
+	maxFloor   = 10
+	maxWindows = 16
+	maxRules   = 32
+)
+
+var planName = regexp.MustCompile(`^[a-z][a-z0-9-]{0,39}$`)
+
+// Parse reads a plan and returns all of its mistakes, joined.
+func Parse(text []byte) (*planpb.Plan, error) {
+	if len(text) > MaxSource {
+		return nil, fmt.Errorf("the plan has %d bytes, at most %d are taken", len(text), MaxSource)
+	}
+	var p planpb.Plan
+	if err := prototext.Unmarshal(text, &p); err != nil {
+		return nil, err
+	}
+	return &p, check(&p)
+}
+
+type mistakes []error
+
+func (m *mistakes) add(field, format string, args ...any) {
+	*m = append(*m, fmt.Errorf(field+": "+format, args...))
+}
+
+func check(p *planpb.Plan) error {
+	var m mistakes
+	if !planName.MatchString(p.GetName()) {
+		m.add("name", "%q must be 1 to 40 of a-z, 0-9 and -, beginning with a letter", p.GetName())
+	}
+	checkMachines(&m, p.GetMachines())
+	for _, f := range []struct {
+		name string
+		v    *int32
+	}{{"at_once", p.AtOnce}, {"at_once_per_zone", p.AtOncePerZone}} {
+		if f.v != nil && (*f.v < 1 || *f.v > maxAtOnce) {
+			m.add(f.name, "%d must be from 1 to %d", *f.v, maxAtOnce)
+		}
+	}
+	enum(&m, "order", int32(p.GetOrder()), planpb.Order_name)
+	enum(&m, "running", int32(p.GetRunning()), planpb.How_name)
+	enum(&m, "after", int32(p.GetAfter()), planpb.After_name)
+	if !(p.GetFloor() >= 0 && p.GetFloor() <= maxFloor) {
+		m.add("floor", "%v must be from 0 to %d", p.GetFloor(), maxFloor)
+	}
+	if p.GetLatestEnd() != "" {
+		if _, err := time.Parse(time.RFC3339, p.GetLatestEnd()); err != nil {
+			m.add("latest_end", "%q must be a time such as 2026-12-31T18:00:00+04:00", p.GetLatestEnd())
+		}
+	}
+	checkRules(&m, p.GetRules())
+	checkWindows(&m, p.GetWindows())
+	return errors.Join(m...)
+}
+
+func enum(m *mistakes, field string, v int32, names map[int32]string) {
+	if _, ok := names[v]; !ok {
+		m.add(field, "%d has no meaning", v)
+	}
+}
+
+func checkMachines(m *mistakes, s *planpb.Machines) {
+	some := len(s.GetNames())+len(s.GetTypes())+len(s.GetZones()) > 0 || s.GetKind() != planpb.Kind_ANY || s.GetOlderThanS() > 0
+	switch {
+	case !some && !s.GetAll():
+		m.add("machines", "say which: names, types, zones, kind, older_than_s, or all: true")
+	case some && s.GetAll():
+		m.add("machines.all", "must not be given together with others")
+	}
+	seen := map[string]bool{}
+	for i, n := range s.GetNames() {
+		if _, err := wire.ParseMachine(n); err != nil {
+			m.add(fmt.Sprintf("machines.names[%d]", i), "%w", err)
+		}
+		if seen[n] {
+			m.add(fmt.Sprintf("machines.names[%d]", i), "%q is there twice", n)
+		}
+		seen[n] = true
+	}
+	enum(m, "machines.kind", int32(s.GetKind()), planpb.Kind_name)
+	if !(s.GetOlderThanS() >= 0 && s.GetOlderThanS() <= 1e9) {
+		m.add("machines.older_than_s", "%v must not be negative", s.GetOlderThanS())
+	}
+}
+
+func checkRules(m *mistakes, rules []*planpb.Rule) {
+	if len(rules) > maxRules {
+		m.add("rules", "%d given, at most %d are taken", len(rules), maxRules)
+	}
+	for i, r := range rules {
+		f := fmt.Sprintf("rules[%d]", i)
+		if r.GetClass() == "" && r.GetRank() == "" {
+			m.add(f, "give a class, a rank or both")
+		}
+		if _, ok := wire.Rank(r.GetRank()); !ok && r.GetRank() != "" {
+			m.add(f+".rank", "%q must be idle, standard, urgent or prod", r.GetRank())
+		}
+		enum(m, f+".running", int32(r.GetRunning()), planpb.How_name)
+	}
+}
+
+func checkWindows(m *mistakes, windows []*planpb.Window) {
+	if len(windows) > maxWindows {
+		m.add("windows", "%d given, at most %d are taken", len(windows), maxWindows)
+	}
+	for i, w := range windows {
+		f := fmt.Sprintf("windows[%d]", i)
+		if w.GetDeadline() == (w.GetNotPast() != "") {
+			m.add(f, "give either not_past or deadline: true")
+		}
+		if _, err := clock(w.GetNotPast()); err != nil && w.GetNotPast() != "" {
+			m.add(f+".not_past", "%q must be a time of day, HH:MM", w.GetNotPast())
+		}
+		if _, err := time.LoadLocation(w.GetTimeZone()); err != nil || w.GetTimeZone() == "Local" {
+			m.add(f+".time_zone", "%q is no time zone such as Asia/Muscat", w.GetTimeZone())
+		}
+	}
+}
+
+// clock parses a time of day.
+func clock(s string) (time.Duration, error) {
+	h, min, ok := strings.Cut(s, ":")
+	a, err1 := strconv.ParseUint(h, 10, 8)
+	b, err2 := strconv.ParseUint(min, 10, 8)
+	if !ok || err1 != nil || err2 != nil || len(h) != 2 || len(min) != 2 || a > 23 || b > 59 {
+		return 0, fmt.Errorf("%q is no time of day", s)
+	}
+	return time.Duration(a)*time.Hour + time.Duration(b)*time.Minute, nil
+}
+
+// Encode is what is stored of a plan.
+func Encode(p *planpb.Plan) ([]byte, error) { return proto.Marshal(p) }
+
+// Decode reads what is stored.
+func Decode(b []byte) (*planpb.Plan, error) {
+	var p planpb.Plan
+	if err := proto.Unmarshal(b, &p); err != nil {
+		return nil, fmt.Errorf("stored plan: %w", err)
+	}
+	return &p, check(&p)
+}
+
+// Text is a plan as its operator could have written it.
+func Text(p *planpb.Plan) string { return prototext.MarshalOptions{Multiline: true}.Format(p) }
+
+// Spec is the plan in the cores' terms, without its machines.
+func Spec(p *planpb.Plan, n *wire.Names) *drain.Spec {
+	s := &drain.Spec{Name: p.GetName(), AtOnce: 1, PerZone: int(p.GetAtOncePerZone()), Floor: p.GetFloor(), RentFirst: p.GetRentFirst(),
+		Default: drain.How(p.GetRunning()), After: drain.After(p.GetAfter())}
+	if p.AtOnce != nil {
+		s.AtOnce = int(*p.AtOnce)
+	}
+	if t, err := time.Parse(time.RFC3339, p.GetLatestEnd()); err == nil {
+		s.LatestEnd = t
+	}
+	for _, r := range p.GetRules() {
+		out := drain.Rule{Class: model.None, Rank: -1, How: drain.How(r.GetRunning())}
+		if r.GetClass() != "" {
+			out.Class = n.Classes.ID(r.GetClass())
+		}
+		if rank, ok := wire.Rank(r.GetRank()); ok {
+			out.Rank = int(rank)
+		}
+		s.Rules = append(s.Rules, out)
+	}
+	for _, w := range p.GetWindows() {
+		s.Windows = append(s.Windows, window(w, n))
+	}
+	return s
+}
+
+func window(w *planpb.Window, n *wire.Names) drain.Window {
+	out := drain.Window{Deadline: w.GetDeadline(), Location: time.UTC, Name: "its deadline"}
+	for _, c := range w.GetClasses() {
+		out.Classes = append(out.Classes, n.Classes.ID(c))
+	}
+	if !out.Deadline {
+		out.Clock, _ = clock(w.GetNotPast())                 // it was checked
+		out.Location, _ = time.LoadLocation(w.GetTimeZone()) // so was this
+		out.Name = "the window"
+	}
+	return out
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -124,6 +124,12 @@
 
 var ranks = map[string]model.Rank{"idle": model.Idle, "standard": model.Standard, "urgent": model.Urgent, "prod": model.Prod}
 
+// Rank is a rank by its name.
+func Rank(s string) (model.Rank, bool) {
+	r, ok := ranks[s]
+	return r, ok
+}
+
 // Spec turns an accepted submission into the cores' terms.
 func (s *Submission) Spec(n *Names) *model.Spec {
 	id, _ := ParseJob(*s.NameID)
