--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/drain"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/shard"
@@ -90,6 +91,7 @@
 	loaded bool
 	fresh  time.Duration
 	asking bool
+	drains *drains
 }
 
 const promise = 2500 * time.Millisecond
@@ -204,6 +206,7 @@
 		Progress: time.Second, Ahead: 4, SureLease: c.sureLease()}, end)
 	l.d.SetTypes([]model.MachineType{theType})
 	l.local = l.d.Join(now, c.host)
+	l.drains = l.newDrains()
 	c.seat = c.newSeat(l.d.Attempts(l.local))
 	c.seat.id = l.local
 	c.seat.s.Grant(c.el.Deadline())
@@ -214,12 +217,13 @@
 	open    map[model.JobID]openJob
 	done    map[model.JobID]map[int32][]byte
 	records map[uint64]record
+	plans   map[string]drain.Stored
 	rev     uint64
 }
 
 func (s *store) snapshot() any {
 	s.expire()
-	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{}, records: map[uint64]record{}, rev: s.rev}
+	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{}, records: map[uint64]record{}, rev: s.rev, plans: maps.Clone(s.plans)}
 	for k, x := range s.open {
 		v.open[k] = x
 	}
@@ -271,6 +275,9 @@
 				}
 			}
 		}
+		if !l.loaded {
+			l.drains.load(now, snap.plans)
+		}
 		l.d.Sync(known, snap.rev)
 		l.fresh = asked
 		l.loaded = true
@@ -345,6 +352,7 @@
 	}
 	c.seat.s.Tick(now)
 	l.d.Tick(now)
+	l.drains.tick(now)
 	l.deal()
 	for _, wr := range l.d.Writes(now, 20) {
 		c.storeCall(func() any { return c.w.store.write(l.guard, wr) }, func(v any) {
@@ -390,11 +398,18 @@
 			}
 		}
 		for _, e := range evs {
-			l.d.Event(now, l.local, e)
+			l.hear(now, l.local, e)
 		}
 	}
 }
 
+func (l *lead) hear(now time.Duration, from model.ShardID, e model.Event) {
+	if e.Kind == model.Looked {
+		l.drains.e.Seen(now, e.Machine, e.Token, e.On, l.d.Spec)
+	}
+	l.d.Event(now, from, e)
+}
+
 // shift brings a deal's times into the receiver's clock.
 func shift(o model.Order, from, to time.Duration) model.Order {
 	o.Deal.Since += to - from
@@ -474,7 +489,7 @@
 	for _, e := range st.s.Events() {
 		if st.l != nil {
 			st.up(func(l *lead, k *link) {
-				l.d.Event(l.c.now(), st.id, e)
+				l.hear(l.c.now(), st.id, e)
 				l.exchange()
 			})
 		}
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -34,6 +34,7 @@
 	reports             uint64
 	hungUntil           time.Duration
 	results             map[model.Task]bool
+	dead                bool // given back
 }
 
 func newMachine(w *world, id model.MachineID, zone int) *machine {
@@ -55,6 +56,9 @@
 
 func (m *machine) tick() {
 	w := m.w
+	if m.dead {
+		return
+	}
 	w.after(50*time.Millisecond, m.tick)
 	if w.now < m.hungUntil {
 		return
@@ -143,6 +147,9 @@
 }
 
 func (m *machine) answered(no uint64, sent time.Duration, session uint64, ok bool, token uint64, cmds []model.Command, keeper string) {
+	if m.dead {
+		return
+	}
 	w := m.w
 	if m.awaiting != no || w.now-sent > 4*time.Second || session != m.session {
 		return
@@ -181,6 +188,9 @@
 
 // direct takes a command sent straight to the worker.
 func (m *machine) direct(token, session uint64, cmds []model.Command, answer func(*model.Report, bool)) {
+	if m.dead {
+		return // nobody answers
+	}
 	w := m.w
 	if w.now < m.hungUntil {
 		w.after(m.hungUntil-w.now, func() { m.direct(token, session, cmds, answer) })
--- a/internal/core/sim/store_test.go
+++ b/internal/core/sim/store_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/drain"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
@@ -36,11 +37,12 @@
 	done    map[model.JobID]map[int32][]byte
 	final   map[model.JobID]jobs.Stage
 	records map[uint64]record
+	plans   map[string]drain.Stored
 }
 
 func newStore(w *world) *store {
 	return &store{w: w, rev: 1, leases: map[uint64]time.Duration{}, open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{},
-		final: map[model.JobID]jobs.Stage{}, records: map[uint64]record{}}
+		final: map[model.JobID]jobs.Stage{}, records: map[uint64]record{}, plans: map[string]drain.Stored{}}
 }
 
 // back ends an outage: every lease has its full time again.
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -15,6 +15,7 @@
 	report, lease, cancel, ttl, deaf time.Duration
 	length                           time.Duration
 	faults                           bool
+	drains                           bool // operators' drain plans
 	guests                           bool // swarms of small tasks, and jobs that always fail
 	forgetRecords                    bool // a broken guard: a new leader ignores the machines' records
 	trustOldEnd                      bool // a broken guard: old grants are taken for over at once
@@ -66,10 +67,14 @@
 	started int
 	slow    time.Duration // until when the store answers slowly
 	log     []string
+	plans   plans
+	// Of drain plans: tasks moved, machines given back.
+	recalled, given int
 }
 
 func newWorld(seed uint64, p params) *world {
-	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{}, users: map[model.JobID]*user{}}
+	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{}, users: map[model.JobID]*user{},
+		plans: plans{}}
 	w.store = newStore(w)
 	for i := range p.controllers {
 		w.ctls = append(w.ctls, newCtl(w, i))
@@ -264,6 +269,9 @@
 	if w.p.faults {
 		w.after(10*time.Second, w.faults)
 	}
+	if w.p.drains {
+		w.after(5*time.Second, func() { w.operator(0) })
+	}
 	for len(w.queue) > 0 && w.queue[0].at <= w.p.length && len(w.broken) == 0 {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
