core/forecast: what a drain plan would do, played on a copy by the deciding code

Operators want to hear beforehand which jobs would be late, by how long and why. Estimates are corrected by what finished tasks of the class took (core/runtimes, HDR histograms) and the answer is a range. A plan with windows is forecast before it is applied, and refused with the jobs' names if it would push one past. dealer.Guarantees and Price serve both.

--- a/cmd/honeylock/drain.go
+++ b/cmd/honeylock/drain.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	var out node.Outcome
-	if err := o.Change(c.Context(), path, body, &out); err != nil {
+	if err := o.Change(c.Context(), path, body, &out, func(why string) { fmt.Fprintln(c.ErrOrStderr(), why) }); err != nil {
 		return failed(err)
 	}
 	if d.asJSON {
@@ -86,7 +86,7 @@
 			return d.change(c, "drains/"+url.PathEscape(args[0])+"/"+use, nil)
 		}}
 	}
-	c.AddCommand(checkPlanCommand(), applyCommand(&d), drainStatusCommand(&d),
+	c.AddCommand(checkPlanCommand(), forecastCommand(&d), againCommand(&d), applyCommand(&d), drainStatusCommand(&d),
 		&cobra.Command{Use: "list", Short: "List the plans", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			return get(c, &d, "drains", showPlans)
 		}},
--- /dev/null
+++ b/cmd/honeylock/forecast.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"honeylock/internal/node"
+)
+
+func forecastCommand(d *door) *cobra.Command {
+	return &cobra.Command{Use: "plan FILE|-", Short: "Forecast a plan: which jobs it would delay, by how long and why; nothing is changed", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := readPlan(c, args[0])
+			if err != nil {
+				return err
+			}
+			return d.forecast(c, "forecasts", b)
+		}}
+}
+
+func againCommand(d *door) *cobra.Command {
+	return &cobra.Command{Use: "forecast NAME", Short: "Forecast the rest of a plan that is under way", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return d.forecast(c, "drains/"+url.PathEscape(args[0])+"/forecast", nil)
+		}}
+}
+
+func (d *door) forecast(c *cobra.Command, path string, body []byte) error {
+	o, err := d.dial()
+	if err != nil {
+		return err
+	}
+	var r node.ForecastReply
+	told := 0
+	err = o.Ask(c.Context(), path, body, &r, func() bool {
+		if part := int(r.Done * 10); part > told {
+			told = part
+			fmt.Fprintf(c.ErrOrStderr(), "forecasting: %d%%\n", 10*part)
+		}
+		return r.Done >= 1
+	})
+	if err != nil {
+		return failed(err)
+	}
+	if d.asJSON {
+		return showJSON(c.OutOrStdout(), r)
+	}
+	return showForecast(c.OutOrStdout(), &r)
+}
+
+// spanOf is a span for people: its middle, and its ends where they differ.
+func spanOf(s [3]float64) string {
+	d := func(v float64) string { return time.Duration(v * float64(time.Second)).Round(time.Second).String() }
+	if d(s[0]) == d(s[2]) {
+		return d(s[1])
+	}
+	return fmt.Sprintf("%s (%s to %s)", d(s[1]), d(s[0]), d(s[2]))
+}
+
+func showForecast(w io.Writer, r *node.ForecastReply) error {
+	fmt.Fprintf(w, "%s  takes %s; %d of %d open jobs would be delayed\n", r.Name, spanOf(r.TookS), len(r.Late), r.Jobs)
+	if r.Unfinished != "" {
+		fmt.Fprintf(w, "it does not end in the time played: %s\n", r.Unfinished)
+	}
+	if r.Untold > 0 {
+		fmt.Fprintf(w, "%d machines are left out: their controllers did not tell what runs there\n", r.Untold)
+	}
+	for _, g := range r.Guarantees {
+		fmt.Fprintf(w, "work of %s within its guarantee would wait %.0f s in place of %.0f s\n", g.Team, g.WithS, g.WithoutS)
+	}
+	if len(r.Late) == 0 {
+		return nil
+	}
+	var rows [][]string
+	for _, l := range r.Late {
+		rows = append(rows, []string{l.Job, l.Class, spanOf(l.DelayS), spanOf(l.EndS), l.Why, l.Past})
+	}
+	return table(w, []string{"JOB", "CLASS", "LATER BY", "ENDS IN", "WHY", "PUSHED PAST"}, rows)
+}
--- a/internal/client/operators.go
+++ b/internal/client/operators.go
@@ -53,18 +53,36 @@
 
 // Get asks a question.
 func (o *Operators) Get(ctx context.Context, path string, out any) error {
-	return o.insist(ctx, http.MethodGet, path, "", nil, out)
+	return o.insist(ctx, http.MethodGet, path, "", nil, out, nil)
 }
 
-// Change makes a change, once, however often it has to be asked for.
-func (o *Operators) Change(ctx context.Context, path string, body []byte, out any) error {
+// Change makes a change, once, however often it has to be asked for. told gets
+// why it takes longer.
+func (o *Operators) Change(ctx context.Context, path string, body []byte, out any, told func(string)) error {
+	return o.insist(ctx, http.MethodPost, path, newID(), body, out, told)
+}
+
+// Ask asks a question that takes a while, under one id until done.
+func (o *Operators) Ask(ctx context.Context, path string, body []byte, out any, done func() bool) error {
+	id := newID()
+	for {
+		if err := o.insist(ctx, http.MethodPost, path, id, body, out, nil); err != nil || done() {
+			return err
+		}
+		if err := pause(ctx, 300*time.Millisecond); err != nil {
+			return err
+		}
+	}
+}
+
+func newID() string {
 	id := make([]byte, 12)
 	_, _ = rand.Read(id) // it never fails
-	return o.insist(ctx, http.MethodPost, path, hex.EncodeToString(id), body, out)
+	return hex.EncodeToString(id)
 }
 
 // insist repeats a call under one id until it has a final answer.
-func (o *Operators) insist(ctx context.Context, method, path, id string, body []byte, out any) error {
+func (o *Operators) insist(ctx context.Context, method, path, id string, body []byte, out any, why func(string)) error {
 	ctx, cancel := context.WithTimeout(ctx, giveUp)
 	defer cancel()
 	for {
@@ -72,6 +90,9 @@
 		if last {
 			return err
 		}
+		if why != nil && err != nil {
+			why(err.Error())
+		}
 		o.next++
 		if perr := pause(ctx, time.Second); perr != nil {
 			return fmt.Errorf("no answer: %w", errors.Join(err, perr))
--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -52,7 +52,7 @@
 	}
 	j := &job{spec: sp, version: version, done: make([]uint64, (sp.Tasks+63)/64), held: map[int32]hold{}, since: now - waited,
 		old: old, dirty: map[int32]bool{}}
-	j.price = price(sp.Rank, false)
+	j.price = Price(sp.Rank, false)
 	d.jobs[sp.ID] = j
 	i, _ := slices.BinarySearchFunc(d.inOrder, j, compareJobs)
 	d.inOrder = slices.Insert(d.inOrder, i, j)
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -8,11 +8,11 @@
 	"honeylock/internal/core/model"
 )
 
-// price of a task. Ranks are a factor of ten apart. What fits into its team's
+// Price of a task. Ranks are a factor of ten apart. What fits into its team's
 // guarantee is worth thirty times as much: more than borrowed work one rank
 // up, so that guarantees get their room back, and the order of ranks within
 // the guarantee stays as it is.
-func price(r model.Rank, within bool) float64 {
+func Price(r model.Rank, within bool) float64 {
 	p := 1.0
 	for range r {
 		p *= 10
@@ -23,6 +23,25 @@
 	return p
 }
 
+// Guarantees tells which jobs fit into their team's guarantee together with the
+// team's earlier unfinished jobs: they are asked about in the order of submission.
+type Guarantees struct {
+	teams []Team
+	sum   []model.Resources
+}
+
+// NewGuarantees begins with no job.
+func NewGuarantees(teams []Team) *Guarantees {
+	return &Guarantees{teams, make([]model.Resources, len(teams))}
+}
+
+// Within tells of the next job, which has so many tasks left.
+func (g *Guarantees) Within(sp *model.Spec, left int64) bool {
+	sum, have := &g.sum[sp.Team], g.teams[sp.Team].Guarantee
+	*sum = sum.Add(sp.Each.Times(left))
+	return sum.CPU <= have.CPU && sum.GPU <= have.GPU && have.CPU > 0
+}
+
 // reprice finds out which jobs fit into their team's guarantee together with
 // the team's earlier unfinished jobs.
 func (d *Dealer) reprice(now time.Duration, jobs []*job) {
@@ -30,16 +49,13 @@
 		return
 	}
 	d.repriced = now
-	sum := make([]model.Resources, len(d.p.Teams))
+	g := NewGuarantees(d.p.Teams)
 	for _, j := range jobs {
 		if j.ended || j.trouble.broken { // its one probe takes hardly any of the guarantee
 			continue
 		}
-		t := j.spec.Team
-		sum[t] = sum[t].Add(j.spec.Each.Times(int64(j.spec.Tasks - j.nDone)))
-		g := d.p.Teams[t].Guarantee
-		j.within = sum[t].CPU <= g.CPU && (sum[t].GPU <= g.GPU) && g.CPU > 0
-		if p := price(j.spec.Rank, j.within); p != j.price {
+		j.within = g.Within(j.spec, int64(j.spec.Tasks-j.nDone))
+		if p := Price(j.spec.Rank, j.within); p != j.price {
 			j.price = p
 			if len(j.held) > 0 {
 				d.toAll(model.Order{Kind: model.Reprice, Job: j.spec.ID, Price: p})
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -310,10 +310,10 @@
 
 func TestPricesKeepToThePreemptionRules(t *testing.T) {
 	for _, r := range []model.Rank{model.Idle, model.Standard, model.Urgent} {
-		if price(r, true) <= price(r+1, false) {
+		if Price(r, true) <= Price(r+1, false) {
 			t.Errorf("work of rank %d within the guarantee can't have borrowed room back", r)
 		}
-		if price(r, true) >= price(r+1, true) || price(r, false) >= price(r+1, false) {
+		if Price(r, true) >= Price(r+1, true) || Price(r, false) >= Price(r+1, false) {
 			t.Errorf("rank %d is not below the next", r)
 		}
 	}
--- a/internal/core/drain/plan.go
+++ b/internal/core/drain/plan.go
@@ -86,6 +86,18 @@
 	After     After
 }
 
+// Limit is the earliest time that the plan's windows let no job like this be
+// pushed past, and which window says so.
+func (s *Spec) Limit(sp *model.Spec) (limit time.Time, window string, ok bool) {
+	for i := range s.Windows {
+		w := &s.Windows[i]
+		if at, is := w.limit(sp); is && w.covers(sp) && (!ok || at.Before(limit)) {
+			limit, window, ok = at, w.Name, true
+		}
+	}
+	return limit, window, ok
+}
+
 // how a task of the job leaves. A replica never ends by itself, so it moves.
 func (s *Spec) how(sp *model.Spec) How {
 	if sp.Daemon {
--- a/internal/core/drain/record.go
+++ b/internal/core/drain/record.go
@@ -100,6 +100,20 @@
 	return nil
 }
 
+// Copy is a plan under way as it would be stored now, for a forecast.
+func (e *Engine) Copy(name string) (Stored, *Spec, error) {
+	p, err := e.plan(name)
+	if err != nil {
+		return Stored{}, nil, err
+	}
+	if p.ended() {
+		return Stored{}, nil, refuse("plan %q is %s", name, p.Phase)
+	}
+	b, err := p.encode()
+	spec := p.Spec
+	return Stored{Name: name, Value: b, Version: 1}, &spec, err
+}
+
 // Write is a change for the state service. It comes back through Wrote.
 type Write struct {
 	Name    string
--- /dev/null
+++ b/internal/core/forecast/forecast.go
@@ -0,0 +1,258 @@
+// Package forecast tells what a drain plan would do to the jobs that are open. It
+// plays the cluster on from one snapshot, once without the plan and once with it,
+// several times over: placing, evicting and demoting is done by a shard's own code
+// (shard.Rehearsal), and the plan is carried out by the engine that would carry it
+// out (core/drain). Nothing of it acts.
+//
+// It knows no jobs to come, and rents nothing but what the plan rents.
+package forecast
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/drain"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/shard"
+)
+
+// Machine of a snapshot.
+type Machine struct {
+	model.Machine
+	Usable bool // it may get tasks
+	Tasks  []model.OnMachine
+}
+
+// Job of a snapshot.
+type Job struct {
+	Spec  *model.Spec
+	Left  int // tasks not done
+	Since time.Duration
+}
+
+// Snapshot is the present that a forecast begins with.
+type Snapshot struct {
+	Now      time.Duration
+	Wall     time.Time
+	Machines []Machine
+	Jobs     []Job // in the order of submission
+	Teams    []dealer.Team
+	Learned  func(class model.Name, part float64) float64
+	Boot     func(machineType model.Name) time.Duration
+	Shard    shard.Params
+}
+
+// Params of a forecast.
+type Params struct {
+	Plays int           // times that it is played, each with other luck
+	Step  time.Duration // decisions are made so often
+	Most  time.Duration // nothing is played on for longer
+	Patch time.Duration // a machine is patched in so long
+	Seed  uint64
+}
+
+// Plan begins the plan in an engine of its own.
+type Plan func(e *drain.Engine, now time.Duration, wall time.Time) error
+
+// Forecast is played on bit by bit, so that it holds nothing up.
+type Forecast struct {
+	p     Params
+	s     *Snapshot
+	plan  Plan
+	spec  *drain.Spec
+	name  string
+	play  int
+	base  *run // of the present play, nil: not begun
+	with  *run
+	ends  [][2]map[model.JobID]time.Duration // of each play: without and with
+	costs []map[model.JobID]cost
+	took  []time.Duration
+	held  string
+	waits [][2][]time.Duration // of each play: the longest wait within guarantees, by team
+	err   error
+}
+
+// New prepares a forecast of a plan.
+func New(p Params, s *Snapshot, spec *drain.Spec, plan Plan) *Forecast {
+	return &Forecast{p: p, s: s, plan: plan, spec: spec, name: spec.Name}
+}
+
+// Advance plays on a little; true tells that the forecast is complete.
+func (f *Forecast) Advance() (done bool) {
+	switch {
+	case f.err != nil || f.play >= f.p.Plays:
+		return true
+	case f.base == nil:
+		f.base = newRun(f, nil)
+	case !f.base.over:
+		f.base.step()
+	case f.with == nil:
+		f.base.r = nil // its books are large
+		f.with = newRun(f, f.plan)
+	case !f.with.over:
+		f.with.step()
+	default:
+		f.ends = append(f.ends, [2]map[model.JobID]time.Duration{f.base.ends, f.with.ends})
+		f.costs = append(f.costs, f.with.costs)
+		f.waits = append(f.waits, [2][]time.Duration{f.base.waits, f.with.waits})
+		f.took = append(f.took, f.with.planEnd)
+		f.held = f.with.held
+		f.base, f.with = nil, nil
+		f.play++
+	}
+	return f.err != nil || f.play >= f.p.Plays
+}
+
+// Done is how much has been played, 0 to 1.
+func (f *Forecast) Done() float64 {
+	part := 0.0
+	if f.base != nil {
+		part += 0.5 * f.base.part()
+	}
+	if f.with != nil {
+		part += 0.5 * f.with.part()
+	}
+	return min(1, (float64(f.play)+part)/float64(max(1, f.p.Plays)))
+}
+
+// Err is why the plan can't be played.
+func (f *Forecast) Err() error { return f.err }
+
+// luck is a number of 0 to 1 for a task in a play: the same without and with the
+// plan, so that they differ by the plan alone.
+func (f *Forecast) luck(t model.Task) float64 {
+	h := rand.New(rand.NewPCG(f.p.Seed+uint64(f.play)*7919, uint64(t.Job)<<20^uint64(t.No)))
+	return h.Float64()
+}
+
+// cost is what a plan does to a job's tasks.
+type cost struct {
+	moved         int
+	lost, refetch time.Duration
+}
+
+// Late is a job that the plan delays.
+type Late struct {
+	Spec     *model.Spec
+	End      [3]time.Duration // with the plan, from now: least, middle, most
+	Delay    [3]time.Duration
+	Why      string
+	Missed   bool   // it would end past its deadline, and would not without the plan
+	Window   string // of the plan, that it would be pushed past; "": none
+	Unplayed bool   // it did not end while it was played
+	Moved    int
+}
+
+// Guarantee of a team that would not hold as it does.
+type Guarantee struct {
+	Team          model.Name
+	Without, With time.Duration // the longest wait for room within it
+}
+
+// Result of a forecast.
+type Result struct {
+	Late       []Late // the longest delay first
+	Took       [3]time.Duration
+	Unfinished string // what the plan waits for at the end, if it does not end
+	Guarantees []Guarantee
+	Jobs       int
+	Plays      int
+}
+
+// three are the least, the middle and the most.
+func three(v []time.Duration) [3]time.Duration {
+	if len(v) == 0 {
+		return [3]time.Duration{}
+	}
+	slices.Sort(v)
+	return [3]time.Duration{v[0], v[len(v)/2], v[len(v)-1]}
+}
+
+// Result sums up what was played.
+func (f *Forecast) Result() *Result {
+	out := &Result{Plays: len(f.ends), Jobs: len(f.s.Jobs), Took: three(slices.Clone(f.took)), Unfinished: f.held}
+	for i := range f.s.Jobs {
+		if l, ok := f.late(f.s.Jobs[i].Spec); ok {
+			out.Late = append(out.Late, l)
+		}
+	}
+	slices.SortStableFunc(out.Late, func(a, b Late) int { return cmp.Compare(b.Delay[1], a.Delay[1]) })
+	for t := range f.s.Teams {
+		g := Guarantee{Team: model.Name(t)}
+		for _, w := range f.waits {
+			g.Without, g.With = max(g.Without, w[0][t]), max(g.With, w[1][t])
+		}
+		if g.With > 2*g.Without+5*f.p.Step {
+			out.Guarantees = append(out.Guarantees, g)
+		}
+	}
+	return out
+}
+
+// late sums up one job; false tells that the plan does not delay it.
+func (f *Forecast) late(sp *model.Spec) (Late, bool) {
+	l := Late{Spec: sp}
+	var ends, delays []time.Duration
+	var sum cost
+	missed, past := 0, 0
+	deadline := f.deadline(sp)
+	limit, window, _ := f.spec.Limit(sp)
+	until := f.s.now(limit)
+	for i, e := range f.ends {
+		without, ok1 := e[0][sp.ID]
+		with, ok2 := e[1][sp.ID]
+		if !ok1 {
+			continue // nothing can be said
+		}
+		if !ok2 {
+			with, l.Unplayed = f.p.Most, true
+		}
+		ends, delays = append(ends, with), append(delays, with-without)
+		c := f.costs[i][sp.ID]
+		sum = cost{sum.moved + c.moved, sum.lost + c.lost, sum.refetch + c.refetch}
+		if deadline > 0 && with > deadline && without <= deadline {
+			missed++
+		}
+		if window != "" && with > until && without <= until {
+			past++
+		}
+	}
+	if 2*past > len(delays) {
+		l.Window = window
+	}
+	if len(delays) == 0 {
+		return l, false
+	}
+	l.End, l.Delay = three(ends), three(delays)
+	l.Moved = sum.moved / len(delays)
+	l.Missed = 2*missed > len(delays)
+	l.Why = sum.why()
+	return l, l.Delay[1] >= max(2*f.p.Step, time.Second)
+}
+
+// deadline of a job, from now; 0: none.
+func (f *Forecast) deadline(sp *model.Spec) time.Duration {
+	if sp.Deadline == 0 {
+		return 0
+	}
+	return max(1, f.s.now(time.UnixMilli(sp.SubmittedMS).Add(sp.Deadline)))
+}
+
+// now is how long after the snapshot a time of day is.
+func (s *Snapshot) now(t time.Time) time.Duration { return t.Sub(s.Wall) }
+
+// why a job is late: what costs its tasks most.
+func (c cost) why() string {
+	switch {
+	case c.moved == 0:
+		return "waits for room"
+	case c.lost >= c.refetch && c.lost > 0:
+		return "loses progress"
+	case c.refetch > 0:
+		return "fetches its image again"
+	}
+	return "moves"
+}
--- /dev/null
+++ b/internal/core/forecast/plan.go
@@ -0,0 +1,121 @@
+package forecast
+
+import (
+	"slices"
+	"time"
+
+	"honeylock/internal/core/drain"
+	"honeylock/internal/core/model"
+)
+
+// arrivals brings up the machines that the plan has rented, and takes an
+// operator's word for those that are patched by now.
+func (x *run) arrivals() {
+	x.booting = slices.DeleteFunc(x.booting, func(b boot) bool {
+		if b.at > x.now {
+			return false
+		}
+		x.r.Machine(x.now, b.m, true)
+		return true
+	})
+	for id, at := range x.patched {
+		if x.now >= at && x.e.Patched(x.now, x.f.name, id, "") == nil {
+			delete(x.patched, id)
+		}
+	}
+}
+
+// view is the played present, for the engine.
+func (x *run) view() *drain.View {
+	s := x.f.s
+	v := &drain.View{Now: x.now, Wall: s.Wall.Add(x.now - s.Now), Machines: make(map[model.MachineID]drain.Machine, len(s.Machines)),
+		Settled: true, Learned: s.Learned, Boot: s.Boot}
+	x.r.Machines(func(st model.MachineStatus) { v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: true} })
+	for _, b := range x.booting {
+		v.Machines[b.m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: b.m}}
+	}
+	for _, j := range x.jobs {
+		if j.left > 0 {
+			v.Jobs = append(v.Jobs, drain.Job{Spec: j.Spec, Open: j.left, Running: j.running})
+		}
+	}
+	for t, team := range s.Teams {
+		v.Spare += max(0, team.Guarantee.CPU-x.usage[t].CPU)
+	}
+	return v
+}
+
+// drain lets the engine decide on the played present, and carries it out.
+func (x *run) drain() {
+	if x.planEnd > 0 {
+		return
+	}
+	for _, a := range x.e.Tick(x.view()) {
+		x.do(a)
+	}
+	for _, w := range x.e.Writes(64) {
+		x.e.Wrote(w, 1, true, false, 0)
+	}
+	if st := x.e.Status(x.now, x.f.name); st != nil {
+		for _, t := range st.Steps {
+			if _, ok := x.patched[t.Machine]; !ok && t.State == drain.Patching.String() {
+				x.patched[t.Machine] = x.now + x.f.p.Patch
+			}
+		}
+		if st.Phase != drain.Active && st.Phase != drain.Paused && x.e.Idle() {
+			x.planEnd = max(1, x.now-x.f.s.Now)
+		}
+	}
+}
+
+func (x *run) do(a drain.Action) {
+	switch a.Kind {
+	case drain.Bar, drain.Unbar:
+		x.r.Use(x.now, a.Machine, a.Kind == drain.Unbar)
+	case drain.Look:
+		x.e.Seen(x.now, a.Machine, a.Seq, x.r.On(x.now, a.Machine), func(id model.JobID) *model.Spec {
+			if j := x.byID[id]; j != nil {
+				return j.Spec
+			}
+			return nil
+		})
+	case drain.Recall:
+		if s, ok := x.r.Recall(x.now, a.Machine, a.Task); ok {
+			x.stopped(s, true)
+		}
+	case drain.Give:
+		x.r.Remove(a.Machine)
+		x.e.Given(x.now, a.Machine, true)
+	case drain.Rent:
+		m := x.like(a.Machine)
+		x.next++
+		m.ID = x.next
+		x.booting = append(x.booting, boot{x.now + x.f.s.Boot(m.Type), m})
+		x.e.Rented(x.now, a, []model.MachineID{m.ID}, false)
+	}
+}
+
+func (x *run) like(id model.MachineID) model.Machine {
+	for i := range x.f.s.Machines {
+		if x.f.s.Machines[i].ID == id {
+			return x.f.s.Machines[i].Machine
+		}
+	}
+	return model.Machine{}
+}
+
+// waitsFor is what a plan that does not end waits for.
+func (x *run) waitsFor() string {
+	if st := x.e.Status(x.now, x.f.name); st != nil {
+		for _, t := range st.Steps {
+			if t.Held != "" {
+				return t.Held
+			}
+		}
+	}
+	return "it takes longer than was played"
+}
+
+// LeastStep is the shortest step that makes sense: what is told of the future is
+// no finer.
+const LeastStep = 250 * time.Millisecond
--- a/internal/core/runtimes/runtimes.go
+++ b/internal/core/runtimes/runtimes.go
@@ -67,3 +67,12 @@
 	}
 	return 0
 }
+
+// Copy is what is known now, for somebody who looks at it later.
+func (b *Book) Copy() *Book {
+	out := New()
+	for c, h := range b.of {
+		out.of[c] = hdrhistogram.Import(h.Export())
+	}
+	return out
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -391,6 +391,10 @@
 	sl := &slot{key: key{t.Task, s.attempt}, t: t, each: t.Spec.Each}
 	m.slots[sl.key] = sl
 	m.used = m.used.Add(sl.each)
+	if s.rehearsal != nil {
+		sl.fetches = !m.images[t.Spec.Image]
+		s.rehearsal.begun = append(s.rehearsal.begun, sl)
+	}
 	m.images[t.Spec.Image] = true
 	m.wake = true
 	t.on, t.slot = m, sl
--- /dev/null
+++ b/internal/core/shard/rehearse.go
@@ -0,0 +1,178 @@
+package shard
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Rehearsal is a shard of make-believe, which owns all machines of a snapshot and
+// whose workers obey at once. It places, evicts and demotes with the same code as
+// a shard that acts, so that what would happen can be told beforehand.
+type Rehearsal struct {
+	s       *Shard
+	begun   []*slot // reserved since the last Place
+	stopped []*slot // told to stop since
+}
+
+// Begun is a task that a rehearsal has put on a machine.
+type Begun struct {
+	Task    model.Task
+	Spec    *model.Spec
+	Machine model.MachineID
+	Attempt uint64
+	Fetch   time.Duration // until its image is there
+}
+
+// Stopped is a task that had to leave its machine.
+type Stopped struct {
+	Task    model.Task
+	Attempt uint64
+	Ran     time.Duration
+}
+
+// NewRehearsal returns a rehearsal without machines.
+func NewRehearsal(p Params, rng *rand.Rand) *Rehearsal {
+	r := &Rehearsal{s: New(p, 0, rng)}
+	r.s.until = math.MaxInt64
+	r.s.rehearsal = r
+	return r
+}
+
+// Machine adds one, ready from the start.
+func (r *Rehearsal) Machine(now time.Duration, m model.Machine, usable bool) {
+	r.s.own(now, model.Order{Machine: m, Usable: usable})
+	x := r.s.machines[m.ID]
+	x.fenced = true
+	x.answered = math.MaxInt64 / 2 // it is never overdue
+}
+
+// Use lets a machine have tasks, or not.
+func (r *Rehearsal) Use(now time.Duration, id model.MachineID, usable bool) {
+	r.s.Order(now, model.Order{Kind: model.Use, ID: id, Usable: usable})
+}
+
+// Running adds a task that is on a machine.
+func (r *Rehearsal) Running(now time.Duration, id model.MachineID, d model.Deal, ran time.Duration) Begun {
+	m := r.s.machines[id]
+	r.s.attempt++
+	t := &task{Deal: d, price: d.Price, on: m}
+	sl := &slot{key: key{d.Task, r.s.attempt}, t: t, each: d.Spec.Each, sent: true, state: live, stage: model.Running, runSince: now - ran}
+	t.slot = sl
+	r.s.tasks[d.Task] = t
+	m.slots[sl.key] = sl
+	m.used = m.used.Add(sl.each)
+	m.images[d.Spec.Image] = true
+	return Begun{Task: d.Task, Spec: d.Spec, Machine: id, Attempt: sl.attempt}
+}
+
+// Give adds a task that waits.
+func (r *Rehearsal) Give(now time.Duration, d model.Deal) { r.s.give(now, d) }
+
+// Reprice changes the price of a job's tasks.
+func (r *Rehearsal) Reprice(job model.JobID, price float64) { r.s.reprice(job, price) }
+
+// Place places what waits and carries the evictions out. Tasks that had to stop
+// wait again. all looks at all machines, else only those where room came free.
+func (r *Rehearsal) Place(now time.Duration, all bool) (begun []Begun, stopped []Stopped) {
+	r.s.replan = r.s.replan || all
+	r.s.Place(now)
+	for _, sl := range r.stopped {
+		if t := sl.t; t != nil && sl.state != exited {
+			stopped = append(stopped, Stopped{sl.task, sl.attempt, sl.ran(now)})
+			m := t.on
+			r.s.drop(now, m, sl)
+			r.s.landed(now, sl, model.CauseStopped)
+		}
+	}
+	r.stopped = r.stopped[:0]
+	for _, sl := range r.begun {
+		t := sl.t
+		if t == nil || t.slot != sl {
+			continue // it was taken back
+		}
+		fetch := time.Duration(0)
+		if sl.fetches {
+			fetch = t.on.takes(t.Spec)
+		}
+		sl.sent, sl.state, sl.stage, sl.runSince = true, live, model.Running, now+fetch
+		begun = append(begun, Begun{Task: sl.task, Spec: t.Spec, Machine: t.on.ID, Attempt: sl.attempt, Fetch: fetch})
+	}
+	r.begun = r.begun[:0]
+	r.s.events = r.s.events[:0]
+	r.s.directs = nil
+	return begun, stopped
+}
+
+// takes is how long the machine takes to fetch a task's image.
+func (m *machine) takes(sp *model.Spec) time.Duration {
+	if m.FetchRate <= 0 {
+		return 0
+	}
+	return time.Duration(sp.ImageGB / m.FetchRate * float64(time.Second))
+}
+
+// Done ends a task on its machine; false tells that it is not there any more.
+func (r *Rehearsal) Done(now time.Duration, t model.Task, attempt uint64) bool {
+	x := r.s.tasks[t]
+	if x == nil || x.slot == nil || x.slot.attempt != attempt {
+		return false
+	}
+	delete(r.s.tasks, t)
+	x.slot.t = nil
+	r.s.drop(now, x.on, x.slot)
+	return true
+}
+
+// Recall stops a task on a machine and lets it wait again.
+func (r *Rehearsal) Recall(now time.Duration, id model.MachineID, t model.Task) (Stopped, bool) {
+	x := r.s.tasks[t]
+	if x == nil || x.on == nil || x.on.ID != id || x.slot == nil {
+		return Stopped{}, false
+	}
+	sl := x.slot
+	out := Stopped{t, sl.attempt, sl.ran(now)}
+	r.s.drop(now, x.on, sl)
+	r.s.landed(now, sl, model.CauseStopped)
+	return out, true
+}
+
+// Remove takes an empty machine away.
+func (r *Rehearsal) Remove(id model.MachineID) {
+	if m := r.s.machines[id]; m != nil && len(m.slots) == 0 {
+		r.s.remove(m)
+	}
+}
+
+// On tells what is on a machine.
+func (r *Rehearsal) On(now time.Duration, id model.MachineID) []model.OnMachine {
+	m := r.s.machines[id]
+	if m == nil {
+		return nil
+	}
+	var out []model.OnMachine
+	for _, sl := range sorted(m.slots) {
+		out = append(out, model.OnMachine{Task: sl.task, Stage: model.Running, Ran: max(0, sl.ran(now))})
+	}
+	return out
+}
+
+// Machines calls f for every machine, in order.
+func (r *Rehearsal) Machines(f func(st model.MachineStatus)) {
+	for _, m := range r.s.order {
+		f(model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: m.usable, Slots: len(m.slots)})
+	}
+}
+
+// Waiting tells whether a task of the job waits.
+func (r *Rehearsal) Waiting(job model.JobID) bool {
+	for k, g := range r.s.queue {
+		if k.job == job && slices.ContainsFunc(g.tasks, func(*task) bool { return true }) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -37,6 +37,7 @@
 	hardAt   time.Duration // a saving task is ended then
 	clear    bool
 	alien    bool          // found, and not adopted
+	fetches  bool          // of a rehearsal: its machine had not its image
 	runSince time.Duration // first seen running
 }
 
@@ -66,6 +67,9 @@
 		s.landed(now, sl, model.CauseStopped)
 		return
 	}
+	if s.rehearsal != nil {
+		s.rehearsal.stopped = append(s.rehearsal.stopped, sl)
+	}
 	sl.stop, sl.grace = true, grace
 	sl.hardAt = now + grace + s.p.Report + 2*time.Second
 	m.wake = true
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -100,6 +100,8 @@
 	events   []model.Event
 	directs  []Direct
 	Stats    Stats
+	// rehearsal is told what is placed and stopped; nil where the shard acts.
+	rehearsal *Rehearsal
 }
 
 // New returns a shard without a grant. attempts is the first of a range of
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -37,6 +37,7 @@
 	led    *ledger.Ledger
 	learnt *runtimes.Book
 	ticked time.Duration
+	ahead  foresight
 }
 
 func (l *leadership) newDraining() *draining {
@@ -164,6 +165,9 @@
 func (p *draining) hear(now time.Duration, e *model.Event) {
 	switch e.Kind {
 	case model.Looked:
+		if p.ahead.heard(e) {
+			return
+		}
 		p.e.Seen(now, e.Machine, e.Token, e.On, p.l.d.Spec)
 	case model.Finished:
 		if p.l.n.set.Operator == nil {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -63,17 +63,13 @@
 func (n *Node) newLeadership(ctx context.Context, now time.Duration) *leadership {
 	lctx, cancel := context.WithCancel(ctx)
 	c := &n.cfg.Cluster
-	teams := make([]dealer.Team, len(c.Teams))
-	for i, t := range c.Teams {
-		teams[i] = dealer.Team{Guarantee: model.Capacity(t.CPUs, t.GPUs, 0), Limit: model.Capacity(t.CPUsMax, t.GPUsMax, 0)}
-	}
 	l := &leadership{n: n, ctx: lctx, cancel: cancel, term: n.el.Term(), guard: wire.Guard{Key: keyLeader, Version: n.el.Version()},
 		ready: make(chan struct{}), began: now, links: map[model.ShardID]*link{}, hosts: map[string]bool{},
 		budget: budget.New(c.State.WriteRPS*0.4, max(4, int(c.State.WriteRPS*0.2)))}
 	// Shards of the term before may act on grants that reach to the end of
 	// their leader's authority, even if its lease was ended early: up to one
 	// whole length of it from now, unless they are heard to have stopped.
-	l.d = dealer.New(dealer.Params{Term: l.term, Teams: teams, ChunkSize: chunkSize(c.State.ValueKB), BlockSize: blockSize(c.State.ValueKB), Progress: 2 * time.Second,
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.State.ValueKB), BlockSize: blockSize(c.State.ValueKB), Progress: 2 * time.Second,
 		Ahead: n.set.DealAhead, SureLease: c.SureLease()}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -28,6 +28,10 @@
 	AuditList   Verb = "audit list"
 	DrainList   Verb = "drain list"
 	DrainStatus Verb = "drain status"
+	// DrainPlan forecasts a plan, DrainAgain one that is under way: begun under a
+	// request's id, asked again under it until it is complete.
+	DrainPlan   Verb = "drain plan"
+	DrainAgain  Verb = "drain forecast"
 	DrainApply  Verb = "drain apply"
 	DrainPause  Verb = "drain pause"
 	DrainResume Verb = "drain resume"
@@ -35,9 +39,10 @@
 	DrainDone   Verb = "drain patched"
 )
 
-func (v Verb) changes() bool {
+// Changes tells whether a call changes something.
+func (v Verb) Changes() bool {
 	switch v {
-	case AuditList, DrainList, DrainStatus:
+	case AuditList, DrainList, DrainStatus, DrainPlan, DrainAgain:
 		return false
 	}
 	return true
@@ -132,7 +137,7 @@
 		return callError(http.StatusServiceUnavailable, errNoLeader)
 	}
 	now := n.now()
-	if !c.Verb.changes() {
+	if !c.Verb.Changes() {
 		return l.drains.ask(now, c)
 	}
 	e, err := l.drains.known(c)
@@ -140,6 +145,9 @@
 		return callError(http.StatusConflict, err)
 	}
 	if e == nil {
+		if r, wait := l.drains.foresee(now, c); wait {
+			return r
+		}
 		e = l.drains.change(now, c)
 		n.log.Info("operator's change", "who", c.Who, "what", c.Verb, "name", c.Name, "status", e.Status, "outcome", e.Outcome)
 	}
@@ -176,11 +184,7 @@
 	outcome, err := p.make(now, c)
 	e.Name = c.Name // of a plan that is applied
 	if err != nil {
-		e.Status, outcome = http.StatusConflict, err.Error()
-		var r *drain.Refusal
-		if !errors.As(err, &r) {
-			e.Status = http.StatusBadRequest
-		}
+		e.Status, outcome = statusOf(err), err.Error()
 	}
 	const most = 1024 // an entry must fit into a value
 	e.Outcome = outcome[:min(len(outcome), most)]
@@ -209,27 +213,44 @@
 }
 
 func (p *draining) apply(now time.Duration, c *Call) (string, error) {
-	pb, err := planfile.Parse([]byte(c.Plan))
+	d, err := p.declared(now, c.Plan)
 	if err != nil {
 		return "", err
 	}
-	c.Name = pb.GetName()
-	source, err := planfile.Encode(pb)
-	if err != nil {
+	c.Name = d.spec.Name
+	if err := p.e.Check(d.spec, wire.MachineName); err != nil {
 		return "", err
 	}
-	s := planfile.Spec(pb, p.l.n.names)
-	s.Machines = planfile.Choose(pb, p.candidates(now), p.l.n.names)
-	if missing := unknown(pb, s.Machines); missing != "" {
-		return "", &drain.Refusal{Why: "machines.names: " + missing + " is no machine of this cluster, or not one that the other fields allow"}
-	}
-	if err := p.e.Check(s, wire.MachineName); err != nil {
+	if err := p.pushed(c); err != nil {
 		return "", err
 	}
-	plan := p.e.Apply(now, time.Now(), s, source, c.Who)
+	plan := p.e.Apply(now, time.Now(), d.spec, d.source, c.Who)
 	return "applied to " + count(len(plan.Steps), "machine"), nil
 }
 
+// declared is a plan as an operator gave it, with the machines that it means now.
+type declared struct {
+	pb     *planpb.Plan
+	spec   *drain.Spec
+	source []byte
+}
+
+func (p *draining) declared(now time.Duration, text string) (*declared, error) {
+	pb, err := planfile.Parse([]byte(text))
+	if err != nil {
+		return nil, err
+	}
+	d := &declared{pb: pb, spec: planfile.Spec(pb, p.l.n.names)}
+	if d.source, err = planfile.Encode(pb); err != nil {
+		return nil, err
+	}
+	d.spec.Machines = planfile.Choose(pb, p.candidates(now), p.l.n.names)
+	if missing := unknown(pb, d.spec.Machines); missing != "" {
+		return nil, &drain.Refusal{Why: "machines.names: " + missing + " is no machine of this cluster, or not one that the other fields allow"}
+	}
+	return d, nil
+}
+
 // unknown is the first machine that a plan names and does not get.
 func unknown(pb *planpb.Plan, got []model.MachineID) string {
 	have := map[string]bool{}
@@ -266,6 +287,8 @@
 			out = append(out, p.planStatus(&s))
 		}
 		return body(out)
+	case DrainPlan, DrainAgain:
+		return p.askForecast(now, c)
 	case DrainStatus:
 		s := p.e.Status(now, c.Name)
 		if s == nil {
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -40,11 +40,7 @@
 }
 
 func (n *Node) newSeat(attempts uint64) *seat {
-	c := &n.cfg.Cluster
-	st := &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names),
-		s: shard.New(shard.Params{SureLease: c.SureLease(), Report: config.Seconds(c.Workers.ReportS), Sample: n.set.SampleSize,
-			PaybackLimit: n.set.PaybackLimit, DemoteStep: n.set.DemotionStep,
-			DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second, MaxDirect: maxDirect}, attempts, n.rng)}
+	st := &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names), s: shard.New(n.shardParams(), attempts, n.rng)}
 	st.s.Remember(n.kept)
 	return st
 }
--- a/internal/ops/guard.go
+++ b/internal/ops/guard.go
@@ -13,7 +13,7 @@
 	"honeylock/internal/node"
 )
 
-const whoKey = "who"
+const accessKey = "access"
 
 // guard knows the hashes of the tokens. Wrong ones are taken a few times a second
 // only, so that nobody tries many.
@@ -37,7 +37,7 @@
 	return found
 }
 
-// authorise lets in who bears a token, and to changes who may operate.
+// authorise lets in who bears a token.
 func (s *Server) authorise(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		token, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
@@ -51,10 +51,8 @@
 		case a == nil:
 			c.Response().Header().Set("WWW-Authenticate", "Bearer")
 			return s.answer(c, node.CallReply{Status: http.StatusUnauthorized, Err: "a bearer token of this cluster's operators is needed"})
-		case !a.Operate && c.Request().Method != http.MethodGet:
-			return s.answer(c, node.CallReply{Status: http.StatusForbidden, Err: a.Name + " may look, but not change anything (role operate)"})
 		}
-		c.Set(whoKey, a.Name)
+		c.Set(accessKey, a)
 		return next(c)
 	}
 }
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -66,6 +66,8 @@
 	e.GET("/ops/v1/audit", s.call(node.AuditList))
 	e.GET("/ops/v1/drains", s.call(node.DrainList))
 	e.GET("/ops/v1/drains/:name", s.call(node.DrainStatus))
+	e.POST("/ops/v1/forecasts", s.call(node.DrainPlan))
+	e.POST("/ops/v1/drains/:name/forecast", s.call(node.DrainAgain))
 	e.POST("/ops/v1/drains", s.call(node.DrainApply))
 	e.POST("/ops/v1/drains/:name/pause", s.call(node.DrainPause))
 	e.POST("/ops/v1/drains/:name/resume", s.call(node.DrainResume))
@@ -136,9 +138,12 @@
 		c.Response().Header().Set(RequestHeader, id)
 		ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
 		defer cancel()
-		who, _ := c.Get(whoKey).(string)
+		a, _ := c.Get(accessKey).(*config.Access)
+		if verb.Changes() && !a.Operate {
+			return s.answer(c, node.CallReply{Status: http.StatusForbidden, Err: a.Name + " may look, but not change anything (role operate)"})
+		}
 		return s.answer(c, s.op.Operate(ctx, node.Call{Verb: verb, Name: c.Param("name"), Machine: c.Param("machine"), Plan: string(b),
-			Who: who, Request: id}))
+			Who: a.Name, Request: id}))
 	}
 }
 
--- a/internal/planfile/planfile.go
+++ b/internal/planfile/planfile.go
@@ -72,6 +72,9 @@
 	if !(p.GetFloor() >= 0 && p.GetFloor() <= maxFloor) {
 		m.add("floor", "%v must be from 0 to %d", p.GetFloor(), maxFloor)
 	}
+	if p.PatchS != nil && !(p.GetPatchS() >= 0 && p.GetPatchS() <= 1e6) {
+		m.add("patch_s", "%v must be from 0 to 1000000", p.GetPatchS())
+	}
 	if p.GetLatestEnd() != "" {
 		if _, err := time.Parse(time.RFC3339, p.GetLatestEnd()); err != nil {
 			m.add("latest_end", "%q must be a time such as 2026-12-31T18:00:00+04:00", p.GetLatestEnd())
