--- a/internal/core/sim/drains_test.go
+++ b/internal/core/sim/drains_test.go
@@ -211,6 +211,7 @@
 	for seed := range uint64(5) {
 		p := drained(almatyLike())
 		p.faults = false
+		p.rest = time.Minute // the last tasks may have begun late
 		w := newWorld(seed+900, p)
 		w.run()
 		if len(w.broken) > 0 {
--- a/internal/core/sim/sim_test.go
+++ b/internal/core/sim/sim_test.go
@@ -63,6 +63,7 @@
 	for name, p := range map[string]params{"short lease": almatyLike(), "visited": visited()} {
 		t.Run(name, func(t *testing.T) {
 			p.faults = false
+			p.rest = time.Minute // the last tasks may have begun late
 			w := newWorld(1, p)
 			w.run()
 			if len(w.broken) > 0 {
