--- a/cmd/honeylock/drain.go
+++ b/cmd/honeylock/drain.go
@@ -186,6 +186,9 @@
 
 func planLine(s *node.PlanStatus) string {
 	line := s.Phase + ": " + counts(s.Counts)
+	if s.Behind != "" {
+		line += "; longest under way: " + s.Behind
+	}
 	for _, x := range []string{s.Held, s.Note} {
 		if x != "" {
 			line += "; " + x
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -324,8 +324,9 @@
 	}
 }
 
-// Known are all machines that this leader knows, and whether their owners have
-// told how they are.
+// Known are the machines that this leader knows, and whether their owners have
+// told how they are. Those whose lease is over are not known to be anywhere: the
+// cloud's list tells.
 func (d *Dealer) Known(f func(st model.MachineStatus, told bool)) {
 	for _, m := range d.byID {
 		st := model.MachineStatus{Machine: m.Machine}
@@ -334,7 +335,7 @@
 			st = m.status
 			st.Avail = m.avail
 		}
-		if !m.gone {
+		if !m.gone && !m.lapsed {
 			f(st, told)
 		}
 	}
--- a/internal/core/drain/status.go
+++ b/internal/core/drain/status.go
@@ -15,7 +15,11 @@
 	Note   string // why this release does not touch it, or what is not stored yet
 	Counts map[string]int
 	Held   string // what the plan waits for first
-	Steps  []StepStatus
+	// Behind is the machine under way for longest, once that is for more than
+	// behindAfter: it holds the plan.
+	Behind    model.MachineID
+	BehindFor time.Duration
+	Steps     []StepStatus
 }
 
 // StepStatus is how a machine of a plan stands.
@@ -27,13 +31,15 @@
 	Replacement model.MachineID
 }
 
+const behindAfter = time.Minute
+
 // Status returns how a plan stands, nil if there is none of that name.
 func (e *Engine) Status(now time.Duration, name string) *Status {
 	p := e.plans[name]
 	if p == nil {
 		return nil
 	}
-	s := p.brief()
+	s := p.brief(now)
 	for i := range p.Steps {
 		s.Steps = append(s.Steps, StepStatus{Machine: p.Steps[i].Machine, State: p.Steps[i].State.String(), Held: p.rt[i].held,
 			For: now - p.rt[i].since, Replacement: p.rt[i].renewed})
@@ -42,15 +48,15 @@
 }
 
 // List returns how all plans stand, without their steps.
-func (e *Engine) List() []Status {
+func (e *Engine) List(now time.Duration) []Status {
 	var out []Status
 	for _, p := range e.sorted() {
-		out = append(out, p.brief())
+		out = append(out, p.brief(now))
 	}
 	return out
 }
 
-func (p *Plan) brief() Status {
+func (p *Plan) brief(now time.Duration) Status {
 	s := Status{Name: p.Name, Phase: p.Phase, By: p.By, At: p.At, Note: p.foreign, Counts: map[string]int{}}
 	if p.foreign != "" {
 		return s
@@ -63,6 +69,12 @@
 		if s.Held == "" && !p.Steps[i].State.over() && p.rt[i].held != "" {
 			s.Held = p.rt[i].held
 		}
+		if st := p.Steps[i].State; st == Waiting || st.over() {
+			continue
+		}
+		if d := now - p.rt[i].since; d > max(behindAfter, s.BehindFor) {
+			s.Behind, s.BehindFor = p.Steps[i].Machine, d
+		}
 	}
 	return s
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -219,10 +219,13 @@
 	}
 }
 
-// Units are the machines known, with since when. listed tells that the cloud's
-// list has been read.
-func (f *Fleet) Units(do func(m model.Machine, since time.Duration)) (listed bool) {
+// Units are the machines that the cloud has, with since when: those listed, and
+// those too new to be. listed tells that the list has been read.
+func (f *Fleet) Units(now time.Duration, do func(m model.Machine, since time.Duration)) (listed bool) {
 	for id, u := range f.units {
+		if u.first == 0 && now-max(u.since, f.p.Began) > 2*f.p.ListLag+listMargin {
+			continue // it would be listed by now
+		}
 		do(model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot}, u.since)
 	}
 	return f.listed
--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -185,13 +185,16 @@
 		for _, w := range f.waits {
 			g.Without, g.With = max(g.Without, w[0][t]), max(g.With, w[1][t])
 		}
-		if g.With > 2*g.Without+5*f.p.Step {
+		if g.With > 2*g.Without+5*time.Second {
 			out.Guarantees = append(out.Guarantees, g)
 		}
 	}
 	return out
 }
 
+// lateFrom is the delay that a job counts as late from: less is luck.
+const lateFrom = 2 * time.Second
+
 // late sums up one job; false tells that the plan does not delay it.
 func (f *Forecast) late(sp *model.Spec) (Late, bool) {
 	l := Late{Spec: sp}
@@ -230,7 +233,7 @@
 	l.Moved = sum.moved / len(delays)
 	l.Missed = 2*missed > len(delays)
 	l.Why = sum.why()
-	return l, l.Delay[1] >= max(2*f.p.Step, time.Second)
+	return l, l.Delay[1] >= lateFrom
 }
 
 // deadline of a job, from now; 0: none.
--- a/internal/core/forecast/plan.go
+++ b/internal/core/forecast/plan.go
@@ -116,6 +116,11 @@
 	return "it takes longer than was played"
 }
 
-// LeastStep is the shortest step that makes sense: what is told of the future is
-// no finer.
-const LeastStep = 250 * time.Millisecond
+// StepFor is how often decisions are made in a forecast for so many machines: as
+// often as they are made in life, or less often where that takes long.
+func StepFor(machines int) time.Duration {
+	if machines <= 50 {
+		return 250 * time.Millisecond
+	}
+	return time.Second
+}
--- /dev/null
+++ b/internal/core/ledger/ledger_test.go
@@ -0,0 +1,32 @@
+package ledger
+
+import "testing"
+
+// A new leader that loads what was stored answers what was asked before, in
+// bounded space, and numbers on from there.
+func TestEntriesOutliveTheirLeader(t *testing.T) {
+	l, stored := New(4), map[uint64]Entry{}
+	for _, r := range []string{"a", "b", "c", "d", "e", "f"} {
+		e := l.Add(Entry{Request: r, Name: "p", Outcome: "did " + r})
+		for _, u := range l.Unstored(9, func(string) bool { return true }) {
+			stored[l.Slot(u)] = *u
+			l.Stored(u)
+		}
+		if !l.IsStored(e) {
+			t.Fatal("not stored")
+		}
+	}
+	next := New(4)
+	for _, e := range stored {
+		next.Load(e)
+	}
+	if len(stored) != 4 || next.Known("a") != nil || next.Known("f") == nil || next.Known("f").Outcome != "did f" || !next.IsStored(next.Known("f")) {
+		t.Errorf("%v", stored)
+	}
+	if e := next.Add(Entry{Request: "g"}); e.Seq != 7 || next.Known("c") != nil || len(next.List(9)) != 4 || next.List(1)[0].Request != "g" {
+		t.Errorf("%+v of %+v", e, next.List(9))
+	}
+	if u := next.Unstored(9, func(string) bool { return true }); len(u) != 1 || u[0].Request != "g" {
+		t.Errorf("%v are to be stored", u)
+	}
+}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +62,22 @@
 	return res.StatusCode, v
 }
 
+// metric is the value of one of a controller's metrics.
+func metric(c *dev.Controller, name string) string {
+	res, err := http.Get("http://" + c.Cfg.Bind + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	for _, line := range strings.Split(string(b), "\n") {
+		if v, ok := strings.CutPrefix(line, name+" "); ok {
+			return v
+		}
+	}
+	return ""
+}
+
 // until retries f until it holds.
 func until(t *testing.T, what string, f func() bool) {
 	t.Helper()
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -26,6 +26,10 @@
 	auditKeys = "ops/audit/"
 )
 
+// learnFrom is how many reports a task must be estimated to last, for its run time
+// to be learnt from.
+const learnFrom = 5
+
 // auditSlots are the operators' changes that are kept.
 const auditSlots = 256
 
@@ -146,7 +150,7 @@
 func (p *draining) rent(a drain.Action) {
 	n := p.l.n
 	n.mu.Lock()
-	like, ok := p.l.rents.machine(a.Machine)
+	like, ok := p.l.rents.machine(n.now(), a.Machine)
 	r := wire.Rental{Request: a.Request, Type: n.names.Types.Name(like.Type), Zone: n.names.Zones.Name(like.Zone), Spot: like.Spot, Count: 1}
 	n.mu.Unlock()
 	var got []model.MachineID
@@ -173,7 +177,9 @@
 		if p.l.n.set.Operator == nil {
 			return
 		}
-		if sp := p.l.d.Spec(e.Task.Job); sp != nil {
+		// How long it ran is seen from reports: of short tasks that tells little.
+		sp := p.l.d.Spec(e.Task.Job)
+		if sp != nil && sp.Estimate >= learnFrom*config.Seconds(p.l.n.cfg.Cluster.Workers.ReportS) {
 			p.learnt.Add(sp.Class, sp.Estimate, e.Ran)
 		}
 	}
@@ -184,7 +190,7 @@
 	l := p.l
 	v := &drain.View{Now: now, Wall: time.Now(), Machines: map[model.MachineID]drain.Machine{}, Spare: l.d.Spare(),
 		Learned: p.learnt.Factor, Boot: l.rents.f.Boot}
-	listed := l.rents.f.Units(func(m model.Machine, _ time.Duration) {
+	listed := l.rents.f.Units(now, func(m model.Machine, _ time.Duration) {
 		v.Machines[m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: m}}
 	})
 	l.d.Known(func(st model.MachineStatus, told bool) {
--- a/internal/node/foresight.go
+++ b/internal/node/foresight.go
@@ -163,7 +163,7 @@
 	n.mu.Lock()
 	snap := p.snapshot(n.now(), s)
 	x.untold = len(s.left)
-	params := forecast.Params{Plays: 5, Step: time.Second, Most: 4 * time.Hour, Patch: patch, Seed: p.ahead.n}
+	params := forecast.Params{Plays: 5, Step: forecast.StepFor(len(snap.Machines)), Most: 4 * time.Hour, Patch: patch, Seed: p.ahead.n}
 	if len(snap.Machines) > 200 {
 		params.Plays = 1 // the more runs, the less luck matters
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"honeylock/internal/core/budget"
+)
 
 // Register adds the controller's metrics to a registry.
 func (n *Node) Register(reg *prometheus.Registry) {
@@ -50,6 +54,25 @@
 		}
 		return float64(faulty)
 	})
+	leading := func(f func(l *leadership) float64) func() float64 {
+		return func() float64 {
+			if n.lead == nil {
+				return 0
+			}
+			return f(n.lead)
+		}
+	}
+	gauge("drain_plans", "Drain plans under way, on the leader.", leading(func(l *leadership) float64 {
+		plans, _ := l.drains.e.Active()
+		return float64(plans)
+	}))
+	gauge("drain_machines", "Machines that drain plans keep tasks from, on the leader.", leading(func(l *leadership) float64 {
+		_, machines := l.drains.e.Active()
+		return float64(machines)
+	}))
+	gauge("records_waiting_seconds", "How long operators' records have waited to be stored, on the leader.", leading(func(l *leadership) float64 {
+		return l.budget.Waiting(n.now(), budget.Records).Seconds()
+	}))
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
 	stat := func(f func() uint64) func() uint64 {
--- a/internal/node/planstatus.go
+++ b/internal/node/planstatus.go
@@ -17,6 +17,7 @@
 	Note   string         `json:"note,omitempty"`
 	Counts map[string]int `json:"counts"`
 	Held   string         `json:"held,omitempty"`
+	Behind string         `json:"behind,omitempty"` // the machine that holds the plan
 	Steps  []PlanStep     `json:"steps,omitempty"`
 }
 
@@ -34,6 +35,9 @@
 	if !s.At.IsZero() {
 		out.At = &s.At
 	}
+	if s.Behind != 0 {
+		out.Behind = wire.MachineName(s.Behind) + " for " + s.BehindFor.Round(time.Second).String()
+	}
 	for _, t := range s.Steps {
 		step := PlanStep{Machine: wire.MachineName(t.Machine), State: t.State, Held: t.Held, ForS: t.For.Round(100 * time.Millisecond).Seconds()}
 		if t.Replacement != 0 {
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -144,8 +144,8 @@
 }
 
 // machine finds one that the leader or the cloud knows.
-func (p *renting) machine(id model.MachineID) (m model.Machine, ok bool) {
-	p.f.Units(func(u model.Machine, _ time.Duration) {
+func (p *renting) machine(now time.Duration, id model.MachineID) (m model.Machine, ok bool) {
+	p.f.Units(now, func(u model.Machine, _ time.Duration) {
 		if u.ID == id {
 			m, ok = u, true
 		}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,152 @@
+package ops
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"log/slog"
+	"math/big"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"honeylock/internal/config"
+	"honeylock/internal/node"
+)
+
+type echoes struct{ calls []node.Call }
+
+func (e *echoes) Operate(_ context.Context, c node.Call) node.CallReply {
+	e.calls = append(e.calls, c)
+	return node.CallReply{Status: http.StatusOK, Body: []byte(`{}`)}
+}
+
+func door(t *testing.T) (*Server, *echoes) {
+	t.Helper()
+	e := &echoes{}
+	s, err := New(e, &config.Operator{Access: []config.Access{{Name: "reader", Hash: sha256.Sum256([]byte("r"))},
+		{Name: "boss", Hash: sha256.Sum256([]byte("o")), Operate: true}}}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, e
+}
+
+func (s *Server) try(method, path, token string) int {
+	r := httptest.NewRequest(method, "/ops/v1/"+path, nil)
+	r.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	s.http.Handler.ServeHTTP(w, r)
+	return w.Code
+}
+
+// Who may look may also forecast, which changes nothing; who may operate does all.
+func TestRoles(t *testing.T) {
+	s, e := door(t)
+	for _, c := range []struct {
+		method, path, token string
+		want                int
+	}{
+		{"GET", "drains", "r", 200}, {"GET", "audit", "r", 200}, {"POST", "forecasts", "r", 200}, {"POST", "drains/p/forecast", "r", 200},
+		{"POST", "drains", "r", 403}, {"POST", "drains/p/pause", "r", 403}, {"POST", "drains/p/machines/m/patched", "r", 403},
+		{"POST", "drains", "o", 200}, {"POST", "drains/p/cancel", "o", 200}, {"GET", "drains", "o", 200},
+	} {
+		if got := s.try(c.method, c.path, c.token); got != c.want {
+			t.Errorf("%s %s as %s: %d, want %d", c.method, c.path, c.token, got, c.want)
+		}
+	}
+	if last := e.calls[len(e.calls)-2]; last.Who != "boss" || last.Verb != node.DrainCancel || last.Name != "p" || last.Request == "" {
+		t.Errorf("%+v", last)
+	}
+}
+
+// Wrong tokens are taken a few times a second only; right ones are not held up.
+func TestGuessingIsSlow(t *testing.T) {
+	s, _ := door(t)
+	slow := 0
+	for range 60 {
+		if s.try("GET", "drains", "guess") == http.StatusTooManyRequests {
+			slow++
+		}
+	}
+	if slow < 30 {
+		t.Errorf("%d of 60 guesses were held back", slow)
+	}
+	if got := s.try("GET", "drains", "o"); got != http.StatusOK {
+		t.Errorf("a right token got %d", got)
+	}
+}
+
+func writeCert(t *testing.T, dir string, serial int64) (cert, key string) {
+	t.Helper()
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tpl := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, tpl, tpl, &k.PublicKey, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := x509.MarshalECPrivateKey(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, key = filepath.Join(dir, "c.pem"), filepath.Join(dir, "k.pem")
+	for f, b := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der}, key: {Type: "EC PRIVATE KEY", Bytes: raw}} {
+		if err := os.WriteFile(f, pem.EncodeToMemory(b), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(f, time.Time{}, time.Unix(1000*serial, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return cert, key
+}
+
+// A certificate that has changed is served without a restart; one that can't be
+// read leaves the old one in force.
+func TestCertificateIsReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	cert, key := writeCert(t, dir, 1)
+	c, err := loadCertificate(cert, key, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	serial := func() int64 {
+		c.looked = time.Time{}
+		got, err := c.get(&tls.ClientHelloInfo{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x, err := x509.ParseCertificate(got.Certificate[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return x.SerialNumber.Int64()
+	}
+	if serial() != 1 {
+		t.Error("not the first one")
+	}
+	writeCert(t, dir, 2)
+	if serial() != 2 {
+		t.Error("the new one is not served")
+	}
+	if err := os.WriteFile(cert, []byte("nothing"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if serial() != 2 {
+		t.Error("the old one is gone")
+	}
+}
