--- a/cmd/honeylock/dev.go
+++ b/cmd/honeylock/dev.go
@@ -27,7 +27,8 @@
 
 func devCommand() *cobra.Command {
 	var f devFlags
-	c := &cobra.Command{Use: "dev", Short: "Run a whole cluster on loopback, with stand-ins and a small workload", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "dev", Short: "Run a whole cluster on loopback, with stand-ins and a small workload",
+		Args: cobra.NoArgs,
 		Long: `Runs controllers against stand-ins of the state service, the cloud and the
 workers, all in this process and on loopback, and lets a small workload arrive.
 No file is needed. At the end it prints one line of jobs, and the exit code is 1
@@ -172,7 +173,8 @@
 			return
 		case <-t.C:
 			n := u.Counts()
-			line := fmt.Sprintf("%4.0f s  %d accepted, %d done, %d cancelled, %d open", time.Since(began).Seconds(), n.Accepted, n.Done, n.Cancelled, n.Open)
+			line := fmt.Sprintf("%4.0f s  %d accepted, %d done, %d cancelled, %d open", time.Since(began).Seconds(),
+				n.Accepted, n.Done, n.Cancelled, n.Open)
 			if terminal {
 				fmt.Fprintf(c.ErrOrStderr(), "\r%-70s", line)
 			} else {
--- a/cmd/honeylock/drain.go
+++ b/cmd/honeylock/drain.go
@@ -27,8 +27,10 @@
 
 func (d *door) flags(c *cobra.Command) {
 	addrFlag(c, &d.addrs, "HONEYLOCK_OPS_ADDR", "operators' doors of controllers")
-	c.PersistentFlags().StringVar(&d.tokenFile, "token-file", "", "a file that holds your token (default: $HONEYLOCK_TOKEN)")
-	c.PersistentFlags().StringVar(&d.ca, "ca", "", "the authority (PEM) of the controllers' certificates: calls go over TLS")
+	c.PersistentFlags().StringVar(&d.tokenFile, "token-file", "",
+		"a file that holds your token (default: $HONEYLOCK_TOKEN)")
+	c.PersistentFlags().StringVar(&d.ca, "ca", "",
+		"the authority (PEM) of the controllers' certificates: calls go over TLS")
 	c.PersistentFlags().BoolVar(&d.asJSON, "json", false, "print JSON")
 }
 
@@ -67,7 +69,8 @@
 		return err
 	}
 	var out node.Outcome
-	if err := o.Change(c.Context(), path, body, &out, func(why string) { fmt.Fprintln(c.ErrOrStderr(), why) }); err != nil {
+	if err := o.Change(c.Context(), path, body, &out,
+		func(why string) { fmt.Fprintln(c.ErrOrStderr(), why) }); err != nil {
 		return failed(err)
 	}
 	if d.asJSON {
@@ -82,18 +85,21 @@
 	c := &cobra.Command{Use: "drain", Short: "Empty machines by plan, to patch them or give them back"}
 	d.flags(c)
 	about := func(use, short string) *cobra.Command {
-		return &cobra.Command{Use: use + " NAME", Short: short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-			return d.change(c, "drains/"+url.PathEscape(args[0])+"/"+use, nil)
-		}}
+		return &cobra.Command{Use: use + " NAME", Short: short, Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return d.change(c, "drains/"+url.PathEscape(args[0])+"/"+use, nil)
+			}}
 	}
 	c.AddCommand(checkPlanCommand(), forecastCommand(&d), againCommand(&d), applyCommand(&d), drainStatusCommand(&d),
-		&cobra.Command{Use: "list", Short: "List the plans", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-			return get(c, &d, "drains", showPlans)
-		}},
+		&cobra.Command{Use: "list", Short: "List the plans", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				return get(c, &d, "drains", showPlans)
+			}},
 		about("pause", "Stop a plan: no machine is begun, nothing moves"),
 		about("resume", "Let a paused plan go on"),
 		about("cancel", "End a plan: its machines are wanted again"),
-		&cobra.Command{Use: "patched NAME MACHINE", Short: "Say that a machine of a plan is patched: it is wanted again", Args: cobra.ExactArgs(2),
+		&cobra.Command{Use: "patched NAME MACHINE", Short: "Say that a machine of a plan is patched: it is wanted again",
+			Args: cobra.ExactArgs(2),
 			RunE: func(c *cobra.Command, args []string) error {
 				return d.change(c, "drains/"+url.PathEscape(args[0])+"/machines/"+url.PathEscape(args[1])+"/patched", nil)
 			}})
@@ -101,7 +107,8 @@
 }
 
 func checkPlanCommand() *cobra.Command {
-	return &cobra.Command{Use: "check FILE|-", Short: "Check a plan without a cluster, reporting all mistakes", Args: cobra.ExactArgs(1),
+	return &cobra.Command{Use: "check FILE|-", Short: "Check a plan without a cluster, reporting all mistakes",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			_, err := readPlan(c, args[0])
 			if err == nil {
@@ -123,13 +130,14 @@
 }
 
 func applyCommand(d *door) *cobra.Command {
-	return &cobra.Command{Use: "apply FILE|-", Short: "Begin a plan", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-		b, err := readPlan(c, args[0])
-		if err != nil {
-			return err
-		}
-		return d.change(c, "drains", b)
-	}}
+	return &cobra.Command{Use: "apply FILE|-", Short: "Begin a plan", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := readPlan(c, args[0])
+			if err != nil {
+				return err
+			}
+			return d.change(c, "drains", b)
+		}}
 }
 
 func drainStatusCommand(d *door) *cobra.Command {
@@ -211,7 +219,8 @@
 	}
 	var rows [][]string
 	for _, t := range s.Steps {
-		rows = append(rows, []string{t.Machine, t.State, time.Duration(t.ForS * float64(time.Second)).Round(time.Second).String(), t.Replacement, t.Held})
+		rows = append(rows, []string{t.Machine, t.State,
+			time.Duration(t.ForS * float64(time.Second)).Round(time.Second).String(), t.Replacement, t.Held})
 	}
 	return table(w, []string{"MACHINE", "STATE", "FOR", "REPLACEMENT", "WAITS FOR"}, rows)
 }
@@ -228,7 +237,8 @@
 func showAudit(w io.Writer, es *[]ledger.Entry) error {
 	var rows [][]string
 	for _, e := range *es {
-		rows = append(rows, []string{time.UnixMilli(e.AtMS).Format(time.RFC3339), e.Who, e.What, e.Name, fmt.Sprint(e.Status), e.Outcome})
+		rows = append(rows, []string{time.UnixMilli(e.AtMS).Format(time.RFC3339), e.Who, e.What, e.Name,
+			fmt.Sprint(e.Status), e.Outcome})
 	}
 	return table(w, []string{"AT", "WHO", "WHAT", "NAME", "STATUS", "OUTCOME"}, rows)
 }
--- a/cmd/honeylock/forecast.go
+++ b/cmd/honeylock/forecast.go
@@ -12,7 +12,9 @@
 )
 
 func forecastCommand(d *door) *cobra.Command {
-	return &cobra.Command{Use: "plan FILE|-", Short: "Forecast a plan: which jobs it would delay, by how long and why; nothing is changed", Args: cobra.ExactArgs(1),
+	return &cobra.Command{Use: "plan FILE|-",
+		Short: "Forecast a plan: which jobs it would delay, by how long and why; nothing is changed",
+		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			b, err := readPlan(c, args[0])
 			if err != nil {
@@ -23,7 +25,8 @@
 }
 
 func againCommand(d *door) *cobra.Command {
-	return &cobra.Command{Use: "forecast NAME", Short: "Forecast the rest of a plan that is under way", Args: cobra.ExactArgs(1),
+	return &cobra.Command{Use: "forecast NAME", Short: "Forecast the rest of a plan that is under way",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			return d.forecast(c, "drains/"+url.PathEscape(args[0])+"/forecast", nil)
 		}}
--- a/cmd/honeylock/job.go
+++ b/cmd/honeylock/job.go
@@ -22,7 +22,8 @@
 	if v := os.Getenv(env); v != "" {
 		given = strings.Split(v, ",")
 	}
-	c.PersistentFlags().StringSliceVar(addrs, "addr", given, what+", HOST:PORT, several separated by commas (default: $"+env+")")
+	c.PersistentFlags().StringSliceVar(addrs, "addr", given,
+		what+", HOST:PORT, several separated by commas (default: $"+env+")")
 }
 
 func jobCommand() *cobra.Command {
@@ -35,36 +36,39 @@
 		return client.NewUsers(addrs, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid()))))
 	}
 	show := func(c *cobra.Command, st *wire.JobState) error { return showJob(c.OutOrStdout(), st, asJSON) }
-	one := func(use, short string, f func(c *cobra.Command, u *client.Users, id string) (*wire.JobState, error)) *cobra.Command {
-		return &cobra.Command{Use: use + " JOB", Short: short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-			if _, err := wire.ParseJob(args[0]); err != nil {
-				return err
-			}
-			u, err := dial()
-			if err != nil {
-				return err
-			}
-			st, err := f(c, u, args[0])
-			if err != nil {
-				return failed(fmt.Errorf("%s: %w", args[0], err))
-			}
-			return show(c, st)
-		}}
+	one := func(use, short string, f func(c *cobra.Command, u *client.Users, id string) (*wire.JobState,
+		error)) *cobra.Command {
+		return &cobra.Command{Use: use + " JOB", Short: short, Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				if _, err := wire.ParseJob(args[0]); err != nil {
+					return err
+				}
+				u, err := dial()
+				if err != nil {
+					return err
+				}
+				st, err := f(c, u, args[0])
+				if err != nil {
+					return failed(fmt.Errorf("%s: %w", args[0], err))
+				}
+				return show(c, st)
+			}}
 	}
 	every := 2 * time.Second
-	wait := one("wait", "Wait until a job has ended; exit code 1 if it was cancelled", func(c *cobra.Command, u *client.Users, id string) (*wire.JobState, error) {
-		last := ""
-		st, err := u.Wait(c.Context(), id, every, func(st *wire.JobState) {
-			if now := progressOf(st); now != last && !client.Ended(st) {
-				last = now
-				fmt.Fprintln(c.ErrOrStderr(), id, now)
+	wait := one("wait", "Wait until a job has ended; exit code 1 if it was cancelled",
+		func(c *cobra.Command, u *client.Users, id string) (*wire.JobState, error) {
+			last := ""
+			st, err := u.Wait(c.Context(), id, every, func(st *wire.JobState) {
+				if now := progressOf(st); now != last && !client.Ended(st) {
+					last = now
+					fmt.Fprintln(c.ErrOrStderr(), id, now)
+				}
+			})
+			if err == nil && st.Stage != "done" {
+				err = fmt.Errorf("it has ended as %s", st.Stage)
 			}
+			return st, err
 		})
-		if err == nil && st.Stage != "done" {
-			err = fmt.Errorf("it has ended as %s", st.Stage)
-		}
-		return st, err
-	})
 	wait.Flags().DurationVar(&every, "every", every, "ask so often")
 	c.AddCommand(submitCommand(dial, show), wait,
 		one("status", "Show a job's state", func(c *cobra.Command, u *client.Users, id string) (*wire.JobState, error) {
@@ -77,7 +81,8 @@
 }
 
 func submitCommand(dial func() (*client.Users, error), show func(*cobra.Command, *wire.JobState) error) *cobra.Command {
-	return &cobra.Command{Use: "submit FILE|-", Short: "Submit a job described in JSON, as for POST /v1/jobs", Args: cobra.ExactArgs(1),
+	return &cobra.Command{Use: "submit FILE|-", Short: "Submit a job described in JSON, as for POST /v1/jobs",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			body, err := readFile(c, args[0])
 			if err != nil {
@@ -130,7 +135,8 @@
 		}
 		return fmt.Sprint(*v)
 	}
-	return table(w, []string{"JOB", "STAGE", "DONE", "RUNNING"}, [][]string{{st.NameID, st.Stage, count(st.Done), count(st.Running)}})
+	return table(w, []string{"JOB", "STAGE", "DONE", "RUNNING"},
+		[][]string{{st.NameID, st.Stage, count(st.Done), count(st.Running)}})
 }
 
 func showJSON(w io.Writer, v any) error {
--- a/cmd/honeylock/serve.go
+++ b/cmd/honeylock/serve.go
@@ -33,31 +33,34 @@
 
 func serveCommand() *cobra.Command {
 	var f files
-	return f.flags(&cobra.Command{Use: "serve", Short: "Run a controller", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-		cfg, set, err := f.load()
-		if err != nil {
-			return err
-		}
-		return failed(serve(c.Context(), cfg, set))
-	}})
+	return f.flags(&cobra.Command{Use: "serve", Short: "Run a controller", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cfg, set, err := f.load()
+			if err != nil {
+				return err
+			}
+			return failed(serve(c.Context(), cfg, set))
+		}})
 }
 
 func checkCommand() *cobra.Command {
 	var f files
-	return f.flags(&cobra.Command{Use: "check", Short: "Check the settings files, reporting all mistakes", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-		if _, _, err := f.load(); err != nil {
-			return err
-		}
-		_, err := fmt.Fprintln(c.OutOrStdout(), "settings are fine")
-		return failed(err)
-	}})
+	return f.flags(&cobra.Command{Use: "check", Short: "Check the settings files, reporting all mistakes",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			if _, _, err := f.load(); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(c.OutOrStdout(), "settings are fine")
+			return failed(err)
+		}})
 }
 
 func versionCommand() *cobra.Command {
-	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-		_, err := fmt.Fprintln(c.OutOrStdout(), "honeylock", version, runtime.Version())
-		return failed(err)
-	}}
+	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), "honeylock", version, runtime.Version())
+			return failed(err)
+		}}
 }
 
 // load reads both files, so that all their mistakes are told at once.
--- a/internal/client/operators.go
+++ b/internal/client/operators.go
@@ -102,7 +102,8 @@
 
 // once makes a call; last tells that its outcome is final.
 func (o *Operators) once(ctx context.Context, method, path, id string, body []byte, out any) (last bool, err error) {
-	req, err := http.NewRequestWithContext(ctx, method, o.scheme+"://"+o.addrs[o.next%len(o.addrs)]+"/ops/v1/"+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, o.scheme+"://"+o.addrs[o.next%len(o.addrs)]+"/ops/v1/"+path,
+		bytes.NewReader(body))
 	if err != nil {
 		return true, err
 	}
--- a/internal/client/users.go
+++ b/internal/client/users.go
@@ -76,7 +76,8 @@
 func Ended(st *wire.JobState) bool { return st.Stage == "done" || st.Stage == "aborted" }
 
 // Wait polls until a job has ended; told gets every state seen.
-func (u *Users) Wait(ctx context.Context, id string, every time.Duration, told func(*wire.JobState)) (*wire.JobState, error) {
+func (u *Users) Wait(ctx context.Context, id string, every time.Duration, told func(*wire.JobState)) (*wire.JobState,
+	error) {
 	for {
 		st, err := u.Status(ctx, id)
 		if err != nil {
@@ -114,7 +115,8 @@
 }
 
 // once makes a request. Without a final answer it tells when to come back.
-func (u *Users) once(ctx context.Context, method, path string, body []byte) (int, *wire.JobState, time.Duration, error) {
+func (u *Users) once(ctx context.Context, method, path string, body []byte) (int, *wire.JobState, time.Duration,
+	error) {
 	after := time.Second
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.addrs[u.next%len(u.addrs)]+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -113,7 +113,8 @@
 		t.Fatal(err)
 	}
 	hash := strings.Repeat("ab", 32)
-	s, err := ParseSettings([]byte(`operator { listen: "127.0.0.1:1" access { name: "a" token_sha256: "` + hash + `" role: "read" }
+	s, err := ParseSettings([]byte(`operator { listen: "127.0.0.1:1" access { name: "a" token_sha256: "` + hash +
+		`" role: "read" }
 		access { name: "b" token_file: "` + dir + `/good" role: "operate" } }`))
 	if err != nil || len(s.Operator.Access) != 2 || s.Operator.Access[0].Operate || !s.Operator.Access[1].Operate ||
 		s.Operator.Access[1].Hash != sha256.Sum256([]byte("a-long-enough-token")) {
@@ -123,9 +124,10 @@
 		`operator { listen: "x" }`:           "operator.listen",
 		`operator { listen: "127.0.0.1:1" }`: "operator.access",
 		`operator { listen: "127.0.0.1:1" tls_cert_file: "c" access { name: "A" role: "boss" token_sha256: "12" } }`: "operator.access[0].role",
-		`operator { listen: "127.0.0.1:1" access { name: "a" role: "read" token_file: "` + file + `" } }`:            "operator.access[0].token_file: must hold one token",
-		`operator { listen: "127.0.0.1:1" access { name: "a" role: "read" token_file: "/nowhere" } }`:                "operator.access[0].token_file",
-		`operator { listen: "127.0.0.1:1" access { name: "a" role: "read" } }`:                                       "give either",
+		`operator { listen: "127.0.0.1:1" access { name: "a" role: "read" token_file: "` + file +
+			`" } }`: "operator.access[0].token_file: must hold one token",
+		`operator { listen: "127.0.0.1:1" access { name: "a" role: "read" token_file: "/nowhere" } }`: "operator.access[0].token_file",
+		`operator { listen: "127.0.0.1:1" access { name: "a" role: "read" } }`:                        "give either",
 		`operator { listen: "127.0.0.1:1" access { name: "a" role: "read" token_sha256: "` + hash + `" }
 			access { name: "a" role: "read" token_sha256: "` + hash + `" } }`: "the same token is given twice",
 	} {
--- a/internal/core/dealer/bar_test.go
+++ b/internal/core/dealer/bar_test.go
@@ -26,7 +26,8 @@
 		}
 	}
 	r.d.Lost(a, 0)
-	r.d.Event(time.Second, b, model.Event{Kind: model.Unowned, Machine: 1, Report: &model.Report{Machine: model.Machine{ID: 1, Addr: "x"}}})
+	r.d.Event(time.Second, b, model.Event{Kind: model.Unowned, Machine: 1,
+		Report: &model.Report{Machine: model.Machine{ID: 1, Addr: "x"}}})
 	if o := r.orders(model.Own); len(o) != 1 || o[0].To != b || o[0].Usable {
 		t.Errorf("%+v", o)
 	}
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -69,7 +69,9 @@
 // New returns a dealer for a term that begins now. No shard of an earlier term
 // acts beyond oldEnd.
 func New(p Params, oldEnd time.Duration) *Dealer {
-	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{}, barred: map[model.MachineID]bool{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{}, blocks: map[uint64]*block{}, suspects: map[model.MachineID]bool{},
+	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{},
+		barred: map[model.MachineID]bool{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{},
+		blocks: map[uint64]*block{}, suspects: map[model.MachineID]bool{},
 		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
 
--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -114,7 +114,8 @@
 func TestAPlanIsHeldAsLongAsItsReason(t *testing.T) {
 	noon := func(r *rig, d time.Duration) Window {
 		at := r.wall.Add(d)
-		return Window{Classes: []model.Name{5}, Clock: time.Duration(at.Hour())*time.Hour + time.Duration(at.Minute())*time.Minute,
+		return Window{Classes: []model.Name{5}, Clock: time.Duration(at.Hour())*time.Hour +
+			time.Duration(at.Minute())*time.Minute,
 			Location: time.UTC, Name: "the window"}
 	}
 	for name, c := range map[string]struct {
@@ -254,7 +255,8 @@
 func TestPlansEndAtAnyPoint(t *testing.T) {
 	r := three(t)
 	r.job(model.Spec{ID: 1}, 1)
-	if err := r.apply(Spec{Machines: []model.MachineID{1, 2}, Default: Move, LatestEnd: r.wall.Add(time.Hour)}); err != nil {
+	if err := r.apply(Spec{Machines: []model.MachineID{1, 2}, Default: Move,
+		LatestEnd: r.wall.Add(time.Hour)}); err != nil {
 		t.Fatal(err)
 	}
 	if r.e.Pause("p") != nil {
@@ -275,7 +277,8 @@
 		t.Error("a cancelled plan goes on")
 	}
 	// The name is free again; nothing begins after the latest end.
-	if err := r.apply(Spec{Machines: []model.MachineID{2, 3}, After: Patch, LatestEnd: r.wall.Add(r.now + 4*time.Second)}); err != nil {
+	if err := r.apply(Spec{Machines: []model.MachineID{2, 3}, After: Patch,
+		LatestEnd: r.wall.Add(r.now + 4*time.Second)}); err != nil {
 		t.Fatal(err)
 	}
 	r.ticks(20)
--- a/internal/core/drain/hold.go
+++ b/internal/core/drain/hold.go
@@ -80,7 +80,8 @@
 func floor(v *View, p *Plan, r *rooms, id model.MachineID) string {
 	need := int64(p.Floor * float64(v.Spare))
 	if free := r.without(id); free < need {
-		return fmt.Sprintf("%.1f CPUs would be free elsewhere, the floor of teams' guarantees is %.1f", cpus(free), cpus(need))
+		return fmt.Sprintf("%.1f CPUs would be free elsewhere, the floor of teams' guarantees is %.1f", cpus(free),
+			cpus(need))
 	}
 	return ""
 }
@@ -121,7 +122,8 @@
 		}
 		stays, moved := v.Wall.Add(v.left(t, likely)), v.Wall.Add(v.anew(t, careful))
 		if moved.After(limit) && !stays.After(limit) {
-			return fmt.Sprintf("%s would end at %s if it moved, past %s at %s", jobName(t.sp.ID), clock(moved, w), w.Name, clock(limit, w))
+			return fmt.Sprintf("%s would end at %s if it moved, past %s at %s", jobName(t.sp.ID), clock(moved, w), w.Name,
+				clock(limit, w))
 		}
 	}
 	return ""
--- a/internal/core/drain/property_test.go
+++ b/internal/core/drain/property_test.go
@@ -36,7 +36,8 @@
 			}
 			r.job(sp, model.MachineID(rapid.IntRange(1, n).Draw(t, "on")))
 		}
-		s := Spec{Machines: ids, AtOnce: rapid.IntRange(1, 3).Draw(t, "at once"), PerZone: rapid.IntRange(0, 2).Draw(t, "per zone"),
+		s := Spec{Machines: ids, AtOnce: rapid.IntRange(1, 3).Draw(t, "at once"),
+			PerZone: rapid.IntRange(0, 2).Draw(t, "per zone"),
 			Default: How(rapid.IntRange(0, 2).Draw(t, "how")), RentFirst: rapid.Bool().Draw(t, "rent first"),
 			After: After(rapid.IntRange(0, 1).Draw(t, "after"))}
 		if err := r.apply(s); err != nil {
--- a/internal/core/drain/record.go
+++ b/internal/core/drain/record.go
@@ -30,7 +30,8 @@
 }
 
 func (p *Plan) encode() ([]byte, error) {
-	r := record{V: recordVersion, Name: p.Name, UID: p.UID, By: p.By, AtMS: p.At.UnixMilli(), Phase: p.Phase, Source: p.Source}
+	r := record{V: recordVersion, Name: p.Name, UID: p.UID, By: p.By, AtMS: p.At.UnixMilli(), Phase: p.Phase,
+		Source: p.Source}
 	last := int64(0)
 	for i, s := range p.Steps {
 		r.Machines = binary.AppendVarint(r.Machines, int64(s.Machine)-last)
--- a/internal/core/drain/rig_test.go
+++ b/internal/core/drain/rig_test.go
@@ -41,7 +41,8 @@
 const gb = 1000
 
 func newRig() *rig {
-	r := &rig{wall: time.Date(2026, 11, 26, 12, 0, 0, 0, time.UTC), ms: map[model.MachineID]*rigMachine{}, jobs: map[model.JobID]*Job{},
+	r := &rig{wall: time.Date(2026, 11, 26, 12, 0, 0, 0, time.UTC), ms: map[model.MachineID]*rigMachine{},
+		jobs:   map[model.JobID]*Job{},
 		stored: map[string]Stored{}, rented: map[string]model.MachineID{}, given: map[model.MachineID]int{}}
 	r.lead()
 	return r
@@ -78,7 +79,8 @@
 	j := &Job{Spec: &sp, Open: len(on), Running: len(on)}
 	r.jobs[sp.ID] = j
 	for i, id := range on {
-		r.ms[id].tasks = append(r.ms[id].tasks, model.OnMachine{Task: model.Task{Job: sp.ID, No: int32(i)}, Stage: model.Running})
+		r.ms[id].tasks = append(r.ms[id].tasks, model.OnMachine{Task: model.Task{Job: sp.ID, No: int32(i)},
+			Stage: model.Running})
 	}
 	return j
 }
@@ -93,7 +95,10 @@
 
 func (r *rig) view() *View {
 	v := &View{Now: r.now, Wall: r.wall.Add(r.now), Machines: map[model.MachineID]Machine{}, Settled: true,
-		Learned: func(_ model.Name, part float64) float64 { return 0.5 + part }, Boot: func(model.Name) time.Duration { return time.Second }}
+		Learned: func(_ model.Name, part float64) float64 {
+			return 0.5 +
+				part
+		}, Boot: func(model.Name) time.Duration { return time.Second }}
 	for id, m := range r.ms {
 		st := model.MachineStatus{Machine: m.Machine, Avail: m.free(r), Ready: !m.barred && m.boots == 0, Slots: len(m.tasks)}
 		v.Machines[id] = Machine{st, m.boots == 0}
--- a/internal/core/drain/status.go
+++ b/internal/core/drain/status.go
@@ -41,8 +41,9 @@
 	}
 	s := p.brief(now)
 	for i := range p.Steps {
-		s.Steps = append(s.Steps, StepStatus{Machine: p.Steps[i].Machine, State: p.Steps[i].State.String(), Held: p.rt[i].held,
-			For: now - p.rt[i].since, Replacement: p.rt[i].renewed})
+		s.Steps = append(s.Steps, StepStatus{Machine: p.Steps[i].Machine, State: p.Steps[i].State.String(),
+			Held: p.rt[i].held,
+			For:  now - p.rt[i].since, Replacement: p.rt[i].renewed})
 	}
 	return &s
 }
--- /dev/null
+++ b/internal/core/drain/steps.go
@@ -0,0 +1,220 @@
+package drain
+
+import (
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Tick moves the plans on and returns what to do.
+func (e *Engine) Tick(v *View) []Action {
+	e.out, e.free = nil, nil
+	for _, p := range e.sorted() {
+		if p.foreign == "" && !p.ended() {
+			e.step(v, p)
+		}
+	}
+	e.drainPrice(v)
+	e.bars()
+	return e.out
+}
+
+// Bars tells which machines get no tasks, before the first Tick: a new leader
+// must not place anything there meanwhile.
+func (e *Engine) Bars() []Action {
+	e.out = nil
+	e.bars()
+	return e.out
+}
+
+// bars tells what has changed about which machines get tasks. What lets a machine
+// have tasks again counts at once; what keeps it from them, once it is stored.
+func (e *Engine) bars() {
+	want := map[model.MachineID]bool{}
+	for id := range e.price {
+		want[id] = true
+	}
+	for _, p := range e.plans {
+		for i := range p.Steps {
+			if s := &p.Steps[i]; s.State.barred() && (p.synced() || e.barred[s.Machine]) {
+				want[s.Machine] = true
+			}
+		}
+	}
+	for _, id := range sortedIDs(want) {
+		if !e.barred[id] {
+			e.act(Action{Kind: Bar, Machine: id})
+			e.unlook(id)
+		}
+	}
+	for _, id := range sortedIDs(e.barred) {
+		if !want[id] {
+			e.act(Action{Kind: Unbar, Machine: id})
+			e.unlook(id)
+		}
+	}
+	e.barred = want
+}
+
+func sortedIDs(m map[model.MachineID]bool) []model.MachineID {
+	out := make([]model.MachineID, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// drainPrice gives back what was drained for its price and is empty.
+func (e *Engine) drainPrice(v *View) {
+	for _, id := range sortedIDs(e.price) {
+		m, ok := v.Machines[id]
+		switch {
+		case !ok && v.Settled:
+			delete(e.price, id)
+			delete(e.giving, id)
+		case ok && !e.giving[id] && e.empty(v.Now, &m):
+			e.giving[id] = true
+			e.act(Action{Kind: Give, Machine: id})
+		}
+	}
+}
+
+// step moves one plan on.
+func (e *Engine) step(v *View, p *Plan) {
+	if p.Phase == Active && !p.LatestEnd.IsZero() && v.Wall.After(p.LatestEnd) {
+		e.end(v.Now, p, Overdue)
+	}
+	for i := range p.Steps {
+		if _, ok := v.Machines[p.Steps[i].Machine]; !ok && v.Settled && !p.Steps[i].State.over() {
+			p.set(v.Now, i, Gone)
+		}
+	}
+	if !p.synced() {
+		return // nothing is done before it is stored
+	}
+	e.begin(v, p)
+	for i := range p.Steps {
+		switch p.Steps[i].State {
+		case Renting:
+			e.renting(v, p, i)
+		case Draining:
+			e.draining(v, p, i)
+		case Giving:
+			e.giveBack(v, p, i)
+		}
+	}
+	if p.Phase == Active && !slices.ContainsFunc(p.Steps, func(s Step) bool { return !s.State.over() }) {
+		p.Phase = Done
+		p.gen++
+	}
+}
+
+// begin begins as many steps as may be under way, if nothing speaks against it.
+func (e *Engine) begin(v *View, p *Plan) {
+	if p.Phase != Active {
+		return
+	}
+	busy, zones := 0, map[model.Name]int{}
+	for i := range p.Steps {
+		if s := p.Steps[i].State; !s.over() && s != Waiting {
+			busy++
+			zones[v.Machines[p.Steps[i].Machine].Machine.Zone]++
+		}
+	}
+	var r *rooms
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		if s.State != Waiting {
+			continue
+		}
+		m := v.Machines[s.Machine]
+		if busy >= p.AtOnce {
+			p.rt[i].held = ""
+			return
+		}
+		if p.PerZone > 0 && zones[m.Machine.Zone] >= p.PerZone {
+			p.rt[i].held = "enough machines of its zone are being drained"
+			continue
+		}
+		next := Draining
+		if r == nil {
+			r = v.rooms(e.planned())
+		}
+		if p.RentFirst {
+			next = Renting
+		} else if why := e.hold(v, p, s.Machine, r); why != "" {
+			p.rt[i].held = why
+			return // in the order of the plan
+		}
+		busy++
+		zones[m.Machine.Zone]++
+		r.drop(s.Machine)
+		p.set(v.Now, i, next)
+	}
+}
+
+// planned are the machines that no task will be given, stored or not.
+func (e *Engine) planned() map[model.MachineID]bool {
+	out := map[model.MachineID]bool{}
+	for id := range e.price {
+		out[id] = true
+	}
+	for _, p := range e.plans {
+		for i := range p.Steps {
+			if p.Steps[i].State.barred() {
+				out[p.Steps[i].Machine] = true
+			}
+		}
+	}
+	return out
+}
+
+// renting waits for a step's replacement.
+func (e *Engine) renting(v *View, p *Plan, i int) {
+	r, s := &p.rt[i], &p.Steps[i]
+	m := v.Machines[s.Machine].Machine
+	if r.renewed != 0 {
+		n, ok := v.Machines[r.renewed]
+		switch {
+		case p.Phase != Active:
+		case ok && n.Told && n.Ready:
+			if why := e.hold(v, p, s.Machine, v.rooms(e.planned())); why != "" {
+				r.held = why
+				return
+			}
+			p.set(v.Now, i, Draining)
+		case v.Now-r.asked > 4*v.Boot(m.Type)+20*time.Second:
+			// It never came up, or is gone: another.
+			s.Try++
+			p.set(v.Now, i, Renting)
+			p.rt[i].renewed = 0
+		default:
+			r.held = "its replacement has not come up yet"
+		}
+		return
+	}
+	if !r.asking && p.Phase == Active && (r.asked == 0 || v.Now-r.asked >= e.p.Probe) {
+		r.asking = true
+		e.act(Action{Kind: Rent, Machine: s.Machine, Plan: p.Name, Step: i, Request: p.request(i)})
+	}
+}
+
+// giveBack returns a machine until the cloud has it. A leader that comes in
+// between can't know what was placed there before it had heard of the plan: it
+// looks once more, and drains the machine again if it must.
+func (e *Engine) giveBack(v *View, p *Plan, i int) {
+	r := &p.rt[i]
+	m := v.Machines[p.Steps[i].Machine]
+	switch {
+	case r.asking:
+	case m.Told && m.Slots > 0:
+		p.set(v.Now, i, Draining)
+	case !e.empty(v.Now, &m):
+		r.held = "its controller has not told that it is empty"
+	case r.asked == 0 || v.Now-r.asked >= time.Second:
+		r.asking = true
+		e.act(Action{Kind: Give, Machine: p.Steps[i].Machine, Plan: p.Name, Step: i})
+	}
+}
--- a/internal/core/fleet/drain.go
+++ b/internal/core/fleet/drain.go
@@ -75,7 +75,8 @@
 func (f *Fleet) undrain(status []model.MachineStatus, lacking []lack) ([]Action, []lack) {
 	var cands []*model.MachineStatus
 	for i := range status {
-		if u := f.units[status[i].Machine.ID]; u != nil && u.drain && !u.drop && !u.held && u.silent == 0 && !status[i].Faulty && !status[i].Draining {
+		if u := f.units[status[i].Machine.ID]; u != nil && u.drain && !u.drop && !u.held && u.silent == 0 &&
+			!status[i].Faulty && !status[i].Draining {
 			cands = append(cands, &status[i])
 		}
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -188,57 +188,6 @@
 	}
 }
 
-// Hold takes which machines plans drain, which are neither room nor surplus, and
-// which they will, whose price is no longer asked about.
-func (f *Fleet) Hold(plans func(model.MachineID) (drains, wants bool)) {
-	for id, u := range f.units {
-		u.held, u.wanted = plans(id)
-		u.drain = u.drain && !u.wanted
-	}
-}
-
-// Give begins a return that somebody else has decided on; false tells that one is
-// under way, and to come back.
-func (f *Fleet) Give(ids []model.MachineID) bool {
-	if f.giving {
-		return false
-	}
-	f.giving = true
-	for _, id := range ids {
-		if u := f.units[id]; u != nil {
-			u.drop = true
-		}
-	}
-	return true
-}
-
-// Adopt takes machines that somebody else has rented, as room to come.
-func (f *Fleet) Adopt(now time.Duration, ids []model.MachineID, like model.Machine) {
-	for _, id := range ids {
-		f.unit(now, id, kind{like.Type, like.Zone, like.Spot})
-	}
-}
-
-// Units are the machines that the cloud has, with since when: those listed, and
-// those too new to be. listed tells that the list has been read.
-func (f *Fleet) Units(now time.Duration, do func(m model.Machine, since time.Duration)) (listed bool) {
-	for id, u := range f.units {
-		if u.first == 0 && now-max(u.since, f.p.Began) > 2*f.p.ListLag+listMargin {
-			continue // it would be listed by now
-		}
-		do(model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot}, u.since)
-	}
-	return f.listed
-}
-
-// Boot is how long a machine of a type takes to come up, as the catalog has it.
-func (f *Fleet) Boot(machineType model.Name) time.Duration {
-	if t := f.typeOf(machineType); t != nil {
-		return t.Boot
-	}
-	return time.Minute
-}
-
 const (
 	atOnce  = 3  // rentals under way
 	maxRent = 50 // machines the cloud rents in one call
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -216,7 +216,8 @@
 		status[i].Avail, status[i].Slots = status[i].Machine.Cap, 0
 	}
 	as = f.Step(time.Hour, status, nil, noLimit)
-	if d, _ := kinds(as); d != nil || slices.ContainsFunc(as, func(a Action) bool { return a.Kind == Return && slices.Contains(a.Machine, 0) }) {
+	if d, _ := kinds(as); d != nil || slices.ContainsFunc(as,
+		func(a Action) bool { return a.Kind == Return && slices.Contains(a.Machine, 0) }) {
 		t.Errorf("%+v of machines that plans drain", as)
 	}
 }
--- a/internal/core/forecast/forecast_test.go
+++ b/internal/core/forecast/forecast_test.go
@@ -25,7 +25,8 @@
 		Boot:  func(model.Name) time.Duration { return 10 * time.Second },
 		Shard: shard.Params{Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2}}
 	for id := range machines {
-		s.Machines = append(s.Machines, Machine{Machine: model.Machine{ID: model.MachineID(id + 1), Cap: model.Capacity(8, 0, 32), FetchRate: 0.5},
+		s.Machines = append(s.Machines, Machine{Machine: model.Machine{ID: model.MachineID(id + 1),
+			Cap: model.Capacity(8, 0, 32), FetchRate: 0.5},
 			Usable: true})
 	}
 	return s
@@ -36,7 +37,8 @@
 	sp.Each, sp.Zone, sp.Tasks = model.Request(2, 0, 1), model.None, int32(len(on)+waiting)
 	sp.SubmittedMS = s.Wall.UnixMilli()
 	for i, m := range on {
-		s.Machines[m-1].Tasks = append(s.Machines[m-1].Tasks, model.OnMachine{Task: model.Task{Job: sp.ID, No: int32(i)}, Stage: model.Running, Ran: ran})
+		s.Machines[m-1].Tasks = append(s.Machines[m-1].Tasks,
+			model.OnMachine{Task: model.Task{Job: sp.ID, No: int32(i)}, Stage: model.Running, Ran: ran})
 	}
 	s.Jobs = append(s.Jobs, Job{Spec: &sp, Left: int(sp.Tasks), Since: s.Now})
 	return &sp
@@ -120,7 +122,8 @@
 func TestWindowsAreForeseen(t *testing.T) {
 	s := snapshot(2)
 	s.job(model.Spec{ID: 5, Class: 3, Estimate: 8 * time.Minute}, 0, 4*time.Minute, 1, 1)
-	w := drain.Window{Classes: []model.Name{3}, Clock: 12*time.Hour + 5*time.Minute, Location: time.UTC, Name: "the window"}
+	w := drain.Window{Classes: []model.Name{3}, Clock: 12*time.Hour + 5*time.Minute, Location: time.UTC,
+		Name: "the window"}
 	r := s.play(t, params(), drain.Spec{Machines: []model.MachineID{1}, Windows: []drain.Window{w}, Default: drain.Move})
 	if len(r.Late) != 0 || r.Unfinished != "" {
 		t.Errorf("%+v: the engine holds the step until the batch is done", r)
@@ -149,7 +152,8 @@
 	const machines, tasksEach, jobs = 1636, 24, 800
 	s := snapshot(0)
 	for id := range machines {
-		s.Machines = append(s.Machines, Machine{Machine: model.Machine{ID: model.MachineID(id + 1), Cap: model.Capacity(64, 0, 256), FetchRate: 0.5},
+		s.Machines = append(s.Machines, Machine{Machine: model.Machine{ID: model.MachineID(id + 1),
+			Cap: model.Capacity(64, 0, 256), FetchRate: 0.5},
 			Usable: true})
 	}
 	on := make([][]int, jobs)
@@ -158,7 +162,8 @@
 		on[j] = append(on[j], i%machines+1)
 	}
 	for j := range on {
-		s.job(model.Spec{ID: model.JobID(j + 1), Class: model.Name(j % 5), Estimate: time.Duration(40+j%60) * time.Second, ImageGB: 1,
+		s.job(model.Spec{ID: model.JobID(j + 1), Class: model.Name(j % 5), Estimate: time.Duration(40+j%60) * time.Second,
+			ImageGB:    1,
 			Checkpoint: time.Duration(j%2) * 20 * time.Second}, 2, time.Duration(j%40)*time.Second, on[j]...)
 	}
 	s.Learned = func(_ model.Name, part float64) float64 { return 0.5 + part }
--- a/internal/core/forecast/plan.go
+++ b/internal/core/forecast/plan.go
@@ -28,8 +28,9 @@
 // view is the played present, for the engine.
 func (x *run) view() *drain.View {
 	s := x.f.s
-	v := &drain.View{Now: x.now, Wall: s.Wall.Add(x.now - s.Now), Machines: make(map[model.MachineID]drain.Machine, len(s.Machines)),
-		Settled: true, Learned: s.Learned, Boot: s.Boot}
+	v := &drain.View{Now: x.now, Wall: s.Wall.Add(x.now - s.Now),
+		Machines: make(map[model.MachineID]drain.Machine, len(s.Machines)),
+		Settled:  true, Learned: s.Learned, Boot: s.Boot}
 	x.r.Machines(func(st model.MachineStatus) { v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: true} })
 	for _, b := range x.booting {
 		v.Machines[b.m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: b.m}}
--- a/internal/core/forecast/run.go
+++ b/internal/core/forecast/run.go
@@ -84,8 +84,10 @@
 
 func newRun(f *Forecast, plan Plan) *run {
 	s := f.s
-	x := &run{f: f, now: s.Now, byID: make(map[model.JobID]*job, len(s.Jobs)), usage: make([]model.Resources, len(s.Teams)), on: map[model.JobID]map[int32]bool{},
-		gone: map[model.MachineID]bool{}, ready: map[model.MachineID]bool{}, patched: map[model.MachineID]time.Duration{}, next: 1 << 40,
+	x := &run{f: f, now: s.Now, byID: make(map[model.JobID]*job, len(s.Jobs)),
+		usage: make([]model.Resources, len(s.Teams)), on: map[model.JobID]map[int32]bool{},
+		gone: map[model.MachineID]bool{}, ready: map[model.MachineID]bool{}, patched: map[model.MachineID]time.Duration{},
+		next: 1 << 40,
 		ends: map[model.JobID]time.Duration{}, costs: map[model.JobID]cost{}, waits: make([]time.Duration, len(s.Teams)),
 		r: shard.NewRehearsal(s.Shard, rand.New(rand.NewPCG(f.p.Seed, uint64(f.play))))}
 	for i := range s.Jobs {
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -20,10 +20,12 @@
 	for _, e := range stored {
 		next.Load(e)
 	}
-	if len(stored) != 4 || next.Known("a") != nil || next.Known("f") == nil || next.Known("f").Outcome != "did f" || !next.IsStored(next.Known("f")) {
+	if len(stored) != 4 || next.Known("a") != nil || next.Known("f") == nil || next.Known("f").Outcome != "did f" ||
+		!next.IsStored(next.Known("f")) {
 		t.Errorf("%v", stored)
 	}
-	if e := next.Add(Entry{Request: "g"}); e.Seq != 7 || next.Known("c") != nil || len(next.List(9)) != 4 || next.List(1)[0].Request != "g" {
+	if e := next.Add(Entry{Request: "g"}); e.Seq != 7 || next.Known("c") != nil || len(next.List(9)) != 4 ||
+		next.List(1)[0].Request != "g" {
 		t.Errorf("%+v of %+v", e, next.List(9))
 	}
 	if u := next.Unstored(9, func(string) bool { return true }); len(u) != 1 || u[0].Request != "g" {
--- a/internal/core/shard/drain_test.go
+++ b/internal/core/shard/drain_test.go
@@ -78,7 +78,8 @@
 		sp := acts.spec(job+1, model.Rank(job%3), float64(1+job%4))
 		for no := range int32(3) {
 			acts.give(sp, no, 10)
-			p.Give(acts.now, model.Deal{Task: model.Task{Job: sp.ID, No: no}, Spec: sp, Price: 10, Zone: model.None, Since: acts.now - time.Second})
+			p.Give(acts.now, model.Deal{Task: model.Task{Job: sp.ID, No: no}, Spec: sp, Price: 10, Zone: model.None,
+				Since: acts.now - time.Second})
 		}
 	}
 	acts.s.Place(acts.now)
--- a/internal/core/shard/rehearse.go
+++ b/internal/core/shard/rehearse.go
@@ -60,7 +60,8 @@
 	m := r.s.machines[id]
 	r.s.attempt++
 	t := &task{Deal: d, price: d.Price, on: m}
-	sl := &slot{key: key{d.Task, r.s.attempt}, t: t, each: d.Spec.Each, sent: true, state: live, stage: model.Running, runSince: now - ran}
+	sl := &slot{key: key{d.Task, r.s.attempt}, t: t, each: d.Spec.Each, sent: true, state: live, stage: model.Running,
+		runSince: now - ran}
 	t.slot = sl
 	r.s.tasks[d.Task] = t
 	m.slots[sl.key] = sl
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -293,7 +293,8 @@
 		}
 		s.alienGone(sl)
 		// Cleared once its completion is stored.
-		s.emit(model.Event{Kind: model.Finished, Machine: m.ID, Task: k.task, Attempt: k.attempt, Held: held, Ran: sl.ran(now)})
+		s.emit(model.Event{Kind: model.Finished, Machine: m.ID, Task: k.task, Attempt: k.attempt, Held: held,
+			Ran: sl.ran(now)})
 		return
 	case model.CauseError:
 		s.Stats.Errors++
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -111,7 +111,8 @@
 // New returns a shard without a grant. attempts is the first of a range of
 // attempt numbers that are this shard's alone.
 func New(p Params, attempts uint64, rng *rand.Rand) *Shard {
-	return &Shard{p: p, rng: rng, attempt: attempts, round: 1, machines: map[model.MachineID]*machine{}, tasks: map[model.Task]*task{},
+	return &Shard{p: p, rng: rng, attempt: attempts, round: 1, machines: map[model.MachineID]*machine{},
+		tasks: map[model.Task]*task{},
 		queue: map[groupKey]*group{}, pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}, records: map[model.JobID]*record{}}
 }
 
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -223,7 +223,8 @@
 
 func (s *store) snapshot() any {
 	s.expire()
-	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{}, records: map[uint64]record{}, rev: s.rev, plans: maps.Clone(s.plans)}
+	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32][]byte{},
+		records: map[uint64]record{}, rev: s.rev, plans: maps.Clone(s.plans)}
 	for k, x := range s.open {
 		v.open[k] = x
 	}
--- a/internal/core/sim/drains_test.go
+++ b/internal/core/sim/drains_test.go
@@ -42,8 +42,12 @@
 		return
 	}
 	w := x.l.c.w
-	v := &drain.View{Now: now, Wall: time.Unix(0, 0).Add(w.now), Machines: map[model.MachineID]drain.Machine{}, Settled: x.l.d.Recovered(),
-		Learned: func(_ model.Name, p float64) float64 { return 0.5 + p }, Boot: func(model.Name) time.Duration { return time.Second }}
+	v := &drain.View{Now: now, Wall: time.Unix(0, 0).Add(w.now), Machines: map[model.MachineID]drain.Machine{},
+		Settled: x.l.d.Recovered(),
+		Learned: func(_ model.Name, p float64) float64 {
+			return 0.5 +
+				p
+		}, Boot: func(model.Name) time.Duration { return time.Second }}
 	for _, m := range w.workers {
 		if !m.dead {
 			v.Machines[m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: m.Machine}}
@@ -160,7 +164,8 @@
 		}
 		return
 	}
-	s := &drain.Spec{Name: fmt.Sprintf("p%d", n), AtOnce: 1 + w.rng.IntN(3), Default: drain.How(w.rng.IntN(3)), After: drain.Patch}
+	s := &drain.Spec{Name: fmt.Sprintf("p%d", n), AtOnce: 1 + w.rng.IntN(3), Default: drain.How(w.rng.IntN(3)),
+		After: drain.Patch}
 	for _, m := range w.workers {
 		if !m.dead && w.rng.IntN(3) == 0 {
 			s.Machines = append(s.Machines, m.ID)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -73,7 +73,8 @@
 }
 
 func newWorld(seed uint64, p params) *world {
-	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{}, users: map[model.JobID]*user{},
+	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{},
+		users: map[model.JobID]*user{},
 		plans: plans{}}
 	w.store = newStore(w)
 	for i := range p.controllers {
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -94,7 +94,8 @@
 		c.Controllers = append(c.Controllers, k)
 		hosts = append(hosts, standin.Host{Name: k.Cfg.HostName, Addr: k.Cfg.Bind})
 	}
-	c.Cloud, err = standin.NewCloud(standin.CloudParams{Kinds: o.Kinds, ListLag: o.ListLag, Dying: o.Dying, RPS: o.CloudRPS,
+	c.Cloud, err = standin.NewCloud(standin.CloudParams{Kinds: o.Kinds, ListLag: o.ListLag, Dying: o.Dying,
+		RPS:    o.CloudRPS,
 		Timing: standin.Timing{Report: o.Report, Lease: o.Lease}}, c.Depot, hosts, rand.New(rand.NewPCG(o.Seed, 3)))
 	if err != nil {
 		return c, err
@@ -103,7 +104,8 @@
 		k.Cfg.Services.Cloud = c.Cloud.Addr()
 		for _, s := range c.Controllers {
 			if s != k {
-				k.Cfg.Siblings = append(k.Cfg.Siblings, config.Sibling{HostName: s.Cfg.HostName, Zone: s.Cfg.Zone, Address: s.Cfg.PeerListen})
+				k.Cfg.Siblings = append(k.Cfg.Siblings, config.Sibling{HostName: s.Cfg.HostName, Zone: s.Cfg.Zone,
+					Address: s.Cfg.PeerListen})
 			}
 		}
 	}
@@ -138,7 +140,8 @@
 	cl := &k.Cluster
 	cl.Zones, cl.Teams = o.Zones, o.Teams
 	cl.Workers.ReportS, cl.Workers.LeaseS, cl.Workers.CancelS = o.Report.Seconds(), o.Lease.Seconds(), o.Cancel.Seconds()
-	cl.State.RPS, cl.State.WriteRPS, cl.State.ValueKB, cl.State.TxnOps = o.Limits.RPS, o.Limits.WriteRPS, o.Limits.ValueKB, o.Limits.TxnOps
+	cl.State.RPS, cl.State.WriteRPS, cl.State.ValueKB, cl.State.TxnOps = o.Limits.RPS, o.Limits.WriteRPS,
+		o.Limits.ValueKB, o.Limits.TxnOps
 	cl.Cloud.RPS, cl.Cloud.ListLagS = o.CloudRPS, o.ListLag.Seconds()
 	cl.Resources.MemMB, cl.Resources.FDLimit = 300, 500
 	return &Controller{Cfg: k, Front: front, o: o}, nil
@@ -223,7 +226,8 @@
 func Operated(token string) (*config.Settings, error) {
 	s := config.DefaultSettings()
 	addr, err := FreeAddr()
-	s.Operator = &config.Operator{Listen: addr, Access: []config.Access{{Name: "dev", Hash: sha256.Sum256([]byte(token)), Operate: true}}}
+	s.Operator = &config.Operator{Listen: addr, Access: []config.Access{{Name: "dev", Hash: sha256.Sum256([]byte(token)),
+		Operate: true}}}
 	return s, err
 }
 
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -32,9 +32,12 @@
 	if cs, err := ParseWorkload([]byte(good)); err != nil || len(cs) != 1 || cs[0].Tasks != 3 || cs[0].RunS != 5 {
 		t.Fatalf("%+v %v", cs, err)
 	}
-	for from, field := range map[string]string{`team: "batch"`: "classes[0].team", `rank: "idle"`: "classes[0].rank", `tasks: 3`: "classes[0].tasks",
-		`cpus: 1`: "classes[0].cpus", `run_s: 5`: "classes[0].run_s", `name: "a"`: "classes[0].name", `image: "i"`: "classes[0].image"} {
-		if _, err := ParseWorkload([]byte(strings.Replace(good, from, "", 1))); err == nil || !strings.Contains(err.Error(), field) {
+	for from, field := range map[string]string{`team: "batch"`: "classes[0].team", `rank: "idle"`: "classes[0].rank",
+		`tasks: 3`: "classes[0].tasks",
+		`cpus: 1`:  "classes[0].cpus", `run_s: 5`: "classes[0].run_s", `name: "a"`: "classes[0].name",
+		`image: "i"`: "classes[0].image"} {
+		if _, err := ParseWorkload([]byte(strings.Replace(good, from, "", 1))); err == nil ||
+			!strings.Contains(err.Error(), field) {
 			t.Errorf("without %s: %v", from, err)
 		}
 	}
--- /dev/null
+++ b/internal/dev/parse.go
@@ -0,0 +1,76 @@
+package dev
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"honeylock/internal/config"
+	"honeylock/internal/dev/devpb"
+	"honeylock/internal/wire"
+)
+
+// ParseWorkload reads a workload in protobuf text format and tells all of its
+// mistakes with their fields.
+func ParseWorkload(b []byte) ([]Class, error) {
+	var p devpb.Workload
+	if err := prototext.Unmarshal(b, &p); err != nil {
+		return nil, err
+	}
+	var out []Class
+	var errs []error
+	for i, c := range p.GetClasses() {
+		errs = append(errs, checkClass(i, c))
+		out = append(out, classOf(c))
+	}
+	return out, errors.Join(errs...)
+}
+
+func classOf(c *devpb.Class) Class {
+	return Class{
+		Name: c.GetName(), Team: c.GetTeam(), Rank: c.GetRank(), Image: c.GetImage(), Tasks: int(c.GetTasks()),
+		CPUs: c.GetCpus(), MemGB: c.GetMemGb(), ImageGB: c.GetImageGb(), RunS: c.GetRunS(), SaveEveryS: c.GetSaveEveryS(),
+		SaveS: c.GetSaveS(), DeadlineS: c.GetDeadlineS(), PerMinute: c.GetPerMinute(), AtStart: int(c.GetAtStart()),
+		Spot: c.GetSpot(), Withdrawn: c.GetWithdrawn(),
+	}
+}
+
+const (
+	mostAmount = 1e6
+	mostTasks  = 10_000
+)
+
+func checkClass(i int, c *devpb.Class) error {
+	var errs []error
+	check := func(ok bool, field string, v any, want string) {
+		if !ok {
+			errs = append(errs, fmt.Errorf("classes[%d].%s = %v: %s", i, field, v, want))
+		}
+	}
+	check(len(c.GetName()) > 0 && len(c.GetName()) <= 200, "name", c.GetName(), "must be 1 to 200 bytes")
+	team := slices.ContainsFunc(trialTeams, func(t config.Team) bool { return t.Name == c.GetTeam() })
+	check(team, "team", c.GetTeam(), "must be batch or office")
+	_, rank := wire.Rank(c.GetRank())
+	check(rank, "rank", c.GetRank(), "must be idle, standard, urgent or prod")
+	check(c.GetImage() != "", "image", c.GetImage(), "must be given")
+	check(c.GetTasks() >= 1 && c.GetTasks() <= mostTasks, "tasks", c.GetTasks(), "must be from 1 to 10000")
+	check(c.GetAtStart() >= 0 && c.GetAtStart() <= mostTasks, "at_start", c.GetAtStart(), "must be from 0 to 10000")
+	check(c.GetWithdrawn() >= 0 && c.GetWithdrawn() <= 1, "withdrawn", c.GetWithdrawn(), "must be from 0 to 1")
+	above := func(field string, v float64) {
+		check(v > 0 && v <= mostAmount, field, v, "must be above 0 and at most 1000000")
+	}
+	above("cpus", c.GetCpus())
+	above("mem_gb", c.GetMemGb())
+	above("run_s", c.GetRunS())
+	from := func(field string, v float64) {
+		check(v >= 0 && v <= mostAmount, field, v, "must be from 0 to 1000000")
+	}
+	from("image_gb", c.GetImageGb())
+	from("save_every_s", c.GetSaveEveryS())
+	from("save_s", c.GetSaveS())
+	from("deadline_s", c.GetDeadlineS())
+	from("per_minute", c.GetPerMinute())
+	return errors.Join(errs...)
+}
--- a/internal/dev/trial.go
+++ b/internal/dev/trial.go
@@ -1,15 +1,11 @@
 package dev
 
 import (
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"time"
 
-	"google.golang.org/protobuf/encoding/prototext"
-
 	"honeylock/internal/config"
-	"honeylock/internal/dev/devpb"
 	"honeylock/internal/standin"
 )
 
@@ -23,79 +19,34 @@
 // batches that matter most, and tidying that can wait.
 func DefaultWorkload() []Class {
 	return []Class{
-		{Name: "payslip", Team: "office", Rank: "standard", Image: "payslip-1", Tasks: 6, CPUs: 2, MemGB: 2, ImageGB: 1, RunS: 25,
-			DeadlineS: 180, PerMinute: 8, AtStart: 3, Spot: true},
-		{Name: "transfer", Team: "office", Rank: "urgent", Image: "transfer-1", Tasks: 2, CPUs: 2, MemGB: 4, ImageGB: 0.5, RunS: 40,
-			DeadlineS: 300, PerMinute: 2, AtStart: 1},
-		{Name: "tidy", Team: "batch", Rank: "idle", Image: "tidy-1", Tasks: 8, CPUs: 1, MemGB: 1, ImageGB: 1, RunS: 60,
-			SaveEveryS: 10, SaveS: 1, PerMinute: 4, AtStart: 4, Spot: true, Withdrawn: 0.1},
-	}
-}
-
-// ParseWorkload reads a workload in protobuf text format and tells all of its
-// mistakes with their fields.
-func ParseWorkload(b []byte) ([]Class, error) {
-	var p devpb.Workload
-	if err := prototext.Unmarshal(b, &p); err != nil {
-		return nil, err
-	}
-	var out []Class
-	var errs []error
-	for i, c := range p.GetClasses() {
-		bad := func(field string, v any, want string) {
-			errs = append(errs, fmt.Errorf("classes[%d].%s = %v: %s", i, field, v, want))
-		}
-		if c.GetName() == "" || len(c.GetName()) > 200 {
-			bad("name", fmt.Sprintf("%q", c.GetName()), "must be 1 to 200 bytes")
-		}
-		if c.GetTeam() != trialTeams[0].Name && c.GetTeam() != trialTeams[1].Name {
-			bad("team", fmt.Sprintf("%q", c.GetTeam()), "must be batch or office")
-		}
-		switch c.GetRank() {
-		case "idle", "standard", "urgent", "prod":
-		default:
-			bad("rank", fmt.Sprintf("%q", c.GetRank()), "must be idle, standard, urgent or prod")
-		}
-		if c.GetImage() == "" {
-			bad("image", `""`, "must be given")
-		}
-		if c.GetTasks() < 1 || c.GetTasks() > 10_000 {
-			bad("tasks", c.GetTasks(), "must be from 1 to 10000")
-		}
-		for _, f := range []struct {
-			name string
-			v    float64
-			zero bool
-		}{{"cpus", c.GetCpus(), false}, {"mem_gb", c.GetMemGb(), false}, {"run_s", c.GetRunS(), false}, {"image_gb", c.GetImageGb(), true},
-			{"save_every_s", c.GetSaveEveryS(), true}, {"save_s", c.GetSaveS(), true}, {"deadline_s", c.GetDeadlineS(), true},
-			{"per_minute", c.GetPerMinute(), true}} {
-			if !(f.v >= 0 && f.v <= 1e6) || !f.zero && f.v == 0 {
-				bad(f.name, f.v, "must be above 0 and at most 1000000 (0 where it may be left out)")
-			}
-		}
-		if !(c.GetWithdrawn() >= 0 && c.GetWithdrawn() <= 1) {
-			bad("withdrawn", c.GetWithdrawn(), "must be from 0 to 1")
-		}
-		if c.GetAtStart() < 0 || c.GetAtStart() > 10_000 {
-			bad("at_start", c.GetAtStart(), "must be from 0 to 10000")
-		}
-		out = append(out, Class{Name: c.GetName(), Team: c.GetTeam(), Rank: c.GetRank(), Image: c.GetImage(), Tasks: int(c.GetTasks()),
-			CPUs: c.GetCpus(), MemGB: c.GetMemGb(), ImageGB: c.GetImageGb(), RunS: c.GetRunS(), SaveEveryS: c.GetSaveEveryS(), SaveS: c.GetSaveS(),
-			DeadlineS: c.GetDeadlineS(), PerMinute: c.GetPerMinute(), AtStart: int(c.GetAtStart()), Spot: c.GetSpot(), Withdrawn: c.GetWithdrawn()})
+		{
+			Name: "payslip", Team: "office", Rank: "standard", Image: "payslip-1", Tasks: 6, CPUs: 2, MemGB: 2, ImageGB: 1,
+			RunS: 25, DeadlineS: 180, PerMinute: 8, AtStart: 3, Spot: true,
+		},
+		{
+			Name: "transfer", Team: "office", Rank: "urgent", Image: "transfer-1", Tasks: 2, CPUs: 2, MemGB: 4, ImageGB: 0.5,
+			RunS: 40, DeadlineS: 300, PerMinute: 2, AtStart: 1,
+		},
+		{
+			Name: "tidy", Team: "batch", Rank: "idle", Image: "tidy-1", Tasks: 8, CPUs: 1, MemGB: 1, ImageGB: 1,
+			RunS: 60, SaveEveryS: 10, SaveS: 1, PerMinute: 4, AtStart: 4, Spot: true, Withdrawn: 0.1,
+		},
 	}
-	return out, errors.Join(errs...)
 }
 
 // Trial returns the options of a trial cluster: machines with 8 CPUs in two
 // zones, half of them up at the start spot ones, and a cloud that has as many
 // again. A pace above 1 makes boots, fetches and runs that many times shorter.
 func Trial(controllers, workers int, pace float64, seed uint64) Options {
-	kind := standin.Kind{Label: "k8", Cpus: 8, MemGb: 32, LocalGb: 50, PullGbPerS: 0.5 * pace, Hourly: 0.5, MarketPrice: 0.2,
-		ReadyS: 20 / pace, Yards: trialZones, Room: workers}
+	kind := standin.Kind{Label: "k8", Cpus: 8, MemGb: 32, LocalGb: 50, PullGbPerS: 0.5 * pace, Hourly: 0.5,
+		MarketPrice: 0.2,
+		ReadyS:      20 / pace, Yards: trialZones, Room: workers}
 	o := Options{
 		Controllers: controllers, Zones: trialZones, Teams: trialTeams, Kinds: []standin.Kind{kind},
-		Report: 500 * time.Millisecond, Lease: 10 * time.Second, Cancel: 40 * time.Second, ListLag: time.Second, Dying: 3 * time.Second,
-		CloudRPS: 10, Limits: standin.StoreLimits{RPS: 300, WriteRPS: 120, ValueKB: 16, TxnOps: 16}, Seed: seed, Depot: standin.NewDepot(),
+		Report: 500 * time.Millisecond, Lease: 10 * time.Second, Cancel: 40 * time.Second, ListLag: time.Second,
+		Dying:    3 * time.Second,
+		CloudRPS: 10, Limits: standin.StoreLimits{RPS: 300, WriteRPS: 120, ValueKB: 16,
+			TxnOps: 16}, Seed: seed, Depot: standin.NewDepot(),
 	}
 	for i := range min(workers, 4) {
 		n := (workers + 3 - i) / 4
--- a/internal/dev/workload.go
+++ b/internal/dev/workload.go
@@ -56,7 +56,8 @@
 
 // NewUsers returns the users of a workload.
 func NewUsers(addrs []string, classes []Class, pace float64, seed uint64) *Users {
-	u := &Users{classes: classes, pace: max(pace, 0.01), rng: rand.New(rand.NewPCG(seed, 5)), open: map[string]bool{}, last: 100}
+	u := &Users{classes: classes, pace: max(pace, 0.01), rng: rand.New(rand.NewPCG(seed, 5)), open: map[string]bool{},
+		last: 100}
 	u.client = func() (*client.Users, error) {
 		u.mu.Lock()
 		defer u.mu.Unlock()
@@ -117,9 +118,11 @@
 // submission is a job of the class, in the wire's words.
 func (u *Users) submission(id string, c *Class) map[string]any {
 	tasks := max(1, int(float64(c.Tasks)*(0.5+u.rng.Float64())))
-	s := map[string]any{"NameId": id, "Comb": c.Name, "Colony": c.Team, "Shape": "batch", "Rank": c.Rank, "Cells": tasks, "Cpus": c.CPUs,
-		"Accelerators": 0, "MemGb": c.MemGB, "Wax": c.Image, "ImageGb": c.ImageGB, "Together": false, "Spread": false, "SwarmBoxes": c.Spot,
-		"ForageS": c.RunS / u.pace, "CapIntervalS": c.SaveEveryS / u.pace, "CapS": c.SaveS / u.pace}
+	s := map[string]any{"NameId": id, "Comb": c.Name, "Colony": c.Team, "Shape": "batch", "Rank": c.Rank, "Cells": tasks,
+		"Cpus":         c.CPUs,
+		"Accelerators": 0, "MemGb": c.MemGB, "Wax": c.Image, "ImageGb": c.ImageGB, "Together": false, "Spread": false,
+		"SwarmBoxes": c.Spot,
+		"ForageS":    c.RunS / u.pace, "CapIntervalS": c.SaveEveryS / u.pace, "CapS": c.SaveS / u.pace}
 	if c.DeadlineS > 0 {
 		s["HarvestS"] = c.DeadlineS / u.pace
 	}
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -140,7 +140,8 @@
 			if d := got["job-000002"] - base["job-000002"]; math.Abs(d) > tolerance {
 				t.Errorf("job-000002 was %.1f s late, none was foreseen", d)
 			}
-			t.Logf("job-000003: foreseen to end in %v s, late by %v s; ended after %.1f s, without the plan %.1f s", l.EndS, l.DelayS,
+			t.Logf("job-000003: foreseen to end in %v s, late by %v s; ended after %.1f s, without the plan %.1f s", l.EndS,
+				l.DelayS,
 				got["job-000003"], base["job-000003"])
 		})
 	}
@@ -184,7 +185,8 @@
 		until(t, id, func() bool { return stage(c.Controllers[0], id) == "done" || stage(c.Controllers[1], id) == "done" })
 	}
 	var log []ledger.Entry
-	if err := ops.Get(t.Context(), "audit", &log); err != nil || len(log) != 1 || log[0].Who != "dev" || log[0].What != "drain apply" {
+	if err := ops.Get(t.Context(), "audit", &log); err != nil || len(log) != 1 || log[0].Who != "dev" ||
+		log[0].What != "drain apply" {
 		t.Errorf("%+v %v", log, err)
 	}
 }
@@ -204,7 +206,8 @@
 		return ops.Change(t.Context(), "drains", []byte(`name: "a" machines { all: true } after: PATCH`), &out, quiet) == nil
 	})
 	ask := func(method, path, bearer, id, body string) (int, string) {
-		req, _ := http.NewRequestWithContext(context.Background(), method, "http://"+c.OpsAddrs()[1]+"/ops/v1/"+path, strings.NewReader(body))
+		req, _ := http.NewRequestWithContext(context.Background(), method, "http://"+c.OpsAddrs()[1]+"/ops/v1/"+path,
+			strings.NewReader(body))
 		if bearer != "" {
 			req.Header.Set("Authorization", "Bearer "+bearer)
 		}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -21,9 +21,11 @@
 func options() dev.Options {
 	return dev.Options{
 		Controllers: 3, Zones: []string{"a", "b"}, Teams: []config.Team{{Name: "vision", CPUs: 8, CPUsMax: 24}},
-		Kinds: []standin.Kind{{Label: "g8", Cpus: 8, MemGb: 32, LocalGb: 50, PullGbPerS: 20, Hourly: 1, MarketPrice: 0.3, ReadyS: 10,
-			Yards: []string{"a", "b"}}},
-		Report: 300 * time.Millisecond, Lease: 10 * time.Second, Cancel: 40 * time.Second, ListLag: time.Second, Dying: time.Second,
+		Kinds: []standin.Kind{{Label: "g8", Cpus: 8, MemGb: 32, LocalGb: 50, PullGbPerS: 20, Hourly: 1, MarketPrice: 0.3,
+			ReadyS: 10,
+			Yards:  []string{"a", "b"}}},
+		Report: 300 * time.Millisecond, Lease: 10 * time.Second, Cancel: 40 * time.Second, ListLag: time.Second,
+		Dying:    time.Second,
 		CloudRPS: 10, Limits: standin.StoreLimits{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 16}, Seed: 1,
 	}
 }
@@ -91,7 +93,8 @@
 
 func submission(id string, tasks int) object {
 	return object{"NameId": id, "Comb": "train", "Colony": "vision", "Shape": "batch", "Rank": "standard", "Cells": tasks, "Cpus": 2, "Accelerators": 0,
-		"MemGb": 1, "Wax": "img", "ImageGb": 1, "Together": false, "Spread": false, "SwarmBoxes": false, "ForageS": 0.5, "CapIntervalS": 0, "CapS": 0}
+		"MemGb": 1, "Wax": "img", "ImageGb": 1, "Together": false, "Spread": false, "SwarmBoxes": false, "ForageS": 0.5,
+		"CapIntervalS": 0, "CapS": 0}
 }
 
 func accept(t *testing.T, c *dev.Controller, job object) {
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -44,7 +44,8 @@
 		p.due = true
 		p.turn(now)
 		for _, id := range p.d.Broken() {
-			l.n.log.Info("job held to be broken: it fails on several machines, and is tried with one task at a time", "job", wire.JobName(id))
+			l.n.log.Info("job held to be broken: it fails on several machines, and is tried with one task at a time", "job",
+				wire.JobName(id))
 		}
 	}
 	if now-p.shown >= time.Second {
@@ -122,7 +123,8 @@
 	p.d.Open(func(id model.JobID, version uint64, done, running int) {
 		p.l.n.progress[id] = progress{done, running, version}
 		open[id] = true
-		m.Jobs = append(m.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running), Version: version})
+		m.Jobs = append(m.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running),
+			Version: version})
 	})
 	p.l.n.seat.s.Open(open)
 	return &peerpb.Down{Msg: &peerpb.Down_Progress{Progress: m}}
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -16,7 +16,6 @@
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/runtimes"
 	"honeylock/internal/planfile"
-	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
 
@@ -111,10 +110,10 @@
 	if p.e.Idle() {
 		return
 	}
-	p.l.rents.f.Hold(p.e.Plans())
 	for _, a := range p.e.Tick(p.view(now)) {
 		p.do(now, a)
 	}
+	p.l.rents.f.Hold(p.e.Plans()) // after: with the last plan's end nothing is held
 	p.l.n.soon()
 }
 
@@ -124,7 +123,8 @@
 	switch a.Kind {
 	case drain.Bar, drain.Unbar:
 		l.d.Bar(a.Machine, a.Kind == drain.Bar)
-		l.n.log.Info("machine drained or wanted again", "machine", wire.MachineName(a.Machine), "drained", a.Kind == drain.Bar)
+		l.n.log.Info("machine drained or wanted again", "machine", wire.MachineName(a.Machine), "drained",
+			a.Kind == drain.Bar)
 	case drain.Look:
 		l.d.LookAt(a.Machine, a.Seq)
 	case drain.Recall:
@@ -151,7 +151,8 @@
 	n := p.l.n
 	n.mu.Lock()
 	like, ok := p.l.rents.machine(n.now(), a.Machine)
-	r := wire.Rental{Request: a.Request, Type: n.names.Types.Name(like.Type), Zone: n.names.Zones.Name(like.Zone), Spot: like.Spot, Count: 1}
+	r := wire.Rental{Request: a.Request, Type: n.names.Types.Name(like.Type), Zone: n.names.Zones.Name(like.Zone),
+		Spot: like.Spot, Count: 1}
 	n.mu.Unlock()
 	var got []model.MachineID
 	refused := false
@@ -263,13 +264,10 @@
 
 var errRequest = errors.New("this request's id was used for something else")
 
-// known answers a request that was made before.
+// known is what became of a request that was made before, nil if it was not.
 func (p *draining) known(c *Call) (*ledger.Entry, error) {
 	e := p.led.Known(c.Request)
-	if e == nil {
-		return nil, state.ErrNotFound
-	}
-	if e.Digest != c.digest() {
+	if e != nil && e.Digest != c.digest() {
 		return nil, errRequest
 	}
 	return e, nil
--- a/internal/node/forecastreply.go
+++ b/internal/node/forecastreply.go
@@ -52,16 +52,19 @@
 
 func (p *draining) forecastReply(x *prophecy) ForecastReply {
 	r, names := x.result, p.l.n.names
-	out := ForecastReply{Name: x.spec.Name, Done: 1, Jobs: r.Jobs, Plays: r.Plays, Untold: x.untold, TookS: span(r.Took), Unfinished: r.Unfinished,
-		Late: []LateJob{}, Guarantees: []LateGuarantee{}}
+	out := ForecastReply{Name: x.spec.Name, Done: 1, Jobs: r.Jobs, Plays: r.Plays, Untold: x.untold, TookS: span(r.Took),
+		Unfinished: r.Unfinished,
+		Late:       []LateJob{}, Guarantees: []LateGuarantee{}}
 	for i := range r.Late {
 		l := &r.Late[i]
-		j := LateJob{Job: wire.JobName(l.Spec.ID), Class: names.Classes.Name(l.Spec.Class), DelayS: span(l.Delay), EndS: span(l.End), Why: l.Why,
+		j := LateJob{Job: wire.JobName(l.Spec.ID), Class: names.Classes.Name(l.Spec.Class), DelayS: span(l.Delay),
+			EndS: span(l.End), Why: l.Why,
 			Moved: l.Moved, Past: pastOf(l)}
 		out.Late = append(out.Late, j)
 	}
 	for _, g := range r.Guarantees {
-		out.Guarantees = append(out.Guarantees, LateGuarantee{names.Teams.Name(g.Team), g.Without.Seconds(), g.With.Seconds()})
+		out.Guarantees = append(out.Guarantees, LateGuarantee{names.Teams.Name(g.Team), g.Without.Seconds(),
+			g.With.Seconds()})
 	}
 	return out
 }
--- a/internal/node/foresight.go
+++ b/internal/node/foresight.go
@@ -97,7 +97,8 @@
 		p.ahead.kept = p.ahead.kept[n:]
 	}
 	p.ahead.n++
-	s := &survey{seq: surveyBase + p.ahead.n, left: map[model.MachineID]bool{}, on: map[model.MachineID][]model.OnMachine{}}
+	s := &survey{seq: surveyBase + p.ahead.n, left: map[model.MachineID]bool{},
+		on: map[model.MachineID][]model.OnMachine{}}
 	p.ahead.survey = s
 	p.l.d.Known(func(st model.MachineStatus, told bool) {
 		if told {
@@ -163,7 +164,8 @@
 	n.mu.Lock()
 	snap := p.snapshot(n.now(), s)
 	x.untold = len(s.left)
-	params := forecast.Params{Plays: 5, Step: forecast.StepFor(len(snap.Machines)), Most: 4 * time.Hour, Patch: patch, Seed: p.ahead.n}
+	params := forecast.Params{Plays: 5, Step: forecast.StepFor(len(snap.Machines)), Most: 4 * time.Hour, Patch: patch,
+		Seed: p.ahead.n}
 	if len(snap.Machines) > 200 {
 		params.Plays = 1 // the more runs, the less luck matters
 	}
@@ -254,7 +256,8 @@
 	case err != nil:
 		return r, false // it is refused as it is made
 	case x.result == nil:
-		return callError(http.StatusServiceUnavailable, errors.New("it is being forecast, for it has windows: ask again under the same request id")), true
+		return callError(http.StatusServiceUnavailable,
+			errors.New("it is being forecast, for it has windows: ask again under the same request id")), true
 	}
 	return r, false
 }
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -69,7 +69,8 @@
 	// Shards of the term before may act on grants that reach to the end of
 	// their leader's authority, even if its lease was ended early: up to one
 	// whole length of it from now, unless they are heard to have stopped.
-	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.State.ValueKB), BlockSize: blockSize(c.State.ValueKB), Progress: 2 * time.Second,
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.State.ValueKB),
+		BlockSize: blockSize(c.State.ValueKB), Progress: 2 * time.Second,
 		Ahead: n.set.DealAhead, SureLease: c.SureLease()}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
@@ -78,8 +79,9 @@
 	n.leaveSeat()
 	n.seat = n.newSeat(l.d.Attempts(l.local))
 	n.seat.s.Grant(n.el.Deadline())
-	f := fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS), IdleReturn: n.set.IdleReturn,
-		Horizon: n.set.RentHorizon, Probe: rentProbe, Patience: 10 * n.set.RentHorizon})
+	f := fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS),
+		IdleReturn: n.set.IdleReturn,
+		Horizon:    n.set.RentHorizon, Probe: rentProbe, Patience: 10 * n.set.RentHorizon})
 	l.deals = &dealing{l: l, d: l.d, fresh: now}
 	l.rents = &renting{l: l, f: f}
 	l.drains = l.newDraining()
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -115,7 +115,8 @@
 }
 
 // readDone lists what is done of the open jobs, and the keys of others.
-func (p *dealing) readDone(ctx context.Context, open map[model.JobID]stored) (parts []storedChunk, orphans []string, err error) {
+func (p *dealing) readDone(ctx context.Context, open map[model.JobID]stored) (parts []storedChunk, orphans []string,
+	err error) {
 	_, err = p.l.n.state.List(ctx, doneKeys, func(it *wire.Item) error {
 		var c int32
 		name, no, _ := strings.Cut(strings.TrimPrefix(it.Key, doneKeys), "/")
@@ -150,7 +151,8 @@
 
 func (p *dealing) dropOrphans(keys []string) {
 	for _, k := range keys {
-		if _, err := p.l.n.state.Txn(p.l.ctx, wire.Txn{Guards: []wire.Guard{p.l.guard}, Then: []wire.Op{{Delete: k}}}); err != nil {
+		if _, err := p.l.n.state.Txn(p.l.ctx, wire.Txn{Guards: []wire.Guard{p.l.guard},
+			Then: []wire.Op{{Delete: k}}}); err != nil {
 			p.l.n.log.Debug("orphan not dropped", "key", k, "err", err)
 		}
 	}
@@ -170,25 +172,11 @@
 		asked := n.now()
 		ev, err := n.state.Watch(p.l.ctx, openKeys, rev, 2*time.Second)
 		if errors.Is(err, state.ErrCompacted) {
-			asked = n.now()
-			open, r, lerr := p.readOpen()
+			r, over, lerr := p.relist()
+			if over {
+				return
+			}
 			if lerr == nil {
-				n.mu.Lock()
-				if n.lead != p.l {
-					n.mu.Unlock()
-					return
-				}
-				now := n.now()
-				known := map[model.JobID]bool{}
-				for id, st := range open {
-					known[id] = true
-					p.add(now, st)
-				}
-				p.d.Sync(known, r)
-				p.fresh = asked
-				p.due = true
-				n.soon()
-				n.mu.Unlock()
 				rev = r
 				continue
 			}
@@ -229,3 +217,30 @@
 		n.mu.Unlock()
 	}
 }
+
+// relist reads all open jobs, where the watch has fallen behind; over tells that
+// the term ended meanwhile.
+func (p *dealing) relist() (rev uint64, over bool, err error) {
+	n := p.l.n
+	asked := n.now()
+	open, rev, err := p.readOpen()
+	if err != nil {
+		return 0, false, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lead != p.l {
+		return 0, true, nil
+	}
+	now := n.now()
+	known := map[model.JobID]bool{}
+	for id, st := range open {
+		known[id] = true
+		p.add(now, st)
+	}
+	p.d.Sync(known, rev)
+	p.fresh = asked
+	p.due = true
+	n.soon()
+	return rev, false, nil
+}
--- a/internal/node/loadlog.go
+++ b/internal/node/loadlog.go
@@ -50,9 +50,11 @@
 			free += max(0, st.Avail.CPU)
 		}
 	}
-	p.l.n.log.Info("load", "machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "cpus", cpus/1000, "free", free/1000)
+	p.l.n.log.Info("load", "machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "cpus", cpus/1000,
+		"free", free/1000)
 	for _, name := range slices.Sorted(maps.Keys(classes)) {
 		c := classes[name]
-		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "open", c.open, "held", c.held, "running", c.running)
+		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "open", c.open, "held",
+			c.held, "running", c.running)
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -66,13 +66,15 @@
 		plans, _ := l.drains.e.Active()
 		return float64(plans)
 	}))
-	gauge("drain_machines", "Machines that drain plans keep tasks from, on the leader.", leading(func(l *leadership) float64 {
-		_, machines := l.drains.e.Active()
-		return float64(machines)
-	}))
-	gauge("records_waiting_seconds", "How long operators' records have waited to be stored, on the leader.", leading(func(l *leadership) float64 {
-		return l.budget.Waiting(n.now(), budget.Records).Seconds()
-	}))
+	gauge("drain_machines", "Machines that drain plans keep tasks from, on the leader.",
+		leading(func(l *leadership) float64 {
+			_, machines := l.drains.e.Active()
+			return float64(machines)
+		}))
+	gauge("records_waiting_seconds", "How long operators' records have waited to be stored, on the leader.",
+		leading(func(l *leadership) float64 {
+			return l.budget.Waiting(n.now(), budget.Records).Seconds()
+		}))
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
 	stat := func(f func() uint64) func() uint64 {
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -2,21 +2,23 @@
 
 import (
 	"context"
+	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"honeylock/internal/config"
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/ledger"
 	"honeylock/internal/core/model"
 	"honeylock/internal/peer"
 	"honeylock/internal/planfile"
 	"honeylock/internal/planfile/planpb"
-	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
 
@@ -56,6 +58,9 @@
 	Plan    string // DrainApply: protobuf text
 	Who     string
 	Request string // the asker's id; a change repeated under it is not made twice
+	// Seal is made with the hash of the token that the caller showed to the
+	// controller that passes the call on: its own port is no way round the tokens.
+	Seal []byte `json:",omitempty"`
 }
 
 // digest tells changes apart.
@@ -84,6 +89,30 @@
 	errUnstored = errors.New("it is not known yet whether this is stored: ask again under the same request id")
 )
 
+var errSeal = errors.New("the controllers' settings differ: the leader does not know this token")
+
+// access is what the settings say of an operator, nil if they say nothing.
+func (n *Node) access(who string) *config.Access {
+	if n.set.Operator == nil {
+		return nil
+	}
+	for i := range n.set.Operator.Access {
+		if a := &n.set.Operator.Access[i]; a.Name == who {
+			return a
+		}
+	}
+	return nil
+}
+
+// seal is a MAC over all that a call asks for.
+func (c *Call) seal(a *config.Access) []byte {
+	h := hmac.New(sha256.New, a.Hash[:])
+	for _, s := range []string{string(c.Verb), c.Name, c.Machine, c.Plan, c.Who, c.Request} {
+		fmt.Fprintf(h, "%d:%s", len(s), s)
+	}
+	return h.Sum(nil)
+}
+
 // Operate answers an operator here, or passes the call to the leader.
 func (n *Node) Operate(ctx context.Context, c Call) CallReply {
 	n.mu.Lock()
@@ -97,6 +126,11 @@
 		return callError(http.StatusServiceUnavailable, errNoLeader)
 	}
 	var r CallReply
+	a := n.access(c.Who)
+	if a == nil {
+		return callError(http.StatusForbidden, errSeal)
+	}
+	c.Seal = c.seal(a)
 	if err := n.dialer.Forward(ctx, addr, peer.OpsPath, c, &r); err != nil {
 		n.log.Debug("operator's call not passed on", "verb", c.Verb, "err", err)
 		return callError(http.StatusServiceUnavailable, errNoLeader)
@@ -119,7 +153,12 @@
 	l := n.lead
 	n.mu.Unlock()
 	reply := callError(http.StatusServiceUnavailable, errNoLeader)
-	if l != nil {
+	a := n.access(c.Who)
+	switch {
+	case a == nil || !hmac.Equal(c.Seal, c.seal(a)) || c.Verb.Changes() && !a.Operate:
+		n.log.Error("operator's call refused: it bears no seal of ours", "who", c.Who, "verb", c.Verb)
+		reply = callError(http.StatusForbidden, errSeal)
+	case l != nil:
 		reply = l.operate(r.Context(), &c)
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -141,7 +180,7 @@
 		return l.drains.ask(now, c)
 	}
 	e, err := l.drains.known(c)
-	if errors.Is(err, errRequest) {
+	if err != nil {
 		return callError(http.StatusConflict, err)
 	}
 	if e == nil {
@@ -149,7 +188,8 @@
 			return r
 		}
 		e = l.drains.change(now, c)
-		n.log.Info("operator's change", "who", c.Who, "what", c.Verb, "name", c.Name, "status", e.Status, "outcome", e.Outcome)
+		n.log.Info("operator's change", "who", c.Who, "what", c.Verb, "name", c.Name, "status", e.Status, "outcome",
+			e.Outcome)
 	}
 	return l.settle(ctx, e)
 }
@@ -179,7 +219,8 @@
 
 // change makes a change, or refuses it; the entry tells.
 func (p *draining) change(now time.Duration, c *Call) *ledger.Entry {
-	e := ledger.Entry{AtMS: time.Now().UnixMilli(), Who: c.Who, Request: c.Request, Digest: c.digest(), What: string(c.Verb), Name: c.Name,
+	e := ledger.Entry{AtMS: time.Now().UnixMilli(), Who: c.Who, Request: c.Request, Digest: c.digest(),
+		What: string(c.Verb), Name: c.Name,
 		Status: http.StatusOK}
 	outcome, err := p.make(now, c)
 	e.Name = c.Name // of a plan that is applied
@@ -246,7 +287,8 @@
 	}
 	d.spec.Machines = planfile.Choose(pb, p.candidates(now), p.l.n.names)
 	if missing := unknown(pb, d.spec.Machines); missing != "" {
-		return nil, &drain.Refusal{Why: "machines.names: " + missing + " is no machine of this cluster, or not one that the other fields allow"}
+		return nil, &drain.Refusal{Why: "machines.names: " + missing +
+			" is no machine of this cluster, or not one that the other fields allow"}
 	}
 	return d, nil
 }
@@ -296,5 +338,5 @@
 		}
 		return body(p.planStatus(s))
 	}
-	return callError(http.StatusBadRequest, state.ErrNotFound)
+	return callError(http.StatusBadRequest, errors.New("unknown verb "+string(c.Verb)))
 }
--- a/internal/node/planstatus.go
+++ b/internal/node/planstatus.go
@@ -39,7 +39,8 @@
 		out.Behind = wire.MachineName(s.Behind) + " for " + s.BehindFor.Round(time.Second).String()
 	}
 	for _, t := range s.Steps {
-		step := PlanStep{Machine: wire.MachineName(t.Machine), State: t.State, Held: t.Held, ForS: t.For.Round(100 * time.Millisecond).Seconds()}
+		step := PlanStep{Machine: wire.MachineName(t.Machine), State: t.State, Held: t.Held,
+			ForS: t.For.Round(100 * time.Millisecond).Seconds()}
 		if t.Replacement != 0 {
 			step.Replacement = wire.MachineName(t.Replacement)
 		}
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -131,7 +131,8 @@
 func (p *renting) rent(a fleet.Action) {
 	n := p.l.n
 	n.mu.Lock()
-	r := wire.Rental{Request: a.Rent, Type: n.names.Types.Name(a.Type), Zone: n.names.Zones.Name(a.Zone), Spot: a.Spot, Count: a.Count}
+	r := wire.Rental{Request: a.Rent, Type: n.names.Types.Name(a.Type), Zone: n.names.Zones.Name(a.Zone), Spot: a.Spot,
+		Count: a.Count}
 	n.mu.Unlock()
 	var got []model.MachineID
 	refused, doubt := false, true
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -40,7 +40,8 @@
 }
 
 func (n *Node) newSeat(attempts uint64) *seat {
-	st := &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names), s: shard.New(n.shardParams(), attempts, n.rng)}
+	st := &seat{asked: map[uint64]time.Duration{}, codec: peer.NewCodec(n.names),
+		s: shard.New(n.shardParams(), attempts, n.rng)}
 	st.s.Remember(n.kept)
 	return st
 }
--- a/internal/ops/guard.go
+++ b/internal/ops/guard.go
@@ -50,7 +50,8 @@
 			return s.answer(c, node.CallReply{Status: http.StatusTooManyRequests, Err: "too many wrong tokens"})
 		case a == nil:
 			c.Response().Header().Set("WWW-Authenticate", "Bearer")
-			return s.answer(c, node.CallReply{Status: http.StatusUnauthorized, Err: "a bearer token of this cluster's operators is needed"})
+			return s.answer(c, node.CallReply{Status: http.StatusUnauthorized,
+				Err: "a bearer token of this cluster's operators is needed"})
 		}
 		c.Set(accessKey, a)
 		return next(c)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -51,7 +51,8 @@
 // New builds the door.
 func New(op Operator, set *config.Operator, log *slog.Logger, reg *prometheus.Registry) (*Server, error) {
 	s := &Server{op: op, log: log, guard: newGuard(set.Access),
-		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_operator_calls_total", Help: "Operators' calls, by status."}, []string{"status"})}
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_operator_calls_total",
+			Help: "Operators' calls, by status."}, []string{"status"})}
 	reg.MustRegister(s.calls)
 	if set.CertFile != "" {
 		var err error
@@ -73,8 +74,9 @@
 	e.POST("/ops/v1/drains/:name/resume", s.call(node.DrainResume))
 	e.POST("/ops/v1/drains/:name/cancel", s.call(node.DrainCancel))
 	e.POST("/ops/v1/drains/:name/machines/:machine/patched", s.call(node.DrainDone))
-	s.http = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	s.http = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+		MaxHeaderBytes: 16 << 10,
+		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	return s, nil
 }
 
@@ -126,24 +128,28 @@
 	return func(c echo.Context) error {
 		b, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
 		if err != nil {
-			return s.answer(c, node.CallReply{Status: http.StatusBadRequest, Err: "the body is over 64 KiB or could not be read"})
+			return s.answer(c, node.CallReply{Status: http.StatusBadRequest,
+				Err: "the body is over 64 KiB or could not be read"})
 		}
 		id := c.Request().Header.Get(RequestHeader)
 		if id == "" {
 			id = newID()
 		}
 		if !requestID.MatchString(id) {
-			return s.answer(c, node.CallReply{Status: http.StatusBadRequest, Err: RequestHeader + ": must be 1 to 64 of letters, digits, . _ : and -"})
+			return s.answer(c, node.CallReply{Status: http.StatusBadRequest, Err: RequestHeader +
+				": must be 1 to 64 of letters, digits, . _ : and -"})
 		}
 		c.Response().Header().Set(RequestHeader, id)
 		ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
 		defer cancel()
 		a, _ := c.Get(accessKey).(*config.Access)
 		if verb.Changes() && !a.Operate {
-			return s.answer(c, node.CallReply{Status: http.StatusForbidden, Err: a.Name + " may look, but not change anything (role operate)"})
+			return s.answer(c, node.CallReply{Status: http.StatusForbidden, Err: a.Name +
+				" may look, but not change anything (role operate)"})
 		}
-		return s.answer(c, s.op.Operate(ctx, node.Call{Verb: verb, Name: c.Param("name"), Machine: c.Param("machine"), Plan: string(b),
-			Who: a.Name, Request: id}))
+		return s.answer(c, s.op.Operate(ctx, node.Call{Verb: verb, Name: c.Param("name"), Machine: c.Param("machine"),
+			Plan: string(b),
+			Who:  a.Name, Request: id}))
 	}
 }
 
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -36,7 +36,8 @@
 	t.Helper()
 	e := &echoes{}
 	s, err := New(e, &config.Operator{Access: []config.Access{{Name: "reader", Hash: sha256.Sum256([]byte("r"))},
-		{Name: "boss", Hash: sha256.Sum256([]byte("o")), Operate: true}}}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+		{Name: "boss", Hash: sha256.Sum256([]byte("o")),
+			Operate: true}}}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +59,8 @@
 		method, path, token string
 		want                int
 	}{
-		{"GET", "drains", "r", 200}, {"GET", "audit", "r", 200}, {"POST", "forecasts", "r", 200}, {"POST", "drains/p/forecast", "r", 200},
+		{"GET", "drains", "r", 200}, {"GET", "audit", "r", 200}, {"POST", "forecasts", "r", 200}, {"POST",
+			"drains/p/forecast", "r", 200},
 		{"POST", "drains", "r", 403}, {"POST", "drains/p/pause", "r", 403}, {"POST", "drains/p/machines/m/patched", "r", 403},
 		{"POST", "drains", "o", 200}, {"POST", "drains/p/cancel", "o", 200}, {"GET", "drains", "o", 200},
 	} {
@@ -66,7 +68,8 @@
 			t.Errorf("%s %s as %s: %d, want %d", c.method, c.path, c.token, got, c.want)
 		}
 	}
-	if last := e.calls[len(e.calls)-2]; last.Who != "boss" || last.Verb != node.DrainCancel || last.Name != "p" || last.Request == "" {
+	if last := e.calls[len(e.calls)-2]; last.Who != "boss" || last.Verb != node.DrainCancel || last.Name != "p" ||
+		last.Request == "" {
 		t.Errorf("%+v", last)
 	}
 }
@@ -104,7 +107,8 @@
 		t.Fatal(err)
 	}
 	cert, key = filepath.Join(dir, "c.pem"), filepath.Join(dir, "k.pem")
-	for f, b := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der}, key: {Type: "EC PRIVATE KEY", Bytes: raw}} {
+	for f, b := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der},
+		key: {Type: "EC PRIVATE KEY", Bytes: raw}} {
 		if err := os.WriteFile(f, pem.EncodeToMemory(b), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -43,7 +43,8 @@
 		Stage: uint32(e.Cell.Stage), CellCause: uint32(e.Cell.Cause), Cause: uint32(e.Cause),
 		Token: e.Token, Held: e.Held, RanUs: e.Ran.Microseconds()}
 	for _, o := range e.On {
-		p.On = append(p.On, &peerpb.OnMachine{Task: task(o.Task), Stage: uint32(o.Stage), RanUs: o.Ran.Microseconds(), Stopping: o.Stopping})
+		p.On = append(p.On, &peerpb.OnMachine{Task: task(o.Task), Stage: uint32(o.Stage), RanUs: o.Ran.Microseconds(),
+			Stopping: o.Stopping})
 	}
 	if e.Report != nil {
 		p.Reporter = c.machine(&e.Report.Machine)
--- a/internal/planfile/planfile.go
+++ b/internal/planfile/planfile.go
@@ -92,7 +92,8 @@
 }
 
 func checkMachines(m *mistakes, s *planpb.Machines) {
-	some := len(s.GetNames())+len(s.GetTypes())+len(s.GetZones()) > 0 || s.GetKind() != planpb.Kind_ANY || s.GetOlderThanS() > 0
+	some := len(s.GetNames())+len(s.GetTypes())+len(s.GetZones()) > 0 || s.GetKind() != planpb.Kind_ANY ||
+		s.GetOlderThanS() > 0
 	switch {
 	case !some && !s.GetAll():
 		m.add("machines", "say which: names, types, zones, kind, older_than_s, or all: true")
@@ -177,8 +178,9 @@
 
 // Spec is the plan in the cores' terms, without its machines.
 func Spec(p *planpb.Plan, n *wire.Names) *drain.Spec {
-	s := &drain.Spec{Name: p.GetName(), AtOnce: 1, PerZone: int(p.GetAtOncePerZone()), Floor: p.GetFloor(), RentFirst: p.GetRentFirst(),
-		Default: drain.How(p.GetRunning()), After: drain.After(p.GetAfter())}
+	s := &drain.Spec{Name: p.GetName(), AtOnce: 1, PerZone: int(p.GetAtOncePerZone()), Floor: p.GetFloor(),
+		RentFirst: p.GetRentFirst(),
+		Default:   drain.How(p.GetRunning()), After: drain.After(p.GetAfter())}
 	if p.AtOnce != nil {
 		s.AtOnce = int(*p.AtOnce)
 	}
--- a/internal/planfile/planfile_test.go
+++ b/internal/planfile/planfile_test.go
@@ -53,11 +53,15 @@
 		t.Errorf("latest end %v", got.LatestEnd)
 	}
 	got.LatestEnd = time.Time{}
-	want := &drain.Spec{Name: "month-end", AtOnce: 3, PerZone: 2, Floor: 0.5, Default: drain.MoveSaved, RentFirst: true, After: drain.Patch,
+	want := &drain.Spec{Name: "month-end", AtOnce: 3, PerZone: 2, Floor: 0.5, Default: drain.MoveSaved, RentFirst: true,
+		After: drain.Patch,
 		Rules: []drain.Rule{{Class: 1, Rank: -1}, {Class: model.None, Rank: int(model.Idle), How: drain.Move}},
 		Windows: []drain.Window{{Classes: []model.Name{1}, Clock: 15 * time.Hour, Location: muscat, Name: "the window"},
 			{Deadline: true, Location: time.UTC, Name: "its deadline"}}}
-	if d := cmp.Diff(want, got, cmp.Comparer(func(a, b *time.Location) bool { return a.String() == b.String() })); d != "" {
+	if d := cmp.Diff(want, got, cmp.Comparer(func(a,
+		b *time.Location) bool {
+		return a.String() == b.String()
+	})); d != "" {
 		t.Error(d)
 	}
 }
@@ -65,15 +69,20 @@
 func TestEveryMistakeIsToldWithItsField(t *testing.T) {
 	for text, fields := range map[string][]string{
 		``: {"name: ", "machines: say which"},
-		`name: "a" machines { all: true kind: SPOT }`:                                     {"machines.all: "},
-		`name: "a" machines { names: "x" names: "m-000001" names: "m-000001" }`:           {"machines.names[0]: ", "machines.names[2]: "},
-		`name: "a" machines { all: true } at_once: 0 floor: -1 patch_s: -1`:               {"at_once: 0", "floor: -1", "patch_s: -1"},
-		`name: "a" machines { all: true } latest_end: "soon"`:                             {`latest_end: "soon"`},
-		`name: "a" machines { all: true } rules { } rules { rank: "high" }`:               {"rules[0]: ", `rules[1].rank: "high"`},
-		`name: "a" machines { all: true } windows { } windows { not_past: "25:00" }`:      {"windows[0]: ", `windows[1].not_past: "25:00"`},
-		`name: "a" machines { all: true } windows { not_past: "9:00" time_zone: "Mars" }`: {"windows[0].not_past: ", "windows[0].time_zone: "},
-		`name: "a" machines { all: true } unheard_of: 1`:                                  {"unheard_of"},
-		`name: "a" machines { all: true } order: 9`:                                       {"order: 9"},
+		`name: "a" machines { all: true kind: SPOT }`: {"machines.all: "},
+		`name: "a" machines { names: "x" names: "m-000001" names: "m-000001" }`: {"machines.names[0]: ",
+			"machines.names[2]: "},
+		`name: "a" machines { all: true } at_once: 0 floor: -1 patch_s: -1`: {"at_once: 0", "floor: -1",
+			"patch_s: -1"},
+		`name: "a" machines { all: true } latest_end: "soon"`: {`latest_end: "soon"`},
+		`name: "a" machines { all: true } rules { } rules { rank: "high" }`: {"rules[0]: ",
+			`rules[1].rank: "high"`},
+		`name: "a" machines { all: true } windows { } windows { not_past: "25:00" }`: {"windows[0]: ",
+			`windows[1].not_past: "25:00"`},
+		`name: "a" machines { all: true } windows { not_past: "9:00" time_zone: "Mars" }`: {"windows[0].not_past: ",
+			"windows[0].time_zone: "},
+		`name: "a" machines { all: true } unheard_of: 1`: {"unheard_of"},
+		`name: "a" machines { all: true } order: 9`:      {"order: 9"},
 	} {
 		_, err := Parse([]byte(text))
 		if err == nil {
@@ -92,7 +101,8 @@
 	at := func(id model.MachineID, typ, zone model.Name, spot bool, age time.Duration, free int64) Candidate {
 		return Candidate{Machine: model.Machine{ID: id, Type: typ, Zone: zone, Spot: spot}, Age: age, Free: free}
 	}
-	all := []Candidate{at(1, 0, 0, false, 30*time.Second, 5), at(2, 1, 0, true, 90*time.Second, 9), at(3, 0, 1, false, 60*time.Second, 7)}
+	all := []Candidate{at(1, 0, 0, false, 30*time.Second, 5), at(2, 1, 0, true, 90*time.Second, 9),
+		at(3, 0, 1, false, 60*time.Second, 7)}
 	for text, want := range map[string][]model.MachineID{
 		`all: true`: {1, 2, 3}, `names: "m-000003" names: "m-000001"`: {3, 1}, `types: "k64"`: {2}, `zones: "west"`: {3},
 		`kind: SPOT`: {2}, `kind: ORDINARY`: {1, 3}, `older_than_s: 60`: {2, 3}, `types: "k9"`: {},
@@ -105,7 +115,8 @@
 			t.Errorf("%s: %v, want %v", text, got, want)
 		}
 	}
-	for order, want := range map[string][]model.MachineID{"OLDEST_FIRST": {2, 3, 1}, "EMPTIEST_FIRST": {2, 3, 1}, "BY_NAME": {1, 2, 3}} {
+	for order, want := range map[string][]model.MachineID{"OLDEST_FIRST": {2, 3, 1}, "EMPTIEST_FIRST": {2, 3, 1},
+		"BY_NAME": {1, 2, 3}} {
 		p, err := Parse([]byte(`name: "a" machines { all: true } order: ` + order))
 		if err != nil {
 			t.Fatal(err)
@@ -146,7 +157,8 @@
 		if err != nil {
 			t.Fatalf("stored, it is refused: %v", err)
 		}
-		if d := cmp.Diff(Spec(p, names()), Spec(back, names()), cmp.Comparer(func(a, b *time.Location) bool { return a.String() == b.String() })); d != "" {
+		if d := cmp.Diff(Spec(p, names()), Spec(back, names()),
+			cmp.Comparer(func(a, b *time.Location) bool { return a.String() == b.String() })); d != "" {
 			t.Fatal(d)
 		}
 		if _, err := Parse([]byte(Text(p))); err != nil && len(Text(p)) <= MaxSource {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -56,9 +56,13 @@
 // NewCloud returns a cloud whose workers report to the hosts.
 func NewCloud(p CloudParams, d *Depot, hosts []Host, rng *rand.Rand) (*Cloud, error) {
 	c := &Cloud{kinds: p.Kinds, lag: p.ListLag, dying: p.Dying, timing: p.Timing, depot: d, hosts: hosts, rng: rng,
-		reqs: rate.NewLimiter(rate.Limit(p.RPS), max(1, int(2*p.RPS))), all: map[string]*rented{}, hires: map[string][]string{}}
+		reqs: rate.NewLimiter(rate.Limit(p.RPS), max(1,
+			int(2*p.RPS))), all: map[string]*rented{}, hires: map[string][]string{}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, object{"Breeds": c.kinds}) })
+	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter,
+		_ *http.Request) {
+		answer(w, http.StatusOK, object{"Breeds": c.kinds})
+	})
 	mux.HandleFunc("GET /rentals", c.list)
 	mux.HandleFunc("POST /rentals", c.rent)
 	mux.HandleFunc("POST /rentals/return", c.giveBack)
--- a/internal/standin/depot.go
+++ b/internal/standin/depot.go
@@ -47,7 +47,8 @@
 
 // NewDepot returns an empty depot.
 func NewDepot() *Depot {
-	return &Depot{jobs: map[string]*Job{}, done: map[string]bool{}, saved: map[string]time.Duration{}, on: map[string]string{}}
+	return &Depot{jobs: map[string]*Job{}, done: map[string]bool{}, saved: map[string]time.Duration{},
+		on: map[string]string{}}
 }
 
 // job returns a job's description, nil if it has not been submitted.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -53,7 +53,8 @@
 		want               int
 	}{
 		{"GET", "/store/a/b", "", 404},
-		{"POST", "/txn", `{"Guards":[{"K":"a/b","Frame":0}],"Then":[{"Put":"a/b","V":1},{"Put":"a/c","V":2,"Nectar":` + lease + `}]}`, 200},
+		{"POST", "/txn", `{"Guards":[{"K":"a/b","Frame":0}],"Then":[{"Put":"a/b","V":1},{"Put":"a/c","V":2,"Nectar":` +
+			lease + `}]}`, 200},
 		{"POST", "/txn", `{"Guards":[{"K":"a/b","Frame":0}],"Then":[{"Put":"a/b","V":3}]}`, 409},
 		{"POST", "/txn", `{"Then":[{"Put":"x","V":1,"Nectar":99}]}`, 400},
 		{"POST", "/txn", `{"Then":[{"Put":"x","V":1},{"Put":"y","V":1},{"Put":"z","V":1}]}`, 400},
@@ -70,10 +71,12 @@
 			t.Errorf("%s %s %.60s: %d %v, want %d", c.method, c.path, c.body, got, v, c.want)
 		}
 	}
-	if _, v := ask(t, "GET", f.Addr, "/store?Starts=a/&Page=1", ""); v["Truncated"] != true || len(v["Entries"].([]any)) != 1 {
+	if _, v := ask(t, "GET", f.Addr, "/store?Starts=a/&Page=1", ""); v["Truncated"] != true ||
+		len(v["Entries"].([]any)) != 1 {
 		t.Errorf("%v", v)
 	}
-	if _, v := ask(t, "GET", f.Addr, "/store?Starts=a/&From=a/b", ""); v["Truncated"] != false || len(v["Entries"].([]any)) != 1 {
+	if _, v := ask(t, "GET", f.Addr, "/store?Starts=a/&From=a/b", ""); v["Truncated"] != false ||
+		len(v["Entries"].([]any)) != 1 {
 		t.Errorf("%v", v)
 	}
 	// In an outage no lease ends; after it each has its full time again.
@@ -125,8 +128,10 @@
 	d.Look = func(string) []byte {
 		return []byte(`{"Shape":"batch","Wax":"i","Cpus":5,"MemGb":1,"ImageGb":0,"ForageS":60,"CapIntervalS":0.05,"CapS":0.05}`)
 	}
-	c, err := NewCloud(CloudParams{Kinds: []Kind{{Label: "k", Cpus: 8, MemGb: 8, PullGbPerS: 1, Yards: []string{"a"}, Room: 2}}, RPS: 100,
-		Timing: Timing{Report: 50 * time.Millisecond, Lease: 700 * time.Millisecond}}, d, []Host{{"h", "127.0.0.1:1"}}, rand.New(rand.NewPCG(1, 1)))
+	c, err := NewCloud(CloudParams{Kinds: []Kind{{Label: "k", Cpus: 8, MemGb: 8, PullGbPerS: 1, Yards: []string{"a"},
+		Room: 2}}, RPS: 100,
+		Timing: Timing{Report: 50 * time.Millisecond, Lease: 700 * time.Millisecond}}, d, []Host{{"h",
+		"127.0.0.1:1"}}, rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -152,7 +157,8 @@
 	}
 	say(`{"QueenMark":5,"Flight":1,"Dances":[{"Dance":"launch","Cell":"job-000001/0","Brood":1},{"Dance":"launch","Cell":"job-000001/1","Brood":2}]}`)
 	time.Sleep(200 * time.Millisecond)
-	if st, cells := say(`{"QueenMark":5,"Flight":1}`); st != 200 || !strings.Contains(cells, "running") || !strings.Contains(cells, "no_room") {
+	if st, cells := say(`{"QueenMark":5,"Flight":1}`); st != 200 || !strings.Contains(cells, "running") ||
+		!strings.Contains(cells, "no_room") {
 		t.Errorf("%d %s", st, cells)
 	}
 	if st, _ := say(`{"QueenMark":4,"Flight":1,"Dances":[{"Dance":"kill","Cell":"job-000001/0","Brood":1}]}`); st != 409 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -301,7 +301,8 @@
 	w.seq++
 	cells := []object{}
 	for _, c := range w.cells {
-		cells = append(cells, object{"Cell": c.task, "Brood": c.attempt, "Stage": c.stage, "Cause": c.cause, "Saved": c.saved})
+		cells = append(cells, object{"Cell": c.task, "Brood": c.attempt, "Stage": c.stage, "Cause": c.cause,
+			"Saved": c.saved})
 	}
 	r := object{"Hive": w.Name, "Addr": w.door.addr, "Breed": w.kind.Label, "Yard": w.Yard, "SwarmBoxes": w.Spot,
 		"Flight": w.session, "Buzz": w.seq, "QueenMark": w.token, "SmokeS": nil, "Cells": cells}
@@ -375,7 +376,8 @@
 }
 
 // exchange sends a report and takes its answer; it returns when to report next.
-func (w *Worker) exchange(ctx context.Context, c *http.Client, h Host, session uint64, sent time.Time, body []byte) time.Duration {
+func (w *Worker) exchange(ctx context.Context, c *http.Client, h Host, session uint64, sent time.Time,
+	body []byte) time.Duration {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Addr+"/agent/beat", bytes.NewReader(body))
 	if err != nil {
 		return time.Second
