drain: what can save moves away from machines drained for their price

A machine that costs too much waited for its longest task; tasks that save lose next to nothing by moving.

--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -316,6 +316,29 @@
 	}
 }
 
+// A dear machine waited for its longest task: what saves and would hold it for long
+// moves where there is room; what can't save, is urgent, or ends soon stays.
+func TestDearMachinesAreConsolidated(t *testing.T) {
+	r := three(t)
+	r.job(model.Spec{ID: 1, Checkpoint: time.Second, Estimate: 10 * time.Minute}, 1)
+	r.job(model.Spec{ID: 2, Checkpoint: time.Second, Estimate: 9 * time.Second}, 1)
+	r.job(model.Spec{ID: 3, Estimate: 10 * time.Minute}, 1)
+	r.job(model.Spec{ID: 4, Checkpoint: time.Second, Estimate: 10 * time.Minute, Rank: model.Urgent}, 1)
+	r.e.Empty([]model.MachineID{1})
+	r.ticks(10)
+	if len(r.recall) != 1 || r.recall[0].Job != 1 {
+		t.Errorf("moved %v", r.recall)
+	}
+	full := three(t)
+	full.job(model.Spec{ID: 1, Checkpoint: time.Second, Estimate: 10 * time.Minute}, 1)
+	full.job(model.Spec{ID: 2}, 2, 2, 2, 2, 3, 3, 3, 3)
+	full.e.Empty([]model.MachineID{1})
+	full.ticks(10)
+	if len(full.recall) != 0 {
+		t.Errorf("moved %v to where no room is", full.recall)
+	}
+}
+
 // Dear machines use the same engine: they get no tasks, whoever owns them, and go
 // once they are empty; wanted again, they stay.
 func TestMachinesDrainedForTheirPrice(t *testing.T) {
--- a/internal/core/drain/steps.go
+++ b/internal/core/drain/steps.go
@@ -77,10 +77,32 @@
 		case ok && !e.giving[id] && e.empty(v.Now, &m):
 			e.giving[id] = true
 			e.act(Action{Kind: Give, Machine: id})
+		case ok && m.Told && m.Slots > 0 && e.barred[id]:
+			e.consolidate(v, id)
 		}
 	}
 }
 
+// consolidate moves what can save its progress from a machine that costs too much
+// to one with room, where it would hold the machine for long.
+func (e *Engine) consolidate(v *View, id model.MachineID) {
+	e.look(v.Now, id)
+	tasks, fresh := e.tasks(v.Now, id)
+	if !fresh {
+		return
+	}
+	room := e.room(v)
+	for i := range tasks {
+		t := &tasks[i]
+		long := v.left(t, likely) > 2*(t.sp.Save+5*time.Second)
+		if t.Stopping || t.sp.Daemon || t.sp.Checkpoint == 0 || t.sp.Rank >= model.Urgent || !long || !room.take(t.sp) {
+			continue
+		}
+		t.Stopping = true
+		e.act(Action{Kind: Recall, Machine: id, Task: t.Task})
+	}
+}
+
 // step moves one plan on.
 func (e *Engine) step(v *View, p *Plan) {
 	if p.Phase == Active && !p.LatestEnd.IsZero() && v.Wall.After(p.LatestEnd) {
