drain: empty machines are given back in one call; a cancelled plan lets go of one in use

The engine hears of a return under the same lock as the dealer, or a tick between the two called the machine gone. A step found in use while being given back went back to draining even in a cancelled plan.

--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -287,6 +287,35 @@
 	}
 }
 
+// A machine that a new leader finds in use while it was being given back is
+// drained anew; of a plan that was cancelled meanwhile, it is let go.
+func TestGivingBackIsUndoneWhereWorkHasCome(t *testing.T) {
+	for cancelled, want := range map[bool]State{false: Draining, true: Left} {
+		r := three(t)
+		if err := r.apply(Spec{Machines: []model.MachineID{1}}); err != nil {
+			t.Fatal(err)
+		}
+		for r.state("p", 1) != Giving {
+			r.tick()
+		}
+		if cancelled {
+			if err := r.e.Cancel(r.now, "p"); err != nil {
+				t.Fatal(err)
+			}
+			for _, w := range r.e.Writes(4) {
+				r.write(w)
+			}
+		}
+		r.job(model.Spec{ID: 1}, 1) // placed before the new leader had read the plan
+		r.lead()
+		r.ticks(4)
+		r.want(t, want)
+		if r.given[1] != 0 || r.ms[1].barred != (want == Draining) {
+			t.Errorf("given back %v, barred %v", r.given, r.ms[1].barred)
+		}
+	}
+}
+
 func TestPlansThatCantBe(t *testing.T) {
 	r := three(t)
 	for why, s := range map[string]Spec{
--- a/internal/core/drain/steps.go
+++ b/internal/core/drain/steps.go
@@ -231,6 +231,8 @@
 	m := v.Machines[p.Steps[i].Machine]
 	switch {
 	case r.asking:
+	case m.Told && m.Slots > 0 && p.Phase == Cancelled:
+		p.set(v.Now, i, Left)
 	case m.Told && m.Slots > 0:
 		p.set(v.Now, i, Draining)
 	case !e.empty(v.Now, &m):
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -110,9 +110,15 @@
 	if p.e.Idle() {
 		return
 	}
+	var empty []model.MachineID
 	for _, a := range p.e.Tick(p.view(now)) {
+		if a.Kind == drain.Give {
+			empty = append(empty, a.Machine)
+			continue
+		}
 		p.do(now, a)
 	}
+	p.give(now, empty)
 	p.l.rents.f.Hold(p.e.Plans()) // after: with the last plan's end nothing is held
 	p.l.n.soon()
 }
@@ -129,23 +135,34 @@
 		l.d.LookAt(a.Machine, a.Seq)
 	case drain.Recall:
 		l.d.RecallFrom(a.Machine, a.Task)
-	case drain.Give:
-		ids := []model.MachineID{a.Machine}
-		if !l.rents.f.Give(ids) {
-			p.e.Given(now, a.Machine, false) // one return at a time
-			return
-		}
-		go func() {
-			ok := l.rents.giveBack(fleet.Action{Kind: fleet.Return, Machine: ids})
-			l.n.mu.Lock()
-			defer l.n.mu.Unlock()
-			p.e.Given(l.n.now(), a.Machine, ok)
-		}()
 	case drain.Rent:
 		go p.rent(a)
 	}
 }
 
+// give returns empty machines in one call; one is under way at a time, and the
+// cloud takes only so many: the engine asks again for the rest.
+func (p *draining) give(now time.Duration, ids []model.MachineID) {
+	if len(ids) == 0 {
+		return
+	}
+	some := ids[:min(len(ids), fleet.MaxReturn)]
+	if !p.l.rents.f.Give(some) {
+		some = nil
+	}
+	for _, id := range ids[len(some):] {
+		p.e.Given(now, id, false)
+	}
+	if some == nil {
+		return
+	}
+	go p.l.rents.giveBack(fleet.Action{Kind: fleet.Return, Machine: some}, func(now time.Duration, ok bool) {
+		for _, id := range some {
+			p.e.Given(now, id, ok)
+		}
+	})
+}
+
 // rent asks the cloud for a machine like the one that is to go.
 func (p *draining) rent(a drain.Action) {
 	n := p.l.n
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -70,7 +70,7 @@
 	p.settling = true
 	p.l.n.log.Info("returning machines that can't be reached", "count", len(ids))
 	for some := range slices.Chunk(ids, fleet.MaxReturn) {
-		go p.giveBack(fleet.Action{Kind: fleet.Return, Machine: some})
+		go p.giveBack(fleet.Action{Kind: fleet.Return, Machine: some}, nil)
 	}
 }
 
@@ -91,7 +91,7 @@
 			for _, id := range a.Machine {
 				p.l.d.Use(id, false)
 			}
-			go p.giveBack(a)
+			go p.giveBack(a, nil)
 		case fleet.Rent:
 			go p.rent(a)
 		}
@@ -99,8 +99,9 @@
 	p.l.n.soon()
 }
 
-// giveBack returns machines to the cloud, and tells whether it has them.
-func (p *renting) giveBack(a fleet.Action) bool {
+// giveBack returns machines to the cloud. told, if it is given, hears under the lock
+// whether it has them.
+func (p *renting) giveBack(a fleet.Action, told func(now time.Duration, ok bool)) {
 	n := p.l.n
 	names := make([]string, len(a.Machine))
 	for i, id := range a.Machine {
@@ -122,10 +123,12 @@
 			p.l.d.Use(id, true)
 		}
 	}
+	if told != nil {
+		told(now, err == nil)
+	}
 	if n.lead == p.l {
 		n.soon()
 	}
-	return err == nil
 }
 
 func (p *renting) rent(a fleet.Action) {
