--- a/internal/core/forecast/forecast_test.go
+++ b/internal/core/forecast/forecast_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// Work within its team's guarantee that would wait for room because of the plan is
+// told with its team.
+func TestGuaranteesThatWouldNotHoldAreForeseen(t *testing.T) {
+	s := snapshot(2)
+	s.Teams = append(s.Teams, dealer.Team{Limit: model.Capacity(1e6, 0, 0)})
+	s.job(model.Spec{ID: 6, Team: 1, Estimate: 5 * time.Minute, Rank: model.Prod}, 0, 0, 2, 2, 2, 2)
+	s.job(model.Spec{ID: 5, Estimate: 60 * time.Second}, 12, 0)
+	w := drain.Spec{Machines: []model.MachineID{1}, Default: drain.Move}
+	if r := s.play(t, params(), w); len(r.Guarantees) != 1 || r.Guarantees[0].Team != 0 || r.Guarantees[0].With <= r.Guarantees[0].Without {
+		t.Errorf("%+v", r.Guarantees)
+	}
+	s.Jobs = s.Jobs[:1]
+	if r := s.play(t, params(), w); len(r.Guarantees) != 0 {
+		t.Errorf("%+v with nothing that waits", r.Guarantees)
+	}
+}
+
 // grown is a cluster of the size of the largest known deployment.
 func grown() *Snapshot {
 	const machines, tasksEach, jobs = 1636, 24, 800
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -12,6 +12,7 @@
 	"io"
 	"log/slog"
 	"math/big"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -21,6 +22,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"honeylock/internal/client"
 	"honeylock/internal/config"
 	"honeylock/internal/node"
 )
@@ -97,7 +99,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tpl := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour)}
+	tpl := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
 	der, err := x509.CreateCertificate(rand.Reader, tpl, tpl, &k.PublicKey, k)
 	if err != nil {
 		t.Fatal(err)
@@ -154,3 +157,39 @@
 		t.Error("the old one is gone")
 	}
 }
+
+// Over TLS a client that knows the authority is served, and nobody in the clear.
+func TestCallsOverTLS(t *testing.T) {
+	cert, key := writeCert(t, t.TempDir(), 1)
+	s, err := New(&echoes{}, &config.Operator{CertFile: cert, KeyFile: key,
+		Access: []config.Access{{Name: "boss", Hash: sha256.Sum256([]byte("o")), Operate: true}}},
+		slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go s.Serve(ctx, addr)
+	o, err := client.NewOperators([]string{addr}, "o", cert)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out struct{}
+	if err := o.Change(t.Context(), "drains/p/pause", nil, &out, func(string) {}); err != nil {
+		t.Error(err)
+	}
+	res, err := http.Get("http://" + addr + "/ops/v1/drains")
+	if err != nil {
+		return
+	}
+	res.Body.Close()
+	if res.StatusCode != http.StatusBadRequest {
+		t.Errorf("%d in the clear", res.StatusCode)
+	}
+}
