node: a forecast is told as complete once its result is there

Played to its end, but not summed up, it was answered with done = 1 and nothing in it: the end-to-end test failed on a slow run.

--- a/internal/node/foresight.go
+++ b/internal/node/foresight.go
@@ -23,7 +23,10 @@
 	n      uint64
 }
 
-const keptForecasts = 8
+const (
+	keptForecasts = 8
+	almost        = 0.99
+)
 
 // survey asks all machines' owners what runs there.
 type survey struct {
@@ -238,7 +241,8 @@
 	case err != nil:
 		return callError(statusOf(err), err)
 	case x.result == nil:
-		return body(ForecastReply{Name: x.spec.Name, Done: x.done})
+		// 1 says that the rest is there: all may have been played, yet not summed up.
+		return body(ForecastReply{Name: x.spec.Name, Done: min(x.done, almost)})
 	}
 	return body(p.forecastReply(x))
 }
--- a/internal/node/foresight_test.go
+++ b/internal/node/foresight_test.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"honeylock/internal/config"
 	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/drain"
 	"honeylock/internal/core/fleet"
+	"honeylock/internal/core/forecast"
 	"honeylock/internal/core/model"
+	"honeylock/internal/wire"
 )
 
 // BenchmarkGrownSnapshot is what a forecast does under the controller's lock: with
@@ -38,3 +42,28 @@
 		}
 	}
 }
+
+// A forecast that was played to its end, yet not summed up, was told as complete,
+// with nothing in it.
+func TestAForecastIsCompleteWithItsResult(t *testing.T) {
+	n := &Node{cfg: &config.Platform{}, set: config.DefaultSettings()}
+	n.names = &wire.Names{Teams: wire.NewTable(), Classes: wire.NewTable()}
+	p := (&leadership{n: n}).newDraining()
+	c := &Call{Verb: DrainPlan, Request: "r"}
+	x := &prophecy{request: "r", digest: c.digest(), spec: &drain.Spec{Name: "p"}, done: 1}
+	p.ahead.kept = []*prophecy{x}
+	ask := func() (r ForecastReply) {
+		t.Helper()
+		if err := json.Unmarshal(p.askForecast(0, c).Body, &r); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := ask(); r.Done >= 1 {
+		t.Errorf("%+v without a result", r)
+	}
+	x.result = &forecast.Result{Plays: 5}
+	if r := ask(); r.Done != 1 || r.Plays != 5 {
+		t.Errorf("%+v with one", r)
+	}
+}
