--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -91,17 +91,29 @@
 	return sum
 }
 
-// headroom is what a team may still be dealt.
-func (d *Dealer) headroom(team model.Name, exposure model.Resources) model.Resources {
-	l := d.p.Teams[team].Limit
-	u := d.usage[team].Add(exposure)
+// Left is what a team's limit leaves of what it uses.
+func (t Team) Left(used model.Resources) model.Resources {
 	left := func(limit, used int64) int64 {
 		if limit == 0 {
 			return boundless
 		}
 		return limit - used
 	}
-	return model.Resources{CPU: left(l.CPU, u.CPU), GPU: left(l.GPU, u.GPU), Mem: boundless}
+	return model.Resources{CPU: left(t.Limit.CPU, used.CPU), GPU: left(t.Limit.GPU, used.GPU), Mem: boundless}
+}
+
+// Spare is the CPU that teams have left of their guarantees, in thousandths.
+func Spare(teams []Team, usage []model.Resources) int64 {
+	var sum int64
+	for i, t := range teams {
+		sum += max(0, t.Guarantee.CPU-usage[i].CPU)
+	}
+	return sum
+}
+
+// headroom is what a team may still be dealt.
+func (d *Dealer) headroom(team model.Name, exposure model.Resources) model.Resources {
+	return d.p.Teams[team].Left(d.usage[team].Add(exposure))
 }
 
 // undealt counts the tasks that may be dealt now.
@@ -146,7 +158,7 @@
 		return
 	}
 	d.open(jobs, members)
-	score := func(j *job) float64 { return j.spec.Priority(j.price) * (now - j.since + time.Second/10).Seconds() }
+	score := func(j *job) float64 { return j.spec.Score(j.price, now-j.since) }
 	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(score(b), score(a)) })
 	exposure := d.exposure()
 	for _, j := range jobs {
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -352,13 +352,7 @@
 }
 
 // Spare is the CPU that teams have left of their guarantees, in thousandths.
-func (d *Dealer) Spare() int64 {
-	var sum int64
-	for i, t := range d.p.Teams {
-		sum += max(0, t.Guarantee.CPU-d.usage[i].CPU)
-	}
-	return sum
-}
+func (d *Dealer) Spare() int64 { return Spare(d.p.Teams, d.usage) }
 
 // Limit is a team's limit.
 func (d *Dealer) Limit(team model.Name) model.Resources { return d.p.Teams[team].Limit }
--- a/internal/core/drain/engine.go
+++ b/internal/core/drain/engine.go
@@ -41,8 +41,8 @@
 	Kind    ActionKind
 	Machine model.MachineID
 	Task    model.Task
-	Plan    string // Rent, Give
-	Step    int    // Rent, Give
+	Plan    string // Rent
+	Step    int    // Rent
 	Request string // Rent
 	Seq     uint64 // Look
 }
--- a/internal/core/drain/hold.go
+++ b/internal/core/drain/hold.go
@@ -33,15 +33,16 @@
 	if !m.Told || m.Slots > 0 || !e.barred[id] {
 		return false
 	}
-	e.look(now, id)
-	s, ok := e.seen[id]
-	return ok && s.none && now-s.at <= freshReports*e.p.Report
+	s, fresh := e.fresh(now, id)
+	return fresh && s.none
 }
 
-// tasks are what runs on the machine, if that is known well enough.
-func (e *Engine) tasks(now time.Duration, id model.MachineID) ([]task, bool) {
+// fresh is what runs on the machine, if that is known well enough; its owner is
+// asked again.
+func (e *Engine) fresh(now time.Duration, id model.MachineID) (seen, bool) {
+	e.look(now, id)
 	s, ok := e.seen[id]
-	return s.tasks, ok && now-s.at <= freshReports*e.p.Report
+	return s, ok && now-s.at <= freshReports*e.p.Report
 }
 
 // hold tells why a machine can't be drained at present, "" if it can. It is asked
@@ -58,21 +59,21 @@
 		return why
 	}
 	if len(p.Windows) > 0 {
-		e.look(v.Now, id)
-		tasks, fresh := e.tasks(v.Now, id)
+		s, fresh := e.fresh(v.Now, id)
 		if !fresh {
 			return "its controller has not told what runs there"
 		}
-		for i := range tasks {
-			if !p.moves(tasks[i].sp) {
+		for i := range s.tasks {
+			if !p.moves(s.tasks[i].sp) {
 				continue
 			}
-			if why := late(v, p, &tasks[i]); why != "" {
+			if why := late(v, p, &s.tasks[i]); why != "" {
 				return why
 			}
 		}
+		return crowded(v, p, r, id)
 	}
-	return crowded(v, p, r, id)
+	return ""
 }
 
 // floor: what teams have left of their guarantees stays free elsewhere, as far
@@ -94,7 +95,7 @@
 	var out []string
 	for _, j := range v.Jobs {
 		if j.Open > 0 && j.Spec.Allows(&m) && j.Spec.Each.Fits(m.Cap) && r.holds(j.Spec, id) == 0 {
-			out = append(out, jobName(j.Spec.ID))
+			out = append(out, v.JobName(j.Spec.ID))
 		}
 	}
 	if len(out) > 0 {
@@ -103,8 +104,6 @@
 	return ""
 }
 
-func jobName(id model.JobID) string { return fmt.Sprintf("job-%06d", uint64(id)) }
-
 // Of all tasks of a class so many take no longer than is reckoned with.
 const (
 	careful = 0.9
@@ -114,19 +113,13 @@
 // late: a task that is stopped here and goes on elsewhere ends past a window that
 // it would have kept where it is.
 func late(v *View, p *Plan, t *task) string {
-	for i := range p.Windows {
-		w := &p.Windows[i]
-		limit, ok := w.limit(t.sp)
-		if !ok || !w.covers(t.sp) || v.Wall.After(limit) {
-			continue
-		}
-		stays, moved := v.Wall.Add(v.left(t, likely)), v.Wall.Add(v.anew(t, careful))
-		if moved.After(limit) && !stays.After(limit) {
-			return fmt.Sprintf("%s would end at %s if it moved, past %s at %s", jobName(t.sp.ID), clock(moved, w), w.Name,
-				clock(limit, w))
-		}
+	moved := v.Wall.Add(v.anew(t, careful))
+	w, limit := p.pushes(v.Wall, t.sp, v.Wall.Add(v.left(t, likely)), moved)
+	if w == nil {
+		return ""
 	}
-	return ""
+	return fmt.Sprintf("%s would end at %s if it moved, past %s at %s", v.JobName(t.sp.ID), clock(moved, w), w.Name,
+		clock(limit, w))
 }
 
 func clock(t time.Time, w *Window) string {
@@ -144,18 +137,11 @@
 		if waiting <= 0 {
 			continue
 		}
-		for i := range p.Windows {
-			w := &p.Windows[i]
-			limit, ok := w.limit(j.Spec)
-			if !ok || !w.covers(j.Spec) || v.Wall.After(limit) {
-				continue
-			}
-			with := ends(v, j.Spec, waiting, r.holds(j.Spec, 0))
-			without := ends(v, j.Spec, waiting, r.holds(j.Spec, id))
-			if without.After(limit) && !with.After(limit) {
-				return fmt.Sprintf("%s has %d tasks waiting and would end at %s without its room, past %s at %s",
-					jobName(j.Spec.ID), waiting, clock(without, w), w.Name, clock(limit, w))
-			}
+		without := ends(v, j.Spec, waiting, r.holds(j.Spec, id))
+		w, limit := p.pushes(v.Wall, j.Spec, ends(v, j.Spec, waiting, r.holds(j.Spec, 0)), without)
+		if w != nil {
+			return fmt.Sprintf("%s has %d tasks waiting and would end at %s without its room, past %s at %s",
+				v.JobName(j.Spec.ID), waiting, clock(without, w), w.Name, clock(limit, w))
 		}
 	}
 	return ""
@@ -163,9 +149,8 @@
 
 // ends is when so many tasks end with room for a number at a time.
 func ends(v *View, sp *model.Spec, tasks, atOnce int64) time.Time {
-	each := time.Duration(float64(sp.Estimate) * v.Learned(sp.Class, careful))
 	rounds := (tasks + max(1, atOnce) - 1) / max(1, atOnce)
-	return v.Wall.Add(time.Duration(rounds) * each)
+	return v.Wall.Add(time.Duration(rounds) * v.whole(sp, careful))
 }
 
 // draining moves what runs on a machine, and goes on once it is empty.
@@ -189,12 +174,9 @@
 		return
 	}
 	r.held = ""
-	e.look(v.Now, s.Machine)
-	tasks, fresh := e.tasks(v.Now, s.Machine)
-	if !fresh || !e.barred[s.Machine] {
-		return
+	if told, fresh := e.fresh(v.Now, s.Machine); fresh && e.barred[s.Machine] {
+		e.moveTasks(v, p, i, told.tasks)
 	}
-	e.moveTasks(v, p, i, tasks)
 }
 
 // room is what is free for tasks that move: once a tick, so that two machines do
@@ -221,12 +203,12 @@
 		why := ""
 		switch {
 		case t.sp.Daemon && (moving[t.sp.ID] || !allRun(v, t.sp) || e.movedLately(v.Now, t.sp.ID)):
-			why = jobName(t.sp.ID) + ": its replicas move one at a time, once all run"
+			why = v.JobName(t.sp.ID) + ": its replicas move one at a time, once all run"
 		default:
 			why = late(v, p, t)
 		}
 		if why == "" && !room.take(t.sp) {
-			why = "no room elsewhere for " + jobName(t.sp.ID)
+			why = "no room elsewhere for " + v.JobName(t.sp.ID)
 		}
 		if why != "" {
 			if !slices.Contains(held, why) {
--- a/internal/core/drain/plan.go
+++ b/internal/core/drain/plan.go
@@ -98,6 +98,19 @@
 	return limit, window, ok
 }
 
+// pushes finds a window still to come that a job which ends at the one time keeps,
+// and at the other misses; nil if there is none.
+func (s *Spec) pushes(now time.Time, sp *model.Spec, kept, missed time.Time) (*Window, time.Time) {
+	for i := range s.Windows {
+		w := &s.Windows[i]
+		limit, ok := w.limit(sp)
+		if ok && w.covers(sp) && !now.After(limit) && missed.After(limit) && !kept.After(limit) {
+			return w, limit
+		}
+	}
+	return nil, time.Time{}
+}
+
 // how a task of the job leaves. A replica never ends by itself, so it moves.
 func (s *Spec) how(sp *model.Spec) How {
 	if sp.Daemon {
--- a/internal/core/drain/rig_test.go
+++ b/internal/core/drain/rig_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"honeylock/internal/core/model"
+	"honeylock/internal/wire"
 )
 
 // rig is a scripted cluster round an engine: machines with tasks, a store that
@@ -98,7 +99,7 @@
 		Learned: func(_ model.Name, part float64) float64 {
 			return 0.5 +
 				part
-		}, Boot: func(model.Name) time.Duration { return time.Second }}
+		}, Boot: func(model.Name) time.Duration { return time.Second }, JobName: wire.JobName}
 	for id, m := range r.ms {
 		st := model.MachineStatus{Machine: m.Machine, Avail: m.free(r), Ready: !m.barred && m.boots == 0, Slots: len(m.tasks)}
 		v.Machines[id] = Machine{st, m.boots == 0}
--- a/internal/core/drain/steps.go
+++ b/internal/core/drain/steps.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,17 +32,7 @@
 // bars tells what has changed about which machines get tasks. What lets a machine
 // have tasks again counts at once; what keeps it from them, once it is stored.
 func (e *Engine) bars() {
-	want := map[model.MachineID]bool{}
-	for id := range e.price {
-		want[id] = true
-	}
-	for _, p := range e.plans {
-		for i := range p.Steps {
-			if s := &p.Steps[i]; s.State.barred() && (p.synced() || e.barred[s.Machine]) {
-				want[s.Machine] = true
-			}
-		}
-	}
+	want := e.keep(func(p *Plan, id model.MachineID) bool { return p.synced() || e.barred[id] })
 	for _, id := range sortedIDs(want) {
 		if !e.barred[id] {
 			e.act(Action{Kind: Bar, Machine: id})
@@ -86,14 +77,13 @@
 // consolidate moves what can save its progress from a machine that costs too much
 // to one with room, where it would hold the machine for long.
 func (e *Engine) consolidate(v *View, id model.MachineID) {
-	e.look(v.Now, id)
-	tasks, fresh := e.tasks(v.Now, id)
+	told, fresh := e.fresh(v.Now, id)
 	if !fresh {
 		return
 	}
 	room := e.room(v)
-	for i := range tasks {
-		t := &tasks[i]
+	for i := range told.tasks {
+		t := &told.tasks[i]
 		long := v.left(t, likely) > 2*(t.sp.Save+5*time.Second)
 		if t.Stopping || t.sp.Daemon || t.sp.Checkpoint == 0 || t.sp.Rank >= model.Urgent || !long || !room.take(t.sp) {
 			continue
@@ -179,14 +169,17 @@
 
 // planned are the machines that no task will be given, stored or not.
 func (e *Engine) planned() map[model.MachineID]bool {
-	out := map[model.MachineID]bool{}
-	for id := range e.price {
-		out[id] = true
-	}
+	return e.keep(func(*Plan, model.MachineID) bool { return true })
+}
+
+// keep are the machines that are to be kept from tasks: for their price, and those
+// of plans that the condition holds for.
+func (e *Engine) keep(when func(*Plan, model.MachineID) bool) map[model.MachineID]bool {
+	out := maps.Clone(e.price)
 	for _, p := range e.plans {
 		for i := range p.Steps {
-			if p.Steps[i].State.barred() {
-				out[p.Steps[i].Machine] = true
+			if s := &p.Steps[i]; s.State.barred() && when(p, s.Machine) {
+				out[s.Machine] = true
 			}
 		}
 	}
@@ -239,6 +232,6 @@
 		r.held = "its controller has not told that it is empty"
 	case r.asked == 0 || v.Now-r.asked >= time.Second:
 		r.asking = true
-		e.act(Action{Kind: Give, Machine: p.Steps[i].Machine, Plan: p.Name, Step: i})
+		e.act(Action{Kind: Give, Machine: p.Steps[i].Machine})
 	}
 }
--- a/internal/core/drain/view.go
+++ b/internal/core/drain/view.go
@@ -22,6 +22,8 @@
 	Learned func(class model.Name, part float64) float64
 	// Boot is how long a machine of the type may take to come up.
 	Boot func(machineType model.Name) time.Duration
+	// JobName is a job's name, for people.
+	JobName func(model.JobID) string
 }
 
 // Machine of a view.
@@ -51,17 +53,20 @@
 
 // left is how long a task runs on where it is, at a part of all.
 func (v *View) left(t *task, part float64) time.Duration {
-	whole := time.Duration(float64(t.sp.Estimate) * v.Learned(t.sp.Class, part))
-	return max(0, whole-t.Ran)
+	return max(0, v.whole(t.sp, part)-t.Ran)
+}
+
+// whole is how long a task of the job takes, at a part of all.
+func (v *View) whole(sp *model.Spec, part float64) time.Duration {
+	return time.Duration(float64(sp.Estimate) * v.Learned(sp.Class, part))
 }
 
 // anew is how long it takes elsewhere once it is there.
 func (v *View) anew(t *task, part float64) time.Duration {
-	whole := time.Duration(float64(t.sp.Estimate) * v.Learned(t.sp.Class, part))
 	if t.sp.Checkpoint > 0 { // it saves when it is stopped
-		return max(0, whole-t.Ran) + t.sp.Save
+		return v.left(t, part) + t.sp.Save
 	}
-	return whole
+	return v.whole(t.sp, part)
 }
 
 // kind of machines: what a job may ask for.
--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -42,6 +42,7 @@
 	Teams    []dealer.Team
 	Learned  func(class model.Name, part float64) float64
 	Boot     func(machineType model.Name) time.Duration
+	JobName  func(model.JobID) string // for people
 	Shard    shard.Params
 }
 
@@ -63,7 +64,6 @@
 	s     *Snapshot
 	plan  Plan
 	spec  *drain.Spec
-	name  string
 	play  int
 	base  *run // of the present play, nil: not begun
 	with  *run
@@ -77,7 +77,7 @@
 
 // New prepares a forecast of a plan.
 func New(p Params, s *Snapshot, spec *drain.Spec, plan Plan) *Forecast {
-	return &Forecast{p: p, s: s, plan: plan, spec: spec, name: spec.Name}
+	return &Forecast{p: p, s: s, plan: plan, spec: spec}
 }
 
 // Advance plays on a little; true tells that the forecast is complete.
@@ -136,14 +136,13 @@
 
 // Late is a job that the plan delays.
 type Late struct {
-	Spec     *model.Spec
-	End      [3]time.Duration // with the plan, from now: least, middle, most
-	Delay    [3]time.Duration
-	Why      string
-	Missed   bool   // it would end past its deadline, and would not without the plan
-	Window   string // of the plan, that it would be pushed past; "": none
-	Unplayed bool   // it did not end while it was played
-	Moved    int
+	Spec   *model.Spec
+	End    [3]time.Duration // with the plan, from now: least, middle, most
+	Delay  [3]time.Duration
+	Why    string
+	Missed bool   // it would end past its deadline, and would not without the plan
+	Window string // of the plan, that it would be pushed past; "": none
+	Moved  int
 }
 
 // Guarantee of a team that would not hold as it does.
@@ -211,7 +210,7 @@
 			continue // nothing can be said
 		}
 		if !ok2 {
-			with, l.Unplayed = f.p.Most, true
+			with = f.p.Most // it did not end while it was played
 		}
 		ends, delays = append(ends, with), append(delays, with-without)
 		c := f.costs[i][sp.ID]
--- a/internal/core/forecast/forecast_test.go
+++ b/internal/core/forecast/forecast_test.go
@@ -9,6 +9,7 @@
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/shard"
+	"honeylock/internal/wire"
 )
 
 func params() Params {
@@ -21,9 +22,10 @@
 // snapshot is a cluster of machines with 8 CPUs.
 func snapshot(machines int) *Snapshot {
 	s := &Snapshot{Now: time.Hour, Wall: time.Date(2026, 11, 26, 12, 0, 0, 0, time.UTC), Learned: exact,
-		Teams: []dealer.Team{{Guarantee: model.Capacity(1e6, 0, 0), Limit: model.Capacity(1e6, 0, 0)}},
-		Boot:  func(model.Name) time.Duration { return 10 * time.Second },
-		Shard: shard.Params{Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2}}
+		Teams:   []dealer.Team{{Guarantee: model.Capacity(1e6, 0, 0), Limit: model.Capacity(1e6, 0, 0)}},
+		JobName: wire.JobName,
+		Boot:    func(model.Name) time.Duration { return 10 * time.Second },
+		Shard:   shard.Params{Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2}}
 	for id := range machines {
 		s.Machines = append(s.Machines, Machine{Machine: model.Machine{ID: model.MachineID(id + 1),
 			Cap: model.Capacity(8, 0, 32), FetchRate: 0.5},
--- a/internal/core/forecast/plan.go
+++ b/internal/core/forecast/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/model"
 )
@@ -19,7 +20,7 @@
 		return true
 	})
 	for id, at := range x.patched {
-		if x.now >= at && x.e.Patched(x.now, x.f.name, id, "") == nil {
+		if x.now >= at && x.e.Patched(x.now, x.f.spec.Name, id, "") == nil {
 			delete(x.patched, id)
 		}
 	}
@@ -30,8 +31,8 @@
 	s := x.f.s
 	v := &drain.View{Now: x.now, Wall: s.Wall.Add(x.now - s.Now),
 		Machines: make(map[model.MachineID]drain.Machine, len(s.Machines)),
-		Settled:  true, Learned: s.Learned, Boot: s.Boot}
-	x.r.Machines(func(st model.MachineStatus) { v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: true} })
+		Settled:  true, Learned: s.Learned, Boot: s.Boot, JobName: s.JobName, Spare: dealer.Spare(s.Teams, x.usage)}
+	x.r.Machines(x.now, func(st model.MachineStatus) { v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: true} })
 	for _, b := range x.booting {
 		v.Machines[b.m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: b.m}}
 	}
@@ -40,9 +41,6 @@
 			v.Jobs = append(v.Jobs, drain.Job{Spec: j.Spec, Open: j.left, Running: j.running})
 		}
 	}
-	for t, team := range s.Teams {
-		v.Spare += max(0, team.Guarantee.CPU-x.usage[t].CPU)
-	}
 	return v
 }
 
@@ -57,7 +55,7 @@
 	for _, w := range x.e.Writes(64) {
 		x.e.Wrote(w, 1, true, false, 0)
 	}
-	if st := x.e.Status(x.now, x.f.name); st != nil {
+	if st := x.e.Status(x.now, x.f.spec.Name); st != nil {
 		for _, t := range st.Steps {
 			if _, ok := x.patched[t.Machine]; !ok && t.State == drain.Patching.String() {
 				x.patched[t.Machine] = x.now + x.f.p.Patch
@@ -107,7 +105,7 @@
 
 // waitsFor is what a plan that does not end waits for.
 func (x *run) waitsFor() string {
-	if st := x.e.Status(x.now, x.f.name); st != nil {
+	if st := x.e.Status(x.now, x.f.spec.Name); st != nil {
 		for _, t := range st.Steps {
 			if t.Held != "" {
 				return t.Held
--- a/internal/core/forecast/run.go
+++ b/internal/core/forecast/run.go
@@ -61,8 +61,6 @@
 	usage   []model.Resources
 	heap    endings
 	zones   []model.Name
-	gone    map[model.MachineID]bool
-	ready   map[model.MachineID]bool // rented, and up
 	booting []boot
 	patched map[model.MachineID]time.Duration
 	next    model.MachineID
@@ -86,8 +84,7 @@
 	s := f.s
 	x := &run{f: f, now: s.Now, byID: make(map[model.JobID]*job, len(s.Jobs)),
 		usage: make([]model.Resources, len(s.Teams)), on: map[model.JobID]map[int32]bool{},
-		gone: map[model.MachineID]bool{}, ready: map[model.MachineID]bool{}, patched: map[model.MachineID]time.Duration{},
-		next: 1 << 40,
+		patched: map[model.MachineID]time.Duration{}, next: 1 << 40,
 		ends: map[model.JobID]time.Duration{}, costs: map[model.JobID]cost{}, waits: make([]time.Duration, len(s.Teams)),
 		r: shard.NewRehearsal(s.Shard, rand.New(rand.NewPCG(f.p.Seed, uint64(f.play))))}
 	for i := range s.Jobs {
@@ -205,7 +202,7 @@
 		x.drain()
 	}
 	x.dealAll()
-	begun, stopped := x.r.Place(x.now, true)
+	begun, stopped := x.r.Place(x.now)
 	for _, s := range stopped {
 		x.stopped(s, false)
 	}
@@ -306,30 +303,19 @@
 			jobs = append(jobs, j)
 		}
 	}
-	score := func(j *job) float64 { return j.Spec.Priority(j.price) * (x.now - j.Since + time.Second/10).Seconds() }
+	score := func(j *job) float64 { return j.Spec.Score(j.price, x.now-j.Since) }
 	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(score(b), score(a)) })
 	for _, j := range jobs {
-		n := min(int64(len(j.undealt)), x.headroom(j.Spec))
+		team := j.Spec.Team
+		n := min(int64(len(j.undealt)), j.Spec.Each.Count(x.f.s.Teams[team].Left(x.usage[team])))
 		for _, no := range j.undealt[:n] {
 			x.r.Give(x.now, x.deal(j, no, x.zone(j)))
 		}
 		j.undealt = j.undealt[n:]
-		x.usage[j.Spec.Team] = x.usage[j.Spec.Team].Add(j.Spec.Each.Times(n))
+		x.usage[team] = x.usage[team].Add(j.Spec.Each.Times(n))
 	}
 }
 
-// headroom is how many tasks of the job its team's limit still allows.
-func (x *run) headroom(sp *model.Spec) int64 {
-	l, u := x.f.s.Teams[sp.Team].Limit, x.usage[sp.Team]
-	n := int64(1 << 30)
-	for _, p := range [2][3]int64{{l.CPU, u.CPU, sp.Each.CPU}, {l.GPU, u.GPU, sp.Each.GPU}} {
-		if p[0] > 0 && p[2] > 0 {
-			n = min(n, max(0, (p[0]-p[1])/p[2]))
-		}
-	}
-	return n
-}
-
 // zone is where a job whose tasks' zones depend on each other goes next: all to
 // one, or to all in turn.
 func (x *run) zone(j *job) model.Name {
@@ -344,8 +330,9 @@
 
 // wait notes for how long work within its guarantee has had no room.
 func (x *run) wait() {
+	waiting := x.r.Waiting()
 	for _, j := range x.jobs {
-		if j.left == 0 || !j.within || !x.r.Waiting(j.Spec.ID) {
+		if j.left == 0 || !j.within || !waiting[j.Spec.ID] {
 			j.waited = 0
 			continue
 		}
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -47,6 +47,12 @@
 	return p
 }
 
+// Score orders waiting work, the highest first: the price's priority times how long
+// it has waited.
+func (s *Spec) Score(price float64, waited time.Duration) float64 {
+	return s.Priority(price) * (waited + time.Second/10).Seconds()
+}
+
 // waiting is how much longer work that no aim speaks of waits than other work of
 // its price.
 const waiting = 100
--- a/internal/core/shard/drain_test.go
+++ b/internal/core/shard/drain_test.go
@@ -83,7 +83,7 @@
 		}
 	}
 	acts.s.Place(acts.now)
-	begun, stopped := p.Place(acts.now, true)
+	begun, stopped := p.Place(acts.now)
 	if len(begun) < 20 || len(stopped) != 0 {
 		t.Fatalf("%d begun, %d stopped", len(begun), len(stopped))
 	}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -38,7 +38,7 @@
 }
 
 func (g *group) score(now time.Duration) float64 {
-	return g.spec.Priority(g.price) * (now - g.since + time.Second/10).Seconds()
+	return g.spec.Score(g.price, now-g.since)
 }
 
 // Place puts waiting tasks on machines, the highest price times wait first. As
@@ -390,7 +390,15 @@
 // fetch is how long the machine takes to get a task's image, if it is not known
 // to have it.
 func (m *machine) fetch(sp *model.Spec) time.Duration {
-	if m.images[sp.Image] || m.FetchRate <= 0 {
+	if m.images[sp.Image] {
+		return 0
+	}
+	return m.pull(sp)
+}
+
+// pull is how long the machine takes to get a task's image.
+func (m *machine) pull(sp *model.Spec) time.Duration {
+	if m.FetchRate <= 0 {
 		return 0
 	}
 	return time.Duration(sp.ImageGB / m.FetchRate * float64(time.Second))
--- a/internal/core/shard/rehearse.go
+++ b/internal/core/shard/rehearse.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"honeylock/internal/core/model"
@@ -76,17 +75,14 @@
 // Reprice changes the price of a job's tasks.
 func (r *Rehearsal) Reprice(job model.JobID, price float64) { r.s.reprice(job, price) }
 
-// Place places what waits and carries the evictions out. Tasks that had to stop
-// wait again. all looks at all machines, else only those where room came free.
-func (r *Rehearsal) Place(now time.Duration, all bool) (begun []Begun, stopped []Stopped) {
-	r.s.replan = r.s.replan || all
+// Place places what waits, on whichever machine, and carries the evictions out.
+// Tasks that had to stop wait again.
+func (r *Rehearsal) Place(now time.Duration) (begun []Begun, stopped []Stopped) {
+	r.s.replan = true
 	r.s.Place(now)
 	for _, sl := range r.stopped {
-		if t := sl.t; t != nil && sl.state != exited {
-			stopped = append(stopped, Stopped{sl.task, sl.attempt, sl.ran(now)})
-			m := t.on
-			r.s.drop(now, m, sl)
-			r.s.landed(now, sl, model.CauseStopped)
+		if sl.t != nil && sl.state != exited {
+			stopped = append(stopped, r.stop(now, sl))
 		}
 	}
 	r.stopped = r.stopped[:0]
@@ -97,7 +93,7 @@
 		}
 		fetch := time.Duration(0)
 		if sl.fetches {
-			fetch = t.on.takes(t.Spec)
+			fetch = t.on.pull(t.Spec)
 		}
 		sl.sent, sl.state, sl.stage, sl.runSince = true, live, model.Running, now+fetch
 		begun = append(begun, Begun{Task: sl.task, Spec: t.Spec, Machine: t.on.ID, Attempt: sl.attempt, Fetch: fetch})
@@ -108,12 +104,12 @@
 	return begun, stopped
 }
 
-// takes is how long the machine takes to fetch a task's image.
-func (m *machine) takes(sp *model.Spec) time.Duration {
-	if m.FetchRate <= 0 {
-		return 0
-	}
-	return time.Duration(sp.ImageGB / m.FetchRate * float64(time.Second))
+// stop takes a task off its machine, and lets it wait again.
+func (r *Rehearsal) stop(now time.Duration, sl *slot) Stopped {
+	out := Stopped{sl.task, sl.attempt, sl.ran(now)}
+	r.s.drop(now, sl.t.on, sl)
+	r.s.landed(now, sl, model.CauseStopped)
+	return out
 }
 
 // Done ends a task on its machine; false tells that it is not there any more.
@@ -134,11 +130,7 @@
 	if x == nil || x.on == nil || x.on.ID != id || x.slot == nil {
 		return Stopped{}, false
 	}
-	sl := x.slot
-	out := Stopped{t, sl.attempt, sl.ran(now)}
-	r.s.drop(now, x.on, sl)
-	r.s.landed(now, sl, model.CauseStopped)
-	return out, true
+	return r.stop(now, x.slot), true
 }
 
 // Remove takes an empty machine away.
@@ -150,30 +142,26 @@
 
 // On tells what is on a machine.
 func (r *Rehearsal) On(now time.Duration, id model.MachineID) []model.OnMachine {
-	m := r.s.machines[id]
-	if m == nil {
-		return nil
-	}
-	var out []model.OnMachine
-	for _, sl := range sorted(m.slots) {
-		out = append(out, model.OnMachine{Task: sl.task, Stage: model.Running, Ran: max(0, sl.ran(now))})
+	if m := r.s.machines[id]; m != nil {
+		return m.on(now)
 	}
-	return out
+	return nil
 }
 
 // Machines calls f for every machine, in order.
-func (r *Rehearsal) Machines(f func(st model.MachineStatus)) {
+func (r *Rehearsal) Machines(now time.Duration, f func(st model.MachineStatus)) {
 	for _, m := range r.s.order {
-		f(model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: m.usable, Slots: len(m.slots)})
+		f(r.s.summary(now, m))
 	}
 }
 
-// Waiting tells whether a task of the job waits.
-func (r *Rehearsal) Waiting(job model.JobID) bool {
+// Waiting are the jobs with tasks that wait.
+func (r *Rehearsal) Waiting() map[model.JobID]bool {
+	out := map[model.JobID]bool{}
 	for k, g := range r.s.queue {
-		if k.job == job && slices.ContainsFunc(g.tasks, func(*task) bool { return true }) {
-			return true
+		if len(g.tasks) > 0 {
+			out[k.job] = true
 		}
 	}
-	return false
+	return out
 }
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -17,9 +17,7 @@
 func (s *Shard) Status(now time.Duration) []model.MachineStatus {
 	var out []model.MachineStatus
 	for _, m := range s.order {
-		st := model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
-			Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince, Faulty: now < m.faultyUntil}
-		if st != m.last {
+		if st := s.summary(now, m); st != m.last {
 			m.last = st
 			out = append(out, st)
 		}
@@ -27,6 +25,11 @@
 	return out
 }
 
+func (s *Shard) summary(now time.Duration, m *machine) model.MachineStatus {
+	return model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
+		Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince, Faulty: now < m.faultyUntil}
+}
+
 // Waiting returns how many tasks wait.
 func (s *Shard) Waiting() int {
 	n := 0
@@ -88,11 +91,16 @@
 	if m == nil {
 		return // the next owner is asked
 	}
-	e := model.Event{Kind: model.Looked, Machine: m.ID, Token: o.Token}
+	s.emit(model.Event{Kind: model.Looked, Machine: m.ID, Token: o.Token, On: m.on(now)})
+}
+
+// on is what is on the machine, or may be.
+func (m *machine) on(now time.Duration) []model.OnMachine {
+	var out []model.OnMachine
 	for _, sl := range sorted(m.slots) {
 		if sl.state != exited {
-			e.On = append(e.On, model.OnMachine{Task: sl.task, Stage: sl.stage, Ran: sl.ran(now), Stopping: sl.stop})
+			out = append(out, model.OnMachine{Task: sl.task, Stage: sl.stage, Ran: max(0, sl.ran(now)), Stopping: sl.stop})
 		}
 	}
-	s.emit(e)
+	return out
 }
--- a/internal/core/sim/drains_test.go
+++ b/internal/core/sim/drains_test.go
@@ -9,6 +9,7 @@
 
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/model"
+	"honeylock/internal/wire"
 )
 
 // drains is the leader's engine of drain plans, wired as the node wires it.
@@ -47,7 +48,7 @@
 		Learned: func(_ model.Name, p float64) float64 {
 			return 0.5 +
 				p
-		}, Boot: func(model.Name) time.Duration { return time.Second }}
+		}, Boot: func(model.Name) time.Duration { return time.Second }, JobName: wire.JobName}
 	for _, m := range w.workers {
 		if !m.dead {
 			v.Machines[m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: m.Machine}}
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -207,7 +207,7 @@
 func (p *draining) view(now time.Duration) *drain.View {
 	l := p.l
 	v := &drain.View{Now: now, Wall: time.Now(), Machines: map[model.MachineID]drain.Machine{}, Spare: l.d.Spare(),
-		Learned: p.learnt.Factor, Boot: l.rents.f.Boot}
+		Learned: p.learnt.Factor, Boot: l.rents.f.Boot, JobName: wire.JobName}
 	listed := l.rents.f.Units(now, func(m model.Machine, _ time.Duration) {
 		v.Machines[m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: m}}
 	})
