node, ops, client: one loop to listen, to insist, to rent and to pass on

The loop that tries a taken port again stood in three doors and the answer to unanswered errors in two (internal/httpserve); the tries of the users' and the operators' client in two; asking the cloud, and reading what a sibling passes on, in two. The engine says what a machine to be rented is like, which the leader and the forecast each looked for; random ids are the standard library's, seconds are config's. Whether records wait is asked once a turn, not for every part. But for one log message behaviour is the same.

--- a/cmd/honeylock/dev.go
+++ b/cmd/honeylock/dev.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -88,10 +87,8 @@
 	if level := os.Getenv("LOG_LEVEL"); level != "" {
 		o.Log = logger(os.Stderr, level)
 	}
-	token, err := f.operators(&o)
-	if err != nil {
-		return failed(err)
-	}
+	token := rand.Text() // of the operators' doors
+	o.Settings = func(string) (*config.Settings, error) { return dev.Operated(token) }
 	cl, err := dev.Start(o)
 	if err != nil {
 		return failed(err)
@@ -125,17 +122,6 @@
 	return nil
 }
 
-// operators gives every controller a door for operators, behind one token.
-func (f *devFlags) operators(o *dev.Options) (token string, err error) {
-	b := make([]byte, 16)
-	if _, err := rand.Read(b); err != nil {
-		return "", err
-	}
-	token = hex.EncodeToString(b)
-	o.Settings = func(string) (*config.Settings, error) { return dev.Operated(token) }
-	return token, nil
-}
-
 // bounds are until when jobs arrive, and until when they are waited for: a
 // minute longer, unless interrupted.
 func (f *devFlags) bounds(ctx context.Context, busy bool) (arrive, all context.Context, stop func()) {
--- a/internal/client/operators.go
+++ b/internal/client/operators.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -59,12 +58,12 @@
 // Change makes a change, once, however often it has to be asked for. told gets
 // why it takes longer.
 func (o *Operators) Change(ctx context.Context, path string, body []byte, out any, told func(string)) error {
-	return o.insist(ctx, http.MethodPost, path, newID(), body, out, told)
+	return o.insist(ctx, http.MethodPost, path, rand.Text(), body, out, told)
 }
 
 // Ask asks a question that takes a while, under one id until done.
 func (o *Operators) Ask(ctx context.Context, path string, body []byte, out any, done func() bool) error {
-	id := newID()
+	id := rand.Text()
 	for {
 		if err := o.insist(ctx, http.MethodPost, path, id, body, out, nil); err != nil || done() {
 			return err
@@ -75,29 +74,18 @@
 	}
 }
 
-func newID() string {
-	id := make([]byte, 12)
-	_, _ = rand.Read(id) // it never fails
-	return hex.EncodeToString(id)
-}
-
 // insist repeats a call under one id until it has a final answer.
 func (o *Operators) insist(ctx context.Context, method, path, id string, body []byte, out any, why func(string)) error {
-	ctx, cancel := context.WithTimeout(ctx, giveUp)
-	defer cancel()
-	for {
+	return insist(ctx, func(ctx context.Context) (bool, time.Duration, error) {
 		last, err := o.once(ctx, method, path, id, body, out)
-		if last {
-			return err
+		if !last {
+			o.next++
+			if why != nil {
+				why(err.Error())
+			}
 		}
-		if why != nil && err != nil {
-			why(err.Error())
-		}
-		o.next++
-		if perr := pause(ctx, time.Second); perr != nil {
-			return fmt.Errorf("no answer: %w", errors.Join(err, perr))
-		}
-	}
+		return last, time.Second, err
+	})
 }
 
 // once makes a call; last tells that its outcome is final.
--- a/internal/client/users.go
+++ b/internal/client/users.go
@@ -94,22 +94,36 @@
 }
 
 // insist repeats a request until it has a final answer.
-func (u *Users) insist(ctx context.Context, method, path string, body []byte) (int, *wire.JobState, error) {
+func (u *Users) insist(ctx context.Context, method, path string, body []byte) (status int, st *wire.JobState, err error) {
+	err = insist(ctx, func(ctx context.Context) (bool, time.Duration, error) {
+		var after time.Duration
+		status, st, after, err = u.once(ctx, method, path, body)
+		var final *Refused
+		if err == nil || errors.As(err, &final) {
+			return true, 0, err
+		}
+		u.next++
+		return false, after + time.Duration(u.rng.Int64N(int64(after/4))), err
+	})
+	return status, st, err
+}
+
+// insist tries for up to a minute until the answer is final, each time after the
+// pause that the one before told.
+func insist(ctx context.Context, try func(context.Context) (final bool, after time.Duration, err error)) error {
 	ctx, cancel := context.WithTimeout(ctx, giveUp)
 	defer cancel()
 	var last error
 	for {
-		status, st, after, err := u.once(ctx, method, path, body)
-		var final *Refused
-		if err == nil || errors.As(err, &final) {
-			return status, st, err
+		final, after, err := try(ctx)
+		if final {
+			return err
 		}
-		if ctx.Err() == nil {
-			last = err
+		if ctx.Err() == nil || last == nil {
+			last = err // not that the time was over
 		}
-		u.next++
-		if perr := pause(ctx, after+time.Duration(u.rng.Int64N(int64(after/4)))); perr != nil {
-			return 0, nil, fmt.Errorf("no answer: %w", errors.Join(last, perr))
+		if perr := pause(ctx, after); perr != nil {
+			return fmt.Errorf("no answer: %w", errors.Join(last, perr))
 		}
 	}
 }
--- a/internal/core/drain/engine.go
+++ b/internal/core/drain/engine.go
@@ -41,10 +41,11 @@
 	Kind    ActionKind
 	Machine model.MachineID
 	Task    model.Task
-	Plan    string // Rent
-	Step    int    // Rent
-	Request string // Rent
-	Seq     uint64 // Look
+	Plan    string        // Rent
+	Step    int           // Rent
+	Request string        // Rent
+	Like    model.Machine // Rent
+	Seq     uint64        // Look
 }
 
 // Engine is the state machine.
--- a/internal/core/drain/steps.go
+++ b/internal/core/drain/steps.go
@@ -212,7 +212,7 @@
 	}
 	if !r.asking && p.Phase == Active && (r.asked == 0 || v.Now-r.asked >= e.p.Probe) {
 		r.asking = true
-		e.act(Action{Kind: Rent, Machine: s.Machine, Plan: p.Name, Step: i, Request: p.request(i)})
+		e.act(Action{Kind: Rent, Machine: s.Machine, Like: m, Plan: p.Name, Step: i, Request: p.request(i)})
 	}
 }
 
--- a/internal/core/forecast/plan.go
+++ b/internal/core/forecast/plan.go
@@ -86,7 +86,7 @@
 		x.r.Remove(a.Machine)
 		x.e.Given(x.now, a.Machine, true)
 	case drain.Rent:
-		m := x.like(a.Machine)
+		m := a.Like
 		x.next++
 		m.ID = x.next
 		x.booting = append(x.booting, boot{x.now + x.f.s.Boot(m.Type), m})
@@ -94,15 +94,6 @@
 	}
 }
 
-func (x *run) like(id model.MachineID) model.Machine {
-	for i := range x.f.s.Machines {
-		if x.f.s.Machines[i].ID == id {
-			return x.f.s.Machines[i].Machine
-		}
-	}
-	return model.Machine{}
-}
-
 // waitsFor is what a plan that does not end waits for.
 func (x *run) waitsFor() string {
 	if st := x.e.Status(x.now, x.f.spec.Name); st != nil {
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -136,7 +136,7 @@
 	case drain.Recall:
 		l.d.RecallFrom(a.Machine, a.Task)
 	case drain.Rent:
-		go p.rent(a)
+		go p.rent(a, a.Like)
 	}
 }
 
@@ -164,21 +164,11 @@
 }
 
 // rent asks the cloud for a machine like the one that is to go.
-func (p *draining) rent(a drain.Action) {
-	n := p.l.n
-	n.mu.Lock()
-	like, ok := p.l.rents.machine(n.now(), a.Machine)
-	r := wire.Rental{Request: a.Request, Type: n.names.Types.Name(like.Type), Zone: n.names.Zones.Name(like.Zone),
-		Spot: like.Spot, Count: 1}
-	n.mu.Unlock()
-	var got []model.MachineID
-	refused := false
-	if ok && p.l.leads() {
-		got, refused, _ = n.rent(p.l.ctx, r)
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.now()
+func (p *draining) rent(a drain.Action, like model.Machine) {
+	got, refused, _ := p.l.rents.ask(a.Request, like, 1)
+	p.l.n.mu.Lock()
+	defer p.l.n.mu.Unlock()
+	now := p.l.n.now()
 	p.l.rents.f.Adopt(now, got, like)
 	p.e.Rented(now, a, got, refused)
 }
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -62,17 +62,33 @@
 // serveForwarded answers what a sibling passes on; it is not passed on again.
 func (n *Node) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	var f forwarded
+	if !readPeer(w, r, &f) {
+		return
+	}
+	if f.Kind == jobs.Submit && f.Sub == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	n.answerPeer(w, n.ask(r.Context(), f.Kind, f.Job, f.Sub))
+}
+
+// readPeer reads what a sibling passes on; false tells that it can't be read, and
+// that this was answered.
+func readPeer(w http.ResponseWriter, r *http.Request, v any) bool {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 128<<10))
 	if err == nil {
-		err = json.Unmarshal(b, &f)
+		err = json.Unmarshal(b, v)
 	}
-	if err != nil || f.Kind == jobs.Submit && f.Sub == nil {
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
-		return
 	}
-	reply := n.ask(r.Context(), f.Kind, f.Job, f.Sub)
+	return err == nil
+}
+
+// answerPeer passes an answer back to a sibling.
+func (n *Node) answerPeer(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(reply); err != nil {
+	if err := json.NewEncoder(w).Encode(v); err != nil {
 		n.log.Debug("answer not passed back", "err", err)
 	}
 }
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -141,12 +140,7 @@
 // serveCall answers what a sibling passes on; it is not passed on again.
 func (n *Node) serveCall(w http.ResponseWriter, r *http.Request) {
 	var c Call
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 128<<10))
-	if err == nil {
-		err = json.Unmarshal(b, &c)
-	}
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if !readPeer(w, r, &c) {
 		return
 	}
 	n.mu.Lock()
@@ -161,10 +155,7 @@
 	case l != nil:
 		reply = l.operate(r.Context(), &c)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(reply); err != nil {
-		n.log.Debug("answer not passed back", "err", err)
-	}
+	n.answerPeer(w, reply)
 }
 
 // operate answers on the leader.
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -53,7 +53,7 @@
 		for _, p := range l.parts {
 			n := min(l.budget.Left(now, c), maxWrites)
 			if n < 1 {
-				if c == budget.Records && l.drains.pending() {
+				if c == budget.Records && p == part(l.drains) && l.drains.pending() {
 					l.budget.Refused(now, c)
 				}
 				continue
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -132,29 +132,24 @@
 }
 
 func (p *renting) rent(a fleet.Action) {
+	got, refused, doubt := p.ask(a.Rent, model.Machine{Type: a.Type, Zone: a.Zone, Spot: a.Spot}, a.Count)
+	p.l.n.mu.Lock()
+	defer p.l.n.mu.Unlock()
+	p.f.Rented(p.l.n.now(), a, got, refused, doubt)
+}
+
+// ask asks the cloud for machines like one, under a name that is used for nothing
+// else. It is called without the lock.
+func (p *renting) ask(name string, like model.Machine, count int) (got []model.MachineID, refused, doubt bool) {
 	n := p.l.n
 	n.mu.Lock()
-	r := wire.Rental{Request: a.Rent, Type: n.names.Types.Name(a.Type), Zone: n.names.Zones.Name(a.Zone), Spot: a.Spot,
-		Count: a.Count}
+	r := wire.Rental{Request: name, Type: n.names.Types.Name(like.Type), Zone: n.names.Zones.Name(like.Zone),
+		Spot: like.Spot, Count: count}
 	n.mu.Unlock()
-	var got []model.MachineID
-	refused, doubt := false, true
-	if p.l.leads() {
-		got, refused, doubt = n.rent(p.l.ctx, r)
+	if !p.l.leads() {
+		return nil, false, true
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	p.f.Rented(n.now(), a, got, refused, doubt)
-}
-
-// machine finds one that the leader or the cloud knows.
-func (p *renting) machine(now time.Duration, id model.MachineID) (m model.Machine, ok bool) {
-	p.f.Units(now, func(u model.Machine, _ time.Duration) {
-		if u.ID == id {
-			m, ok = u, true
-		}
-	})
-	return m, ok
+	return n.rent(p.l.ctx, r)
 }
 
 // run keeps the machine list.
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -12,6 +12,7 @@
 	"honeylock/internal/config"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/shard"
+	"honeylock/internal/httpserve"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
 	"honeylock/internal/wire"
@@ -382,21 +383,8 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	srv := peer.NewServer(mux)
-	go func() {
-		<-ctx.Done()
-		srv.Close()
-	}()
-	for ctx.Err() == nil {
-		l, err := net.Listen("tcp4", addr)
-		if err == nil {
-			err = srv.Serve(l)
-		}
-		if ctx.Err() == nil {
-			n.log.Error("not serving other controllers; trying again", "addr", addr, "err", err)
-			sleep(ctx, time.Second)
-		}
-	}
+	httpserve.Until(ctx, peer.NewServer(mux), addr, " other controllers", n.log,
+		func(l net.Listener) net.Listener { return l })
 }
 
 func (n *Node) serveMember(w http.ResponseWriter, r *http.Request) {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -7,8 +7,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"encoding/hex"
-	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -21,6 +19,7 @@
 	"golang.org/x/net/netutil"
 
 	"honeylock/internal/config"
+	"honeylock/internal/httpserve"
 	"honeylock/internal/node"
 )
 
@@ -62,7 +61,9 @@
 	}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
-	e.HTTPErrorHandler = s.failed
+	e.HTTPErrorHandler = httpserve.OnError(log, func(c echo.Context, status int, msg string) error {
+		return s.answer(c, node.CallReply{Status: status, Err: msg})
+	})
 	e.Use(s.authorise)
 	e.GET("/ops/v1/audit", s.call(node.AuditList))
 	e.GET("/ops/v1/drains", s.call(node.DrainList))
@@ -82,45 +83,20 @@
 
 // Serve listens until the context ends; a port that is taken is tried again.
 func (s *Server) Serve(ctx context.Context, addr string) {
-	go func() {
-		<-ctx.Done()
-		s.http.Close()
-	}()
-	for ctx.Err() == nil {
-		l, err := net.Listen("tcp4", addr)
-		if err == nil {
-			l = netutil.LimitListener(l, maxConns)
-			if s.cert != nil {
-				l = tls.NewListener(l, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: s.cert.get})
-			}
-			s.log.Info("serving operators", "addr", addr, "tls", s.cert != nil)
-			err = s.http.Serve(l)
+	httpserve.Until(ctx, s.http, addr, " operators", s.log, func(l net.Listener) net.Listener {
+		s.log.Info("serving operators", "addr", addr, "tls", s.cert != nil)
+		l = netutil.LimitListener(l, maxConns)
+		if s.cert != nil {
+			l = tls.NewListener(l, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: s.cert.get})
 		}
-		if ctx.Err() == nil {
-			s.log.Error("not serving operators; trying again", "addr", addr, "err", err)
-			time.Sleep(time.Second)
-		}
-	}
+		return l
+	})
 }
 
 type errorBody struct {
 	Error string `json:"error"`
 }
 
-// failed answers what no handler did.
-func (s *Server) failed(err error, c echo.Context) {
-	status, msg := http.StatusInternalServerError, "internal error"
-	var he *echo.HTTPError
-	if errors.As(err, &he) {
-		status, msg = he.Code, http.StatusText(he.Code)
-	} else {
-		s.log.Error("operator's call failed", "path", c.Path(), "err", err)
-	}
-	if !c.Response().Committed {
-		s.answer(c, node.CallReply{Status: status, Err: msg})
-	}
-}
-
 var requestID = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,64}$`)
 
 // call hands a request to the leader.
@@ -133,7 +109,7 @@
 		}
 		id := c.Request().Header.Get(RequestHeader)
 		if id == "" {
-			id = newID()
+			id = rand.Text()
 		}
 		if !requestID.MatchString(id) {
 			return s.answer(c, node.CallReply{Status: http.StatusBadRequest, Err: RequestHeader +
@@ -153,12 +129,6 @@
 	}
 }
 
-func newID() string {
-	b := make([]byte, 12)
-	_, _ = rand.Read(b) // it never fails
-	return hex.EncodeToString(b)
-}
-
 func (s *Server) answer(c echo.Context, r node.CallReply) error {
 	s.calls.WithLabelValues(http.StatusText(r.Status)).Inc()
 	if r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -18,6 +17,7 @@
 	"golang.org/x/net/netutil"
 
 	"honeylock/internal/core/model"
+	"honeylock/internal/httpserve"
 	"honeylock/internal/node"
 	"honeylock/internal/wire"
 )
@@ -90,20 +90,9 @@
 	reg.MustRegister(s.shed)
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
-	e.HTTPErrorHandler = func(err error, c echo.Context) {
-		status, msg := http.StatusInternalServerError, "internal error"
-		var he *echo.HTTPError
-		if errors.As(err, &he) {
-			status, msg = he.Code, http.StatusText(he.Code)
-		} else {
-			log.Error("request failed", "path", c.Path(), "err", err)
-		}
-		if !c.Response().Committed {
-			if err := c.JSON(status, errorBody{msg}); err != nil {
-				log.Debug("answer not written", "err", err)
-			}
-		}
-	}
+	e.HTTPErrorHandler = httpserve.OnError(log, func(c echo.Context, status int, msg string) error {
+		return c.JSON(status, errorBody{msg})
+	})
 	e.POST("/agent/beat", s.report)
 	e.POST("/v1/jobs", s.user(&s.changes, s.submit))
 	e.GET("/v1/jobs/:id", s.user(&s.polls, s.poll))
@@ -126,21 +115,10 @@
 // Serve listens until the context ends. A port that is taken is tried again:
 // the service never ends by itself.
 func (s *Server) Serve(ctx context.Context, addr string, log *slog.Logger) {
-	go func() {
-		<-ctx.Done()
-		s.http.Close()
-	}()
-	for ctx.Err() == nil {
-		l, err := net.Listen("tcp4", addr)
-		if err == nil {
-			log.Info("serving", "addr", addr)
-			err = s.http.Serve(netutil.LimitListener(l, s.limit))
-		}
-		if ctx.Err() == nil {
-			log.Error("not serving; trying again", "addr", addr, "err", err)
-			time.Sleep(time.Second)
-		}
-	}
+	httpserve.Until(ctx, s.http, addr, "", log, func(l net.Listener) net.Listener {
+		log.Info("serving", "addr", addr)
+		return netutil.LimitListener(l, s.limit)
+	})
 }
 
 type errorBody struct {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"honeylock/internal/config"
 )
 
 // rented is a machine as the cloud knows it.
@@ -210,7 +212,7 @@
 	if c.stuck {
 		return m
 	}
-	ready := seconds(k.ReadyS * (0.6 + 0.9*c.rng.Float64()))
+	ready := config.Seconds(k.ReadyS * (0.6 + 0.9*c.rng.Float64()))
 	time.AfterFunc(ready, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"honeylock/internal/config"
 )
 
 // Kind is an entry of the cloud's catalog.
@@ -28,8 +30,6 @@
 	Report, Lease time.Duration
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // Host is a controller as workers know it.
 type Host struct{ Name, Addr string }
 
@@ -146,7 +146,7 @@
 		return
 	}
 	kept := c.base
-	if every := seconds(c.job.CapIntervalS); every > 0 {
+	if every := config.Seconds(c.job.CapIntervalS); every > 0 {
 		p := c.progress(now)
 		kept = max(kept, p-p%every)
 		if c.saved {
@@ -210,13 +210,13 @@
 func (w *Worker) fetch(now time.Time, c *cell) {
 	if !w.images[c.job.Wax] {
 		if _, ok := w.fetches[c.job.Wax]; !ok {
-			w.fetches[c.job.Wax] = now.Add(seconds(c.job.ImageGb / w.kind.PullGbPerS))
+			w.fetches[c.job.Wax] = now.Add(config.Seconds(c.job.ImageGb / w.kind.PullGbPerS))
 		}
 		return
 	}
 	r, base, done := w.depot.begin(c.task, w.Name, c.attempt)
 	c.run, c.base, c.began, c.stage = r, base, now, "running"
-	c.need = seconds(c.job.ForageS*w.depot.factor(c.task)) - base
+	c.need = config.Seconds(c.job.ForageS*w.depot.factor(c.task)) - base
 	if c.fails = w.depot.fails(c.task, w.Name); c.fails {
 		c.need /= 4
 	}
@@ -293,7 +293,7 @@
 		w.exit(now, c, "stopped")
 		return
 	}
-	c.stage, c.saveEnd = "saving", now.Add(seconds(c.job.CapS))
+	c.stage, c.saveEnd = "saving", now.Add(config.Seconds(c.job.CapS))
 	w.changed = true
 }
 
