--- a/cmd/honeylock/drain.go
+++ b/cmd/honeylock/drain.go
@@ -107,14 +107,22 @@
 }
 
 func checkPlanCommand() *cobra.Command {
-	return &cobra.Command{Use: "check FILE|-", Short: "Check a plan without a cluster, reporting all mistakes",
-		Args: cobra.ExactArgs(1),
+	return planCommand("check", "Check a plan without a cluster, reporting all mistakes",
+		func(c *cobra.Command, _ []byte) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), "the plan is fine")
+			return failed(err)
+		})
+}
+
+// planCommand is a command about a plan in a file, which must be without mistakes.
+func planCommand(use, short string, do func(c *cobra.Command, plan []byte) error) *cobra.Command {
+	return &cobra.Command{Use: use + " FILE|-", Short: short, Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			_, err := readPlan(c, args[0])
-			if err == nil {
-				_, err = fmt.Fprintln(c.OutOrStdout(), "the plan is fine")
+			b, err := readPlan(c, args[0])
+			if err != nil {
+				return err
 			}
-			return err
+			return do(c, b)
 		}}
 }
 
@@ -130,14 +138,9 @@
 }
 
 func applyCommand(d *door) *cobra.Command {
-	return &cobra.Command{Use: "apply FILE|-", Short: "Begin a plan", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			b, err := readPlan(c, args[0])
-			if err != nil {
-				return err
-			}
-			return d.change(c, "drains", b)
-		}}
+	return planCommand("apply", "Begin a plan", func(c *cobra.Command, plan []byte) error {
+		return d.change(c, "drains", plan)
+	})
 }
 
 func drainStatusCommand(d *door) *cobra.Command {
--- a/cmd/honeylock/forecast.go
+++ b/cmd/honeylock/forecast.go
@@ -12,16 +12,8 @@
 )
 
 func forecastCommand(d *door) *cobra.Command {
-	return &cobra.Command{Use: "plan FILE|-",
-		Short: "Forecast a plan: which jobs it would delay, by how long and why; nothing is changed",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			b, err := readPlan(c, args[0])
-			if err != nil {
-				return err
-			}
-			return d.forecast(c, "forecasts", b)
-		}}
+	return planCommand("plan", "Forecast a plan: which jobs it would delay, by how long and why; nothing is changed",
+		func(c *cobra.Command, plan []byte) error { return d.forecast(c, "forecasts", plan) })
 }
 
 func againCommand(d *door) *cobra.Command {
--- a/internal/client/users.go
+++ b/internal/client/users.go
@@ -94,7 +94,8 @@
 }
 
 // insist repeats a request until it has a final answer.
-func (u *Users) insist(ctx context.Context, method, path string, body []byte) (status int, st *wire.JobState, err error) {
+func (u *Users) insist(ctx context.Context, method, path string, body []byte) (status int, st *wire.JobState,
+	err error) {
 	err = insist(ctx, func(ctx context.Context) (bool, time.Duration, error) {
 		var after time.Duration
 		status, st, after, err = u.once(ctx, method, path, body)
--- a/internal/core/forecast/forecast_test.go
+++ b/internal/core/forecast/forecast_test.go
@@ -157,7 +157,8 @@
 	s.job(model.Spec{ID: 6, Team: 1, Estimate: 5 * time.Minute, Rank: model.Prod}, 0, 0, 2, 2, 2, 2)
 	s.job(model.Spec{ID: 5, Estimate: 60 * time.Second}, 12, 0)
 	w := drain.Spec{Machines: []model.MachineID{1}, Default: drain.Move}
-	if r := s.play(t, params(), w); len(r.Guarantees) != 1 || r.Guarantees[0].Team != 0 || r.Guarantees[0].With <= r.Guarantees[0].Without {
+	if r := s.play(t, params(), w); len(r.Guarantees) != 1 || r.Guarantees[0].Team != 0 ||
+		r.Guarantees[0].With <= r.Guarantees[0].Without {
 		t.Errorf("%+v", r.Guarantees)
 	}
 	s.Jobs = s.Jobs[:1]
--- a/internal/core/forecast/plan.go
+++ b/internal/core/forecast/plan.go
@@ -32,7 +32,10 @@
 	v := &drain.View{Now: x.now, Wall: s.Wall.Add(x.now - s.Now),
 		Machines: make(map[model.MachineID]drain.Machine, len(s.Machines)),
 		Settled:  true, Learned: s.Learned, Boot: s.Boot, JobName: s.JobName, Spare: dealer.Spare(s.Teams, x.usage)}
-	x.r.Machines(x.now, func(st model.MachineStatus) { v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: true} })
+	x.r.Machines(x.now, func(st model.MachineStatus) {
+		v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st,
+			Told: true}
+	})
 	for _, b := range x.booting {
 		v.Machines[b.m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: b.m}}
 	}
--- a/internal/node/foresight.go
+++ b/internal/node/foresight.go
@@ -197,8 +197,9 @@
 // snapshot copies what a forecast needs.
 func (p *draining) snapshot(now time.Duration, s *survey) *forecast.Snapshot {
 	l := p.l
-	out := &forecast.Snapshot{Now: now, Wall: time.Now(), Learned: p.learnt.Copy().Factor, Teams: l.n.teams(), JobName: wire.JobName,
-		Shard: l.n.shardParams()}
+	out := &forecast.Snapshot{Now: now, Wall: time.Now(), Learned: p.learnt.Copy().Factor, Teams: l.n.teams(),
+		JobName: wire.JobName,
+		Shard:   l.n.shardParams()}
 	boots := map[model.Name]time.Duration{}
 	for _, t := range l.n.types {
 		boots[t.Name] = t.Boot
--- a/internal/node/operate_test.go
+++ b/internal/node/operate_test.go
@@ -16,7 +16,8 @@
 func TestCallsBetweenControllersBearASeal(t *testing.T) {
 	reader := config.Access{Name: "reader", Hash: sha256.Sum256([]byte("r"))}
 	boss := config.Access{Name: "boss", Hash: sha256.Sum256([]byte("o")), Operate: true}
-	n := &Node{set: &config.Settings{Operator: &config.Operator{Access: []config.Access{reader, boss}}}, log: slog.New(slog.DiscardHandler)}
+	n := &Node{set: &config.Settings{Operator: &config.Operator{Access: []config.Access{reader, boss}}},
+		log: slog.New(slog.DiscardHandler)}
 	ask := func(n *Node, c Call) int {
 		b, err := json.Marshal(c)
 		if err != nil {
