--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -223,6 +223,10 @@
 		_ = json.NewDecoder(res.Body).Decode(&e)
 		return res.StatusCode, e.Error + e.Outcome
 	}
+	until(t, "this door's controller has joined the leader", func() bool {
+		st, _ := ask("GET", "drains", token, "", "")
+		return st == http.StatusOK
+	})
 	for _, x := range []struct {
 		method, path, bearer, id, body string
 		want                           int
