--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -201,9 +201,10 @@
 	t.Parallel()
 	c, ops := operated(t, 2, 1)
 	accept(t, c.Controllers[0], submission("job-000001", 1))
-	until(t, "a machine is known", func() bool {
+	until(t, "both machines are known", func() bool {
 		var out node.Outcome
-		return ops.Change(t.Context(), "drains", []byte(`name: "a" machines { all: true } after: PATCH`), &out, quiet) == nil
+		plan := `name: "a" machines { names: "m-000001" names: "m-000002" } after: PATCH`
+		return ops.Change(t.Context(), "drains", []byte(plan), &out, quiet) == nil
 	})
 	ask := func(method, path, bearer, id, body string) (int, string) {
 		req, _ := http.NewRequestWithContext(context.Background(), method, "http://"+c.OpsAddrs()[1]+"/ops/v1/"+path,
