election, node: a term that was over is never taken up again

Its second dealer gave tokens and attempts out again and held the term's jobs for new ones. An outcome that comes after the deadline now ends the term, whatever it says, and a controller never takes up a term that it dropped; the simulation is wired alike. The scripted test fails without it.

--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -259,6 +259,12 @@
 	}
 	e.renewing = false
 	switch {
+	case now >= e.Deadline():
+		// Authority was over before this answer came, and whatever went with the term
+		// has been dropped. Taken up again, the term would give tokens and attempts
+		// out for a second time.
+		e.drop()
+		e.next = now
 	case r.OK:
 		if r.Op.SentAt > e.sentAt {
 			e.sentAt = r.Op.SentAt
--- a/internal/core/election/election_test.go
+++ b/internal/core/election/election_test.go
@@ -124,3 +124,22 @@
 		t.Fatalf("ops %v against a promise", got)
 	}
 }
+
+// A renewal that is answered after authority was over once took the same term up
+// again, with a new dealer: tokens and attempts of that term were given out twice.
+func TestATermThatWasOverIsNotTakenUpAgain(t *testing.T) {
+	e := New("a", ttl, 0, 0, 0)
+	lead(t, e, 0)
+	ops := e.Step(2500 * time.Millisecond)
+	late := e.Deadline() + time.Millisecond
+	if e.Leading(late) {
+		t.Fatal("leads beyond its deadline")
+	}
+	e.Done(late, Result{Op: ops[0], OK: true})
+	if e.Leading(late) {
+		t.Fatal("the term is taken up again")
+	}
+	if ops = e.Step(late); len(ops) != 1 || ops[0].Verb != End || ops[0].Lease != 7 {
+		t.Fatalf("ops %v, want the term's lease ended", ops)
+	}
+}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -24,6 +24,7 @@
 	origin time.Duration
 	el     *election.Election
 	lead   *lead
+	led    uint64
 	seat   *seat
 	kept   []model.MachineID // of the seat before
 	halt   halt
@@ -195,6 +196,11 @@
 	if !leading || c.lead != nil {
 		return
 	}
+	if c.led == c.el.Term() {
+		c.el.Resign(now, 0)
+		return
+	}
+	c.led = c.el.Term()
 	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{}, hosts: map[string]bool{}, known: map[model.JobID]bool{}, fresh: now}
 	c.lead = l
 	c.w.note("%s leads term %d", c.host, l.term)
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -55,6 +55,13 @@
 		n.leaveSeat()
 	}
 	if leading && n.lead == nil {
+		if n.el.Term() == n.led {
+			// Dropped once, a term is over for good: a second dealer would give its
+			// tokens and attempts out again, and take its jobs for new ones.
+			n.el.Resign(now, 0)
+			return
+		}
+		n.led = n.el.Term()
 		n.lead = n.newLeadership(ctx, now)
 		go n.lead.load()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	names         *wire.Names
 	el            *election.Election
 	lead          *leadership
+	led           uint64                   // the last term that this controller took up
 	seat          *seat                    // this controller's shard, nil while it may not act
 	progress      map[model.JobID]progress // of open jobs, as last told by the leader
 	leader        string                   // the leader that this controller is linked to
