pace, standing, strain: share a rate, tell refusals apart, leave what can wait

At twice the larger fleet's size a restart of all controllers was never recovered from: a rate that the state service refused was taken for being refused alone, urgent requests had no bound, and a process that was behind did more, not less. Three cores decide that now: requests by class within a share that follows need; served, busy, refused and silent told apart, with this process's own lateness; what to turn away by lateness.

--- /dev/null
+++ b/internal/core/pace/pace_test.go
@@ -0,0 +1,163 @@
+package pace
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func went(t *Ticket) bool {
+	select {
+	case <-t.Go:
+		return !t.Refused
+	default:
+		return false
+	}
+}
+
+// service grants requests up to a rate, with a burst of one second's worth.
+type service struct {
+	rate, tokens float64
+	at           time.Duration
+	served, busy int
+}
+
+func (s *service) ask(now time.Duration) bool {
+	s.tokens = min(s.rate, s.tokens+s.rate*(now-s.at).Seconds())
+	s.at = now
+	if s.tokens < 1 {
+		s.busy++
+		return false
+	}
+	s.tokens--
+	s.served++
+	return true
+}
+
+// storm has controllers ask for much more than the service allows, for a time.
+func storm(s *service, qs []*Pacer, want []float64, length time.Duration, rng *rand.Rand) []int {
+	got := make([]int, len(qs))
+	waiting := make([][]*Ticket, len(qs))
+	for now := time.Second; now < length; now += 5 * ms {
+		for i, q := range qs {
+			q.Step(now)
+			if rng.Float64() < want[i]*0.005 {
+				waiting[i] = append(waiting[i], q.Ask(now, Reads, 0, now+time.Second))
+			}
+			keep := waiting[i][:0]
+			for _, t := range waiting[i] {
+				switch {
+				case t.Refused:
+				case !went(t):
+					keep = append(keep, t)
+				case s.ask(now):
+					got[i]++
+				default:
+					q.Refused(now)
+				}
+			}
+			waiting[i] = keep
+		}
+	}
+	return got
+}
+
+// TestSharesFollowNeed: all ask for four times what there is: each gets about an
+// equal part, hardly anything is refused for the rate. Then one alone gets most.
+func TestSharesFollowNeed(t *testing.T) {
+	s := &service{rate: 70, tokens: 70}
+	var qs []*Pacer
+	for range 3 {
+		qs = append(qs, New(Params{Requests: 70, Writes: 25, Controllers: 3}))
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	got := storm(s, qs, []float64{90, 90, 90}, 61*time.Second, rng)
+	if s.served < 70*60*8/10 {
+		t.Errorf("%d of %d served in a minute: too timid", s.served, 70*60)
+	}
+	if s.busy > s.served/10 {
+		t.Errorf("%d refused for the rate beside %d served", s.busy, s.served)
+	}
+	for i, n := range got {
+		if n < s.served/6 {
+			t.Errorf("controller %d got %d of %d", i, n, s.served)
+		}
+	}
+	lone := &service{rate: 70, tokens: 70, at: time.Second}
+	one := New(Params{Requests: 70, Writes: 25, Controllers: 3})
+	if n := storm(lone, []*Pacer{one}, []float64{90}, 61*time.Second, rng)[0]; n < 70*60*7/10 {
+		t.Errorf("alone it got %d of %d", n, 70*60)
+	}
+}
+
+// TestUrgentGoesFirst: behind a queue of reads, authority goes at once, a leader's
+// reads and finals overdraw, and changes go before reads that came earlier.
+func TestUrgentGoesFirst(t *testing.T) {
+	q := New(Params{Requests: 60, Writes: 30, Controllers: 3})
+	for range 40 {
+		q.Ask(0, Reads, 0, time.Second)
+	}
+	for _, a := range []struct {
+		c Class
+		n int
+	}{{Changes, 3}, {Leader, 8}, {Authority, 20}} {
+		for i := range a.n {
+			if !went(q.Ask(0, a.c, 0, time.Second)) {
+				t.Errorf("class %d: request %d waits behind reads", a.c, i)
+			}
+		}
+	}
+}
+
+// TestWhatCannotGoInTimeIsRefusedAtOnce: its asker would have given up by then.
+func TestWhatCannotGoInTimeIsRefusedAtOnce(t *testing.T) {
+	q := New(Params{Requests: 30, Writes: 30, Controllers: 3})
+	var last *Ticket
+	for range 200 {
+		last = q.Ask(0, Reads, 0, time.Second)
+	}
+	if !last.Refused {
+		t.Error("the 200th of 9 a second waits, though it may wait for a second only")
+	}
+	if q.Shed[Reads] < 150 {
+		t.Errorf("%d shed", q.Shed[Reads])
+	}
+}
+
+// TestNothingIsForgotten: whatever is asked, in any order, every ticket is let go or
+// refused by its time, and Step names a time at which something happens.
+func TestNothingIsForgotten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Params{Requests: 20, Writes: 8, Controllers: rapid.IntRange(1, 7).Draw(t, "controllers")})
+		var open []*Ticket
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * ms
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				q.Refused(now)
+			default:
+				c := Class(rapid.IntRange(0, int(classes)-1).Draw(t, "class"))
+				open = append(open, q.Ask(now, c, rapid.IntRange(0, 12).Draw(t, "writes"), now+1500*ms))
+			}
+			q.Step(now)
+		}
+		for next := now; next != 0; {
+			now = next
+			if next = q.Step(now); next != 0 && next <= now {
+				t.Fatalf("at %v it is due at %v", now, next)
+			}
+		}
+		for i, o := range open {
+			select {
+			case <-o.Go:
+			default:
+				t.Fatalf("ticket %d of class %d is forgotten", i, o.class)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/standing/standing.go
@@ -0,0 +1,95 @@
+// Package standing judges how this controller stands with the state service, from
+// what became of its own requests and from what its siblings say of theirs. It is a
+// state machine without input or output; times are the steady clock's.
+//
+// Three troubles look alike to somebody who only sees that no answer comes: the
+// service is out for all, it refuses this controller alone, or this controller (or
+// everybody together) asks for more than it can have. Only the second is a reason to
+// let another lead. Taken for it, the third feeds itself: the next leader reads the
+// store anew, which is yet more to ask for.
+package standing
+
+import "time"
+
+// Outcome of a request to the state service.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Served  Outcome = iota // executed, or kept back by its own guard
+	Busy                   // not executed: above the service's rate
+	Refused                // not executed: an outage, or for this controller alone
+	Silent                 // no answer in time
+)
+
+const (
+	// Missed is for how long no request must have got through before a controller
+	// no longer tries the service first.
+	Missed = 2200 * time.Millisecond
+	// aloneAfter and siblingAhead: it is refused alone once nothing has got through
+	// for so long while a sibling's request was served so much later.
+	aloneAfter   = 2500 * time.Millisecond
+	siblingAhead = 1500 * time.Millisecond
+	// enough requests must have failed since: one may have been unlucky.
+	enough = 3
+	// lateBy is how late a timer must fire to show that silence may be this
+	// process's own doing.
+	lateBy = 400 * time.Millisecond
+)
+
+// Standing is the state machine.
+type Standing struct {
+	served  time.Duration // the newest request that was served was sent
+	reached time.Duration // ... that was served, or refused for the rate alone
+	failed  int           // requests sent since reached that were refused or not answered
+	excused time.Duration // this process was late then: silence before it proves nothing
+	known   bool          // any request was served
+}
+
+// Note takes what became of a request that was sent then.
+func (a *Standing) Note(sent time.Duration, o Outcome) {
+	switch o {
+	case Served:
+		a.served, a.known = max(a.served, sent), true
+		a.reach(sent)
+	case Busy:
+		a.reach(sent)
+	case Silent:
+		if sent < a.excused {
+			return
+		}
+		fallthrough
+	case Refused:
+		if sent > a.reached {
+			a.failed++
+		}
+	}
+}
+
+func (a *Standing) reach(sent time.Duration) {
+	if sent > a.reached {
+		a.reached, a.failed = sent, 0
+	}
+}
+
+// Late takes how late this process's timer fired: what was not answered meanwhile
+// may have been answered in time.
+func (a *Standing) Late(now, by time.Duration) {
+	if by >= lateBy {
+		a.excused, a.failed = now, 0
+	}
+}
+
+// Served is when the newest request that was served was sent; known is false if
+// there was none.
+func (a *Standing) Served() (at time.Duration, known bool) { return a.served, a.known }
+
+// Missing tells that no request has got through for a while: users' requests are
+// better passed on to a sibling.
+func (a *Standing) Missing(now time.Duration) bool { return now-a.reached > Missed }
+
+// Alone tells that the service refuses this controller while it serves a sibling,
+// whose newest served request was sent then by this clock.
+func (a *Standing) Alone(now, sibling time.Duration) bool {
+	return now-a.reached >= aloneAfter && a.failed >= enough && sibling > a.reached+siblingAhead
+}
--- /dev/null
+++ b/internal/core/strain/strain_test.go
@@ -0,0 +1,59 @@
+package strain
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// TestThingsAreLeftInOrder: the further behind, the more is turned away: polls
+// before changes, and own work shrinks but never ends.
+func TestThingsAreLeftInOrder(t *testing.T) {
+	for _, c := range []struct {
+		lag           time.Duration
+		polls, change bool
+		least, most   int
+	}{
+		{0, true, true, 48, 48},
+		{eased, true, true, 48, 48},
+		{200 * ms, true, true, 10, 30},
+		{300 * ms, false, true, 5, 20},
+		{time.Second, false, false, 4, 4},
+		{time.Hour, false, false, 4, 4},
+	} {
+		var s Strain
+		s.Late(time.Second, c.lag)
+		if got := s.Takes(time.Second, Poll); got != c.polls {
+			t.Errorf("lag %v: polls taken: %v", c.lag, got)
+		}
+		if got := s.Takes(time.Second, Change); got != c.change {
+			t.Errorf("lag %v: changes taken: %v", c.lag, got)
+		}
+		if got := s.Scale(time.Second, 48); got < c.least || got > c.most {
+			t.Errorf("lag %v: %d at a time, want %d to %d", c.lag, got, c.least, c.most)
+		}
+	}
+}
+
+// TestItRecovers: once nothing is late any more everything is taken again within a
+// few seconds, however long the process stood still.
+func TestItRecovers(t *testing.T) {
+	var s Strain
+	s.Late(time.Second, time.Minute)
+	for now := time.Second; now < 4*time.Second; now += 50 * ms {
+		s.Late(now, 2*ms)
+	}
+	if now := 4 * time.Second; !s.Takes(now, Poll) || s.Scale(now, 48) != 48 {
+		t.Errorf("3 s later the lag is still %v", s.Lag(now))
+	}
+}
+
+// TestAskersAreSpread: they would all come back at the same moment.
+func TestAskersAreSpread(t *testing.T) {
+	var s Strain
+	s.Late(0, time.Second)
+	if lo, hi := s.Again(0, 0), s.Again(0, 1); lo < time.Second || hi-lo < 2*time.Second {
+		t.Errorf("back after %v to %v", lo, hi)
+	}
+}
