--- a/cmd/honeylock/serve.go
+++ b/cmd/honeylock/serve.go
@@ -80,18 +80,21 @@
 }
 
 func logger(w io.Writer, level string) *slog.Logger {
-	l := slog.LevelInfo
-	switch level {
-	case "error":
-		l = slog.LevelError
-	case "debug":
-		l = slog.LevelDebug
+	levels := map[string]slog.Level{"": slog.LevelInfo, "info": slog.LevelInfo, "error": slog.LevelError,
+		"debug": slog.LevelDebug}
+	l, known := levels[level]
+	log := slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l}))
+	if !known {
+		log.Warn("LOG_LEVEL is unknown, info is taken", "LOG_LEVEL", level, "allowed", "error, info, debug")
 	}
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l}))
+	return log
 }
 
 func serve(ctx context.Context, cfg *config.Platform, set *config.Settings) error {
 	runtime.GOMAXPROCS(1)
+	// Memory is there, the processor is not: the collector runs a third as often as it
+	// would by itself, until the limit is near.
+	debug.SetGCPercent(300)
 	debug.SetMemoryLimit(int64(cfg.Cluster.Resources.MemMB * 0.7 * (1 << 20)))
 	log := logger(os.Stderr, os.Getenv("LOG_LEVEL"))
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid())))
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -24,6 +24,7 @@
 	Progress  time.Duration
 	Ahead     int // tasks of a job dealt beyond the free room, to find victims
 	SureLease time.Duration
+	Crowd     int // machines that are no great load for a controller
 }
 
 // member is a shard as the dealer sees it.
@@ -38,32 +39,35 @@
 	deals    uint64     // sent
 	statusAt time.Duration
 	joined   time.Duration
+	heard    time.Duration // the last time that it heard a worker
 }
 
 // Dealer is the state machine.
 type Dealer struct {
-	p        Params
-	owned    uint64
-	jobs     map[model.JobID]*job
-	inOrder  []*job // of jobs, as sortJobs orders them
-	machines map[model.MachineID]*machine
-	byID     []*machine // of machines
-	blocks   map[uint64]*block
-	suspects map[model.MachineID]bool
-	aliens   map[uint64]alien
-	members  map[model.ShardID]*member
-	lastID   model.ShardID
-	oldEnd   time.Duration // no authority of an earlier term lasts beyond
-	usage    []model.Resources
-	orders   []model.Order
-	types    map[model.Name]model.MachineType
-	broken   []model.JobID // newly held to be broken
-	repriced time.Duration
-	balanced time.Duration
-	spreadAt time.Duration
-	turn     int                     // whose turn it is to get a machine without an owner
-	shunned  map[reach]time.Duration // controllers that a zone's workers did not reach
-	barred   map[model.MachineID]bool
+	p         Params
+	owned     uint64
+	jobs      map[model.JobID]*job
+	inOrder   []*job // of jobs, as sortJobs orders them
+	machines  map[model.MachineID]*machine
+	byID      []*machine // of machines
+	blocks    map[uint64]*block
+	suspects  map[model.MachineID]bool
+	aliens    map[uint64]alien
+	members   map[model.ShardID]*member
+	lastID    model.ShardID
+	oldEnd    time.Duration // no authority of an earlier term lasts beyond
+	usage     []model.Resources
+	orders    []model.Order
+	types     map[model.Name]model.MachineType
+	broken    []model.JobID // newly held to be broken
+	repriced  time.Duration
+	balanced  time.Duration
+	spreadAt  time.Duration
+	turn      int                     // whose turn it is to get a machine without an owner
+	shunned   map[reach]time.Duration // controllers that a zone's workers did not reach
+	barred    map[model.MachineID]bool
+	owns      map[model.ShardID]int // machines of each shard when they were last counted
+	countedAt time.Duration
 }
 
 // New returns a dealer for a term that begins now. No shard of an earlier term
@@ -201,9 +205,11 @@
 
 // Event takes an event of a shard.
 func (d *Dealer) Event(now time.Duration, from model.ShardID, e model.Event) {
-	if d.members[from] == nil {
+	s := d.members[from]
+	if s == nil {
 		return
 	}
+	s.heardFrom(now, e.Kind)
 	m := d.machines[e.Machine]
 	owner := m != nil && m.owner == from
 	switch e.Kind {
@@ -251,7 +257,7 @@
 		}
 	case model.Unanswered:
 		if owner {
-			m.unanswered = true
+			m.unanswered, m.deaf = true, len(m.groups) == 0 && !d.suspects[m.ID]
 		}
 	case model.Remembered:
 		// Its worker will report there again: it is fenced there, and need not
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -37,6 +37,7 @@
 	lost       time.Duration // authority of this term's lost shards alone
 	groups     []*adrift
 	unanswered bool                // a direct command to its worker was not answered
+	deaf       bool                // ... nor has it reported, while others of its zone do
 	orphaned   time.Duration       // seen without an owner since, 0: it has one
 	status     model.MachineStatus // as its owner last told
 	told       model.ShardID       // the owner that told it, 0: none has
@@ -219,7 +220,11 @@
 // own gives the machine to a shard, under a token never used before.
 func (d *Dealer) own(m *machine, to model.ShardID) {
 	if m.owner != to {
-		m.silent, m.told = false, 0
+		m.silent, m.deaf, m.told = false, false, 0
+		if d.owns != nil {
+			d.owns[m.owner]--
+			d.owns[to]++
+		}
 	}
 	d.owned++
 	m.owner, m.next = to, 0
@@ -267,6 +272,17 @@
 	return true
 }
 
+// Deaf are the machines whose workers neither report nor answer though others of
+// their zone do.
+func (d *Dealer) Deaf() (out []model.MachineID) {
+	for _, m := range d.byID {
+		if m.deaf && m.owner != 0 && !m.gone {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // HasMachines tells whether there is any machine.
 func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
 
@@ -288,7 +304,7 @@
 
 // alive takes the news that a machine's worker reports.
 func (d *Dealer) alive(m *machine) {
-	m.silent = false
+	m.silent, m.deaf = false, false
 	if !m.lapsed {
 		return
 	}
@@ -303,6 +319,9 @@
 	m := d.machines[r.Machine.ID]
 	if m != nil {
 		d.arrived(now, m, from)
+		if m.owner == 0 {
+			m.Addr = r.Machine.Addr
+		}
 	}
 	switch {
 	case m == nil:
@@ -316,12 +335,14 @@
 		d.block(m.ID).dirty = true
 		// It gets tasks only once its record is stored: a later leader must
 		// know every machine that may hold something.
-		d.own(m, from)
+		if !d.elsewhere(now, m, from) {
+			d.own(m, from)
+		}
 	case m.gone: // its record is being dropped: next time
+	case m.owner == from: // the order is on its way
+	case d.elsewhere(now, m, from):
 	case m.owner == 0:
-		m.Addr = r.Machine.Addr
 		d.own(m, from)
-	case m.owner == from: // the order is on its way
 	case m.releasing:
 		m.next = from
 	default:
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -38,6 +38,7 @@
 	failed bool
 	silent time.Duration // since when it is silent, 0: it is not
 	drop   bool          // being returned
+	deaf   bool          // neither reports nor answers
 	drain  bool          // gets no tasks any more, and goes once it is empty
 	held   bool          // a plan drains it: neither room nor surplus
 	wanted bool          // a plan will drain it
@@ -249,7 +250,10 @@
 		left = f.cover(left, a)
 	}
 	if !f.giving {
-		if ids := f.surplus(now, status, rooms, slackening(rooms, demand)); len(ids) > 0 {
+		if ids := f.givenUp(); len(ids) > 0 {
+			out = append(out, Action{Kind: Return, Machine: ids})
+			f.giving = true
+		} else if ids := f.surplus(now, status, rooms, slackening(rooms, demand)); len(ids) > 0 {
 			out = append(out, Action{Kind: Return, Machine: ids})
 			f.giving = true
 		}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -26,14 +26,14 @@
 	Machine Machine   // Own
 	Token   uint64    // Own
 	Usable  bool      // Own, Use: tasks may be placed there
-	ID      MachineID // Disown, Use, Clear, Kill, LookAt; Recall: only if it is there, 0: anywhere
+	ID      MachineID // Disown, Use, Clear, Kill, LookAt, Elsewhere; Recall: only if it is there, 0: anywhere
 	Deal    Deal      // Deal
 	Task    Task      // Recall, Clear, Kill
 	Attempt uint64    // Clear, Kill
 	Job     JobID     // EndJob, Price
 	Price   float64   // Price
 	Count   int       // RecallWaiting
-	Keeper  string    // Release: where its worker should report instead
+	Keeper  string    // Release, Elsewhere: where its worker should report instead
 }
 
 // OrderKind tells orders apart.
@@ -54,6 +54,7 @@
 	Release                        // another shard is to own the machine: let go of it
 	Lapse                          // its worker's lease is surely over
 	LookAt                         // tell what runs on the machine
+	Elsewhere                      // a machine that is not this shard's is another's: its worker should report there
 )
 
 // Event is what a shard tells the dealer.
@@ -88,7 +89,7 @@
 	Found                       // an attempt that the shard doesn't know
 	Finished                    // a task completed
 	Gone                        // a task is nowhere, and this shard holds it no more
-	Unanswered                  // a direct command to a worker that is not fenced went unanswered
+	Unanswered                  // a direct command went unanswered: to a worker that is not fenced, or whose report is overdue
 	Remembered                  // the controller's shard of an earlier term owned the machine
 	AlienGone                   // a found attempt that was not adopted is nowhere now
 	Looked                      // what runs on the machine
--- /dev/null
+++ b/internal/core/shard/deaf.go
@@ -0,0 +1,61 @@
+package shard
+
+import (
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// A machine that stops, or hangs, takes its tasks' whole lease with it, unless it is
+// given back to the cloud: then it is surely gone. So a worker whose report is overdue
+// is asked directly; if it does not answer that either, while most workers of its zone
+// report, the dealer is told. Where a zone is out of reach that says nothing about a
+// machine of it.
+const (
+	// A report that went unanswered is tried again elsewhere 4 s and 1 s later.
+	secondTry = 5 * time.Second
+	heardPart = 0.6 // of the zone's other machines that must have reported in time
+)
+
+// overdue tells whether a worker should have reported by now.
+func (s *Shard) overdue(now time.Duration, m *machine) bool {
+	return now-m.answered > s.p.Report*5/4+secondTry
+}
+
+// probe asks an overdue worker directly, once in a while.
+func (s *Shard) probe(now time.Duration, m *machine) {
+	if m.fenced && !m.silent && now >= m.quietUntil && m.inFlight == 0 && s.overdue(now, m) {
+		m.probe, m.wake = true, true
+	}
+}
+
+// unheard takes a direct command without an answer.
+func (s *Shard) unheard(now time.Duration, m *machine) {
+	if !m.fenced || s.overdue(now, m) && s.zoneHeard(now, m) {
+		m.deaf = m.fenced
+		s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID})
+	}
+}
+
+// heard takes a sign of life.
+func (s *Shard) heard(m *machine) {
+	if m.silent || m.deaf {
+		m.silent, m.deaf = false, false
+		s.emit(model.Event{Kind: model.Heard, Machine: m.ID})
+	}
+}
+
+// zoneHeard tells whether most machines of a machine's zone report in time.
+func (s *Shard) zoneHeard(now time.Duration, m *machine) bool {
+	all, heard := 0, 0
+	for _, o := range s.order {
+		if o == m || o.Zone != m.Zone || !o.fenced {
+			continue
+		}
+		all++
+		if now-o.answered <= s.p.Report*5/4 {
+			heard++
+		}
+	}
+	return all > 0 && float64(heard) >= heardPart*float64(all)
+}
--- /dev/null
+++ b/internal/core/shard/deaf_test.go
@@ -0,0 +1,74 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// zone has ten fenced machines report every second, all but those that are silent,
+// and has no direct command of theirs answered. It returns who is told to be deaf.
+func (r *rig) zone(length time.Duration, silent func(model.MachineID) bool) map[model.MachineID]bool {
+	deaf := map[model.MachineID]bool{}
+	for end := r.now + length; r.now < end; r.now += time.Second {
+		for id := range model.MachineID(10) {
+			if !silent(id) {
+				r.report(id, 5)
+			}
+		}
+		r.s.Tick(r.now)
+		r.s.Flush(r.now, 100)
+		for _, d := range r.s.Directs() {
+			if silent(d.Machine) {
+				r.s.DirectDone(r.now, d, nil, false)
+			} else {
+				r.t.Errorf("machine %d, which reports, is asked directly", d.Machine)
+			}
+		}
+		for _, e := range r.s.Events() {
+			switch e.Kind {
+			case model.Unanswered:
+				deaf[e.Machine] = true
+			case model.Heard:
+				delete(deaf, e.Machine)
+			}
+		}
+	}
+	return deaf
+}
+
+func ten(t *testing.T) *rig {
+	r := newRig(t)
+	for id := range model.MachineID(10) {
+		r.own(id, 5, 8)
+		r.report(id, 5)
+	}
+	r.s.Events()
+	return r
+}
+
+// The tasks of a machine that had stopped or hung waited for its whole lease.
+func TestAMachineThatNeitherReportsNorAnswersIsTold(t *testing.T) {
+	r := ten(t)
+	two := func(id model.MachineID) bool { return id < 2 }
+	if deaf := r.zone(9*time.Second, two); len(deaf) != 2 || !deaf[0] || !deaf[1] {
+		t.Fatalf("deaf: %v, want machines 0 and 1 before their lease of 10 s is over", deaf)
+	}
+	r.report(0, 5)
+	if e := r.events(model.Heard); len(e) != 1 || e[0].Machine != 0 {
+		t.Errorf("events %+v, want machine 0 heard", e)
+	}
+}
+
+// A zone that is out of reach is no reason to give its machines up.
+func TestAZoneOutOfReachIsNotDeaf(t *testing.T) {
+	r := ten(t)
+	if deaf := r.zone(9*time.Second, func(model.MachineID) bool { return true }); len(deaf) != 0 {
+		t.Errorf("deaf: %v", deaf)
+	}
+	r = ten(t)
+	if deaf := r.zone(9*time.Second, func(id model.MachineID) bool { return id > 4 }); len(deaf) != 0 {
+		t.Errorf("half of the zone is silent, and deaf: %v", deaf)
+	}
+}
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -31,23 +31,25 @@
 	return d
 }
 
-// Flush sends commands that should not wait for the next report.
-func (s *Shard) Flush(now time.Duration) {
+// Flush sends commands that should not wait for the next report, while fewer than
+// most are under way.
+func (s *Shard) Flush(now time.Duration, most int) {
 	if !s.Granted(now) {
 		return
 	}
 	for _, m := range s.order {
-		if len(s.pending) >= s.p.MaxDirect {
+		if len(s.pending) >= most {
 			return // a thousand at once would all be late
 		}
-		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent {
+		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent || !m.fenced && now < m.patient {
 			continue
 		}
 		m.wake = false
 		cmds := s.commands(now, m, 0, true)
-		if len(cmds) == 0 && m.fenced {
+		if len(cmds) == 0 && m.fenced && !m.probe {
 			continue
 		}
+		m.probe = false
 		s.directID++
 		d := Direct{ID: s.directID, Machine: m.ID, Addr: m.Addr, Token: m.token, Session: max(1, m.session), Commands: cmds, Until: s.until}
 		var launched []*slot
@@ -83,9 +85,7 @@
 	m.inFlight--
 	if r == nil {
 		m.quietUntil = now + s.p.DoubtPause
-		if !m.fenced {
-			s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID})
-		}
+		s.unheard(now, m)
 		return
 	}
 	if !executed && r.Token <= m.token && r.Session >= m.session && !m.fenced {
@@ -98,6 +98,9 @@
 		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
 		return
 	}
+	if m.deaf {
+		s.heard(m)
+	}
 	if r.Newer(m.session, m.seq) && s.Granted(now) {
 		s.take(now, m, r, false)
 	}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -58,6 +58,10 @@
 	return sp.Save + sp.Save/10 + 100*time.Millisecond
 }
 
+// tellsItself is how long a worker that has got a higher token may take to report
+// it: it sends no more than a report each half second.
+const tellsItself = 700 * time.Millisecond
+
 func (s *Shard) stop(now time.Duration, m *machine, sl *slot, grace time.Duration) {
 	if sl.state == exited || sl.stop && grace >= sl.grace {
 		return
@@ -186,14 +190,11 @@
 		return Answer{}
 	}
 	m.answered = now
-	if m.silent {
-		m.silent = false
-		s.emit(model.Event{Kind: model.Heard, Machine: m.ID})
-	}
+	s.heard(m)
 	cmds := append(s.vet(m, r), s.commands(now, m, r.Seq, false)...)
-	// A worker that is not fenced yet shows the token sooner when it is told
-	// directly as well.
-	m.wake = !m.fenced
+	// A worker that is not fenced yet has the token with this answer, and mostly
+	// reports that by itself: only if it does not, it is told directly as well.
+	m.wake, m.patient = !m.fenced, now+tellsItself
 	return Answer{OK: true, Token: m.token, Commands: cmds}
 }
 
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -21,7 +21,6 @@
 	PaybackLimit time.Duration // no eviction pays back later than this
 	DemoteStep   float64       // a task that found no victim has its price divided by this
 	DoubtPause   time.Duration // no direct commands for so long after one went unanswered
-	MaxDirect    int           // direct commands under way at once
 }
 
 type machine struct {
@@ -46,6 +45,9 @@
 	faultyUntil  time.Duration       // held to be faulty
 	refusedUntil time.Duration       // it had less room than the books say
 	wake         bool                // has commands that should go out directly
+	patient      time.Duration       // not directly before, while it is not fenced
+	probe        bool                // its worker is to be asked, whether there are commands or not
+	deaf         bool                // it did not answer, and the dealer knows
 	roomier      bool                // has had room freed since waiting tasks were placed
 	last         model.MachineStatus // as last told to the dealer
 	leveled      uint64              // round in which lowest and busy were looked up
@@ -182,6 +184,10 @@
 		s.recallWaiting(o.Job, o.Count)
 	case model.Release:
 		s.letGo(o.ID, o.Keeper)
+	case model.Elsewhere:
+		if s.machines[o.ID] == nil {
+			s.moved[o.ID] = o.Keeper
+		}
 	case model.Lapse:
 		// Only the dealer knows that nobody else has answered the worker; only
 		// this shard, that it has not answered it since it said so.
@@ -271,7 +277,7 @@
 	m.token = max(m.token, o.Token)
 	m.needToken = false
 	m.usable = o.Usable
-	m.wake = true
+	m.wake, m.patient = true, 0
 	s.replan = true
 }
 
@@ -400,6 +406,7 @@
 			m.silent, m.told = true, now
 			s.emit(model.Event{Kind: model.Silent, Machine: m.ID, Token: m.token})
 		}
+		s.probe(now, m)
 		if m.noticeAt != 0 {
 			s.evacuate(now, m)
 		}
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -21,7 +21,7 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Second}
-	r.s = New(Params{SureLease: lease, Report: time.Second, Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2, DoubtPause: time.Second, MaxDirect: 8},
+	r.s = New(Params{SureLease: lease, Report: time.Second, Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2, DoubtPause: time.Second},
 		1000, rand.New(rand.NewPCG(1, 1)))
 	r.s.Grant(time.Hour)
 	return r
@@ -92,7 +92,7 @@
 	if r.s.Report(r.now, &model.Report{Machine: model.Machine{ID: 1}, Session: 1, Seq: 1, Token: 5, Notice: -1}) {
 		t.Fatal("answered without a grant")
 	}
-	r.s.Flush(r.now)
+	r.s.Flush(r.now, 8)
 	if d := r.s.Directs(); len(d) != 0 {
 		t.Fatalf("commands %v without a grant", d)
 	}
@@ -123,7 +123,7 @@
 	r.report(1, 5)
 	r.give(r.spec(1, model.Standard, 2), 0, 10)
 	r.s.Place(r.now)
-	r.s.Flush(r.now)
+	r.s.Flush(r.now, 8)
 	d := r.s.Directs()
 	if len(d) != 1 || len(d[0].Commands) != 1 {
 		t.Fatalf("directs %v, want one launch", d)
@@ -164,7 +164,7 @@
 	r.give(r.spec(1, model.Standard, 2), 0, 10)
 	r.report(1, 5) // carries the launch
 	r.s.Order(r.now, model.Order{Kind: model.Recall, Task: model.Task{Job: 1}})
-	r.s.Flush(r.now)
+	r.s.Flush(r.now, 8)
 	d := r.s.Directs()
 	if len(d) != 1 {
 		t.Fatalf("directs %v, want the kill", d)
@@ -456,7 +456,7 @@
 	r.s.Grant(r.now + 3*time.Second)
 	r.give(r.spec(1, model.Standard, 2), 0, 10)
 	r.s.Place(r.now)
-	r.s.Flush(r.now)
+	r.s.Flush(r.now, 8)
 	d := r.s.Directs()
 	if len(d) != 1 || d[0].Until != r.now+3*time.Second {
 		t.Fatalf("commands %+v, want one to be sent within the grant", d)
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -181,7 +181,7 @@
 
 func (c *ctl) newSeat(attempts uint64) *seat {
 	return &seat{c: c, heard: c.now(), s: shard.New(shard.Params{SureLease: c.sureLease(), Report: c.w.p.report, Sample: 2, PaybackLimit: time.Minute,
-		DemoteStep: 2, DoubtPause: 2 * time.Second, MaxDirect: 8}, attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
+		DemoteStep: 2, DoubtPause: 2 * time.Second}, attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
 }
 
 func (c *ctl) sureLease() time.Duration { return c.w.p.lease*1002/1000 + 250*time.Millisecond }
@@ -458,7 +458,7 @@
 
 func (c *ctl) flush() {
 	st := c.seat
-	st.s.Flush(c.now())
+	st.s.Flush(c.now(), 8)
 	for _, d := range st.s.Directs() {
 		life, answered := c.life, false
 		finish := func(r *model.Report, executed bool) {
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -34,6 +34,13 @@
 	}}
 }
 
+// Keep bounds the idle connections to all servers together: the longest idle is
+// closed first.
+func Keep(c *Client, idle int) *Client {
+	c.http.Transport.(*http.Transport).MaxIdleConns = idle
+	return c
+}
+
 // Do sends in (nil: no body) and decodes a 2xx answer into out (nil: dropped).
 // Other statuses are returned with the body and no error.
 func (c *Client) Do(ctx context.Context, method, url string, in, out any) (int, []byte, error) {
--- a/internal/node/foresight.go
+++ b/internal/node/foresight.go
@@ -230,7 +230,7 @@
 	c := &n.cfg.Cluster
 	return shard.Params{SureLease: c.SureLease(), Report: config.Seconds(c.Workers.ReportS), Sample: n.set.SampleSize,
 		PaybackLimit: n.set.PaybackLimit, DemoteStep: n.set.DemotionStep,
-		DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second, MaxDirect: maxDirect}
+		DoubtPause: config.Seconds(c.Workers.ReportS) + 2*time.Second}
 }
 
 // askForecast answers with a forecast, or with how far it is.
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"time"
 
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/standing"
 	"honeylock/internal/peer"
 	"honeylock/internal/wire"
 )
@@ -17,10 +17,6 @@
 // it answers a sibling passes users' requests on: until the load balancer has
 // noticed, and for the connections that stay, they would all fail.
 
-// missedState is for how long the state service has not answered a controller
-// that no longer tries it first.
-const missedState = 2200 * time.Millisecond
-
 // forwarded is a user's request passed on to a sibling.
 type forwarded struct {
 	Kind jobs.Kind
@@ -34,14 +30,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	first = now-n.stateAt > missedState
+	first = n.standing.Missing(now)
 	if n.lead != nil {
 		for _, k := range n.lead.links {
-			if now-k.stateAt < missedState {
+			if now-k.stateAt < standing.Missed {
 				return n.siblingAddr(k.host), first
 			}
 		}
-	} else if n.leader != "" && now-n.leaderStateAt < missedState {
+	} else if n.leader != "" && now-n.leaderStateAt < standing.Missed {
 		return n.siblingAddr(n.leader), first
 	}
 	return "", first
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -10,6 +10,7 @@
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/fleet"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/pace"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -78,13 +79,13 @@
 	// whole length of it from now, unless they are heard to have stopped.
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.State.ValueKB),
 		BlockSize: blockSize(c.State.ValueKB), Progress: 2 * time.Second,
-		Ahead: n.set.DealAhead, SureLease: c.SureLease()}, now+max(n.ttl, config.Promise)+time.Second)
+		Ahead: n.set.DealAhead, SureLease: c.SureLease(), Crowd: crowd(c)}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
 	}
 	l.local = l.d.Join(now, n.cfg.HostName)
 	n.leaveSeat()
-	n.seat = n.newSeat(l.d.Attempts(l.local))
+	n.takeSeat(n.newSeat(l.d.Attempts(l.local)))
 	n.seat.s.Grant(n.el.Deadline())
 	f := fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS),
 		IdleReturn: n.set.IdleReturn,
@@ -98,6 +99,20 @@
 	return l
 }
 
+// reportsPerCPU is about how many reports a second take a whole core, with all that
+// follows from them.
+const reportsPerCPU = 2000
+
+// crowd is how many machines take about a third of a controller's processor with
+// their reports: fewer are sent nowhere else. Without a stated processor it has a core.
+func crowd(c *config.Cluster) int {
+	cpu := c.Resources.CPU
+	if cpu <= 0 {
+		cpu = 1
+	}
+	return int(0.3 * reportsPerCPU * cpu * c.Workers.ReportS)
+}
+
 // chunkSize is how many tasks' bits fit into a value, as base64 in JSON.
 func chunkSize(valueKB float64) int32 {
 	bytes := (valueKB*1024 - 64) * 3 / 4
@@ -133,7 +148,7 @@
 func (l *leadership) read() error {
 	var takes []func(time.Duration) error
 	for _, p := range l.parts {
-		take, err := p.read(state.Urgent(l.ctx))
+		take, err := p.read(state.As(l.ctx, pace.Leader))
 		if err != nil {
 			return err
 		}
@@ -165,19 +180,13 @@
 	return len(l.n.cfg.Siblings) > 0 && len(l.links) == 0 && now-max(l.n.reported, l.began, l.lost) > patience && l.d.HasMachines()
 }
 
-// refused tells that the state service answers siblings, but has not answered
-// this leader for a while: that is no outage.
+// refused tells that the state service serves siblings, and refuses this leader.
 func (l *leadership) refused(now time.Duration) bool {
-	last := l.n.el.Renewed()
-	if now-last < 2500*time.Millisecond {
-		return false
-	}
+	var newest time.Duration
 	for _, k := range l.links {
-		if k.stateAt > last+1500*time.Millisecond {
-			return true
-		}
+		newest = max(newest, k.stateAt)
 	}
-	return false
+	return l.n.standing.Alone(now, newest)
 }
 
 // until is when this leader's authority ends unless it is renewed.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -36,6 +36,24 @@
 		return float64(n.seat.s.Waiting())
 	})
 	counter("halts", "Times that this controller stood still for more than a second.", func() uint64 { return n.stats.Halts })
+	gauge("lag_seconds", "How far behind this process is, by its timers.", func() float64 {
+		n.strainMu.Lock()
+		defer n.strainMu.Unlock()
+		return n.strain.Lag(n.now()).Seconds()
+	})
+	gauge("state_share", "The part of the state service's rate that this controller uses at most.", func() float64 {
+		share, _, _ := n.state.Stats()
+		return share
+	})
+	counter("state_shed", "Requests to the state service that this controller refused itself for want of rate.",
+		func() uint64 {
+			_, shed, _ := n.state.Stats()
+			return shed
+		})
+	counter("state_busy", "Requests that the state service refused for its rate.", func() uint64 {
+		_, _, busy := n.state.Stats()
+		return busy
+	})
 	gauge("jobs_broken", "Open jobs held to be broken, on the leader.", func() float64 {
 		if n.lead == nil {
 			return 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,9 @@
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/pace"
+	"honeylock/internal/core/standing"
+	"honeylock/internal/core/strain"
 	"honeylock/internal/peer"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -49,15 +52,24 @@
 	start      time.Time
 	ttl        time.Duration
 
+	// Kept apart from the rest, so that a door need not wait to hear that this
+	// process is behind.
+	strainMu sync.Mutex
+	strain   strain.Strain
+	probed   time.Duration // the last tick
+	spread   *rand.Rand    // sets askers apart
+
 	mu            sync.Mutex
 	names         *wire.Names
 	el            *election.Election
 	lead          *leadership
 	led           uint64                   // the last term that this controller took up
 	seat          *seat                    // this controller's shard, nil while it may not act
+	seated        chan struct{}            // closed while there is one
+	unseated      time.Duration            // since when there is none
 	progress      map[model.JobID]progress // of open jobs, as last told by the leader
 	leader        string                   // the leader that this controller is linked to
-	stateAt       time.Duration            // the state service last answered
+	standing      standing.Standing        // how this controller stands with the state service
 	leaderStateAt time.Duration            // ... the leader
 	reported      time.Duration            // the last worker's report
 	tried         string                   // the last host whose link ended
@@ -86,6 +98,10 @@
 	haltedFor = time.Second // a tick so late: the process did not run, or far too slowly
 )
 
+// Directs is how many sockets a controller keeps for telling workers something
+// directly, those that idle until the next time included.
+func Directs(fdLimit int) int { return maxDirect + fdLimit/12 }
+
 // New builds a controller. The random numbers' seed is injected, so that a
 // test can repeat a run.
 func New(cfg *config.Platform, set *config.Settings, log *slog.Logger, rng *rand.Rand) *Node {
@@ -93,21 +109,19 @@
 	for i, t := range cfg.Cluster.Teams {
 		teams[i] = t.Name
 	}
-	// One controller's part of the service's rates; the rest is for what is
-	// urgent. A leader writes and renews so much that its users' polls would
-	// wait for ever if both came out of one part.
-	share := 0.7 / float64(1+len(cfg.Siblings))
 	n := &Node{
-		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
-		state: state.New(cfg.Services.State, state.Limits{RPS: cfg.Cluster.State.RPS * share, WriteRPS: cfg.Cluster.State.WriteRPS * share}, 1500*time.Millisecond),
+		cfg: cfg, set: set, log: log, rng: rng, spread: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
 		cloud: cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.7, 5*time.Second),
-		work:  worker.New(2 * time.Second), dialer: peer.NewDialer(), complaints: newComplaints(log),
+		work:  worker.New(2*time.Second, Directs(cfg.Cluster.Resources.FDLimit)-maxDirect), dialer: peer.NewDialer(), complaints: newComplaints(log),
 		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
 			Images: wire.NewTable(), Classes: wire.NewTable()},
+		seated:   make(chan struct{}),
 		finals:   map[model.JobID]jobs.Stage{},
 		versions: map[model.JobID]uint64{},
 		waits:    map[model.MachineID][]chan struct{}{},
 	}
+	n.state = state.New(cfg.Services.State, pace.Params{Requests: cfg.Cluster.State.RPS,
+		Writes: cfg.Cluster.State.WriteRPS, Controllers: 1 + len(cfg.Siblings)}, 1500*time.Millisecond, n.noted)
 	n.names.Aimed, n.names.Guaranteed = map[model.Name]bool{}, map[model.Name]bool{}
 	for i, t := range cfg.Cluster.Teams {
 		n.names.Guaranteed[model.Name(i)] = t.CPUs > 0 || t.GPUs > 0
@@ -128,6 +142,23 @@
 	return n
 }
 
+// noted takes what became of a request to the state service.
+func (n *Node) noted(sent time.Time, o standing.Outcome) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.standing.Note(sent.Sub(n.start), o)
+}
+
+// servedAgo is how long ago the newest request was sent that the state service has
+// served; long ago if there was none.
+func (n *Node) servedAgo(now time.Duration) time.Duration {
+	at, known := n.standing.Served()
+	if !known {
+		return now + time.Hour
+	}
+	return now - at
+}
+
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
 // Run works until the context ends.
@@ -143,11 +174,40 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			n.late()
 			n.tick(ctx)
 		}
 	}
 }
 
+// late measures by the ticks how far behind this process is.
+func (n *Node) late() {
+	n.strainMu.Lock()
+	defer n.strainMu.Unlock()
+	now := n.now()
+	if n.probed != 0 {
+		n.strain.Late(now, max(0, now-n.probed-tickEvery))
+	}
+	n.probed = now
+}
+
+// Takes tells whether a user's request should be begun at all, or when its user
+// should ask again.
+func (n *Node) Takes(k strain.Kind) (ok bool, again time.Duration) {
+	n.strainMu.Lock()
+	defer n.strainMu.Unlock()
+	now := n.now()
+	return n.strain.Takes(now, k), n.strain.Again(now, n.spread.Float64())
+}
+
+// atOnce is how many of up to most things this process should do at a time of its
+// own accord.
+func (n *Node) atOnce(most int) int {
+	n.strainMu.Lock()
+	defer n.strainMu.Unlock()
+	return n.strain.Scale(n.now(), most)
+}
+
 func (n *Node) tick(ctx context.Context) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -156,6 +216,9 @@
 		n.stats.Halts++
 		n.log.Info("this controller stood still", "for", late, "leading", n.lead != nil)
 	}
+	if n.ticked != 0 {
+		n.standing.Late(now, now-n.ticked-tickEvery)
+	}
 	n.ticked = now
 	// First of all authority that ended meanwhile goes.
 	n.runElection(ctx, n.el.Step(now))
@@ -170,13 +233,10 @@
 func (n *Node) runElection(ctx context.Context, ops []election.Op) {
 	for _, op := range ops {
 		go func() {
-			res := n.electionOp(state.Urgent(ctx), op)
+			res := n.electionOp(state.As(ctx, pace.Authority), op)
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			now := n.now()
-			if res.OK {
-				n.stateAt = now
-			}
 			n.runElection(ctx, n.el.Done(now, res))
 			n.followLeadership(ctx, now)
 		}()
@@ -218,7 +278,9 @@
 			}})
 		res.Version, res.OK = rev, err == nil
 	case election.Renew:
-		err := n.state.Extend(ctx, op.Lease)
+		// It counts from its sending, however late its answer is read; meanwhile
+		// others are sent.
+		err := n.state.Extend(state.Patiently(ctx, n.ttl), op.Lease)
 		res.OK, res.Not = err == nil, errors.Is(err, state.ErrNotFound)
 		n.complaints.note("leader's lease not renewed", err)
 	case election.End:
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"honeylock/internal/core/budget"
+	"honeylock/internal/core/pace"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -92,7 +93,7 @@
 		t.Guards = append(t.Guards, w.guards...)
 		t.Then = append(t.Then, w.ops...)
 	}
-	ctx := state.Urgent(l.ctx)
+	ctx := state.As(l.ctx, pace.Leader)
 	var o outcome
 	o.rev, o.err = n.state.Txn(ctx, t)
 	if errors.Is(o.err, state.ErrConflict) && len(t.Guards) > 1 {
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -18,6 +18,7 @@
 	l       *leadership
 	f       *fleet.Fleet
 	fleeted time.Duration
+	cost    time.Duration // of the fleet's last turn: it looks at all that is open, and at all machines
 	// settling: machines that can't be reached are being returned.
 	settling bool
 }
@@ -29,9 +30,10 @@
 
 func (p *renting) tick(now time.Duration) {
 	p.settleUnseen(now)
-	if now-p.fleeted >= 500*time.Millisecond {
+	if now-p.fleeted >= max(500*time.Millisecond, 8*p.cost) {
 		p.fleeted = now
 		p.runFleet(now)
+		p.cost = p.l.n.now() - now
 	}
 }
 
@@ -77,6 +79,9 @@
 func (p *renting) runFleet(now time.Duration) {
 	status := p.l.d.Machines()
 	p.f.Observe(now, status, p.l.d.Silent)
+	if p.worthGivingUp() {
+		p.f.Deaf(now, p.l.d.Deaf())
+	}
 	var demand []fleet.Demand
 	for _, need := range p.l.d.Needs() {
 		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(p.l.d.Count(need.Spec.ID).Waiting)})
@@ -99,6 +104,14 @@
 	p.l.n.soon()
 }
 
+// worthGivingUp tells whether the lease of a worker that does not answer lasts so
+// much longer than it takes to find that out that its work should not wait for it.
+func (p *renting) worthGivingUp() bool {
+	c := &p.l.n.cfg.Cluster
+	found := config.Seconds(1.25*c.Workers.ReportS) + 7*time.Second
+	return c.SureLease()-found > 15*time.Second
+}
+
 // giveBack returns machines to the cloud. told, if it is given, hears under the lock
 // whether it has them.
 func (p *renting) giveBack(a fleet.Action, told func(now time.Duration, ok bool)) {
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -51,6 +51,7 @@
 // here again: the next leader is told of them.
 func (n *Node) leaveSeat() {
 	if n.seat != nil {
+		n.seated, n.unseated = make(chan struct{}), n.now()
 		if ms := n.seat.s.Images(); len(ms) > 0 {
 			n.kept = ms
 		}
@@ -58,6 +59,13 @@
 	n.seat = nil
 }
 
+// takeSeat lets this controller's shard begin, and wakes the reports that wait for
+// that.
+func (n *Node) takeSeat(st *seat) {
+	n.seat = st
+	close(n.seated)
+}
+
 // soon asks for a turn: what comes in until then is dealt with together. The
 // more a turn costs, the more is gathered for the next.
 func (n *Node) soon() {
@@ -65,7 +73,7 @@
 		return
 	}
 	n.turning = true
-	time.AfterFunc(min(max(gather, 4*n.cost), 20*gather), func() {
+	time.AfterFunc(min(max(gather, 4*n.cost), 60*gather), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.turning = false
@@ -106,7 +114,7 @@
 
 func (n *Node) flush(now time.Duration) {
 	st := n.seat
-	st.s.Flush(now)
+	st.s.Flush(now, n.atOnce(maxDirect))
 	for _, d := range st.s.Directs() {
 		go n.direct(st, d)
 	}
@@ -153,7 +161,7 @@
 		st.seq++
 		st.asked[st.seq] = now
 		st.askAt = now
-		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq, Promised: st.number, StateAgeUs: (now - n.stateAt).Microseconds()}}})
+		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq, Promised: st.number, StateAgeUs: n.servedAgo(now).Microseconds()}}})
 		st.dirty = true
 	}
 	if st.dirty {
@@ -164,13 +172,18 @@
 
 // owned wakes reports that wait for their machine's owner.
 func (n *Node) owned(o *model.Order) {
-	if o.Kind != model.Own {
+	id := o.Machine.ID
+	switch o.Kind {
+	case model.Own:
+	case model.Elsewhere:
+		id = o.ID
+	default:
 		return
 	}
-	for _, c := range n.waits[o.Machine.ID] {
+	for _, c := range n.waits[id] {
 		close(c)
 	}
-	delete(n.waits, o.Machine.ID)
+	delete(n.waits, id)
 }
 
 func (n *Node) siblingAddr(host string) string {
@@ -214,7 +227,7 @@
 		n.mu.Lock()
 		host := n.el.Holder()
 		leading := n.lead != nil
-		missed := n.now()-n.stateAt > missedState
+		missed := n.standing.Missing(n.now())
 		n.mu.Unlock()
 		if missed && !leading {
 			host = n.findLeader(ctx, dialer)
@@ -304,7 +317,8 @@
 			}
 			st = n.newSeat(msg.Welcome.GetAttempts())
 			st.out = out
-			n.seat, n.leader = st, host
+			n.leader = host
+			n.takeSeat(st)
 			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm(), "remembered", len(n.kept))
 			for id := range n.kept {
 				out.Send(st.codec.Event(&model.Event{Kind: model.Remembered, Machine: id}))
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -10,6 +10,7 @@
 	"honeylock/internal/cloud"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/pace"
 	"honeylock/internal/core/shard"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -199,7 +200,7 @@
 		t.Guards = []wire.Guard{{Key: openKey, Version: op.Version}}
 		t.Then = finalOps(id, jobs.Cancelled)
 	}
-	rev, err := n.state.Txn(state.Urgent(ctx), t)
+	rev, err := n.state.Txn(state.As(ctx, pace.Changes), t)
 	switch {
 	case err == nil:
 		if op.Kind == jobs.Create {
@@ -254,6 +255,11 @@
 	n.order = append(n.order, id)
 }
 
+const (
+	seatSoon = 4 * time.Second // a controller without a shard mostly has one again within
+	seatWait = 900 * time.Millisecond
+)
+
 // Report answers a worker: its commands, or (not ok) where to report instead.
 func (n *Node) Report(ctx context.Context, raw *wire.RawReport) (a shard.Answer, keeper string, err error) {
 	n.mu.Lock()
@@ -264,6 +270,12 @@
 	}
 	n.stats.Reports++
 	n.reported = n.now()
+	if n.seat == nil && n.now()-n.unseated < seatSoon {
+		// This controller has just started, or its leader is gone: it will have a
+		// shard within moments. Sent to the leader at once, the workers of all
+		// controllers came to it together, when it had most else to do.
+		n.wait(ctx, n.seated, seatWait)
+	}
 	if l := n.lead; l != nil && !l.loaded {
 		// The store is being read: worth a moment, for the next node would
 		// only send the worker back here.
@@ -282,9 +294,9 @@
 		return a, "", nil
 	}
 	n.stats.Redirected++
-	if keeper == "" && n.seat == nil && n.lead == nil {
-		// Nothing can be done for the worker here; the leader, if it lives,
-		// can.
+	if keeper == "" && n.seat == nil && n.lead == nil && n.now()-n.unseated >= seatSoon {
+		// Nothing can be done for the worker here, for longer than it takes to join
+		// a leader; the leader, if it lives, can.
 		if keeper = n.el.Holder(); keeper == n.cfg.HostName || keeper != n.leader && n.tried == keeper {
 			keeper = ""
 		}
@@ -335,7 +347,8 @@
 	defer n.mu.Unlock()
 	// Refused by the state service while it answers the leader, this node can
 	// take nothing; in an outage all are alike, and none should be shunned.
-	refused := n.now()-n.stateAt > 3500*time.Millisecond && n.leaderStateAt > n.stateAt+2500*time.Millisecond
+	served, _ := n.standing.Served()
+	refused := n.standing.Alone(n.now(), n.leaderStateAt) && n.leaderStateAt > served+2500*time.Millisecond
 	// Without the machine types it still answers polls and cancellations, which
 	// is better than no node at all.
 	return (len(n.types) > 0 || n.now() > 10*time.Second) && !refused
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,9 +5,10 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
-	"sync"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"golang.org/x/net/netutil"
 
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/strain"
 	"honeylock/internal/httpserve"
 	"honeylock/internal/node"
 	"honeylock/internal/wire"
@@ -34,15 +36,17 @@
 	node  *node.Node
 	http  *http.Server
 	limit int
-	users *userConns
+	conns *conns
 	// Apart, so that a storm of polls leaves room for what changes jobs.
 	polls, changes gate
 	shed           *prometheus.CounterVec
+	takes          func(strain.Kind) (ok bool, again time.Duration)
 }
 
 // gate bounds how many calls of a kind are served at once.
 type gate struct {
 	kind string
+	what strain.Kind
 	most int32
 	now  atomic.Int32
 }
@@ -51,42 +55,16 @@
 func (g *gate) enter() bool { return g.now.Add(1) <= g.most }
 func (g *gate) leave()      { g.now.Add(-1) }
 
-// userConns counts the connections that have carried a user's request, so that
-// users can't crowd out workers, who come through the same port.
-type userConns struct {
-	mu   sync.Mutex
-	max  int
-	open map[net.Conn]bool
-}
-
 type connKey struct{}
 
-func (u *userConns) admit(c net.Conn) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.open[c] {
-		return true
-	}
-	if len(u.open) >= u.max {
-		return false
-	}
-	u.open[c] = true
-	return true
-}
-
-func (u *userConns) drop(c net.Conn) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.open, c)
-}
-
 // New builds the door. fdLimit is what the process may open; a part of it is
 // kept for its own connections, and another for workers.
 func New(n *node.Node, fdLimit int, log *slog.Logger, reg *prometheus.Registry) *Server {
-	own := min(fdLimit/4, 160)
-	s := &Server{node: n, limit: fdLimit - own, users: &userConns{max: (fdLimit - own) * 6 / 10, open: map[net.Conn]bool{}},
-		polls: gate{kind: "poll", most: maxPolls}, changes: gate{kind: "change", most: maxChanges},
-		shed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_requests_shed_total", Help: "Users' requests refused for overload."}, []string{"kind"})}
+	limit := fdLimit - own(fdLimit, node.Directs(fdLimit))
+	s := &Server{node: n, limit: limit, conns: newConns(limit), takes: n.Takes,
+		polls:   gate{kind: "poll", what: strain.Poll, most: maxPolls},
+		changes: gate{kind: "change", what: strain.Change, most: maxChanges},
+		shed:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_requests_shed_total", Help: "Users' requests refused for overload."}, []string{"kind"})}
 	reg.MustRegister(s.shed)
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -103,11 +81,7 @@
 		Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		ConnState: func(c net.Conn, st http.ConnState) {
-			if st == http.StateClosed || st == http.StateHijacked {
-				s.users.drop(c)
-			}
-		},
+		ConnState:   s.conns.state,
 	}
 	return s
 }
@@ -121,6 +95,9 @@
 	})
 }
 
+// overloaded is made once: it is told most when there is least time.
+var overloaded = []byte(`{"error":"overloaded"}`)
+
 type errorBody struct {
 	Error string `json:"error"`
 }
@@ -130,13 +107,14 @@
 		conn, _ := c.Request().Context().Value(connKey{}).(net.Conn)
 		over := !g.enter()
 		defer g.leave()
-		crowded := conn != nil && !s.users.admit(conn)
+		crowded := conn != nil && !s.conns.admit(conn)
 		if crowded {
 			c.Response().Header().Set("Connection", "close")
 		}
-		if over || crowded {
+		if ok, again := s.takes(g.what); !ok || over || crowded {
 			s.shed.WithLabelValues(g.kind).Inc()
-			return reply(c, node.Reply{Status: http.StatusServiceUnavailable, Err: "overloaded"})
+			c.Response().Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(again.Seconds()))))
+			return c.Blob(http.StatusServiceUnavailable, echo.MIMEApplicationJSON, overloaded)
 		}
 		ctx, cancel := context.WithTimeout(c.Request().Context(), userTimeout)
 		defer cancel()
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -5,15 +5,20 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"honeylock/internal/core/strain"
+	"honeylock/internal/node"
 )
 
 // Polls many times as often took all the places, and submissions and
 // cancellations were refused with them.
 func TestPollsLeaveRoomForSubmissions(t *testing.T) {
-	s := New(nil, 400, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	s := New(&node.Node{}, 400, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	s.takes = func(strain.Kind) (bool, time.Duration) { return true, time.Second }
 	hold, held := make(chan struct{}), make(chan struct{}, maxPolls)
 	slow := s.user(&s.polls, func(c echo.Context) error {
 		held <- struct{}{}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,10 +9,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
+	"honeylock/internal/core/pace"
+	"honeylock/internal/core/standing"
 	"honeylock/internal/jsonhttp"
 	"honeylock/internal/wire"
 )
@@ -29,58 +30,145 @@
 	ErrCompacted = errors.New("revision too old")
 )
 
-// Client talks to the state service under its rate limits.
+// Client talks to the state service, within its rates.
 type Client struct {
 	base    string
 	http    *jsonhttp.Client
+	first   *jsonhttp.Client // of Authority: nothing else holds it up
 	watches *jsonhttp.Client
-	reqs    *rate.Limiter
-	writes  *rate.Limiter
 	timeout time.Duration
-}
+	start   time.Time
+	noted   func(sent time.Time, o standing.Outcome)
 
-// Limits are a client's share of the service's rates.
-type Limits struct{ RPS, WriteRPS float64 }
+	mu    sync.Mutex
+	pacer *pace.Pacer
+	due   time.Duration // the pacer is to be stepped then; 0: nothing waits
+}
 
-// New returns a client.
-func New(addr string, l Limits, timeout time.Duration) *Client {
+// New returns a client. noted, unless nil, hears what became of every request.
+func New(addr string, p pace.Params, timeout time.Duration, noted func(sent time.Time, o standing.Outcome)) *Client {
+	if noted == nil {
+		noted = func(time.Time, standing.Outcome) {}
+	}
 	return &Client{
-		base: "http://" + addr, http: jsonhttp.New(24, 2*time.Second), watches: jsonhttp.New(4, 2*time.Second),
-		reqs:    rate.NewLimiter(rate.Limit(l.RPS), max(1, int(l.RPS/2))),
-		writes:  rate.NewLimiter(rate.Limit(l.WriteRPS), max(1, int(l.WriteRPS/2))),
-		timeout: timeout,
+		base: "http://" + addr, http: jsonhttp.New(24, 2*time.Second), first: jsonhttp.New(4, 2*time.Second),
+		watches: jsonhttp.New(4, 2*time.Second), timeout: timeout, start: time.Now(), noted: noted, pacer: pace.New(p),
 	}
 }
 
-type urgentKey struct{}
+// Stats are the client's share of the service's rate, and its counts of requests
+// that were shed here for lack of it, and refused by the service for its rate.
+func (c *Client) Stats() (share float64, shed, busy uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.pacer.Shed {
+		shed += n
+	}
+	return c.pacer.Share(), shed, c.pacer.Busy
+}
+
+type patienceKey struct{}
+
+// Patiently marks a context whose requests are given up after d only: an answer is
+// worth something as long.
+func Patiently(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, patienceKey{}, d)
+}
+
+type classKey struct{}
+
+// As marks a context whose requests are of a class; without it they are Reads.
+func As(ctx context.Context, c pace.Class) context.Context {
+	return context.WithValue(ctx, classKey{}, c)
+}
 
-// Urgent marks a context whose requests go first: they don't wait for the rate
-// limits, which leave room for them.
-func Urgent(ctx context.Context) context.Context { return context.WithValue(ctx, urgentKey{}, true) }
+func classOf(ctx context.Context) pace.Class {
+	if c, ok := ctx.Value(classKey{}).(pace.Class); ok {
+		return c
+	}
+	return pace.Reads
+}
 
+// admit waits until a request may go.
 func (c *Client) admit(ctx context.Context, writes int) error {
-	if ctx.Value(urgentKey{}) != nil {
-		return nil
+	c.mu.Lock()
+	now := time.Since(c.start)
+	until := now + c.timeout
+	if d, ok := ctx.Deadline(); ok {
+		until = min(until, d.Sub(c.start))
 	}
-	if err := c.reqs.Wait(ctx); err != nil {
-		return fmt.Errorf("%w: rate: %w", ErrRefused, err)
+	t := c.pacer.Ask(now, classOf(ctx), writes, until)
+	c.step(now)
+	c.mu.Unlock()
+	select {
+	case <-t.Go:
+	case <-ctx.Done():
+		c.mu.Lock()
+		c.pacer.Drop(t)
+		c.mu.Unlock()
+		return fmt.Errorf("%w: rate: %w", ErrRefused, ctx.Err())
 	}
-	for range writes {
-		if err := c.writes.Wait(ctx); err != nil {
-			return fmt.Errorf("%w: rate: %w", ErrRefused, err)
-		}
+	if t.Refused {
+		return fmt.Errorf("%w: this controller's share of its rate is used up", ErrRefused)
 	}
 	return nil
 }
 
+// step steps the pacer, and once more when that is due.
+func (c *Client) step(now time.Duration) {
+	next := c.pacer.Step(now)
+	if next == 0 || c.due != 0 && c.due <= next && c.due > now {
+		return
+	}
+	c.due = next
+	time.AfterFunc(next-now, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.step(time.Since(c.start))
+	})
+}
+
 func (c *Client) call(ctx context.Context, writes int, method, path string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	status, body, err := c.exchange(ctx, writes, method, path, in, out)
+	return verdict(status, body, err)
+}
+
+// exchange asks once the rate lets it, and notes what became of it.
+func (c *Client) exchange(parent context.Context, writes int, method, path string, in, out any) (int, []byte, error) {
+	if err := c.admit(parent, writes); err != nil {
+		return 0, nil, err
+	}
+	conns, timeout := c.http, c.timeout
+	if classOf(parent) == pace.Authority {
+		conns = c.first
+	}
+	if d, ok := parent.Value(patienceKey{}).(time.Duration); ok {
+		timeout = d
+	}
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
-	if err := c.admit(ctx, writes); err != nil {
-		return err
+	sent := time.Now()
+	status, body, err := conns.Do(ctx, method, c.base+path, in, out)
+	if !errors.Is(parent.Err(), context.Canceled) { // else its asker has left: that says nothing
+		c.note(sent, status, err)
+	}
+	return status, body, err
+}
+
+func (c *Client) note(sent time.Time, status int, err error) {
+	switch {
+	case err != nil:
+		c.noted(sent, standing.Silent)
+	case status == http.StatusTooManyRequests:
+		c.mu.Lock()
+		c.pacer.Refused(time.Since(c.start))
+		c.mu.Unlock()
+		c.noted(sent, standing.Busy)
+	case status >= 500:
+		c.noted(sent, standing.Refused)
+	default:
+		c.noted(sent, standing.Served)
 	}
-	status, body, err := c.http.Do(ctx, method, c.base+path, in, out)
-	return verdict(status, body, err)
 }
 
 func verdict(status int, body []byte, err error) error {
@@ -121,7 +209,7 @@
 			q.Set("From", from)
 		}
 		var p wire.Page
-		if err := c.call(ctx, 0, http.MethodGet, "/store?"+q.Encode(), nil, &p); err != nil {
+		if err := c.page(ctx, q, &p); err != nil {
 			return 0, err
 		}
 		if n == 0 {
@@ -139,6 +227,24 @@
 	}
 }
 
+// pageTries is how often a page is asked for: what was read before it is not read
+// again because the service was busy.
+const pageTries = 4
+
+func (c *Client) page(ctx context.Context, q url.Values, p *wire.Page) (err error) {
+	for try := range pageTries {
+		if err = c.call(ctx, 0, http.MethodGet, "/store?"+q.Encode(), nil, p); !errors.Is(err, ErrRefused) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(time.Duration(try+1) * 150 * time.Millisecond):
+		}
+	}
+	return err
+}
+
 // Txn runs a transaction and returns its revision.
 func (c *Client) Txn(ctx context.Context, t wire.Txn) (uint64, error) {
 	var r wire.Revision
@@ -151,12 +257,7 @@
 // Compare asks whether keys have the stated versions, and returns those that
 // don't.
 func (c *Client) Compare(ctx context.Context, guards []wire.Guard) (failed map[string]bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	if err := c.admit(ctx, 0); err != nil {
-		return nil, err
-	}
-	status, body, err := c.http.Do(ctx, http.MethodPost, c.base+"/txn", wire.Txn{Guards: guards}, nil)
+	status, body, err := c.exchange(ctx, 0, http.MethodPost, "/txn", wire.Txn{Guards: guards}, nil)
 	if err = verdict(status, body, err); !errors.Is(err, ErrConflict) {
 		return nil, err
 	}
@@ -199,12 +300,15 @@
 func (c *Client) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Events, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
-	if err := c.admit(Urgent(ctx), 0); err != nil {
+	if err := c.admit(As(ctx, pace.Authority), 0); err != nil {
 		return nil, err
 	}
 	q := url.Values{"Starts": {prefix}, "From": {strconv.FormatUint(from, 10)}, "WaitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 	var ev wire.Events
 	status, body, err := c.watches.Do(ctx, http.MethodGet, c.base+"/watch?"+q.Encode(), nil, &ev)
+	if status == http.StatusTooManyRequests {
+		c.note(time.Now(), status, nil)
+	}
 	if err := verdict(status, body, err); err != nil {
 		return nil, err
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -18,9 +18,10 @@
 	timeout time.Duration
 }
 
-// New returns a client whose commands are given up after timeout.
-func New(timeout time.Duration) *Client {
-	return &Client{http: jsonhttp.New(1, timeout), timeout: timeout}
+// New returns a client whose commands are given up after timeout. It keeps up to
+// idle connections, of all workers together, for the next command.
+func New(timeout time.Duration, idle int) *Client {
+	return &Client{http: jsonhttp.Keep(jsonhttp.New(1, timeout), idle), timeout: timeout}
 }
 
 // Send sends commands and returns the worker's report after them. executed is
