shard, dealer: only an overdue machine counts as deaf

A command to a worker that had just changed hands may go unanswered though it is well; its machine could have been given back within half a second. The shard says now which of the two it is, in a field that the stream has already. Found on reading; a test for each side.

--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -257,7 +257,7 @@
 		}
 	case model.Unanswered:
 		if owner {
-			m.unanswered, m.deaf = true, len(m.groups) == 0 && !d.suspects[m.ID]
+			m.unanswered, m.deaf = true, e.Held
 		}
 	case model.Remembered:
 		// Its worker will report there again: it is fenced there, and need not
--- a/internal/core/dealer/door_test.go
+++ b/internal/core/dealer/door_test.go
@@ -79,3 +79,21 @@
 		t.Errorf("b hears its workers again, and machine 100 is sent to %q", k)
 	}
 }
+
+// Only a machine whose report is overdue is deaf: a command to a worker that has just
+// changed hands may go unanswered though it is well.
+func TestOnlyOverdueMachinesAreDeaf(t *testing.T) {
+	r := newRig(t, 100)
+	a := r.d.Join(0, "a")
+	r.machine(0, 1, a)
+	r.machine(0, 2, a)
+	r.d.Event(time.Second, a, model.Event{Kind: model.Unanswered, Machine: 1})
+	r.d.Event(time.Second, a, model.Event{Kind: model.Unanswered, Machine: 2, Held: true})
+	if got := r.d.Deaf(); len(got) != 1 || got[0] != 2 {
+		t.Errorf("deaf: %v, want machine 2", got)
+	}
+	r.d.Event(2*time.Second, a, model.Event{Kind: model.Heard, Machine: 2})
+	if got := r.d.Deaf(); len(got) != 0 {
+		t.Errorf("deaf: %v after it was heard", got)
+	}
+}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -64,13 +64,15 @@
 	Report  *Report // Unowned
 	Task    Task
 	Attempt uint64
-	Cell    Cell          // Found
-	Cause   Cause         // Gone
-	Token   uint64        // Superseded
-	Held    bool          // Finished: the task held here ended with it
-	Tasks   []Task        // Released: tasks that were on the machine
-	On      []OnMachine   // Looked
-	Ran     time.Duration // Finished: it was seen running for so long; 0: not known
+	Cell    Cell   // Found
+	Cause   Cause  // Gone
+	Token   uint64 // Superseded
+	// Finished: the task held here ended with it. Unanswered: its report is overdue as
+	// well, while others of its zone report.
+	Held  bool
+	Tasks []Task        // Released: tasks that were on the machine
+	On    []OnMachine   // Looked
+	Ran   time.Duration // Finished: it was seen running for so long; 0: not known
 }
 
 // EventKind tells events apart.
@@ -89,7 +91,7 @@
 	Found                       // an attempt that the shard doesn't know
 	Finished                    // a task completed
 	Gone                        // a task is nowhere, and this shard holds it no more
-	Unanswered                  // a direct command went unanswered: to a worker that is not fenced, or whose report is overdue
+	Unanswered                  // a direct command to a worker that is not fenced, or is overdue, went unanswered
 	Remembered                  // the controller's shard of an earlier term owned the machine
 	AlienGone                   // a found attempt that was not adopted is nowhere now
 	Looked                      // what runs on the machine
--- a/internal/core/shard/deaf.go
+++ b/internal/core/shard/deaf.go
@@ -29,11 +29,13 @@
 	}
 }
 
-// unheard takes a direct command without an answer.
+// unheard takes a direct command without an answer. One to a worker that is not fenced
+// yet says little: it may have come to a socket that was just closed.
 func (s *Shard) unheard(now time.Duration, m *machine) {
-	if !m.fenced || s.overdue(now, m) && s.zoneHeard(now, m) {
-		m.deaf = m.fenced
-		s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID})
+	deaf := m.fenced && s.overdue(now, m) && s.zoneHeard(now, m)
+	if !m.fenced || deaf {
+		m.deaf = deaf
+		s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID, Held: deaf})
 	}
 }
 
