node, fleet, election: one measure of lateness, one way to give back, less kept twice

Every answer of the state service was noted under the controller's lock, so a long turn held answers up: standing and lateness have a lock of their own now (pulse), and lateness is measured once a tick, not twice. The fleet marks returns in one place for both reasons; what is deaf is the list it was told, not a flag on each machine beside it. When a report is overdue is said by the shard alone. A renewal ends a term in one case, not two; Election.Renewed had become dead. Idle connections are bounded where a client is made. Long lines wrapped.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -29,7 +29,8 @@
 
 // New returns a client that makes at most rps calls a second.
 func New(addr string, rps float64, timeout time.Duration) *Client {
-	return &Client{base: "http://" + addr, http: jsonhttp.New(4, 2*time.Second), reqs: rate.NewLimiter(rate.Limit(rps), 1), timeout: timeout}
+	return &Client{base: "http://" + addr, http: jsonhttp.New(4, 0, 2*time.Second),
+		reqs: rate.NewLimiter(rate.Limit(rps), 1), timeout: timeout}
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) (int, []byte, error) {
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -16,7 +16,8 @@
 }
 
 func newRig(t *testing.T, limitCPUs float64) *rig {
-	d := New(Params{Term: 3, Teams: []Team{{Limit: model.Capacity(limitCPUs, 0, 0)}}, ChunkSize: 64, BlockSize: 64, Ahead: 2, SureLease: sure, Crowd: 8}, 5*time.Second)
+	d := New(Params{Term: 3, Teams: []Team{{Limit: model.Capacity(limitCPUs, 0, 0)}}, ChunkSize: 64,
+		BlockSize: 64, Ahead: 2, SureLease: sure, Crowd: 8}, 5*time.Second)
 	d.SetTypes([]model.MachineType{{Name: 0, Cap: model.Capacity(8, 0, 64)}})
 	return &rig{t, d}
 }
--- a/internal/core/dealer/door.go
+++ b/internal/core/dealer/door.go
@@ -36,7 +36,7 @@
 // elsewhere sends a worker that has reported to a crowded shard to another one, which
 // owns the machine from here on. It tells whether it did.
 func (d *Dealer) elsewhere(now time.Duration, m *machine, from model.ShardID) bool {
-	if len(d.members) < 2 || m.releasing || m.gone {
+	if len(d.members) < 2 || m.releasing {
 		return false
 	}
 	loads := d.loads(now)
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -103,9 +103,6 @@
 // alone is refused, the key may go, but nobody takes it.
 func (e *Election) Back(until time.Duration) { e.backed = max(e.backed, until) }
 
-// Renewed is when the last successful renewal was sent.
-func (e *Election) Renewed() time.Duration { return e.sentAt }
-
 // Deadline is when authority ends unless it is renewed: counted from sending
 // the last successful renewal, less the clocks' drift and late timers; or, if
 // that is later, the end of all siblings' promises.
@@ -259,10 +256,10 @@
 	}
 	e.renewing = false
 	switch {
-	case now >= e.Deadline():
-		// Authority was over before this answer came, and whatever went with the term
-		// has been dropped. Taken up again, the term would give tokens and attempts
-		// out for a second time.
+	case r.Not, now >= e.Deadline():
+		// The lease has ended, or authority was over before this answer came, and
+		// whatever went with the term has been dropped. Taken up again, the term would
+		// give tokens and attempts out for a second time.
 		e.drop()
 		e.next = now
 	case r.OK:
@@ -270,9 +267,6 @@
 			e.sentAt = r.Op.SentAt
 		}
 		e.nextTry = r.Op.SentAt + max(e.ttl/8, 300*time.Millisecond)
-	case r.Not:
-		e.drop()
-		e.next = now
 	default:
 		e.nextTry = now + retry
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -38,7 +38,6 @@
 	failed bool
 	silent time.Duration // since when it is silent, 0: it is not
 	drop   bool          // being returned
-	deaf   bool          // neither reports nor answers
 	drain  bool          // gets no tasks any more, and goes once it is empty
 	held   bool          // a plan drains it: neither room nor surplus
 	wanted bool          // a plan will drain it
@@ -75,6 +74,7 @@
 	refused map[kind]time.Duration
 	renting map[string]Action // rentals under way, by their request's name
 	giving  bool
+	deaf    []model.MachineID                 // to be given up
 	again   []Action                          // rentals in doubt: asked for again
 	gone    map[model.MachineID]time.Duration // given back; the list shows them for a while
 	n       uint64
@@ -250,10 +250,11 @@
 		left = f.cover(left, a)
 	}
 	if !f.giving {
-		if ids := f.givenUp(); len(ids) > 0 {
-			out = append(out, Action{Kind: Return, Machine: ids})
-			f.giving = true
-		} else if ids := f.surplus(now, status, rooms, slackening(rooms, demand)); len(ids) > 0 {
+		ids := f.givenUp()
+		if len(ids) == 0 {
+			ids = f.surplus(now, status, rooms, slackening(rooms, demand))
+		}
+		if len(ids) > 0 {
 			out = append(out, Action{Kind: Return, Machine: ids})
 			f.giving = true
 		}
@@ -582,13 +583,5 @@
 			out = append(out, s.Machine.ID)
 		}
 	}
-	slices.Sort(out)
-	out = slices.Compact(out)
-	if len(out) > MaxReturn {
-		out = out[:MaxReturn]
-	}
-	for _, id := range out {
-		f.units[id].drop = true
-	}
-	return out
+	return f.giveBack(out)
 }
--- a/internal/core/fleet/giveup.go
+++ b/internal/core/fleet/giveup.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"honeylock/internal/core/model"
 )
@@ -14,37 +13,38 @@
 // Deaf takes the machines whose workers neither report nor answer though others of
 // their zone do. What ran on them goes on elsewhere as soon as they are surely gone,
 // which they are once given back, while their leases are over much later.
-func (f *Fleet) Deaf(now time.Duration, ids []model.MachineID) {
+func (f *Fleet) Deaf(ids []model.MachineID) {
 	heard := 0
 	for _, u := range f.units {
 		if u.heard && !u.drop {
 			heard++
 		}
 	}
-	few := len(ids) <= max(1, int(mostDeaf*float64(heard)))
-	for _, u := range f.units {
-		u.deaf = false
-	}
-	for _, id := range ids {
-		if u := f.units[id]; u != nil {
-			u.deaf = few
-		}
+	f.deaf = ids
+	if len(ids) > max(1, int(mostDeaf*float64(heard))) {
+		f.deaf = nil
 	}
 }
 
 // givenUp are the machines to give back for that.
 func (f *Fleet) givenUp() (out []model.MachineID) {
-	for id, u := range f.units {
-		if u.deaf && !u.drop {
+	for _, id := range f.deaf {
+		if u := f.units[id]; u != nil && !u.drop {
 			out = append(out, id)
 		}
 	}
-	slices.Sort(out)
-	if len(out) > MaxReturn {
-		out = out[:MaxReturn]
+	return f.giveBack(out)
+}
+
+// giveBack notes that machines are being returned, as many as go in one call.
+func (f *Fleet) giveBack(ids []model.MachineID) []model.MachineID {
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	if len(ids) > MaxReturn {
+		ids = ids[:MaxReturn]
 	}
-	for _, id := range out {
+	for _, id := range ids {
 		f.units[id].drop = true
 	}
-	return out
+	return ids
 }
--- a/internal/core/fleet/giveup_test.go
+++ b/internal/core/fleet/giveup_test.go
@@ -19,7 +19,8 @@
 			f := newFleet()
 			var status []model.MachineStatus
 			for id := range model.MachineID(100) {
-				status = append(status, model.MachineStatus{Machine: model.Machine{ID: id, Cap: model.Capacity(8, 0, 32)}, Ready: true, Slots: 1})
+				status = append(status, model.MachineStatus{Machine: model.Machine{ID: id, Cap: model.Capacity(8, 0, 32)},
+					Ready: true, Slots: 1})
 			}
 			alive := func(model.MachineID) bool { return false }
 			f.Observe(0, status, alive)
@@ -27,8 +28,8 @@
 			for i := range ids {
 				ids[i] = model.MachineID(i)
 			}
-			f.Deaf(time.Second, ids)
-			f.Deaf(2*time.Second, ids[c.again:])
+			f.Deaf(ids)
+			f.Deaf(ids[c.again:])
 			got := 0
 			for _, a := range f.Step(2*time.Second, status, demand(1, true), noLimit) {
 				if a.Kind == Return {
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -102,7 +102,8 @@
 // New returns a pacer with an equal share.
 func New(p Params) *Pacer {
 	p.Controllers = max(1, p.Controllers)
-	q := &Pacer{p: p, share: equal / float64(p.Controllers), requests: bucket{rate: p.Requests}, writes: bucket{rate: p.Writes}}
+	q := &Pacer{p: p, share: equal / float64(p.Controllers),
+		requests: bucket{rate: p.Requests}, writes: bucket{rate: p.Writes}}
 	q.requests.tokens, q.writes.tokens = q.requests.burst(q.share), q.writes.burst(q.share)
 	return q
 }
--- a/internal/core/shard/deaf.go
+++ b/internal/core/shard/deaf.go
@@ -17,10 +17,10 @@
 	heardPart = 0.6 // of the zone's other machines that must have reported in time
 )
 
-// overdue tells whether a worker should have reported by now.
-func (s *Shard) overdue(now time.Duration, m *machine) bool {
-	return now-m.answered > s.p.Report*5/4+secondTry
-}
+// Overdue is after how long without a report a worker should have reported.
+func (p *Params) Overdue() time.Duration { return p.Report*5/4 + secondTry }
+
+func (s *Shard) overdue(now time.Duration, m *machine) bool { return now-m.answered > s.p.Overdue() }
 
 // probe asks an overdue worker directly, once in a while.
 func (s *Shard) probe(now time.Duration, m *machine) {
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -21,8 +21,8 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Second}
-	r.s = New(Params{SureLease: lease, Report: time.Second, Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2, DoubtPause: time.Second},
-		1000, rand.New(rand.NewPCG(1, 1)))
+	r.s = New(Params{SureLease: lease, Report: time.Second, Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2,
+		DoubtPause: time.Second}, 1000, rand.New(rand.NewPCG(1, 1)))
 	r.s.Grant(time.Hour)
 	return r
 }
--- a/internal/core/sim/overload_test.go
+++ b/internal/core/sim/overload_test.go
@@ -25,6 +25,7 @@
 type office struct {
 	host     string
 	el       *election.Election
+	renewed  time.Duration // the last renewal that succeeded was sent
 	st       standing.Standing
 	q        *pace.Pacer
 	sent     []*sending
@@ -109,6 +110,9 @@
 			if ok {
 				s.store.w.now = s.now
 				res = s.store.election(o.host, op).(election.Result)
+				if res.OK && (op.Verb == election.Acquire || op.Verb == election.Renew) {
+					o.renewed = op.SentAt
+				}
 			}
 			s.elect(o, o.el.Done(s.now, res))
 		})
@@ -159,7 +163,7 @@
 		if !s.naive && o.st.Alone(s.now, at) {
 			return true
 		}
-		last := o.el.Renewed()
+		last := o.renewed
 		if s.naive && s.now-last > 2500*time.Millisecond && at > last+1500*time.Millisecond {
 			return true
 		}
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -22,25 +22,19 @@
 // Client talks to servers under one set of connection limits.
 type Client struct{ http *http.Client }
 
-// New returns a client with at most perHost connections to a server.
-func New(perHost int, dial time.Duration) *Client {
+// New returns a client with at most perHost connections to a server, of which up to
+// idle, to all servers together, are kept for the next request; 0: all.
+func New(perHost, idle int, dial time.Duration) *Client {
 	d := net.Dialer{Timeout: dial, KeepAlive: 15 * time.Second}
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext: d.DialContext, MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost,
+			DialContext: d.DialContext, MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, MaxIdleConns: idle,
 			IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
-// Keep bounds the idle connections to all servers together: the longest idle is
-// closed first.
-func Keep(c *Client, idle int) *Client {
-	c.http.Transport.(*http.Transport).MaxIdleConns = idle
-	return c
-}
-
 // Do sends in (nil: no body) and decodes a 2xx answer into out (nil: dropped).
 // Other statuses are returned with the body and no error.
 func (c *Client) Do(ctx context.Context, method, url string, in, out any) (int, []byte, error) {
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -119,7 +119,7 @@
 func (p *dealing) progress() *peerpb.Down {
 	p.l.n.progress = map[model.JobID]progress{}
 	open := map[model.JobID]bool{}
-	m := &peerpb.Progress{StateAgeUs: p.l.n.servedAgo(p.l.n.now()).Microseconds()}
+	m := &peerpb.Progress{StateAgeUs: p.l.n.pulse.servedAgo(p.l.n.now()).Microseconds()}
 	p.d.Open(func(id model.JobID, version uint64, done, running int) {
 		p.l.n.progress[id] = progress{done, running, version}
 		open[id] = true
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -30,7 +30,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	first = n.standing.Missing(now)
+	first = n.pulse.missing(now)
 	if n.lead != nil {
 		for _, k := range n.lead.links {
 			if now-k.stateAt < standing.Missed {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -186,7 +186,7 @@
 	for _, k := range l.links {
 		newest = max(newest, k.stateAt)
 	}
-	return l.n.standing.Alone(now, newest)
+	return l.n.pulse.alone(now, newest)
 }
 
 // until is when this leader's authority ends unless it is renewed.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,12 +52,7 @@
 	start      time.Time
 	ttl        time.Duration
 
-	// Kept apart from the rest, so that a door need not wait to hear that this
-	// process is behind.
-	strainMu sync.Mutex
-	strain   strain.Strain
-	probed   time.Duration // the last tick
-	spread   *rand.Rand    // sets askers apart
+	pulse pulse
 
 	mu            sync.Mutex
 	names         *wire.Names
@@ -69,8 +64,7 @@
 	unseated      time.Duration            // since when there is none
 	progress      map[model.JobID]progress // of open jobs, as last told by the leader
 	leader        string                   // the leader that this controller is linked to
-	standing      standing.Standing        // how this controller stands with the state service
-	leaderStateAt time.Duration            // ... the leader
+	leaderStateAt time.Duration            // the state service last served the leader
 	reported      time.Duration            // the last worker's report
 	tried         string                   // the last host whose link ended
 	waits         map[model.MachineID][]chan struct{}
@@ -100,7 +94,9 @@
 
 // Directs is how many sockets a controller keeps for telling workers something
 // directly, those that idle until the next time included.
-func Directs(fdLimit int) int { return maxDirect + fdLimit/12 }
+func Directs(fdLimit int) int { return maxDirect + idleDirects(fdLimit) }
+
+func idleDirects(fdLimit int) int { return fdLimit / 12 }
 
 // New builds a controller. The random numbers' seed is injected, so that a
 // test can repeat a run.
@@ -110,9 +106,11 @@
 		teams[i] = t.Name
 	}
 	n := &Node{
-		cfg: cfg, set: set, log: log, rng: rng, spread: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
+		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
+		pulse: pulse{spread: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))},
 		cloud: cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.7, 5*time.Second),
-		work:  worker.New(2*time.Second, Directs(cfg.Cluster.Resources.FDLimit)-maxDirect), dialer: peer.NewDialer(), complaints: newComplaints(log),
+		work:  worker.New(directTimeout, idleDirects(cfg.Cluster.Resources.FDLimit)), dialer: peer.NewDialer(),
+		complaints: newComplaints(log),
 		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
 			Images: wire.NewTable(), Classes: wire.NewTable()},
 		seated:   make(chan struct{}),
@@ -143,21 +141,7 @@
 }
 
 // noted takes what became of a request to the state service.
-func (n *Node) noted(sent time.Time, o standing.Outcome) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.standing.Note(sent.Sub(n.start), o)
-}
-
-// servedAgo is how long ago the newest request was sent that the state service has
-// served; long ago if there was none.
-func (n *Node) servedAgo(now time.Duration) time.Duration {
-	at, known := n.standing.Served()
-	if !known {
-		return now + time.Hour
-	}
-	return now - at
-}
+func (n *Node) noted(sent time.Time, o standing.Outcome) { n.pulse.note(sent.Sub(n.start), o) }
 
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
@@ -174,50 +158,26 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			n.late()
 			n.tick(ctx)
 		}
 	}
 }
 
-// late measures by the ticks how far behind this process is.
-func (n *Node) late() {
-	n.strainMu.Lock()
-	defer n.strainMu.Unlock()
-	now := n.now()
-	if n.probed != 0 {
-		n.strain.Late(now, max(0, now-n.probed-tickEvery))
-	}
-	n.probed = now
-}
-
 // Takes tells whether a user's request should be begun at all, or when its user
 // should ask again.
-func (n *Node) Takes(k strain.Kind) (ok bool, again time.Duration) {
-	n.strainMu.Lock()
-	defer n.strainMu.Unlock()
-	now := n.now()
-	return n.strain.Takes(now, k), n.strain.Again(now, n.spread.Float64())
-}
-
-// atOnce is how many of up to most things this process should do at a time of its
-// own accord.
-func (n *Node) atOnce(most int) int {
-	n.strainMu.Lock()
-	defer n.strainMu.Unlock()
-	return n.strain.Scale(n.now(), most)
-}
+func (n *Node) Takes(k strain.Kind) (ok bool, again time.Duration) { return n.pulse.takes(n.now(), k) }
 
 func (n *Node) tick(ctx context.Context) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	if late := now - n.ticked; n.ticked != 0 && late > haltedFor {
-		n.stats.Halts++
-		n.log.Info("this controller stood still", "for", late, "leading", n.lead != nil)
-	}
 	if n.ticked != 0 {
-		n.standing.Late(now, now-n.ticked-tickEvery)
+		since := now - n.ticked
+		n.pulse.late(now, since-tickEvery)
+		if since > haltedFor {
+			n.stats.Halts++
+			n.log.Info("this controller stood still", "for", since, "leading", n.lead != nil)
+		}
 	}
 	n.ticked = now
 	// First of all authority that ended meanwhile goes.
--- a/internal/node/polls.go
+++ b/internal/node/polls.go
@@ -7,7 +7,6 @@
 
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/pace"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -64,7 +63,7 @@
 	for g := range asked {
 		guards = append(guards, g)
 	}
-	failed, err := p.state.Compare(state.As(context.Background(), pace.Reads), guards)
+	failed, err := p.state.Compare(context.Background(), guards)
 	for g, cs := range asked {
 		o := jobs.OK
 		switch {
--- /dev/null
+++ b/internal/node/pulse.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"honeylock/internal/core/standing"
+	"honeylock/internal/core/strain"
+)
+
+// pulse is how this process is doing: how far behind it is, and how it stands with
+// the state service. It has a lock of its own: neither a door nor an answer of the
+// state service should wait for a long turn to be told, or to tell.
+type pulse struct {
+	mu       sync.Mutex
+	strain   strain.Strain
+	standing standing.Standing
+	spread   *rand.Rand // sets askers apart
+}
+
+// late takes how late a tick came.
+func (p *pulse) late(now, by time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.strain.Late(now, max(0, by))
+	p.standing.Late(now, by)
+}
+
+// note takes what became of a request to the state service.
+func (p *pulse) note(sent time.Duration, o standing.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.standing.Note(sent, o)
+}
+
+// takes tells whether a user's request should be begun at all, or when its user
+// should ask again.
+func (p *pulse) takes(now time.Duration, k strain.Kind) (ok bool, again time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.strain.Takes(now, k), p.strain.Again(now, p.spread.Float64())
+}
+
+// atOnce is how many of up to most things this process should do at a time of its
+// own accord.
+func (p *pulse) atOnce(now time.Duration, most int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.strain.Scale(now, most)
+}
+
+func (p *pulse) lag(now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.strain.Lag(now)
+}
+
+// missing and alone are the standing's.
+func (p *pulse) missing(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.standing.Missing(now)
+}
+
+func (p *pulse) alone(now, sibling time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.standing.Alone(now, sibling)
+}
+
+// served is when the newest request was sent that the state service has served.
+func (p *pulse) served() (at time.Duration, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.standing.Served()
+}
+
+// servedAgo is how long ago that was; long ago if there was none.
+func (p *pulse) servedAgo(now time.Duration) time.Duration {
+	at, known := p.served()
+	if !known {
+		return now + time.Hour
+	}
+	return now - at
+}
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -80,7 +80,7 @@
 	status := p.l.d.Machines()
 	p.f.Observe(now, status, p.l.d.Silent)
 	if p.worthGivingUp() {
-		p.f.Deaf(now, p.l.d.Deaf())
+		p.f.Deaf(p.l.d.Deaf())
 	}
 	var demand []fleet.Demand
 	for _, need := range p.l.d.Needs() {
@@ -107,9 +107,8 @@
 // worthGivingUp tells whether the lease of a worker that does not answer lasts so
 // much longer than it takes to find that out that its work should not wait for it.
 func (p *renting) worthGivingUp() bool {
-	c := &p.l.n.cfg.Cluster
-	found := config.Seconds(1.25*c.Workers.ReportS) + 7*time.Second
-	return c.SureLease()-found > 15*time.Second
+	s := p.l.n.shardParams()
+	return s.SureLease-s.Overdue()-directTimeout > 15*time.Second
 }
 
 // giveBack returns machines to the cloud. told, if it is given, hears under the lock
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -19,11 +19,12 @@
 )
 
 const (
-	askEvery    = 400 * time.Millisecond
-	linkTimeout = 2500 * time.Millisecond // nothing heard for so long: the link is dead
-	statusEvery = 100 * time.Millisecond
-	maxDirect   = 48
-	gather      = 5 * time.Millisecond // what arrives within so long is dealt with together
+	askEvery      = 400 * time.Millisecond
+	linkTimeout   = 2500 * time.Millisecond // nothing heard for so long: the link is dead
+	statusEvery   = 100 * time.Millisecond
+	maxDirect     = 48
+	directTimeout = 2 * time.Second
+	gather        = 5 * time.Millisecond // what arrives within so long is dealt with together
 )
 
 // seat is this controller's shard. A member's seat outlives its link until its
@@ -114,7 +115,7 @@
 
 func (n *Node) flush(now time.Duration) {
 	st := n.seat
-	st.s.Flush(now, n.atOnce(maxDirect))
+	st.s.Flush(now, n.pulse.atOnce(now, maxDirect))
 	for _, d := range st.s.Directs() {
 		go n.direct(st, d)
 	}
@@ -161,7 +162,8 @@
 		st.seq++
 		st.asked[st.seq] = now
 		st.askAt = now
-		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq, Promised: st.number, StateAgeUs: n.servedAgo(now).Microseconds()}}})
+		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq, Promised: st.number,
+			StateAgeUs: n.pulse.servedAgo(now).Microseconds()}}})
 		st.dirty = true
 	}
 	if st.dirty {
@@ -227,7 +229,7 @@
 		n.mu.Lock()
 		host := n.el.Holder()
 		leading := n.lead != nil
-		missed := n.standing.Missing(n.now())
+		missed := n.pulse.missing(n.now())
 		n.mu.Unlock()
 		if missed && !leading {
 			host = n.findLeader(ctx, dialer)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -347,8 +347,8 @@
 	defer n.mu.Unlock()
 	// Refused by the state service while it answers the leader, this node can
 	// take nothing; in an outage all are alike, and none should be shunned.
-	served, _ := n.standing.Served()
-	refused := n.standing.Alone(n.now(), n.leaderStateAt) && n.leaderStateAt > served+2500*time.Millisecond
+	served, _ := n.pulse.served()
+	refused := n.pulse.alone(n.now(), n.leaderStateAt) && n.leaderStateAt > served+2500*time.Millisecond
 	// Without the machine types it still answers polls and cancellations, which
 	// is better than no node at all.
 	return (len(n.types) > 0 || n.now() > 10*time.Second) && !refused
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -64,7 +64,8 @@
 	s := &Server{node: n, limit: limit, conns: newConns(limit), takes: n.Takes,
 		polls:   gate{kind: "poll", what: strain.Poll, most: maxPolls},
 		changes: gate{kind: "change", what: strain.Change, most: maxChanges},
-		shed:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_requests_shed_total", Help: "Users' requests refused for overload."}, []string{"kind"})}
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_requests_shed_total",
+			Help: "Users' requests refused for overload."}, []string{"kind"})}
 	reg.MustRegister(s.shed)
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -45,14 +45,12 @@
 	due   time.Duration // the pacer is to be stepped then; 0: nothing waits
 }
 
-// New returns a client. noted, unless nil, hears what became of every request.
+// New returns a client. noted hears what became of every request.
 func New(addr string, p pace.Params, timeout time.Duration, noted func(sent time.Time, o standing.Outcome)) *Client {
-	if noted == nil {
-		noted = func(time.Time, standing.Outcome) {}
-	}
 	return &Client{
-		base: "http://" + addr, http: jsonhttp.New(24, 2*time.Second), first: jsonhttp.New(4, 2*time.Second),
-		watches: jsonhttp.New(4, 2*time.Second), timeout: timeout, start: time.Now(), noted: noted, pacer: pace.New(p),
+		base: "http://" + addr, http: jsonhttp.New(24, 0, 2*time.Second), first: jsonhttp.New(4, 0, 2*time.Second),
+		watches: jsonhttp.New(4, 0, 2*time.Second), timeout: timeout, start: time.Now(), noted: noted,
+		pacer: pace.New(p),
 	}
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -21,7 +21,7 @@
 // New returns a client whose commands are given up after timeout. It keeps up to
 // idle connections, of all workers together, for the next command.
 func New(timeout time.Duration, idle int) *Client {
-	return &Client{http: jsonhttp.Keep(jsonhttp.New(1, timeout), idle), timeout: timeout}
+	return &Client{http: jsonhttp.New(1, idle, timeout), timeout: timeout}
 }
 
 // Send sends commands and returns the worker's report after them. executed is
