shard: attempts in order, and by job, instead of maps that are sorted anew

A yard of dealer, shards, fleet and obeying workers (a benchmark in core/sim) shows what decisions cost: the end of a job looked at every attempt of every machine, each report sorted the machine's attempts twice and built a map of them, summaries were built to be compared.

Machines keep their attempts in a sorted slice, each job has a list of its own ones, a report marks what it shows, and a summary is only built once its short form has changed.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -41,6 +41,7 @@
 	drain  bool          // gets no tasks any more, and goes once it is empty
 	held   bool          // a plan drains it: neither room nor surplus
 	wanted bool          // a plan will drain it
+	up     uint64        // the turn in which a shard last told of it
 }
 
 // Action to carry out. The cloud's outcome comes back through Rented or Returned.
@@ -78,6 +79,7 @@
 	again   []Action                          // rentals in doubt: asked for again
 	gone    map[model.MachineID]time.Duration // given back; the list shows them for a while
 	n       uint64
+	turn    uint64
 	want    time.Duration
 	tight   time.Duration // little room was free, or work lacked some
 }
@@ -271,18 +273,19 @@
 
 // rooms are the machines that are or will be up, with what they have free.
 func (f *Fleet) rooms(now time.Duration, status []model.MachineStatus) []room {
-	var out []room
-	up := map[model.MachineID]bool{}
+	out := make([]room, 0, len(f.units)+maxRent)
+	f.turn++
 	for i := range status {
 		s := &status[i]
-		up[s.Machine.ID] = true
-		if u := f.units[s.Machine.ID]; !s.Draining && !s.Faulty && u.silent == 0 && !u.drain && !u.held {
+		u := f.units[s.Machine.ID]
+		u.up = f.turn
+		if !s.Draining && !s.Faulty && u.silent == 0 && !u.drain && !u.held {
 			out = append(out, room{m: s.Machine, avail: s.Avail, status: s})
 		}
 	}
 	for id, u := range f.units {
 		t := f.typeOf(u.typ)
-		if up[id] || u.drop || u.held || u.failed || t == nil || now-u.since > 2*t.Boot+10*time.Second {
+		if u.up == f.turn || u.drop || u.held || u.failed || t == nil || now-u.since > 2*t.Boot+10*time.Second {
 			continue
 		}
 		out = append(out, room{m: model.Machine{ID: id, Type: u.typ, Zone: u.zone, Spot: u.spot, Cap: t.Cap}, avail: t.Cap})
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -55,7 +55,7 @@
 		var launched []*slot
 		for _, c := range cmds {
 			if c.Verb == model.Launch {
-				sl := m.slots[key{c.Task, c.Attempt}]
+				sl := m.slots.get(key{c.Task, c.Attempt})
 				sl.direct++
 				launched = append(launched, sl)
 			}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -358,7 +358,7 @@
 // victims picks lower-priced tasks whose stop frees the room, cheapest first.
 func (s *Shard) victims(now time.Duration, m *machine, g *group) ([]*slot, time.Duration, bool) {
 	var cands []*slot
-	for _, sl := range sorted(m.slots) {
+	for _, sl := range m.slots {
 		if sl.t != nil && sl.state != exited && !sl.stop && !sl.t.recalled && sl.t.price < g.price && sl.task.Job != g.job {
 			cands = append(cands, sl)
 		}
@@ -410,7 +410,7 @@
 	g.tasks = g.tasks[1:]
 	s.attempt++
 	sl := &slot{key: key{t.Task, s.attempt}, t: t, each: t.Spec.Each}
-	m.slots[sl.key] = sl
+	s.put(m, sl)
 	m.used = m.used.Add(sl.each)
 	if s.rehearsal != nil {
 		sl.fetches = !m.images[t.Spec.Image]
--- a/internal/core/shard/rehearse.go
+++ b/internal/core/shard/rehearse.go
@@ -63,7 +63,7 @@
 		runSince: now - ran}
 	t.slot = sl
 	r.s.tasks[d.Task] = t
-	m.slots[sl.key] = sl
+	r.s.put(m, sl)
 	m.used = m.used.Add(sl.each)
 	m.images[d.Spec.Image] = true
 	return Begun{Task: d.Task, Spec: d.Spec, Machine: id, Attempt: sl.attempt}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -24,7 +23,10 @@
 // slot is an attempt that is, or may be, on a machine.
 type slot struct {
 	key
-	t        *task // nil: an attempt that nobody here holds
+	m        *machine
+	at       int    // in its job's list
+	seen     uint64 // the take that last showed it
+	t        *task  // nil: an attempt that nobody here holds
 	each     model.Resources
 	state    slotState
 	stage    model.Stage
@@ -85,7 +87,7 @@
 	if sl.state != exited {
 		s.free(m, sl)
 	}
-	delete(m.slots, sl.key)
+	s.cut(sl)
 	m.leveled = 0
 	if len(m.slots) == 0 {
 		m.idleSince = now
@@ -125,7 +127,7 @@
 }
 
 func (s *Shard) loseAll(now time.Duration, m *machine) {
-	for _, sl := range sorted(m.slots) {
+	for _, sl := range slices.Clone(m.slots) {
 		s.drop(now, m, sl)
 		if sl.t != nil {
 			s.Stats.Lost++
@@ -134,17 +136,6 @@
 	}
 }
 
-func sorted(slots map[key]*slot) []*slot {
-	out := make([]*slot, 0, len(slots))
-	for _, sl := range slots {
-		out = append(out, sl)
-	}
-	slices.SortFunc(out, func(a, b *slot) int {
-		return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.attempt, b.attempt))
-	})
-	return out
-}
-
 // Answer to a report.
 type Answer struct {
 	OK       bool // false: not entitled
@@ -211,7 +202,7 @@
 		if c.Stage == model.Exited || s.open[c.Task.Job] {
 			continue
 		}
-		if sl := m.slots[key{c.Task, c.Attempt}]; sl == nil || sl.t == nil && !sl.stop {
+		if sl := m.slots.get(key{c.Task, c.Attempt}); sl == nil || sl.t == nil && !sl.stop {
 			cmds = append(cmds, model.Command{Verb: model.Kill, Task: c.Task, Attempt: c.Attempt})
 		}
 	}
@@ -227,8 +218,8 @@
 		s.loseAll(now, m)
 	}
 	m.session, m.seq, m.shown = r.Session, r.Seq, r.Token
-	if m.Addr == "" {
-		m.Addr = r.Machine.Addr
+	if m.Addr == "" && r.Machine.Addr != "" {
+		m.Addr, m.anew = r.Machine.Addr, true
 	}
 	if r.Notice >= 0 {
 		if m.noticeAt == 0 {
@@ -242,17 +233,19 @@
 		m.wake = true
 		return
 	}
-	seen := make(map[key]bool, len(r.Cells))
+	s.takes++
 	for _, c := range r.Cells {
-		k := key{c.Task, c.Attempt}
-		seen[k] = true
-		s.cell(now, m, k, c)
+		s.cell(now, m, key{c.Task, c.Attempt}, c)
 	}
-	for _, sl := range sorted(m.slots) {
-		if !seen[sl.key] {
-			s.absent(now, m, sl, r, isReport)
+	var unseen []*slot
+	for _, sl := range m.slots {
+		if sl.seen != s.takes {
+			unseen = append(unseen, sl)
 		}
 	}
+	for _, sl := range unseen {
+		s.absent(now, m, sl, r, isReport)
+	}
 	if !m.fenced {
 		m.fenced = true
 		s.replan = true
@@ -261,16 +254,17 @@
 }
 
 func (s *Shard) cell(now time.Duration, m *machine, k key, c model.Cell) {
-	sl := m.slots[k]
+	sl := m.slots.get(k)
 	if sl == nil {
-		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, alien: true}
-		m.slots[k] = sl
+		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, alien: true, seen: s.takes}
+		s.put(m, sl)
 		if c.Stage == model.Exited {
 			sl.state, sl.alien = exited, false
 		}
 		s.emit(model.Event{Kind: model.Found, Machine: m.ID, Task: k.task, Attempt: k.attempt, Cell: c})
 		return
 	}
+	sl.seen = s.takes
 	if sl.state == exited {
 		return
 	}
@@ -345,13 +339,12 @@
 	}
 	var cmds []model.Command
 	room := m.Cap
-	slots := sorted(m.slots)
-	for _, sl := range slots {
+	for _, sl := range m.slots {
 		if sl.state != exited && sl.sent {
 			room = room.Sub(sl.each)
 		}
 	}
-	for _, sl := range slots {
+	for _, sl := range m.slots {
 		switch {
 		case sl.state == exited:
 			if sl.clear && (sl.doubt == 0 || m.shown > sl.doubt) && sl.direct == 0 {
--- a/internal/core/shard/scale_test.go
+++ b/internal/core/shard/scale_test.go
@@ -37,8 +37,8 @@
 		r := full(t, machines, 100)
 		m := r.s.order[0]
 		var held key
-		for k := range m.slots {
-			held = k
+		for _, sl := range m.slots {
+			held = sl.key
 		}
 		before := r.s.Stats.Looked
 		got := r.report(m.ID, 5, model.Cell{Task: held.task, Attempt: held.attempt, Stage: model.Exited, Cause: model.CauseDone})
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -33,7 +33,7 @@
 	answered     time.Duration
 	silent       bool
 	told         time.Duration // silence last told to the dealer
-	slots        map[key]*slot
+	slots        slots
 	used         model.Resources // of all slots not exited, reservations included
 	images       map[model.Name]bool
 	noticeAt     time.Duration // 0: none
@@ -42,15 +42,16 @@
 	needToken    bool
 	idleSince    time.Duration
 	errors       []jobError
-	faultyUntil  time.Duration       // held to be faulty
-	refusedUntil time.Duration       // it had less room than the books say
-	wake         bool                // has commands that should go out directly
-	patient      time.Duration       // not directly before, while it is not fenced
-	probe        bool                // its worker is to be asked, whether there are commands or not
-	deaf         bool                // it did not answer, and the dealer knows
-	roomier      bool                // has had room freed since waiting tasks were placed
-	last         model.MachineStatus // as last told to the dealer
-	leveled      uint64              // round in which lowest and busy were looked up
+	faultyUntil  time.Duration // held to be faulty
+	refusedUntil time.Duration // it had less room than the books say
+	wake         bool          // has commands that should go out directly
+	patient      time.Duration // not directly before, while it is not fenced
+	probe        bool          // its worker is to be asked, whether there are commands or not
+	deaf         bool          // it did not answer, and the dealer knows
+	roomier      bool          // has had room freed since waiting tasks were placed
+	last         brief         // as last told to the dealer
+	anew         bool          // more has changed since than that
+	leveled      uint64        // round in which lowest and busy were looked up
 	lowest       model.Rank
 	busy         bool
 }
@@ -98,6 +99,8 @@
 	roomier  []*machine
 	round    uint64              // of placing, from 1
 	running  map[model.JobID]int // as last counted
+	ofJob    map[model.JobID][]*slot
+	takes    uint64 // reports taken
 	counted  time.Duration
 	deals    uint64
 	moved    map[model.MachineID]string
@@ -115,7 +118,7 @@
 func New(p Params, attempts uint64, rng *rand.Rand) *Shard {
 	return &Shard{p: p, rng: rng, attempt: attempts, round: 1, machines: map[model.MachineID]*machine{},
 		tasks: map[model.Task]*task{},
-		queue: map[groupKey]*group{}, pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}, records: map[model.JobID]*record{}}
+		queue: map[groupKey]*group{}, ofJob: map[model.JobID][]*slot{}, pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}, records: map[model.JobID]*record{}}
 }
 
 // Grant lets the shard act until the given time.
@@ -164,13 +167,13 @@
 		s.lookAt(now, o)
 	case model.ClearIt:
 		if m := s.machines[o.ID]; m != nil {
-			if sl := m.slots[key{o.Task, o.Attempt}]; sl != nil {
+			if sl := m.slots.get(key{o.Task, o.Attempt}); sl != nil {
 				sl.clear = true
 			}
 		}
 	case model.KillIt:
 		if m := s.machines[o.ID]; m != nil {
-			if sl := m.slots[key{o.Task, o.Attempt}]; sl != nil {
+			if sl := m.slots.get(key{o.Task, o.Attempt}); sl != nil {
 				s.stop(now, m, sl, 0)
 			}
 		}
@@ -201,7 +204,7 @@
 // unreserve takes tasks back that are not on their way to a machine yet: nothing
 // is launched there any more.
 func (s *Shard) unreserve(now time.Duration, m *machine) {
-	for _, sl := range sorted(m.slots) {
+	for _, sl := range slices.Clone(m.slots) {
 		if !sl.sent {
 			s.stop(now, m, sl, 0)
 		}
@@ -228,7 +231,7 @@
 func (s *Shard) letGo(id model.MachineID, keeper string) {
 	e := model.Event{Kind: model.Released, Machine: id}
 	if m := s.machines[id]; m != nil {
-		for _, sl := range sorted(m.slots) {
+		for _, sl := range slices.Clone(m.slots) {
 			switch t := sl.t; {
 			case t == nil || t.slot != sl:
 			case !sl.sent:
@@ -249,6 +252,10 @@
 
 func (s *Shard) remove(m *machine) {
 	delete(s.machines, m.ID)
+	for _, sl := range m.slots {
+		s.unlist(sl)
+	}
+	m.slots = nil
 	s.order = slices.DeleteFunc(s.order, func(x *machine) bool { return x == m })
 }
 
@@ -265,7 +272,7 @@
 	delete(s.moved, o.Machine.ID)
 	if m == nil {
 		m = &machine{Machine: o.Machine, first: o.Token, answered: now, idleSince: now,
-			slots: map[key]*slot{}, images: s.images[o.Machine.ID]}
+			images: s.images[o.Machine.ID], anew: true}
 		if m.images == nil {
 			m.images = map[model.Name]bool{}
 		}
@@ -273,6 +280,7 @@
 		i, _ := slices.BinarySearchFunc(s.order, m, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
 		s.order = slices.Insert(s.order, i, m)
 	}
+	m.anew = m.anew || m.Machine != o.Machine
 	m.Machine = o.Machine
 	m.token = max(m.token, o.Token)
 	m.needToken = false
@@ -295,7 +303,7 @@
 			// away. Placing the task anew could run it twice.
 			return
 		}
-		if sl := m.slots[key{d.Task, d.Attempt}]; sl != nil && sl.state == live {
+		if sl := m.slots.get(key{d.Task, d.Attempt}); sl != nil && sl.state == live {
 			sl.t, t.on, t.slot, sl.alien = t, m, sl, false
 			sl.adopted = true
 			if sl.stage == model.Running {
@@ -365,19 +373,14 @@
 			g.tasks = nil
 		}
 	}
-	for _, m := range s.order {
-		for k, sl := range m.slots {
-			if k.task.Job != job {
-				continue
-			}
-			if sl.t != nil {
-				sl.t.recalled = true
-			}
-			if sl.state == exited {
-				sl.clear = true
-			} else {
-				s.stop(now, m, sl, 0)
-			}
+	for _, sl := range s.attempts(job) {
+		if sl.t != nil {
+			sl.t.recalled = true
+		}
+		if sl.state == exited {
+			sl.clear = true
+		} else {
+			s.stop(now, sl.m, sl, 0)
 		}
 	}
 }
@@ -388,11 +391,14 @@
 	for k, g := range s.queue {
 		if k.job == job {
 			g.price = price
+			for _, t := range g.tasks {
+				t.price = price
+			}
 		}
 	}
-	for k, t := range s.tasks {
-		if k.Job == job {
-			t.price = price
+	for _, sl := range s.ofJob[job] {
+		if sl.t != nil {
+			sl.t.price = price
 		}
 	}
 }
@@ -442,7 +448,7 @@
 // evacuate moves tasks off a machine that will be taken: those that save, just
 // in time; those that would not finish, at once.
 func (s *Shard) evacuate(now time.Duration, m *machine) {
-	for _, sl := range sorted(m.slots) {
+	for _, sl := range slices.Clone(m.slots) {
 		if sl.t == nil || sl.state == exited || sl.stop {
 			continue
 		}
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -41,7 +41,39 @@
 		r.t.Fatal("report refused")
 	}
 	r.s.Place(r.now)
-	return r.s.Answer(r.now, rep).Commands
+	cmds := r.s.Answer(r.now, rep).Commands
+	r.books()
+	return cmds
+}
+
+// books checks that each job's list holds exactly what the machines do, in order
+// there, and that the machines' room is what their attempts leave.
+func (r *rig) books() {
+	r.t.Helper()
+	on := 0
+	for _, m := range r.s.order {
+		used := model.Resources{}
+		for i, sl := range m.slots {
+			if l := r.s.ofJob[sl.task.Job]; sl.m != m || l[sl.at] != sl || i > 0 && m.slots[i-1].key.compare(sl.key) >= 0 {
+				r.t.Fatalf("machine %d, %v: not in its job's list, or out of order", m.ID, sl.key)
+			}
+			if sl.state != exited {
+				used = used.Add(sl.each)
+			}
+			on++
+		}
+		if used != m.used {
+			r.t.Fatalf("machine %d: %v used, its attempts take %v", m.ID, m.used, used)
+		}
+	}
+	for job, l := range r.s.ofJob {
+		if on -= len(l); len(l) == 0 {
+			r.t.Fatalf("job %d: an empty list", job)
+		}
+	}
+	if on != 0 {
+		r.t.Fatalf("the jobs' lists lack %d attempts", on)
+	}
 }
 
 func (r *rig) spec(job model.JobID, rank model.Rank, cpus float64) *model.Spec {
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -17,17 +17,31 @@
 func (s *Shard) Status(now time.Duration) []model.MachineStatus {
 	var out []model.MachineStatus
 	for _, m := range s.order {
-		if st := s.summary(now, m); st != m.last {
-			m.last = st
-			out = append(out, st)
+		if b := s.brief(now, m); m.anew || b != m.last {
+			m.last, m.anew = b, false
+			out = append(out, s.summary(now, m))
 		}
 	}
 	return out
 }
 
+// brief is what often changes in a machine's summary.
+type brief struct {
+	avail                   model.Resources
+	ready, draining, faulty bool
+	slots                   int
+	idleSince               time.Duration
+}
+
+func (s *Shard) brief(now time.Duration, m *machine) brief {
+	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m), draining: m.noticeAt != 0, faulty: now < m.faultyUntil,
+		slots: len(m.slots), idleSince: m.idleSince}
+}
+
 func (s *Shard) summary(now time.Duration, m *machine) model.MachineStatus {
-	return model.MachineStatus{Machine: m.Machine, Avail: m.Cap.Sub(m.used), Ready: s.ready(now, m),
-		Draining: m.noticeAt != 0, Slots: len(m.slots), IdleSince: m.idleSince, Faulty: now < m.faultyUntil}
+	b := s.brief(now, m)
+	return model.MachineStatus{Machine: m.Machine, Avail: b.avail, Ready: b.ready, Draining: b.draining, Slots: b.slots,
+		IdleSince: b.idleSince, Faulty: b.faulty}
 }
 
 // Waiting returns how many tasks wait.
@@ -64,10 +78,10 @@
 func (s *Shard) Jobs(now time.Duration) map[model.JobID]model.JobCount {
 	if s.running == nil || now-s.counted >= time.Second {
 		s.running, s.counted = map[model.JobID]int{}, now
-		for _, m := range s.order {
-			for k, sl := range m.slots {
+		for job, l := range s.ofJob {
+			for _, sl := range l {
 				if sl.t != nil && sl.state == live && sl.stage == model.Running {
-					s.running[k.task.Job]++
+					s.running[job]++
 				}
 			}
 		}
@@ -97,7 +111,7 @@
 // on is what is on the machine, or may be.
 func (m *machine) on(now time.Duration) []model.OnMachine {
 	var out []model.OnMachine
-	for _, sl := range sorted(m.slots) {
+	for _, sl := range m.slots {
 		if sl.state != exited {
 			out = append(out, model.OnMachine{Task: sl.task, Stage: sl.stage, Ran: max(0, sl.ran(now)), Stopping: sl.stop,
 				Adopted: sl.adopted})
--- /dev/null
+++ b/internal/core/sim/yard_test.go
@@ -0,0 +1,268 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/fleet"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/shard"
+)
+
+// yard is a term on a plain day: a dealer, its shards and its fleet, with workers
+// that do as they are told at once. It measures what decisions cost; nothing is
+// lost or late in it.
+type yard struct {
+	d       *dealer.Dealer
+	f       *fleet.Fleet
+	shards  []*shard.Shard // by id, from 1; the first is the leader's own
+	hands   []*hand
+	specs   map[model.JobID]*model.Spec
+	now     time.Duration
+	nextJob model.JobID
+	arrive  float64 // jobs a second
+	owed    float64
+	rng     *rand.Rand
+	spent   map[string]time.Duration
+	done    int
+	load    load
+}
+
+// load is what a yard's machines are like, and its tasks.
+type load struct {
+	cpus, report, shards, jobs, images int
+	each                               float64 // CPUs of a task
+}
+
+// Two loads: small machines that report seldom, and large ones with many tasks
+// that report often.
+var (
+	small = load{cpus: 8, report: 8, shards: 3, jobs: 900, images: 24, each: 4}
+	large = load{cpus: 48, report: 3, shards: 5, jobs: 140, images: 24, each: 2}
+)
+
+// hand is a worker.
+type hand struct {
+	m     model.Machine
+	at    int // the shard that it reports to
+	token uint64
+	seq   uint64
+	next  time.Duration
+	cells []model.Cell
+	ends  []time.Duration // of cells
+}
+
+func (l load) types() []model.MachineType {
+	c := float64(l.cpus)
+	return []model.MachineType{{Name: 0, Cap: model.Capacity(c, 0, 2*c), Price: 0.07 * c, SpotPrice: 0.03 * c,
+		Boot: 20 * time.Second, Zones: []model.Name{0, 1, 2}}}
+}
+
+func (l load) every() time.Duration { return time.Duration(l.report) * time.Second }
+
+func newYard(l load, machines int, term uint64) *yard {
+	y := &yard{specs: map[model.JobID]*model.Spec{}, rng: rand.New(rand.NewPCG(7, uint64(machines))), now: time.Minute,
+		spent: map[string]time.Duration{}, arrive: float64(machines) / float64(l.jobs), load: l}
+	for i := range machines {
+		y.hands = append(y.hands, &hand{m: model.Machine{ID: model.MachineID(i), Addr: "w", Zone: model.Name(i % 3),
+			Spot: i%2 == 0}, at: i % l.shards,
+			next: y.now + time.Duration(i)*l.every()/time.Duration(machines)})
+	}
+	y.lead(term)
+	return y
+}
+
+// lead begins a term.
+func (y *yard) lead(term uint64) {
+	y.d = dealer.New(dealer.Params{Term: term, Teams: []dealer.Team{{}}, ChunkSize: 64, BlockSize: 128, Progress: 2 * time.Second,
+		Ahead: 12, SureLease: 43 * time.Second}, y.now)
+	y.d.SetTypes(y.load.types())
+	y.f = fleet.New(fleet.Params{Term: term, Began: y.now, ListLag: 10 * time.Second, IdleReturn: time.Hour, Horizon: 90 * time.Second,
+		Probe: 15 * time.Second})
+	y.f.SetTypes(y.load.types())
+	y.f.List(y.now, y.now, nil)
+	y.shards = nil
+	for i := range y.load.shards {
+		id := y.d.Join(y.now, fmt.Sprint("c", i))
+		s := shard.New(shard.Params{SureLease: 43 * time.Second, Report: y.load.every(), Sample: 3, PaybackLimit: time.Minute,
+			DemoteStep: 2, DoubtPause: time.Second}, y.d.Attempts(id), y.rng)
+		s.Grant(time.Hour * 24)
+		y.shards = append(y.shards, s)
+	}
+}
+
+// timed runs a part and counts what it took.
+func (y *yard) timed(part string, f func()) {
+	began := time.Now()
+	f()
+	y.spent[part] += time.Since(began)
+}
+
+func (y *yard) exchange() {
+	for again := true; again; {
+		again = false
+		for _, o := range y.d.Orders() {
+			again = true
+			y.shards[o.To-1].Order(y.now, o)
+		}
+		for i, s := range y.shards {
+			for _, e := range s.Events() {
+				again = true
+				if e.Kind == model.Finished {
+					y.done++
+				}
+				y.d.Event(y.now, model.ShardID(i+1), e)
+			}
+		}
+	}
+}
+
+// report lets a worker report and do what it is told.
+func (y *yard) report(h *hand) {
+	h.seq++
+	h.next = y.now + y.load.every()
+	s := y.shards[h.at]
+	r := &model.Report{Machine: h.m, Session: 1, Seq: h.seq, Token: h.token, Notice: -1, Cells: h.cells}
+	if !s.Report(y.now, r) {
+		y.exchange()
+		if !s.Report(y.now, r) {
+			return
+		}
+	}
+	s.PlaceOn(y.now, h.m.ID)
+	a := s.Answer(y.now, r)
+	y.obey(h, a.Token, a.Commands)
+}
+
+func (y *yard) obey(h *hand, token uint64, cmds []model.Command) {
+	h.token = max(h.token, token)
+	for _, c := range cmds {
+		at := -1
+		for i := range h.cells {
+			if h.cells[i].Task == c.Task && h.cells[i].Attempt == c.Attempt {
+				at = i
+			}
+		}
+		switch {
+		case c.Verb == model.Launch && at < 0:
+			h.cells = append(h.cells, model.Cell{Task: c.Task, Attempt: c.Attempt, Stage: model.Running})
+			h.ends = append(h.ends, y.now+time.Duration(20+y.rng.IntN(60))*time.Second)
+		case c.Verb == model.Kill && at >= 0:
+			h.cells[at].Stage, h.cells[at].Cause = model.Exited, model.CauseStopped
+		case c.Verb == model.Clear && at >= 0:
+			h.cells = append(h.cells[:at:at], h.cells[at+1:]...)
+			h.ends = append(h.ends[:at:at], h.ends[at+1:]...)
+		}
+	}
+}
+
+// step is a tenth of a second.
+func (y *yard) step() {
+	y.now += 100 * time.Millisecond
+	for y.owed += y.arrive / 10; y.owed >= 1; y.owed-- {
+		y.nextJob++
+		sp := &model.Spec{ID: y.nextJob, Rank: model.Rank(y.rng.IntN(2)), Tasks: int32(20 + y.rng.IntN(60)), Zone: model.None,
+			Each: model.Request(y.load.each, 0, y.load.each*(1.1+0.7*y.rng.Float64())), Spot: true, Estimate: 50 * time.Second, Image: model.Name(y.rng.IntN(y.load.images))}
+		y.specs[sp.ID] = sp
+		y.d.AddJob(y.now, sp, uint64(y.nextJob), 0, false)
+	}
+	for _, h := range y.hands {
+		due := y.now >= h.next
+		for i, end := range h.ends {
+			if h.cells[i].Stage == model.Running && y.now >= end {
+				h.cells[i].Stage, h.cells[i].Cause = model.Exited, model.CauseDone
+				due = true
+			}
+		}
+		if due {
+			y.timed("reports", func() { y.report(h) })
+		}
+	}
+	y.timed("events", y.exchange)
+	y.timed("ticks", func() {
+		for _, s := range y.shards {
+			s.Tick(y.now)
+		}
+		y.d.Tick(y.now)
+	})
+	y.deal()
+	y.timed("events", y.exchange)
+	y.timed("place", func() {
+		for _, s := range y.shards {
+			s.Place(y.now)
+		}
+	})
+	y.timed("flush", y.flush)
+	y.timed("writes", func() {
+		for _, w := range y.d.Writes(y.now, 3) {
+			y.d.Stored(y.now, w, uint64(y.now), true, false)
+		}
+	})
+	y.timed("events", y.exchange)
+	if y.now%(500*time.Millisecond) == 0 {
+		y.timed("fleet", y.fleet)
+	}
+}
+
+func (y *yard) deal() {
+	y.timed("status", func() {
+		for i, s := range y.shards {
+			y.d.Status(y.now, model.ShardID(i+1), s.Status(y.now), s.Jobs(y.now), s.Deals())
+		}
+	})
+	y.timed("deal", func() { y.d.Deal(y.now) })
+}
+
+func (y *yard) flush() {
+	for _, s := range y.shards {
+		s.Flush(y.now, 48)
+		for _, d := range s.Directs() {
+			h := y.hands[d.Machine]
+			h.seq++
+			y.obey(h, d.Token, d.Commands)
+			s.DirectDone(y.now, d, &model.Report{Machine: h.m, Session: 1, Seq: h.seq, Token: h.token, Notice: -1, Cells: h.cells}, true)
+		}
+	}
+}
+
+func (y *yard) fleet() {
+	status := y.d.Machines()
+	y.f.Observe(y.now, status, y.d.Silent)
+	var demand []fleet.Demand
+	for _, need := range y.d.Needs() {
+		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(y.d.Count(need.Spec.ID).Waiting)})
+	}
+	y.f.Step(y.now, status, demand, y.d.Limit)
+}
+
+// BenchmarkCalm measures what the decisions of a calm second cost, all shards'
+// together, in milliseconds of processor time by part.
+func BenchmarkCalm(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		l    load
+		n    int
+	}{{"small", small, 1373}, {"small", small, 2746}, {"small", small, 5492}, {"large", large, 740}, {"large", large, 2960}} {
+		b.Run(fmt.Sprint(c.name, "/", c.n), func(b *testing.B) {
+			y := newYard(c.l, c.n, 1)
+			for range 900 {
+				y.step()
+			}
+			y.spent = map[string]time.Duration{}
+			y.done = 0
+			b.ResetTimer()
+			for range b.N {
+				for range 10 {
+					y.step()
+				}
+			}
+			for part, d := range y.spent {
+				b.ReportMetric(d.Seconds()*1000/float64(b.N), part+"-ms/s")
+			}
+			b.ReportMetric(float64(y.done)/float64(b.N), "done/s")
+		})
+	}
+}
