--- a/internal/client/operators.go
+++ b/internal/client/operators.go
@@ -6,13 +6,14 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/segmentio/encoding/json"
 )
 
 // Operators is a client of the operators' door.
--- a/internal/client/users.go
+++ b/internal/client/users.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +14,8 @@
 	"strconv"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/wire"
 )
 
--- a/internal/core/drain/record.go
+++ b/internal/core/drain/record.go
@@ -2,11 +2,12 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/core/model"
 )
 
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -4,13 +4,14 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/segmentio/encoding/json"
 )
 
 // ErrNoAnswer means that the request may or may not have been executed, or may
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/config"
 	"honeylock/internal/core/budget"
 	"honeylock/internal/core/drain"
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/standing"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -12,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/cloud"
 	"honeylock/internal/config"
 	"honeylock/internal/core/election"
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -5,12 +5,13 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/config"
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/ledger"
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/cloud"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 )
--- /dev/null
+++ b/internal/server/serializer.go
@@ -0,0 +1,24 @@
+package server
+
+import (
+	"fmt"
+
+	"github.com/labstack/echo/v4"
+	"github.com/segmentio/encoding/json"
+)
+
+// serializer writes answers with the library that everything else uses.
+type serializer struct{}
+
+func (serializer) Serialize(c echo.Context, v any, _ string) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode answer: %w", err)
+	}
+	_, err = c.Response().Write(b)
+	return err
+}
+
+func (serializer) Deserialize(c echo.Context, v any) error {
+	return json.NewDecoder(c.Request().Body).Decode(v)
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -12,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/core/pace"
 	"honeylock/internal/core/standing"
 	"honeylock/internal/jsonhttp"
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -53,14 +53,23 @@
 	if len(s) < len(prefix)+6 || s[:len(prefix)] != prefix {
 		return 0, fmt.Errorf("%q is not of the form %s000000", s, prefix)
 	}
-	n, err := strconv.ParseUint(s[len(prefix):], 10, 63)
-	if err != nil || format(prefix, n) != s {
+	digits := s[len(prefix):]
+	n, err := strconv.ParseUint(digits, 10, 63)
+	if err != nil || len(digits) > 6 && digits[0] == '0' {
 		return 0, fmt.Errorf("%q is not of the form %s000000", s, prefix)
 	}
 	return n, nil
 }
 
-func format(prefix string, n uint64) string { return fmt.Sprintf("%s%06d", prefix, n) }
+// format is called for every name that goes out: without fmt, which took a
+// twentieth of a controller's time.
+func format(prefix string, n uint64) string {
+	b := append(make([]byte, 0, 24), prefix...)
+	for least := uint64(100_000); least > max(n, 1); least /= 10 {
+		b = append(b, '0')
+	}
+	return string(strconv.AppendUint(b, n, 10))
+}
 
 // ParseJob parses a job's name.
 func ParseJob(s string) (model.JobID, error) {
--- a/internal/wire/store.go
+++ b/internal/wire/store.go
@@ -1,10 +1,11 @@
 package wire
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/core/model"
 )
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -12,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/core/model"
 )
 
