sim: a benchmark of a change of leader; shard: room for victims is used again

What a new term costs its decisions had no measurement of its own: a yard whose leader changes, all machines holding tasks of the term before, gives processor time and memory by machine. Looking for victims built a list of all machines anew each round; its room is kept.

--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -114,7 +114,7 @@
 			open = append(open, m)
 		}
 	}
-	v := &prey{s: s, now: now}
+	v := &prey{s: s, now: now, at: s.prey[:0]}
 	for _, g := range s.ranked {
 		r := s.rooms(now, g, open)
 		// Each waiting task is tried once a round, whatever evictions put back.
@@ -130,6 +130,7 @@
 		}
 		s.leave(g)
 	}
+	s.prey = v.at
 }
 
 func (s *Shard) allows(now time.Duration, g *group, m *machine) bool {
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -98,6 +98,7 @@
 	replan   bool                 // more than machines' room has changed since
 	roomier  []*machine
 	round    uint64              // of placing, from 1
+	prey     []preyAt            // of the last round: its room is used again
 	running  map[model.JobID]int // as last counted
 	ofJob    map[model.JobID][]*slot
 	takes    uint64 // reports taken
--- a/internal/core/sim/yard_test.go
+++ b/internal/core/sim/yard_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -272,3 +273,65 @@
 		})
 	}
 }
+
+// BenchmarkFencing measures what a change of leader costs: all machines hold tasks
+// of the term before, and report to shards that know nothing. Processor time and
+// what is kept are per machine.
+func BenchmarkFencing(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		l    load
+		n    int
+	}{{"small", small, 1373}, {"small", small, 5000}, {"large", large, 740}} {
+		b.Run(fmt.Sprint(c.name, "/", c.n), func(b *testing.B) {
+			y := newYard(c.l, c.n, 1)
+			for range 600 {
+				y.step()
+			}
+			var spent time.Duration
+			var bytes, recovered int64
+			b.ResetTimer()
+			for i := range b.N {
+				open := map[model.JobID]bool{}
+				y.d.Open(func(id model.JobID, _ uint64, _, _ int) { open[id] = true })
+				y.d, y.f, y.shards = nil, nil, nil
+				before := inUse()
+				began, at := time.Now(), y.now
+				y.succeed(uint64(i+2), open)
+				for !y.d.Recovered() {
+					y.step()
+				}
+				spent += time.Since(began)
+				bytes += inUse() - before
+				recovered += int64(y.now - at)
+			}
+			each := float64(b.N) * float64(c.n)
+			b.ReportMetric(spent.Seconds()*1e6/each, "us/machine")
+			b.ReportMetric(float64(bytes)/each, "B/machine")
+			b.ReportMetric(time.Duration(recovered).Seconds()/float64(b.N), "simulated-s")
+		})
+	}
+}
+
+// succeed begins a term that reads what the one before has stored.
+func (y *yard) succeed(term uint64, open map[model.JobID]bool) {
+	y.lead(term)
+	for i := range y.hands {
+		m := y.hands[i].m
+		m.Cap = y.load.types()[0].Cap
+		y.d.Recorded(m, 1)
+	}
+	for id := range y.nextJob + 1 {
+		if open[id] {
+			y.d.AddJob(y.now, y.specs[id], uint64(id), 0, true)
+		}
+	}
+}
+
+// inUse is what the heap holds, garbage aside.
+func inUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
