dealer: a final deletes only chunks that may be stored

With four times the machines and unchanged limits the state service's 25 changes a second are used up: each final deleted its job's chunks of progress, whether any had ever been written or not. What a term has read or sent counts as kept, an unanswered write included; the rest needs no change. A final without stored progress takes 2 changes in place of 3 or more.

--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -37,6 +37,9 @@
 	within  bool
 	price   float64
 	dirty   map[int32]bool // chunks to be stored
+	// kept are the chunks that may be stored. A final deletes only these: at four
+	// times its size a deployment used up its changes deleting what never was.
+	kept    map[int32]bool
 	writing bool
 	stored  time.Duration
 	clears  []clearing
@@ -51,7 +54,7 @@
 		return
 	}
 	j := &job{spec: sp, version: version, done: make([]uint64, (sp.Tasks+63)/64), held: map[int32]hold{}, since: now - waited,
-		old: old, dirty: map[int32]bool{}}
+		old: old, dirty: map[int32]bool{}, kept: map[int32]bool{}}
 	j.price = Price(sp.Rank, false)
 	d.jobs[sp.ID] = j
 	i, _ := slices.BinarySearchFunc(d.inOrder, j, compareJobs)
@@ -65,6 +68,7 @@
 	if j == nil {
 		return
 	}
+	j.kept[chunk] = true
 	base := chunk * d.p.ChunkSize
 	for i, x := range b {
 		for ; x != 0; x &= x - 1 {
--- a/internal/core/dealer/writes.go
+++ b/internal/core/dealer/writes.go
@@ -1,6 +1,7 @@
 package dealer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 	Job      model.JobID
 	Chunk    int32
 	Bits     []byte
-	Chunks   int32 // Finish: how many chunk keys may exist
+	Kept     []int32 // Finish: chunks that may be stored
 
 	clears []clearing
 }
@@ -47,7 +48,7 @@
 		}
 		if !j.ended && !j.writing && !j.spec.Daemon && j.nDone == j.spec.Tasks {
 			j.writing = true
-			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version, Chunks: (j.spec.Tasks + d.p.ChunkSize - 1) / d.p.ChunkSize})
+			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version, Kept: slices.Sorted(maps.Keys(j.kept))})
 		}
 	}
 	return d.blockWrites(out, n)
@@ -68,6 +69,7 @@
 				return out
 			}
 			delete(j.dirty, c)
+			j.kept[c] = true // from here on, whatever becomes of the write
 			j.writing, j.stored = true, now
 			w := Write{Kind: PutChunk, Job: j.spec.ID, Chunk: c, Bits: d.chunk(j, c)}
 			j.clears = slices.DeleteFunc(j.clears, func(cl clearing) bool {
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -168,7 +168,7 @@
 	case dealer.Finish:
 		out.guards = []wire.Guard{{Key: openKeys + wire.JobName(w.Job), Version: w.Version}}
 		out.ops = finalOps(w.Job, jobs.Done)
-		for c := range w.Chunks {
+		for _, c := range w.Kept {
 			out.ops = append(out.ops, wire.Op{Delete: chunkKey(w.Job, c)})
 		}
 	}
