budget, pace: ends of jobs go before progress, each write counts its changes

The leader's budget counted writes, whatever changes each made, and the client's queue held finals and progress as one class. Now a write costs its changes, an overdraft is made up for, progress and plans are a class behind users' changes, and the load in the log tells how many jobs are ending.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -47,10 +47,13 @@
 	return max(0, int(left))
 }
 
-// Spend takes n changes of a class.
+// Spend takes n changes of a class, which may be more than are left: the next ones
+// wait for as much longer. Counted by writes, however many changes each made, finals
+// and progress together once exceeded what the service takes, and the finals waited
+// behind progress in the client's queue.
 func (b *Budget) Spend(now time.Duration, c Class, n int) {
 	b.waiting[c] = 0
-	b.l.AllowN(at(now), n)
+	b.l.ReserveN(at(now), min(n, int(b.burst)))
 }
 
 // Refused notes that a class had more to write than was left.
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -30,3 +30,20 @@
 		t.Error("still told to wait")
 	}
 }
+
+// A write of several changes counts as what it is: after one that overdraws, nothing
+// is left until the rate has made up for it.
+func TestOverdrawnBudgetWaitsForItsRate(t *testing.T) {
+	b := New(4, 8)
+	b.Spend(0, Finals, 7)
+	b.Spend(0, Finals, 3)
+	if n := b.Left(0, Finals); n != 0 {
+		t.Fatalf("%d left of an overdrawn budget", n)
+	}
+	if n := b.Left(500*time.Millisecond, Finals); n != 0 {
+		t.Errorf("%d left while the overdraft is made up for", n)
+	}
+	if n := b.Left(time.Second, Finals); n != 2 {
+		t.Errorf("%d left a second later, want 4 less the 2 overdrawn", n)
+	}
+}
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -21,8 +21,9 @@
 // Classes.
 const (
 	Authority Class = iota // leases, the leader's key, watches: never wait
-	Leader                 // what a leader reads and writes
+	Leader                 // what a leader reads, ends of jobs, and records that placing waits for
 	Changes                // submissions and cancellations
+	Upkeep                 // a leader's progress and plans: nobody is told of them
 	Reads                  // polls, and whatever else nobody is held up by
 	classes
 )
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -161,3 +161,37 @@
 		}
 	})
 }
+
+// Where changes are scarce, the ends of jobs go before progress that asked earlier:
+// they once shared a class, and 170 jobs that had ended waited to be told of.
+func TestEndsOfJobsGoBeforeProgress(t *testing.T) {
+	const rate = 10
+	q := New(Params{Requests: 1000, Writes: rate, Controllers: 1})
+	var ends []*Ticket
+	var progress int
+	now := time.Duration(0)
+	for i := range 200 { // 20 s with three times the changes that the service takes
+		now += 100 * time.Millisecond
+		for range 2 {
+			if k := q.Ask(now, Upkeep, 1, now+1500*time.Millisecond); went(k) {
+				progress++
+			}
+		}
+		if i%3 == 0 {
+			ends = append(ends, q.Ask(now, Leader, 2, now+1500*time.Millisecond))
+		}
+		q.Step(now)
+	}
+	gone := 0
+	for _, k := range ends {
+		if went(k) {
+			gone++
+		}
+	}
+	if gone < len(ends)-2 {
+		t.Errorf("%d of %d ends of jobs went, beside %d pieces of progress", gone, len(ends), progress)
+	}
+	if progress == 0 {
+		t.Error("no progress was stored though a third of the changes were left")
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -73,7 +73,7 @@
 	c := &n.cfg.Cluster
 	l := &leadership{n: n, ctx: lctx, cancel: cancel, term: n.el.Term(), guard: wire.Guard{Key: keyLeader, Version: n.el.Version()},
 		ready: make(chan struct{}), began: now, links: map[model.ShardID]*link{}, hosts: map[string]bool{},
-		budget: budget.New(c.State.WriteRPS*0.4, max(4, int(c.State.WriteRPS*0.2)))}
+		budget: budget.New(c.State.WriteRPS*leadersPart, max(8, int(c.State.WriteRPS*leadersPart/2)))}
 	// Shards of the term before may act on grants that reach to the end of
 	// their leader's authority, even if its lease was ended early: up to one
 	// whole length of it from now, unless they are heard to have stopped.
@@ -103,6 +103,10 @@
 // follows from them.
 const reportsPerCPU = 2000
 
+// leadersPart is the leader's part of the changes that the state service takes; the
+// rest is for users' jobs.
+const leadersPart = 0.8
+
 // crowd is how many machines take about a third of a controller's processor with
 // their reports: fewer are sent nowhere else. Without a stated processor it has a core.
 func crowd(c *config.Cluster) int {
--- a/internal/node/loadlog.go
+++ b/internal/node/loadlog.go
@@ -14,7 +14,7 @@
 const loadEvery = 15 * time.Second
 
 // classLoad sums up the open jobs of a class.
-type classLoad struct{ jobs, open, held, running int }
+type classLoad struct{ jobs, ending, open, held, running int }
 
 // logLoad tells the load at info: without it a day can't be understood
 // afterwards.
@@ -30,6 +30,9 @@
 			classes[need.Spec.Class] = c
 		}
 		c.jobs++
+		if need.Open == 0 { // its final is not stored yet
+			c.ending++
+		}
 		c.open += int(need.Open)
 		c.held += int(need.Held)
 		c.running += p.d.Count(need.Spec.ID).Running
@@ -54,7 +57,7 @@
 		"free", free/1000)
 	for _, name := range slices.Sorted(maps.Keys(classes)) {
 		c := classes[name]
-		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "open", c.open, "held",
+		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "ending", c.ending, "open", c.open, "held",
 			c.held, "running", c.running)
 	}
 }
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -69,14 +69,14 @@
 	var batch []write
 	flush := func() {
 		if len(batch) > 0 {
-			go l.write(batch)
+			go l.write(batch, c)
 			batch = nil
 		}
 	}
 	for _, w := range ws {
-		l.budget.Spend(now, c, 1)
+		l.budget.Spend(now, c, len(w.ops))
 		if !w.joins {
-			go l.write([]write{w})
+			go l.write([]write{w}, c)
 			continue
 		}
 		if batch = append(batch, w); len(batch) >= min(l.n.cfg.Cluster.State.TxnOps, 4) {
@@ -86,14 +86,24 @@
 	flush()
 }
 
-func (l *leadership) write(batch []write) {
+// paceOf is how urgent a write is among this controller's requests: progress once
+// went as finals do, and where changes were scarce 170 jobs that had ended waited
+// behind it.
+func paceOf(c budget.Class) pace.Class {
+	if c == budget.Finals {
+		return pace.Leader
+	}
+	return pace.Upkeep
+}
+
+func (l *leadership) write(batch []write, c budget.Class) {
 	n := l.n
 	t := wire.Txn{Guards: []wire.Guard{l.guard}}
 	for _, w := range batch {
 		t.Guards = append(t.Guards, w.guards...)
 		t.Then = append(t.Then, w.ops...)
 	}
-	ctx := state.As(l.ctx, pace.Leader)
+	ctx := state.As(l.ctx, paceOf(c))
 	var o outcome
 	o.rev, o.err = n.state.Txn(ctx, t)
 	if errors.Is(o.err, state.ErrConflict) && len(t.Guards) > 1 {
