shard: a task's machine is its slot's; a summary is built from its short form

An attempt knows its machine since it is listed by job, so stop, drop, free and absent need not be told it, and a task need not keep it a second time. A summary that has changed is built from the short form that showed it, not from another one.

No behaviour changes.

--- a/cmd/honeylock/serve_test.go
+++ b/cmd/honeylock/serve_test.go
@@ -7,7 +7,8 @@
 
 // An unknown LOG_LEVEL was taken for info without a word.
 func TestUnknownLogLevelIsTold(t *testing.T) {
-	for level, told := range map[string]bool{"": false, "info": false, "error": false, "debug": false, "verbose": true} {
+	for level, told := range map[string]bool{"": false, "info": false, "error": false, "debug": false,
+		"verbose": true} {
 		var out strings.Builder
 		logger(&out, level).Debug("x")
 		if got := strings.Contains(out.String(), "error, info, debug"); got != told {
--- a/internal/core/dealer/scale_test.go
+++ b/internal/core/dealer/scale_test.go
@@ -150,7 +150,8 @@
 		return nil
 	}
 	run := func(id model.JobID, no int32) {
-		r.d.Event(time.Minute, s, model.Event{Kind: model.Finished, Machine: 1, Task: model.Task{Job: id, No: no}, Attempt: uint64(no)})
+		r.d.Event(time.Minute, s, model.Event{Kind: model.Finished, Machine: 1, Task: model.Task{Job: id, No: no},
+			Attempt: uint64(no)})
 	}
 	r.job(1, 2, false)
 	run(1, 0)
--- a/internal/core/dealer/writes.go
+++ b/internal/core/dealer/writes.go
@@ -48,7 +48,8 @@
 		}
 		if !j.ended && !j.writing && !j.spec.Daemon && j.nDone == j.spec.Tasks {
 			j.writing = true
-			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version, Kept: slices.Sorted(maps.Keys(j.kept))})
+			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version,
+				Kept: slices.Sorted(maps.Keys(j.kept))})
 		}
 	}
 	return d.blockWrites(out, n)
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -29,7 +29,7 @@
 )
 
 // overdraft is the part of a second's share that a class may go below zero.
-var overdraft = [classes]float64{Leader: 1, Changes: 0.5, Reads: 0}
+var overdraft = [classes]float64{Leader: 1, Changes: 0.5}
 
 // Params of a pacer.
 type Params struct {
--- a/internal/core/shard/drain_test.go
+++ b/internal/core/shard/drain_test.go
@@ -88,7 +88,7 @@
 		t.Fatalf("%d begun, %d stopped", len(begun), len(stopped))
 	}
 	for _, b := range begun {
-		if on := acts.s.tasks[b.Task].on; on == nil || on.ID != b.Machine {
+		if on := acts.s.tasks[b.Task].on(); on == nil || on.ID != b.Machine {
 			t.Errorf("%v goes to %d, and to %v where it counts", b.Task, b.Machine, on)
 		}
 	}
--- a/internal/core/shard/faults_test.go
+++ b/internal/core/shard/faults_test.go
@@ -49,10 +49,10 @@
 	r.give(again, 0, 10)
 	r.give(other, 0, 10)
 	r.s.Place(r.now)
-	if on := r.s.tasks[model.Task{Job: 1}].on; on != nil {
+	if on := r.s.tasks[model.Task{Job: 1}].on(); on != nil {
 		t.Errorf("tried again at once on machine %d, where it failed", on.ID)
 	}
-	if r.s.tasks[model.Task{Job: 2}].on == nil {
+	if r.s.tasks[model.Task{Job: 2}].on() == nil {
 		t.Error("another job was kept away, too")
 	}
 	r.now += shunFor
@@ -61,7 +61,7 @@
 		r.report(id, 5, attempts[id]...)
 	}
 	r.s.Tick(r.now)
-	if r.s.tasks[model.Task{Job: 1}].on == nil {
+	if r.s.tasks[model.Task{Job: 1}].on() == nil {
 		t.Error("never tried again")
 	}
 }
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -339,7 +339,7 @@
 	}
 	for _, sl := range bestVictims {
 		s.Stats.Evicted++
-		s.stop(now, best, sl, parting(now, sl, g.spec.Rank))
+		s.stop(now, sl, parting(now, sl, g.spec.Rank))
 	}
 	v.at[bestAt].price = best.cheapest()
 	return best
@@ -420,6 +420,6 @@
 	m.images[t.Spec.Image] = true
 	m.wake = true
 	m.runs(t.Spec.Rank)
-	t.on, t.slot = m, sl
+	t.slot = sl
 	s.Stats.Placed++
 }
--- a/internal/core/shard/rehearse.go
+++ b/internal/core/shard/rehearse.go
@@ -58,7 +58,7 @@
 func (r *Rehearsal) Running(now time.Duration, id model.MachineID, d model.Deal, ran time.Duration) Begun {
 	m := r.s.machines[id]
 	r.s.attempt++
-	t := &task{Deal: d, price: d.Price, on: m}
+	t := &task{Deal: d, price: d.Price}
 	sl := &slot{key: key{d.Task, r.s.attempt}, t: t, each: d.Spec.Each, sent: true, state: live, stage: model.Running,
 		runSince: now - ran}
 	t.slot = sl
@@ -93,10 +93,10 @@
 		}
 		fetch := time.Duration(0)
 		if sl.fetches {
-			fetch = t.on.pull(t.Spec)
+			fetch = sl.m.pull(t.Spec)
 		}
 		sl.sent, sl.state, sl.stage, sl.runSince = true, live, model.Running, now+fetch
-		begun = append(begun, Begun{Task: sl.task, Spec: t.Spec, Machine: t.on.ID, Attempt: sl.attempt, Fetch: fetch})
+		begun = append(begun, Begun{Task: sl.task, Spec: t.Spec, Machine: sl.m.ID, Attempt: sl.attempt, Fetch: fetch})
 	}
 	r.begun = r.begun[:0]
 	r.s.events = r.s.events[:0]
@@ -107,7 +107,7 @@
 // stop takes a task off its machine, and lets it wait again.
 func (r *Rehearsal) stop(now time.Duration, sl *slot) Stopped {
 	out := Stopped{sl.task, sl.attempt, sl.ran(now)}
-	r.s.drop(now, sl.t.on, sl)
+	r.s.drop(now, sl)
 	r.s.landed(now, sl, model.CauseStopped)
 	return out
 }
@@ -120,14 +120,14 @@
 	}
 	delete(r.s.tasks, t)
 	x.slot.t = nil
-	r.s.drop(now, x.on, x.slot)
+	r.s.drop(now, x.slot)
 	return true
 }
 
 // Recall stops a task on a machine and lets it wait again.
 func (r *Rehearsal) Recall(now time.Duration, id model.MachineID, t model.Task) (Stopped, bool) {
 	x := r.s.tasks[t]
-	if x == nil || x.on == nil || x.on.ID != id || x.slot == nil {
+	if x == nil || x.on() == nil || x.on().ID != id {
 		return Stopped{}, false
 	}
 	return r.stop(now, x.slot), true
@@ -151,7 +151,7 @@
 // Machines calls f for every machine, in order.
 func (r *Rehearsal) Machines(now time.Duration, f func(st model.MachineStatus)) {
 	for _, m := range r.s.order {
-		f(r.s.summary(now, m))
+		f(m.summary(r.s.brief(now, m)))
 	}
 }
 
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -64,13 +64,13 @@
 // it: it sends no more than a report each half second.
 const tellsItself = 700 * time.Millisecond
 
-func (s *Shard) stop(now time.Duration, m *machine, sl *slot, grace time.Duration) {
+func (s *Shard) stop(now time.Duration, sl *slot, grace time.Duration) {
 	if sl.state == exited || sl.stop && grace >= sl.grace {
 		return
 	}
 	if !sl.sent {
 		// Never on its way: it is nowhere.
-		s.drop(now, m, sl)
+		s.drop(now, sl)
 		s.landed(now, sl, model.CauseStopped)
 		return
 	}
@@ -79,13 +79,14 @@
 	}
 	sl.stop, sl.grace = true, grace
 	sl.hardAt = now + grace + s.p.Report + 2*time.Second
-	m.wake = true
+	sl.m.wake = true
 }
 
 // drop removes a slot from its machine's books.
-func (s *Shard) drop(now time.Duration, m *machine, sl *slot) {
+func (s *Shard) drop(now time.Duration, sl *slot) {
+	m := sl.m
 	if sl.state != exited {
-		s.free(m, sl)
+		s.free(sl)
 	}
 	s.cut(sl)
 	m.leveled = 0
@@ -95,7 +96,8 @@
 }
 
 // free gives an attempt's room back to its machine.
-func (s *Shard) free(m *machine, sl *slot) {
+func (s *Shard) free(sl *slot) {
+	m := sl.m
 	m.used = m.used.Sub(sl.each)
 	m.leveled = 0
 	if !m.roomier {
@@ -128,7 +130,7 @@
 
 func (s *Shard) loseAll(now time.Duration, m *machine) {
 	for _, sl := range slices.Clone(m.slots) {
-		s.drop(now, m, sl)
+		s.drop(now, sl)
 		if sl.t != nil {
 			s.Stats.Lost++
 		}
@@ -244,7 +246,7 @@
 		}
 	}
 	for _, sl := range unseen {
-		s.absent(now, m, sl, r, isReport)
+		s.absent(now, sl, r, isReport)
 	}
 	if !m.fenced {
 		m.fenced = true
@@ -276,7 +278,7 @@
 		}
 		return
 	}
-	s.free(m, sl)
+	s.free(sl)
 	sl.state = exited
 	t := sl.t
 	switch c.Cause {
@@ -306,12 +308,12 @@
 }
 
 // absent settles a slot that a newer message does not show.
-func (s *Shard) absent(now time.Duration, m *machine, sl *slot, r *model.Report, isReport bool) {
+func (s *Shard) absent(now time.Duration, sl *slot, r *model.Report, isReport bool) {
 	switch sl.state {
 	case exited: // cleared
-		s.drop(now, m, sl)
+		s.drop(now, sl)
 	case live: // the worker knew it and knows it no more
-		s.drop(now, m, sl)
+		s.drop(now, sl)
 		s.landed(now, sl, model.CauseStopped)
 	case starting:
 		if !sl.sent {
@@ -323,7 +325,7 @@
 		over := sl.direct == 0 && (sl.doubt == 0 || r.Token > sl.doubt) &&
 			(sl.sentSeq == 0 || isReport && r.Seq > sl.sentSeq)
 		if over && sl.stop {
-			s.drop(now, m, sl)
+			s.drop(now, sl)
 			s.landed(now, sl, model.CauseStopped)
 		} else if over {
 			sl.sent, sl.doubt, sl.sentSeq = false, 0, 0
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -59,13 +59,20 @@
 type task struct {
 	model.Deal
 	price  float64 // after demotions
-	on     *machine
-	slot   *slot
+	slot   *slot   // nil: it waits
 	queued time.Duration
 	// recalled: give it back instead of placing it again.
 	recalled bool
 }
 
+// on is the machine that the task is on, or reserved for; nil: it waits.
+func (t *task) on() *machine {
+	if t.slot == nil {
+		return nil
+	}
+	return t.slot.m
+}
+
 type group struct {
 	job       model.JobID
 	zone      model.Name
@@ -118,8 +125,8 @@
 // attempt numbers that are this shard's alone.
 func New(p Params, attempts uint64, rng *rand.Rand) *Shard {
 	return &Shard{p: p, rng: rng, attempt: attempts, round: 1, machines: map[model.MachineID]*machine{},
-		tasks: map[model.Task]*task{},
-		queue: map[groupKey]*group{}, ofJob: map[model.JobID][]*slot{}, pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}, records: map[model.JobID]*record{}}
+		tasks: map[model.Task]*task{}, queue: map[groupKey]*group{}, ofJob: map[model.JobID][]*slot{},
+		pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}, records: map[model.JobID]*record{}}
 }
 
 // Grant lets the shard act until the given time.
@@ -161,7 +168,7 @@
 	case model.Give:
 		s.give(now, o.Deal)
 	case model.Recall:
-		if t := s.tasks[o.Task]; t != nil && (o.ID == 0 || t.on != nil && t.on.ID == o.ID) {
+		if t := s.tasks[o.Task]; t != nil && (o.ID == 0 || t.on() != nil && t.on().ID == o.ID) {
 			s.recall(now, t)
 		}
 	case model.LookAt:
@@ -175,7 +182,7 @@
 	case model.KillIt:
 		if m := s.machines[o.ID]; m != nil {
 			if sl := m.slots.get(key{o.Task, o.Attempt}); sl != nil {
-				s.stop(now, m, sl, 0)
+				s.stop(now, sl, 0)
 			}
 		}
 	case model.EndJob:
@@ -207,7 +214,7 @@
 func (s *Shard) unreserve(now time.Duration, m *machine) {
 	for _, sl := range slices.Clone(m.slots) {
 		if !sl.sent {
-			s.stop(now, m, sl, 0)
+			s.stop(now, sl, 0)
 		}
 	}
 }
@@ -305,7 +312,7 @@
 			return
 		}
 		if sl := m.slots.get(key{d.Task, d.Attempt}); sl != nil && sl.state == live {
-			sl.t, t.on, t.slot, sl.alien = t, m, sl, false
+			sl.t, t.slot, sl.alien = t, sl, false
 			sl.adopted = true
 			if sl.stage == model.Running {
 				sl.runSince = now
@@ -321,7 +328,7 @@
 }
 
 func (s *Shard) enqueue(now time.Duration, t *task) {
-	t.on, t.slot, t.queued = nil, nil, now
+	t.slot, t.queued = nil, now
 	k := groupKey{t.Task.Job, t.Zone}
 	g := s.queue[k]
 	if g == nil {
@@ -345,22 +352,22 @@
 
 func (s *Shard) recall(now time.Duration, t *task) {
 	t.recalled = true
-	if t.on == nil {
+	if t.slot == nil {
 		s.dequeue(t)
 		s.release(t, model.CauseStopped)
 		return
 	}
-	s.stop(now, t.on, t.slot, graceOf(t.Spec))
+	s.stop(now, t.slot, graceOf(t.Spec))
 }
 
 // release gives a task that is nowhere back to the dealer.
 func (s *Shard) release(t *task, c model.Cause) {
 	delete(s.tasks, t.Task)
 	e := model.Event{Kind: model.Gone, Task: t.Task, Cause: c}
-	if t.on != nil {
-		e.Machine = t.on.ID
+	if m := t.on(); m != nil {
+		e.Machine = m.ID
 	}
-	t.on, t.slot = nil, nil
+	t.slot = nil
 	s.emit(e)
 }
 
@@ -381,7 +388,7 @@
 		if sl.state == exited {
 			sl.clear = true
 		} else {
-			s.stop(now, sl.m, sl, 0)
+			s.stop(now, sl, 0)
 		}
 	}
 }
@@ -455,7 +462,7 @@
 		}
 		sp := sl.t.Spec
 		if !sl.sent {
-			s.stop(now, m, sl, 0)
+			s.stop(now, sl, 0)
 			continue
 		}
 		left := m.noticeAt - now
@@ -463,10 +470,10 @@
 		case sp.Checkpoint > 0 || sp.Daemon:
 			// The notice may be half its nominal value: do not cut it fine.
 			if left/2 < graceOf(sp)+s.p.Report {
-				s.stop(now, m, sl, graceOf(sp))
+				s.stop(now, sl, graceOf(sp))
 			}
 		case sl.stage == model.Fetching || sp.Estimate-sl.ran(now) > left:
-			s.stop(now, m, sl, 0)
+			s.stop(now, sl, 0)
 		}
 	}
 }
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -54,7 +54,8 @@
 	for _, m := range r.s.order {
 		used := model.Resources{}
 		for i, sl := range m.slots {
-			if l := r.s.ofJob[sl.task.Job]; sl.m != m || l[sl.at] != sl || i > 0 && m.slots[i-1].key.compare(sl.key) >= 0 {
+			ordered := i == 0 || m.slots[i-1].key.compare(sl.key) < 0
+			if l := r.s.ofJob[sl.task.Job]; sl.m != m || l[sl.at] != sl || !ordered {
 				r.t.Fatalf("machine %d, %v: not in its job's list, or out of order", m.ID, sl.key)
 			}
 			if sl.state != exited {
@@ -338,12 +339,12 @@
 	cheap.Types, dear.Types = nil, nil
 	r.give(dear, 0, 100)
 	r.report(1, 5)
-	first := r.s.tasks[model.Task{Job: 1}].on.ID
+	first := r.s.tasks[model.Task{Job: 1}].on().ID
 	other := 3 - first
 	sp := r.spec(3, model.Standard, 2)
 	r.give(sp, 0, 10)
 	r.s.Place(r.now)
-	if got := r.s.tasks[model.Task{Job: 3}].on.ID; got != other {
+	if got := r.s.tasks[model.Task{Job: 3}].on().ID; got != other {
 		t.Fatalf("placed on machine %d beside the urgent task, want %d", got, other)
 	}
 }
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -19,7 +19,7 @@
 	for _, m := range s.order {
 		if b := s.brief(now, m); m.anew || b != m.last {
 			m.last, m.anew = b, false
-			out = append(out, s.summary(now, m))
+			out = append(out, m.summary(b))
 		}
 	}
 	return out
@@ -34,12 +34,11 @@
 }
 
 func (s *Shard) brief(now time.Duration, m *machine) brief {
-	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m), draining: m.noticeAt != 0, faulty: now < m.faultyUntil,
-		slots: len(m.slots), idleSince: m.idleSince}
+	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m), draining: m.noticeAt != 0,
+		faulty: now < m.faultyUntil, slots: len(m.slots), idleSince: m.idleSince}
 }
 
-func (s *Shard) summary(now time.Duration, m *machine) model.MachineStatus {
-	b := s.brief(now, m)
+func (m *machine) summary(b brief) model.MachineStatus {
 	return model.MachineStatus{Machine: m.Machine, Avail: b.avail, Ready: b.ready, Draining: b.draining, Slots: b.slots,
 		IdleSince: b.idleSince, Faulty: b.faulty}
 }
--- a/internal/core/sim/overload_test.go
+++ b/internal/core/sim/overload_test.go
@@ -56,7 +56,8 @@
 	w.p.ttl = 3 * time.Second
 	s := &storm{naive: naive, store: w.store, tokens: stormRate}
 	for i := range 3 {
-		o := &office{host: fmt.Sprintf("c%d", i), q: pace.New(pace.Params{Requests: stormRate, Writes: 25, Controllers: 3})}
+		o := &office{host: fmt.Sprintf("c%d", i),
+			q: pace.New(pace.Params{Requests: stormRate, Writes: 25, Controllers: 3})}
 		o.el = election.New(o.host, w.p.ttl, time.Duration(i)*150*time.Millisecond, promise, 0)
 		s.offices = append(s.offices, o)
 	}
--- a/internal/core/sim/yard_test.go
+++ b/internal/core/sim/yard_test.go
@@ -58,6 +58,12 @@
 	ends  []time.Duration // of cells
 }
 
+// account is its next message about itself.
+func (h *hand) account() *model.Report {
+	h.seq++
+	return &model.Report{Machine: h.m, Session: 1, Seq: h.seq, Token: h.token, Notice: -1, Cells: h.cells}
+}
+
 func (l load) types() []model.MachineType {
 	c := float64(l.cpus)
 	return []model.MachineType{{Name: 0, Cap: model.Capacity(c, 0, 2*c), Price: 0.07 * c, SpotPrice: 0.03 * c,
@@ -80,18 +86,18 @@
 
 // lead begins a term.
 func (y *yard) lead(term uint64) {
-	y.d = dealer.New(dealer.Params{Term: term, Teams: []dealer.Team{{}}, ChunkSize: 64, BlockSize: 128, Progress: 2 * time.Second,
-		Ahead: 12, SureLease: 43 * time.Second}, y.now)
+	y.d = dealer.New(dealer.Params{Term: term, Teams: []dealer.Team{{}}, ChunkSize: 64, BlockSize: 128,
+		Progress: 2 * time.Second, Ahead: 12, SureLease: 43 * time.Second}, y.now)
 	y.d.SetTypes(y.load.types())
-	y.f = fleet.New(fleet.Params{Term: term, Began: y.now, ListLag: 10 * time.Second, IdleReturn: time.Hour, Horizon: 90 * time.Second,
-		Probe: 15 * time.Second})
+	y.f = fleet.New(fleet.Params{Term: term, Began: y.now, ListLag: 10 * time.Second, IdleReturn: time.Hour,
+		Horizon: 90 * time.Second, Probe: 15 * time.Second})
 	y.f.SetTypes(y.load.types())
 	y.f.List(y.now, y.now, nil)
 	y.shards = nil
 	for i := range y.load.shards {
 		id := y.d.Join(y.now, fmt.Sprint("c", i))
-		s := shard.New(shard.Params{SureLease: 43 * time.Second, Report: y.load.every(), Sample: 3, PaybackLimit: time.Minute,
-			DemoteStep: 2, DoubtPause: time.Second}, y.d.Attempts(id), y.rng)
+		s := shard.New(shard.Params{SureLease: 43 * time.Second, Report: y.load.every(), Sample: 3,
+			PaybackLimit: time.Minute, DemoteStep: 2, DoubtPause: time.Second}, y.d.Attempts(id), y.rng)
 		s.Grant(time.Hour * 24)
 		y.shards = append(y.shards, s)
 	}
@@ -125,11 +131,10 @@
 
 // report lets a worker report and do what it is told.
 func (y *yard) report(h *hand) {
-	h.seq++
 	y.reports++
 	h.next = y.now + y.load.every()
 	s := y.shards[h.at]
-	r := &model.Report{Machine: h.m, Session: 1, Seq: h.seq, Token: h.token, Notice: -1, Cells: h.cells}
+	r := h.account()
 	if !s.Report(y.now, r) {
 		y.exchange()
 		if !s.Report(y.now, r) {
@@ -168,8 +173,9 @@
 	y.now += 100 * time.Millisecond
 	for y.owed += y.arrive / 10; y.owed >= 1; y.owed-- {
 		y.nextJob++
-		sp := &model.Spec{ID: y.nextJob, Rank: model.Rank(y.rng.IntN(2)), Tasks: int32(20 + y.rng.IntN(60)), Zone: model.None,
-			Each: model.Request(y.load.each, 0, y.load.each*(1.1+0.7*y.rng.Float64())), Spot: true, Estimate: 50 * time.Second, Image: model.Name(y.rng.IntN(y.load.images))}
+		sp := &model.Spec{ID: y.nextJob, Rank: model.Rank(y.rng.IntN(2)), Tasks: int32(20 + y.rng.IntN(60)),
+			Zone: model.None, Each: model.Request(y.load.each, 0, y.load.each*(1.1+0.7*y.rng.Float64())), Spot: true,
+			Estimate: 50 * time.Second, Image: model.Name(y.rng.IntN(y.load.images))}
 		y.specs[sp.ID] = sp
 		y.d.AddJob(y.now, sp, uint64(y.nextJob), 0, false)
 	}
@@ -226,9 +232,8 @@
 		for _, d := range s.Directs() {
 			h := y.hands[d.Machine]
 			y.directs++
-			h.seq++
 			y.obey(h, d.Token, d.Commands)
-			s.DirectDone(y.now, d, &model.Report{Machine: h.m, Session: 1, Seq: h.seq, Token: h.token, Notice: -1, Cells: h.cells}, true)
+			s.DirectDone(y.now, d, h.account(), true)
 		}
 	}
 }
@@ -250,7 +255,8 @@
 		name string
 		l    load
 		n    int
-	}{{"small", small, 1373}, {"small", small, 2746}, {"small", small, 5492}, {"large", large, 740}, {"large", large, 2960}} {
+	}{{"small", small, 1373}, {"small", small, 2746}, {"small", small, 5492}, {"large", large, 740},
+		{"large", large, 2960}} {
 		b.Run(fmt.Sprint(c.name, "/", c.n), func(b *testing.B) {
 			y := newYard(c.l, c.n, 1)
 			for range 900 {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -18,6 +18,10 @@
 // rentProbe is when what the cloud refused is asked for again.
 const rentProbe = 15 * time.Second
 
+// leadersPart is the leader's part of the changes that the state service takes; the
+// rest is for users' jobs.
+const leadersPart = 0.8
+
 var errTermOver = errors.New("the term is over")
 
 // leadership is all that a controller keeps while it leads one term: its
@@ -103,10 +107,6 @@
 // follows from them.
 const reportsPerCPU = 2000
 
-// leadersPart is the leader's part of the changes that the state service takes; the
-// rest is for users' jobs.
-const leadersPart = 0.8
-
 // crowd is how many machines take about a third of a controller's processor with
 // their reports: fewer are sent nowhere else. Without a stated processor it has a core.
 func crowd(c *config.Cluster) int {
--- a/internal/node/loadlog.go
+++ b/internal/node/loadlog.go
@@ -57,7 +57,7 @@
 		"free", free/1000)
 	for _, name := range slices.Sorted(maps.Keys(classes)) {
 		c := classes[name]
-		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "ending", c.ending, "open", c.open, "held",
-			c.held, "running", c.running)
+		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "ending",
+			c.ending, "open", c.open, "held", c.held, "running", c.running)
 	}
 }
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -45,7 +45,7 @@
 	at       uint64
 }
 
-// maxWrites are the changes given at a time.
+// maxWrites are the writes given at a time.
 const maxWrites = 32
 
 // store writes what must last, the most urgent first.
--- a/internal/wire/json_test.go
+++ b/internal/wire/json_test.go
@@ -11,13 +11,19 @@
 // standard one does: what a worker is believed to hold must not hang on it.
 func TestOddReportsReadAsTheStandardDoes(t *testing.T) {
 	cell := `{"Cell":"job-000001/2","Brood":68719476737,"Stage":"running","Cause":"","Saved":false}`
-	whole := `{"Hive":"m-000001","Addr":"a","Flight":3,"Buzz":4,"QueenMark":4294967297,"SmokeS":null,"Cells":[` + cell + `]}`
-	odd := []string{whole, "", " ", "null", "{}", "[]", `"x"`, whole + whole, whole + "x", whole + " \n", `{"Flight":-1}`,
-		`{"Flight":1.5}`, `{"Flight":1e3}`, `{"Flight":"1"}`, `{"Flight":18446744073709551616}`, `{"Flight":18446744073709551615}`,
+	whole := `{"Hive":"m-000001","Addr":"a","Flight":3,"Buzz":4,"QueenMark":4294967297,"SmokeS":null,` +
+		`"Cells":[` + cell + `]}`
+	odd := []string{whole, "", " ", "null", "{}", "[]", `"x"`, whole + whole, whole + "x", whole + " \n",
+		`{"Flight":-1}`,
+		`{"Flight":1.5}`, `{"Flight":1e3}`, `{"Flight":"1"}`, `{"Flight":18446744073709551616}`,
+		`{"Flight":18446744073709551615}`,
 		`{"flight":7}`, `{"FLIGHT":7}`, `{"Flight":7,"Flight":8}`, `{"Cells":null}`, `{"Cells":{}}`, `{"Cells":[null]}`,
-		`{"Cells":[` + cell + `,]}`, `{"Cells":[` + cell, `{"Hive":"\u00e9\ud83d\ude00\n"}`, `{"Hive":"\ud83d"}`, `{"Hive":"` + "\xff" + `"}`,
-		`{"Hive":"` + "\x01" + `"}`, `{"Hive":'x'}`, `{Hive:"x"}`, `{"Hive":true}`, `{"SwarmBoxes":"true"}`, `{"SmokeS":1e400}`,
-		`{"SmokeS":01}`, `{"SmokeS":.5}`, `{"SmokeS":-0.5e-3}`, `{"SmokeS":NaN}`, `{"Other":{"a":[1,{"b":"}"}]},"Buzz":9}`,
+		`{"Cells":[` + cell + `,]}`, `{"Cells":[` + cell, `{"Hive":"\u00e9\ud83d\ude00\n"}`, `{"Hive":"\ud83d"}`,
+		`{"Hive":"` + "\xff" + `"}`,
+		`{"Hive":"` + "\x01" + `"}`, `{"Hive":'x'}`, `{Hive:"x"}`, `{"Hive":true}`, `{"SwarmBoxes":"true"}`,
+		`{"SmokeS":1e400}`,
+		`{"SmokeS":01}`, `{"SmokeS":.5}`, `{"SmokeS":-0.5e-3}`, `{"SmokeS":NaN}`,
+		`{"Other":{"a":[1,{"b":"}"}]},"Buzz":9}`,
 		`{"Other":[1,2,}`, `{"Buzz":9,}`, `{"Buzz":9`, `{"Buzz" 9}`, "\ufeff{}", `{"Buzz":9}/**/`}
 	for i := range len(whole) {
 		odd = append(odd, whole[:i])
@@ -44,7 +50,8 @@
 			t.Errorf("%q parsed as %d, %v", s, id, err)
 		}
 	}
-	for _, s := range []string{"job-00001", "job-0000001", "job-0100000", "job-+00001", "job--00001", "job-00000x", "job-1_0000", "m-000001", "job-"} {
+	for _, s := range []string{"job-00001", "job-0000001", "job-0100000", "job-+00001", "job--00001",
+		"job-00000x", "job-1_0000", "m-000001", "job-"} {
 		if _, err := ParseJob(s); err == nil {
 			t.Errorf("%q taken", s)
 		}
