pace, config, state: follow limits that are announced to fall

The settings may name limits that the state service will have from some moment on, without notice (state.next).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,6 +50,12 @@
 		WriteRPS float64 `toml:"write_rps"`
 		ValueKB  float64 `toml:"value_kb"`
 		TxnOps   int     `toml:"txn_ops"`
+		// Next are limits that will hold from some moment on, without notice; 0: as now.
+		Next struct {
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"next"`
 	} `toml:"state"`
 	Cloud struct {
 		RPS      float64 `toml:"rps"`
@@ -165,6 +171,16 @@
 	if c.State.TxnOps < 4 {
 		bad("cluster.state.txn_ops", c.State.TxnOps, "must be 4 or more")
 	}
+	next := &c.State.Next
+	if !(next.WriteRPS >= 0) {
+		bad("cluster.state.next.write_rps", next.WriteRPS, "must not be negative")
+	}
+	if !(next.ValueKB >= 0) {
+		bad("cluster.state.next.value_kb", next.ValueKB, "must not be negative")
+	}
+	if next.TxnOps != 0 && next.TxnOps < 4 {
+		bad("cluster.state.next.txn_ops", next.TxnOps, "must be 4 or more")
+	}
 	positive("cluster.cloud.rps", c.Cloud.RPS)
 	if !(c.Cloud.ListLagS >= 0) {
 		bad("cluster.cloud.list_lag_s", c.Cloud.ListLagS, "must not be negative")
@@ -179,6 +195,29 @@
 // Seconds turns a setting into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// ValueKB is the size that every value written fits into, whichever limit holds.
+func (c *Cluster) ValueKB() float64 {
+	if n := c.State.Next.ValueKB; n > 0 {
+		return min(n, c.State.ValueKB)
+	}
+	return c.State.ValueKB
+}
+
+// TxnOps are the changes that every transaction keeps to, whichever limit holds.
+func (c *Cluster) TxnOps() int {
+	if n := c.State.Next.TxnOps; n > 0 {
+		return min(n, c.State.TxnOps)
+	}
+	return c.State.TxnOps
+}
+
+// Vouched is how long a job that waits for others may be called queued on the word of
+// a leader: the users were told of no cancellation before that may be older than
+// cancel_s when the answer arrives.
+func (c *Cluster) Vouched() time.Duration {
+	return max(100*time.Millisecond, Seconds(c.Workers.CancelS)*9/10-3*time.Second)
+}
+
 // Lease of the workers, lengthened by the clocks' drift (0.05% each way) and
 // by late timers, so that after it a worker has surely let go.
 func (c *Cluster) SureLease() time.Duration {
--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -35,6 +35,13 @@
 	return &Budget{l: rate.NewLimiter(rate.Limit(perSecond), burst), burst: float64(burst)}
 }
 
+// SetRate changes the changes a second.
+func (b *Budget) SetRate(now time.Duration, perSecond float64) {
+	if rate.Limit(perSecond) != b.l.Limit() {
+		b.l.SetLimitAt(at(now), rate.Limit(perSecond))
+	}
+}
+
 func at(now time.Duration) time.Time { return time.Unix(1, 0).Add(now) }
 
 // Left is how many changes of a class may be made now. Records leave half of the
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -34,7 +34,9 @@
 // Params of a pacer.
 type Params struct {
 	Requests, Writes float64 // a second that the service allows to all
-	Controllers      int
+	// NextWrites is what it will allow from some moment on, without notice; 0: as now.
+	NextWrites  float64
+	Controllers int
 }
 
 const (
@@ -44,6 +46,7 @@
 	growth = 0.03                   // of the service's rate, a second
 	shrink = 0.75                   // what is left of a share when a request was refused
 	pause  = 400 * time.Millisecond // one refusal in so long counts: others were under way
+	sure   = 10 * time.Second       // two refusals within so long: the announced limit holds
 )
 
 // Ticket is a request that asked to go.
@@ -92,6 +95,7 @@
 	share    float64 // of the service's rate
 	at       time.Duration
 	shrunk   time.Duration
+	lowered  bool // the announced limit holds
 	requests bucket
 	writes   bucket
 	queue    [classes][]*Ticket
@@ -112,6 +116,10 @@
 // Share is the part of the service's rate that this controller uses at most.
 func (q *Pacer) Share() float64 { return q.share }
 
+// Writes is the service's rate of changes as far as is known, and whether that is the
+// one that was announced.
+func (q *Pacer) Writes() (perSecond float64, lowered bool) { return q.writes.rate, q.lowered }
+
 func (q *Pacer) fill(now time.Duration) {
 	s := (now - q.at).Seconds()
 	if s <= 0 {
@@ -130,6 +138,11 @@
 	if q.shrunk != 0 && now-q.shrunk < pause {
 		return
 	}
+	// Nobody says when an announced limit begins to hold. Taken for refusals of the old
+	// rate, every leader's share would grow into them again and again.
+	if q.p.NextWrites > 0 && q.p.NextWrites < q.writes.rate && q.shrunk != 0 && now-q.shrunk < sure {
+		q.lowered, q.writes.rate = true, q.p.NextWrites
+	}
 	q.shrunk = now
 	q.share = max(q.share*shrink, least/float64(q.p.Controllers))
 	q.requests.tokens = min(q.requests.tokens, 0)
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -195,3 +195,18 @@
 		t.Error("no progress was stored though a third of the changes were left")
 	}
 }
+
+// A rate that was announced holds from some moment on, which only refusals tell: one may
+// have any reason, two soon after each other are taken for it.
+func TestAnnouncedRateIsFollowed(t *testing.T) {
+	q := New(Params{Requests: 100, Writes: 60, NextWrites: 42, Controllers: 3})
+	q.Refused(time.Second)
+	q.Refused(time.Minute)
+	if rate, lowered := q.Writes(); lowered || rate != 60 {
+		t.Fatalf("%v after refusals far apart", rate)
+	}
+	q.Refused(time.Minute + time.Second)
+	if rate, lowered := q.Writes(); !lowered || rate != 42 {
+		t.Fatalf("%v after two in succession", rate)
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -27,6 +27,9 @@
 	ErrConflict = errors.New("a guard failed")
 	// ErrNotFound: no such key or lease.
 	ErrNotFound = errors.New("not found")
+	// ErrInvalid: the request itself was refused (400): what it holds is too large, most
+	// likely, and it would be again.
+	ErrInvalid = errors.New("state service took the request for invalid")
 	// ErrCompacted: the watch's revision is too old.
 	ErrCompacted = errors.New("revision too old")
 )
@@ -41,9 +44,10 @@
 	start   time.Time
 	noted   func(sent time.Time, o standing.Outcome)
 
-	mu    sync.Mutex
-	pacer *pace.Pacer
-	due   time.Duration // the pacer is to be stepped then; 0: nothing waits
+	mu      sync.Mutex
+	invalid uint64 // requests taken for invalid
+	pacer   *pace.Pacer
+	due     time.Duration // the pacer is to be stepped then; 0: nothing waits
 }
 
 // New returns a client. noted hears what became of every request.
@@ -66,6 +70,21 @@
 	return c.pacer.Share(), shed, c.pacer.Busy
 }
 
+// Writes is the service's rate of changes as far as is known, and whether that is the
+// one that was announced.
+func (c *Client) Writes() (perSecond float64, lowered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pacer.Writes()
+}
+
+// Invalid counts the requests that the service took for invalid.
+func (c *Client) Invalid() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.invalid
+}
+
 type patienceKey struct{}
 
 // Patiently marks a context whose requests are given up after d only: an answer is
@@ -158,6 +177,11 @@
 	switch {
 	case err != nil:
 		c.noted(sent, standing.Silent)
+	case status == http.StatusBadRequest:
+		c.mu.Lock()
+		c.invalid++
+		c.mu.Unlock()
+		c.noted(sent, standing.Served)
 	case status == http.StatusTooManyRequests:
 		c.mu.Lock()
 		c.pacer.Refused(time.Since(c.start))
@@ -180,6 +204,8 @@
 		return ErrNotFound
 	case status == http.StatusConflict:
 		return ErrConflict
+	case status == http.StatusBadRequest:
+		return fmt.Errorf("%w: %.200s", ErrInvalid, body)
 	case status == http.StatusGone:
 		return ErrCompacted
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
