--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -39,12 +39,17 @@
 	dirty   map[int32]bool // chunks to be stored
 	// kept are the chunks that may be stored. A final deletes only these: at four
 	// times its size a deployment used up its changes deleting what never was.
-	kept    map[int32]bool
+	kept    map[ChunkID]bool
 	writing bool
 	stored  time.Duration
 	clears  []clearing
 	trouble trouble
 	blocked time.Duration
+	// waits: jobs that it needs are not done. It holds no part of its team's limit or
+	// guarantee, and nothing is rented for it.
+	waits bool
+	// rank is the highest of its own and of those of the jobs that need it.
+	rank model.Rank
 }
 
 // AddJob takes an open job. done holds its stored chunks; old tells that it
@@ -54,7 +59,7 @@
 		return
 	}
 	j := &job{spec: sp, version: version, done: make([]uint64, (sp.Tasks+63)/64), held: map[int32]hold{}, since: now - waited,
-		old: old, dirty: map[int32]bool{}, kept: map[int32]bool{}}
+		old: old, rank: sp.Rank, dirty: map[int32]bool{}, kept: map[ChunkID]bool{}}
 	j.price = Price(sp.Rank, false)
 	d.jobs[sp.ID] = j
 	i, _ := slices.BinarySearchFunc(d.inOrder, j, compareJobs)
@@ -62,14 +67,14 @@
 	d.repriced = 0
 }
 
-// AddDone takes a stored chunk of a job's done set.
-func (d *Dealer) AddDone(id model.JobID, chunk int32, b []byte) {
+// AddDone takes a stored chunk of a job's done set, whose first bit is that of task
+// base.
+func (d *Dealer) AddDone(id model.JobID, chunk ChunkID, base int32, b []byte) {
 	j := d.jobs[id]
-	if j == nil {
+	if j == nil || base < 0 {
 		return
 	}
 	j.kept[chunk] = true
-	base := chunk * d.p.ChunkSize
 	for i, x := range b {
 		for ; x != 0; x &= x - 1 {
 			if no := base + int32(i*8+bits.TrailingZeros8(x)); no < j.spec.Tasks {
--- /dev/null
+++ b/internal/core/dealer/chains_test.go
@@ -0,0 +1,118 @@
+package dealer
+
+import (
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// A job that waits for others is dealt no task, is no hunger, and takes nothing of its
+// team's guarantee; released, it is dealt at once, ages from then, and does not wait for
+// the machines of earlier terms if it can't have begun there.
+func TestHeldJobHoldsNothing(t *testing.T) {
+	r := newRig(t, 1e6)
+	r.d.p.Teams[0].Guarantee = model.Capacity(5, 0, 0)
+	r.d.Recorded(BlockID{}, 4, []model.Machine{{ID: 9, Addr: "y"}})
+	s := r.d.Join(0, "a")
+	r.machine(0, 1, s)
+	r.job(1, 2, true)
+	r.d.Hold(1)
+	r.job(2, 2, false)
+	r.status(time.Second, s, 1)
+	r.d.Deal(time.Second)
+	for _, o := range r.orders(model.Give) {
+		if o.Deal.Task.Job == 1 {
+			t.Fatalf("%v is dealt", o.Deal.Task)
+		}
+		if o.Deal.Price != Price(model.Standard, true) {
+			t.Errorf("price %v: a job that waits takes of the guarantee", o.Deal.Price)
+		}
+	}
+	if n := r.d.Needs(); len(n) != 1 || n[0].Spec.ID != 2 {
+		t.Errorf("needs %+v", n)
+	}
+	r.d.Release(1, 30*time.Second, true)
+	r.status(31*time.Second, s, 1)
+	r.d.Deal(31 * time.Second)
+	given := r.orders(model.Give)
+	if len(given) == 0 {
+		t.Fatal("not dealt: it waits for machines that can hold nothing of it")
+	}
+	for _, o := range given {
+		if o.Deal.Since != 30*time.Second {
+			t.Errorf("it ages from %v", o.Deal.Since)
+		}
+	}
+}
+
+func TestInheritedPriceIsToldAndTakenBack(t *testing.T) {
+	r := newRig(t, 1e6)
+	s := r.d.Join(0, "a")
+	r.machine(0, 1, s)
+	sp := r.job(1, 2, false)
+	sp.CanWait = true
+	r.status(time.Second, s, 1)
+	r.d.Deal(time.Second)
+	r.d.Orders()
+	for i, c := range []struct {
+		rank  model.Rank
+		aimed bool
+		aim   model.Aim
+	}{{model.Urgent, true, model.AimYes}, {model.Standard, false, model.AimNo}} {
+		now := time.Duration(10+10*i) * time.Second
+		r.d.Inherit(1, c.rank, c.aimed)
+		r.d.Deal(now)
+		told := r.orders(model.Reprice)
+		if len(told) == 0 {
+			t.Fatalf("%+v: the shard is not told", c)
+		}
+		if last := told[len(told)-1]; last.Price != Price(c.rank, false) || last.Aim != c.aim {
+			t.Errorf("%+v: told %+v", c, last)
+		}
+	}
+	if !sp.CanWait {
+		t.Error("the job's own description has changed: others hold it")
+	}
+}
+
+// When blocks change their size, the larger one is dropped only once every machine that
+// it names, and that may be in use, stands in a smaller one: in between a later leader
+// finds it in at least one of them.
+func TestLargerBlockGoesLast(t *testing.T) {
+	r := newRig(t, 1e6)
+	ms := []model.Machine{{ID: 1, Addr: "a"}, {ID: 2, Addr: "b"}, {ID: 5, Addr: "c"}}
+	r.d.Recorded(BlockID{}, 4, ms)
+	r.d.Relay(2)
+	stored := map[BlockID]bool{{}: true}
+	for round := range 20 {
+		ws := r.d.Urgent(1)
+		if len(ws) == 0 {
+			break
+		}
+		w := ws[0]
+		// Every other write fails, and is lost to another version once.
+		ok, lost := round%2 == 1, round == 4
+		if ok && w.Kind == PutBlock {
+			stored[w.Block] = true
+		}
+		if ok && w.Kind == DropBlock {
+			if !stored[BlockID{2, 0}] || !stored[BlockID{2, 1}] || !stored[BlockID{2, 2}] {
+				t.Fatalf("%v goes, stored are %v", w.Block, stored)
+			}
+			delete(stored, w.Block)
+		}
+		r.d.Stored(time.Second, w, uint64(60+round), ok, lost)
+	}
+	if stored[BlockID{}] || len(stored) != 3 {
+		t.Errorf("stored %v", stored)
+	}
+	for _, id := range []model.MachineID{1, 2, 5} {
+		if m := r.d.machines[id]; !m.recorded || m.recordedIn != 2 {
+			t.Errorf("machine %d: recorded %v in %d", id, m.recorded, m.recordedIn)
+		}
+	}
+	if ws := r.d.Urgent(9); len(ws) > 0 {
+		t.Errorf("%+v is still to be written", ws)
+	}
+}
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -51,14 +51,14 @@
 	d.repriced = now
 	g := NewGuarantees(d.p.Teams)
 	for _, j := range jobs {
-		if j.ended || j.trouble.broken { // its one probe takes hardly any of the guarantee
+		if j.ended || j.waits || j.trouble.broken { // its one probe takes hardly any of the guarantee
 			continue
 		}
 		j.within = g.Within(j.spec, int64(j.spec.Tasks-j.nDone))
-		if p := Price(j.spec.Rank, j.within); p != j.price {
+		if p := Price(j.rank, j.within); p != j.price {
 			j.price = p
 			if len(j.held) > 0 {
-				d.toAll(model.Order{Kind: model.Reprice, Job: j.spec.ID, Price: p})
+				d.reprices(j)
 			}
 		}
 	}
@@ -118,7 +118,7 @@
 
 // undealt counts the tasks that may be dealt now.
 func (d *Dealer) undealt(now time.Duration, j *job) int32 {
-	if j.ended || now < j.blocked || j.old && !d.Recovered() {
+	if j.ended || j.waits || now < j.blocked || j.old && !d.Recovered() {
 		return 0
 	}
 	n := j.spec.Tasks - j.nDone - int32(len(j.held))
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -20,7 +20,7 @@
 	Term      uint64
 	Teams     []Team // by the team's index
 	ChunkSize int32  // tasks per stored chunk of a job's done set
-	BlockSize uint64 // machines per stored block of records
+	BlockSize uint64 // machines per stored block of records, in the layout of 0.4 and before
 	Progress  time.Duration
 	Ahead     int // tasks of a job dealt beyond the free room, to find victims
 	SureLease time.Duration
@@ -50,7 +50,8 @@
 	inOrder   []*job // of jobs, as sortJobs orders them
 	machines  map[model.MachineID]*machine
 	byID      []*machine // of machines
-	blocks    map[uint64]*block
+	blocks    map[BlockID]*block
+	layout    uint64 // size of the blocks that are written, 0: p.BlockSize
 	suspects  map[model.MachineID]bool
 	aliens    map[uint64]alien
 	members   map[model.ShardID]*member
@@ -75,7 +76,7 @@
 func New(p Params, oldEnd time.Duration) *Dealer {
 	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{},
 		barred: map[model.MachineID]bool{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{},
-		blocks: map[uint64]*block{}, suspects: map[model.MachineID]bool{},
+		blocks: map[BlockID]*block{}, suspects: map[model.MachineID]bool{},
 		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
 
@@ -194,13 +195,18 @@
 }
 
 // Sync takes the ids of all open jobs as of a revision: what is not among them
-// and was there by then has ended.
-func (d *Dealer) Sync(open map[model.JobID]bool, revision uint64) {
+// and was there by then has ended. It returns what it did not know to have ended.
+func (d *Dealer) Sync(open map[model.JobID]bool, revision uint64) (ended []model.JobID) {
 	for id, j := range d.jobs {
-		if !open[id] && j.version <= revision {
-			d.Withdrawn(id)
+		if !open[id] && j.version <= revision && !j.ended {
+			ended = append(ended, id)
 		}
 	}
+	slices.Sort(ended)
+	for _, id := range ended {
+		d.Withdrawn(id)
+	}
+	return ended
 }
 
 // Event takes an event of a shard.
@@ -283,7 +289,7 @@
 func (d *Dealer) Needs() []Need {
 	var out []Need
 	for _, j := range d.sortedJobs() {
-		if j.ended {
+		if j.ended || j.waits {
 			continue
 		}
 		open := j.spec.Tasks - j.nDone
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -20,9 +20,11 @@
 type machine struct {
 	model.Machine
 	token    uint64
-	recorded bool // surely in its block's record
-	stored   bool // perhaps in it
-	silent   bool
+	recorded bool // surely in a block's record
+	// recordedIn is the layout of the block that it is recorded in.
+	recordedIn uint64
+	stored     bool // perhaps in it
+	silent     bool
 	// lapsed: nothing is there, and nothing goes there: it leaves the record,
 	// so that a later leader need not look for it.
 	lapsed    bool
@@ -202,14 +204,21 @@
 	}
 }
 
-// Recorded takes a machine that an earlier leader may have given tasks. It is
-// suspect until its worker is fenced or its lease is surely over.
-func (d *Dealer) Recorded(m model.Machine, version uint64) {
+// Recorded takes a stored block of machines that an earlier leader may have given
+// tasks. They are suspect until their workers are fenced or their leases are surely
+// over. Blocks of the layout that is to be written come first.
+func (d *Dealer) Recorded(id BlockID, version uint64, ms []model.Machine) {
+	d.blockAt(id).version = version
+	for _, m := range ms {
+		d.suspect(m, id.Size)
+	}
+}
+
+func (d *Dealer) suspect(m model.Machine, layout uint64) {
 	if d.machines[m.ID] != nil {
 		return
 	}
-	d.block(m.ID).version = version
-	r := &machine{Machine: m, recorded: true, stored: true, authority: d.oldEnd}
+	r := &machine{Machine: m, recorded: true, stored: true, recordedIn: layout, authority: d.oldEnd}
 	if t, ok := d.types[m.Type]; ok {
 		r.Cap, r.FetchRate = t.Cap, t.FetchRate
 	}
--- a/internal/core/dealer/writes.go
+++ b/internal/core/dealer/writes.go
@@ -1,6 +1,7 @@
 package dealer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,13 +12,14 @@
 // Write is a change for the state service.
 type Write struct {
 	Kind     WriteKind
-	Block    uint64          // PutBlock
+	Block    BlockID         // PutBlock, DropBlock
 	Machines []model.Machine // PutBlock: all that the block is to hold
-	Version  uint64          // PutBlock: the block's; Finish: the job's
+	Version  uint64          // PutBlock, DropBlock: the block's; Finish: the job's
 	Job      model.JobID
-	Chunk    int32
+	Chunk    ChunkID
+	From     int32 // PutChunk: the first task that its bits tell of
 	Bits     []byte
-	Kept     []int32 // Finish: chunks that may be stored
+	Kept     []ChunkID // Finish: chunks that may be stored
 
 	clears []clearing
 }
@@ -30,8 +32,24 @@
 	PutBlock WriteKind = iota
 	PutChunk
 	Finish
+	DropBlock
 )
 
+// ChunkID names a chunk of a job's done set. A job of which all fits into one has
+// chunk 0 of the layout of 0.4 and before, which is the same; others have chunks that
+// say themselves which task is their first.
+type ChunkID struct {
+	Old bool
+	No  int32
+}
+
+func compareChunks(a, b ChunkID) int { return cmp.Compare(a.No, b.No) }
+
+// chunkID is the id of a job's c-th chunk.
+func (d *Dealer) chunkID(j *job, c int32) ChunkID {
+	return ChunkID{Old: j.spec.Tasks <= d.p.ChunkSize, No: c}
+}
+
 // Writes returns the changes to be stored now, at most n, the most urgent first.
 func (d *Dealer) Writes(now time.Duration, n int) []Write {
 	out := d.Urgent(n)
@@ -46,10 +64,10 @@
 		if len(out) >= n {
 			return out
 		}
-		if !j.ended && !j.writing && !j.spec.Daemon && j.nDone == j.spec.Tasks {
+		if !j.ended && !j.writing && !j.waits && !j.spec.Daemon && j.nDone == j.spec.Tasks {
 			j.writing = true
 			out = append(out, Write{Kind: Finish, Job: j.spec.ID, Version: j.version,
-				Kept: slices.Sorted(maps.Keys(j.kept))})
+				Kept: slices.SortedFunc(maps.Keys(j.kept), compareChunks)})
 		}
 	}
 	return d.blockWrites(out, n)
@@ -70,9 +88,10 @@
 				return out
 			}
 			delete(j.dirty, c)
-			j.kept[c] = true // from here on, whatever becomes of the write
+			id := d.chunkID(j, c)
+			j.kept[id] = true // from here on, whatever becomes of the write
 			j.writing, j.stored = true, now
-			w := Write{Kind: PutChunk, Job: j.spec.ID, Chunk: c, Bits: d.chunk(j, c)}
+			w := Write{Kind: PutChunk, Job: j.spec.ID, Chunk: id, From: c * d.p.ChunkSize, Bits: d.chunk(j, c)}
 			j.clears = slices.DeleteFunc(j.clears, func(cl clearing) bool {
 				if cl.task.No/d.p.ChunkSize != c {
 					return false
@@ -106,6 +125,8 @@
 	switch w.Kind {
 	case PutBlock:
 		d.blockStored(w, revision, ok, lost)
+	case DropBlock:
+		d.blockDropped(w, revision, ok, lost)
 	case PutChunk:
 		j := d.jobs[w.Job]
 		if j == nil {
@@ -117,7 +138,7 @@
 				d.clearIt(c)
 			}
 		} else {
-			j.dirty[w.Chunk] = true
+			j.dirty[w.Chunk.No] = true
 			j.clears = append(j.clears, w.clears...)
 		}
 		d.forget(j)
--- a/internal/core/drain/engine.go
+++ b/internal/core/drain/engine.go
@@ -21,6 +21,9 @@
 	Probe time.Duration
 	// Most machines of a plan, so that its record fits into a value.
 	Most int
+	// Value is how many bytes a record may have from some moment on, packed; 0: as many
+	// as now.
+	Value int
 }
 
 // ActionKind tells actions apart.
@@ -59,6 +62,7 @@
 	seen   map[model.MachineID]seen
 	asked  map[model.MachineID]asked // Look
 	looks  uint64
+	packs  bool                          // records that would be too large are packed
 	moved  map[model.JobID]time.Duration // services: when a replica was last moved
 	out    []Action
 	free   *rooms // for what moves in this tick, nil: not asked for yet
@@ -105,7 +109,7 @@
 func refuse(format string, args ...any) error { return &Refusal{fmt.Sprintf(format, args...)} }
 
 // Check tells whether a plan could be applied now.
-func (e *Engine) Check(s *Spec, name func(model.MachineID) string) error {
+func (e *Engine) Check(s *Spec, source []byte, name func(model.MachineID) string) error {
 	if p := e.plans[s.Name]; p != nil && p.foreign != "" {
 		return refuse("name: plan %q is there already, %s", s.Name, p.foreign)
 	} else if p != nil && !p.ended() {
@@ -117,6 +121,10 @@
 	if len(s.Machines) > e.p.Most {
 		return refuse("machines: %d, a plan holds %d at most: split it", len(s.Machines), e.p.Most)
 	}
+	if size := worst(s, source); e.p.Value > 0 && size > e.p.Value {
+		return refuse("machines: %d, with a text of %d bytes, may take %d bytes to store, at most %d: split the plan",
+			len(s.Machines), len(source), size, e.p.Value)
+	}
 	var errs []error
 	for _, p := range e.sorted() {
 		for i := range p.Steps {
--- /dev/null
+++ b/internal/core/drain/packed_test.go
@@ -0,0 +1,56 @@
+package drain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// A plan of 1,300 machines fits into 2 KiB in whatever states its steps are, any leader
+// reads it again, and what would not fit is refused with what it takes.
+func TestLargePlanIsPacked(t *testing.T) {
+	e := New(Params{Term: 1, Most: 9000, Value: 2048})
+	spec := &Spec{Name: "patch"}
+	for i := range model.MachineID(1300) {
+		spec.Machines = append(spec.Machines, 5+i*2+i%3)
+	}
+	name := func(id model.MachineID) string { return fmt.Sprint(id) }
+	source := []byte(strings.Repeat("machines { zones: \"east\" }\n", 8))
+	if err := e.Check(spec, source, name); err != nil {
+		t.Fatal(err)
+	}
+	p := e.Apply(0, time.Unix(9, 0), spec, source, "ops")
+	for i := range p.Steps {
+		p.Steps[i].State = State(i * 7 % (int(Left) + 1))
+	}
+	if w := e.Writes(1); len(w) != 1 || len(w[0].Value) < 2048 {
+		t.Fatalf("packed before all can read it: %d bytes", len(w[0].Value))
+	}
+	p.sending = 0
+	e.Pack()
+	w := e.Writes(1)
+	if len(w) != 1 || len(w[0].Value) > 2048 {
+		t.Fatalf("%d bytes", len(w[0].Value))
+	}
+	next := New(Params{Term: 2, Most: 9000, Value: 2048})
+	next.Load(0, Stored{Name: "patch", Value: w[0].Value, Version: 7}, func([]byte) (*Spec, error) { return &Spec{Name: "patch"}, nil })
+	got := next.plans["patch"]
+	if got.foreign != "" || len(got.Steps) != len(p.Steps) {
+		t.Fatalf("%q, %d steps", got.foreign, len(got.Steps))
+	}
+	for i := range got.Steps {
+		if got.Steps[i] != p.Steps[i] {
+			t.Fatalf("step %d: %+v, was %+v", i, got.Steps[i], p.Steps[i])
+		}
+	}
+	spec.Name = "more"
+	for i := range model.MachineID(4000) {
+		spec.Machines = append(spec.Machines, 9000+i)
+	}
+	if err := next.Check(spec, source, name); err == nil || !strings.Contains(err.Error(), "bytes to store, at most 2048") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/core/drain/record.go
+++ b/internal/core/drain/record.go
@@ -1,8 +1,13 @@
 package drain
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,8 +16,18 @@
 	"honeylock/internal/core/model"
 )
 
-// recordVersion of stored plans. A leader leaves alone what it does not know.
-const recordVersion = 1
+// Versions of stored plans. A leader leaves alone what it does not know. A packed
+// record holds one of version 1, deflated.
+const (
+	recordVersion = 1
+	packedVersion = 2
+)
+
+// packed is how a record is stored that would be too large for a value.
+type packed struct {
+	V int    `json:"v"`
+	Z []byte `json:"z"`
+}
 
 // record is a stored plan. Machines are numbers, each given by its distance from
 // the one before (zigzag, varint), and the states are a byte each, so that 1,600
@@ -30,7 +45,70 @@
 	Tries    map[int]int `json:"tries,omitempty"` // of steps that rent
 }
 
-func (p *Plan) encode() ([]byte, error) {
+// encode makes a plan's record, packed if it has more than so many bytes; 0: never.
+func (p *Plan) encode(most int) ([]byte, error) {
+	b, err := p.plain()
+	if err != nil || most == 0 || len(b) <= most {
+		return b, err
+	}
+	var z bytes.Buffer
+	w, err := flate.NewWriter(&z, flate.BestCompression)
+	if err != nil {
+		return nil, fmt.Errorf("pack plan %s: %w", p.Name, err)
+	}
+	_, err = w.Write(b)
+	if err = errors.Join(err, w.Close()); err != nil {
+		return nil, fmt.Errorf("pack plan %s: %w", p.Name, err)
+	}
+	if b, err = json.Marshal(packed{packedVersion, z.Bytes()}); err != nil {
+		return nil, fmt.Errorf("encode plan %s: %w", p.Name, err)
+	}
+	return b, nil
+}
+
+// unpack returns the plain record of a stored one.
+func unpack(value []byte) ([]byte, error) {
+	var p packed
+	if err := json.Unmarshal(value, &p); err != nil {
+		return nil, fmt.Errorf("its record is unreadable: %w", err)
+	}
+	if p.V != packedVersion {
+		return value, nil
+	}
+	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Z)), 1<<20))
+	if err != nil {
+		return nil, fmt.Errorf("its packed record is unreadable: %w", err)
+	}
+	return b, nil
+}
+
+// worst is about the most bytes that a plan's packed record may come to have while its
+// steps are in states that have nothing to do with each other.
+func worst(s *Spec, source []byte) int {
+	p := Plan{Spec: *s, UID: "18446744073709551615-1", Source: source, By: "somebody-with-a-name", At: time.Unix(1<<31, 0)}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, id := range s.Machines {
+		p.Steps = append(p.Steps, Step{Machine: id, State: State(rng.IntN(int(Left) + 1))})
+	}
+	b, err := p.encode(1)
+	if err != nil {
+		return 0 // plain values always encode
+	}
+	return len(b)
+}
+
+// Pack has records packed from here on that would be too large for the values to come:
+// every controller can read them.
+func (e *Engine) Pack() { e.packs = true }
+
+func (e *Engine) most() int {
+	if !e.packs {
+		return 0
+	}
+	return e.p.Value
+}
+
+func (p *Plan) plain() ([]byte, error) {
 	r := record{V: recordVersion, Name: p.Name, UID: p.UID, By: p.By, AtMS: p.At.UnixMilli(), Phase: p.Phase,
 		Source: p.Source}
 	last := int64(0)
@@ -71,6 +149,10 @@
 }
 
 func (p *Plan) decode(now time.Duration, value []byte, resolve func([]byte) (*Spec, error)) error {
+	value, err := unpack(value)
+	if err != nil {
+		return err
+	}
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
 		return fmt.Errorf("its record is unreadable: %w", err)
@@ -111,7 +193,7 @@
 	if p.ended() {
 		return Stored{}, nil, refuse("plan %q is %s", name, p.Phase)
 	}
-	b, err := p.encode()
+	b, err := p.encode(0)
 	spec := p.Spec
 	return Stored{Name: name, Value: b, Version: 1}, &spec, err
 }
@@ -142,7 +224,7 @@
 		if p.synced() || len(out) >= n {
 			continue
 		}
-		b, err := p.encode()
+		b, err := p.encode(e.most())
 		if err != nil {
 			continue // a record of plain values always encodes
 		}
--- /dev/null
+++ b/internal/core/jobs/awaits_test.go
@@ -0,0 +1,138 @@
+package jobs
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"honeylock/internal/core/model"
+)
+
+// shelf is a store of scripted records: a job is open at a version, or has a stage.
+type shelf struct {
+	open  map[model.JobID]uint64
+	final map[model.JobID]Stage
+	// before is called for each operation.
+	before func(Op)
+	ops    []Op
+}
+
+func (s *shelf) do(op Op) Result {
+	s.ops = append(s.ops, op)
+	if s.before != nil {
+		s.before(op)
+	}
+	switch op.Kind {
+	case ReadOpen:
+		if v := s.open[op.Job]; v != 0 {
+			return Result{Version: v}
+		}
+	case ReadFinal:
+		if st := s.final[op.Job]; st != "" {
+			return Result{Stage: st}
+		}
+	case Create:
+		if s.open[op.Job] != 0 || s.final[op.Job] != "" || slices.ContainsFunc(op.Guards, func(g Guard) bool {
+			return s.open[g.Job] != g.Version
+		}) {
+			return Result{Outcome: Conflict}
+		}
+		if op.Stage != "" {
+			s.final[op.Job] = op.Stage
+		} else {
+			s.open[op.Job] = 50
+		}
+		return Result{}
+	}
+	return Result{Outcome: Missing}
+}
+
+func (s *shelf) submit(t *testing.T, seen map[model.JobID]uint64, awaits ...model.JobID) Answer {
+	t.Helper()
+	req, op := NewAwaiting(1, awaits, seen, 2)
+	for range 40 {
+		next, a := req.Next(op, s.do(op))
+		if a != nil {
+			return *a
+		}
+		op = next
+	}
+	t.Fatal("no answer")
+	return Answer{}
+}
+
+func TestSubmissionThatAwaits(t *testing.T) {
+	open, final := map[model.JobID]uint64{2: 7, 3: 8, 4: 9}, map[model.JobID]Stage{5: Done, 6: Cancelled}
+	for name, c := range map[string]struct {
+		seen   map[model.JobID]uint64
+		awaits []model.JobID
+		status int
+		stage  Stage
+		ops    int
+	}{
+		"open ones that were seen":      {map[model.JobID]uint64{2: 7, 3: 8}, []model.JobID{2, 3}, http.StatusCreated, Queued, 1},
+		"one that is read":              {map[model.JobID]uint64{}, []model.JobID{2}, http.StatusCreated, Queued, 2},
+		"one that is done":              {map[model.JobID]uint64{}, []model.JobID{5}, http.StatusCreated, Queued, 3},
+		"one that is cancelled":         {map[model.JobID]uint64{}, []model.JobID{2, 6}, http.StatusCreated, Cancelled, 4},
+		"one seen open that has ended":  {map[model.JobID]uint64{6: 3}, []model.JobID{6}, http.StatusCreated, Cancelled, 6},
+		"one that was never accepted":   {map[model.JobID]uint64{}, []model.JobID{2, 99}, http.StatusUnprocessableEntity, "", 5},
+		"more than a transaction takes": {map[model.JobID]uint64{2: 7, 3: 8, 4: 9}, []model.JobID{2, 3, 4}, http.StatusCreated, Queued, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &shelf{open: map[model.JobID]uint64{}, final: map[model.JobID]Stage{}}
+			for id, v := range open {
+				s.open[id] = v
+			}
+			for id, st := range final {
+				s.final[id] = st
+			}
+			a := s.submit(t, c.seen, c.awaits...)
+			if a.Status != c.status || a.Stage != c.stage || len(s.ops) != c.ops {
+				t.Errorf("%+v after %+v, want %d %q after %d", a, s.ops, c.status, c.stage, c.ops)
+			}
+			if last := s.ops[len(s.ops)-1]; len(last.Guards) > 2 {
+				t.Errorf("%d guards, two may be", len(last.Guards))
+			}
+		})
+	}
+}
+
+// An accepted submission once more has its job's state, whatever it names now.
+func TestKnownJobThatAwaitsStaysKnown(t *testing.T) {
+	s := &shelf{open: map[model.JobID]uint64{1: 50}, final: map[model.JobID]Stage{}}
+	if a := s.submit(t, nil, 99); a.Status != http.StatusOK || a.Stage != Queued {
+		t.Errorf("%+v for a job that is open", a)
+	}
+	s = &shelf{open: map[model.JobID]uint64{}, final: map[model.JobID]Stage{1: Done}}
+	if a := s.submit(t, nil, 99); a.Status != http.StatusOK || a.Stage != Done {
+		t.Errorf("%+v for a job that is done", a)
+	}
+}
+
+// What is awaited is cancelled between the look and the transaction: the transaction
+// fails, and the next one takes the job as cancelled. Without the guard it would be
+// called queued for as long as no leader looks.
+func TestCancellationBetweenLookAndTransaction(t *testing.T) {
+	s := &shelf{open: map[model.JobID]uint64{2: 7}, final: map[model.JobID]Stage{}}
+	s.before = func(op Op) {
+		if op.Kind == Create && s.open[2] != 0 {
+			delete(s.open, 2)
+			s.final[2] = Cancelled
+		}
+	}
+	if a := s.submit(t, map[model.JobID]uint64{}, 2); a.Status != http.StatusCreated || a.Stage != Cancelled || s.open[1] != 0 {
+		t.Errorf("%+v, open %v", a, s.open)
+	}
+	// It changes for ever: nothing is told.
+	n := uint64(7)
+	s = &shelf{open: map[model.JobID]uint64{2: 7}, final: map[model.JobID]Stage{}}
+	s.before = func(op Op) {
+		if op.Kind == Create {
+			n++
+			s.open[2] = n
+		}
+	}
+	if a := s.submit(t, map[model.JobID]uint64{}, 2); a.Status != http.StatusServiceUnavailable {
+		t.Errorf("%+v", a)
+	}
+}
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -7,9 +7,17 @@
 // So reading open, then final, always tells: a job that ends between the two
 // reads is found by the second. The open record is written once and never
 // changed, which lets its version guard the job's end.
+//
+// A submission that awaits other jobs is taken by one transaction too: it holds only
+// if each of them is still open as it was seen, or was seen done. Where one was seen
+// cancelled, the job is taken as cancelled.
 package jobs
 
-import "net/http"
+import (
+	"net/http"
+
+	"honeylock/internal/core/model"
+)
 
 // Stage of a job as users are told.
 type Stage string
@@ -32,15 +40,24 @@
 const (
 	ReadOpen  OpKind = iota
 	ReadFinal        // Stage tells it
-	Create           // put open; guards: neither open nor final exists
+	Create           // put open, or final if Stage is set; guards: neither exists, and Guards
 	Cancel           // drop open at Version, put final
 	StillOpen        // compare open with Version; many are compared in one call
 )
 
-// Op is a store operation.
+// Guard is a condition: this job's open record has the version.
+type Guard struct {
+	Job     model.JobID
+	Version uint64
+}
+
+// Op is a store operation on a job's records.
 type Op struct {
 	Kind    OpKind
+	Job     model.JobID
 	Version uint64
+	Guards  []Guard // Create: the jobs that it awaits and that are open
+	Stage   Stage   // Create: Cancelled if one of them is
 }
 
 // Outcome of a store operation.
@@ -66,6 +83,8 @@
 	Status  int
 	Stage   Stage
 	Created bool // the job has been accepted by this request
+	// Unknown is a job that is awaited and was never accepted; it comes with a 422.
+	Unknown model.JobID
 }
 
 // Kind of request.
@@ -80,23 +99,28 @@
 
 // Request is the state machine of one request.
 type Request struct {
-	kind  Kind
-	tries int
-	seen  bool // the open record
+	kind   Kind
+	job    model.JobID
+	tries  int
+	seen   bool // the open record
+	awaits awaited
+	// unknown: a job that is awaited has neither record; it is still to be seen whether
+	// this is an accepted submission once more.
+	unknown bool
 }
 
-// New starts a request and returns its first operation. version is the open
-// record's, if it has been seen, else 0: the record is written once, so a poll
+// New starts a request about a job and returns its first operation. version is the
+// open record's, if it has been seen, else 0: the record is written once, so a poll
 // need only learn whether it is still there.
-func New(k Kind, version uint64) (*Request, Op) {
-	r := &Request{kind: k}
+func New(k Kind, job model.JobID, version uint64) (*Request, Op) {
+	r := &Request{kind: k, job: job}
 	if k == Submit {
-		return r, Op{Kind: Create}
+		return r, Op{Kind: Create, Job: job}
 	}
 	if k == Poll && version != 0 {
-		return r, Op{Kind: StillOpen, Version: version}
+		return r, Op{Kind: StillOpen, Job: job, Version: version}
 	}
-	return r, Op{Kind: ReadOpen}
+	return r, Op{Kind: ReadOpen, Job: job}
 }
 
 var unavailable = &Answer{Status: http.StatusServiceUnavailable}
@@ -106,30 +130,44 @@
 	if res.Outcome == Failed {
 		return Op{}, unavailable
 	}
+	if op.Job != r.job {
+		return r.look(op, res), nil
+	}
 	switch op.Kind {
 	case Create:
 		if res.Outcome == OK {
-			return Op{}, &Answer{Status: http.StatusCreated, Stage: Queued, Created: true}
+			a := &Answer{Status: http.StatusCreated, Stage: Queued, Created: true}
+			if op.Stage != "" {
+				a.Stage = op.Stage
+			}
+			return Op{}, a
 		}
-		return Op{Kind: ReadOpen}, nil
+		return Op{Kind: ReadOpen, Job: r.job}, nil
 	case StillOpen:
 		if res.Outcome == OK {
 			return Op{}, &Answer{Status: http.StatusOK, Stage: Queued}
 		}
 		r.seen = true // it was open, so it has ended
-		return Op{Kind: ReadFinal}, nil
+		return Op{Kind: ReadFinal, Job: r.job}, nil
 	case ReadOpen:
 		if res.Outcome == Missing {
-			return Op{Kind: ReadFinal}, nil
+			return Op{Kind: ReadFinal, Job: r.job}, nil
 		}
 		if r.kind == Withdraw {
-			return Op{Kind: Cancel, Version: res.Version}, nil
+			return Op{Kind: Cancel, Job: r.job, Version: res.Version}, nil
 		}
 		return Op{}, &Answer{Status: http.StatusOK, Stage: Queued}
 	case ReadFinal:
 		if res.Outcome == OK {
 			return Op{}, &Answer{Status: http.StatusOK, Stage: res.Stage}
 		}
+		if r.unknown {
+			return Op{}, &Answer{Status: http.StatusUnprocessableEntity, Unknown: r.awaits.unknown}
+		}
+		if r.kind == Submit && r.awaits.any() && r.again() {
+			// A job that it awaits is no longer as it was seen.
+			return r.awaits.first(r.job), nil
+		}
 		if r.kind == Submit || r.seen {
 			// Neither record, though one stood in the way: try once more later.
 			return Op{}, unavailable
@@ -140,10 +178,13 @@
 			return Op{}, &Answer{Status: http.StatusOK, Stage: Cancelled}
 		}
 		// It has ended meanwhile.
-		if r.tries++; r.tries > 2 {
+		if !r.again() {
 			return Op{}, unavailable
 		}
-		return Op{Kind: ReadOpen}, nil
+		return Op{Kind: ReadOpen, Job: r.job}, nil
 	}
 	return Op{}, unavailable
 }
+
+// again tells whether what has changed meanwhile is looked at once more.
+func (r *Request) again() bool { r.tries++; return r.tries <= 2 }
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -34,6 +34,7 @@
 	Price   float64   // Price
 	Count   int       // RecallWaiting
 	Keeper  string    // Release, Elsewhere: where its worker should report instead
+	Aim     Aim       // Reprice
 }
 
 // OrderKind tells orders apart.
@@ -57,6 +58,24 @@
 	Elsewhere                      // a machine that is not this shard's is another's: its worker should report there
 )
 
+// Aim tells whether an aim speaks of a job, or of one that needs it.
+type Aim uint8
+
+// Aims.
+const (
+	AimKept Aim = iota // as before: a leader of 0.4 does not say
+	AimNo
+	AimYes
+)
+
+// Aimed is the aim of a job that an aim speaks of, or not.
+func Aimed(yes bool) Aim {
+	if yes {
+		return AimYes
+	}
+	return AimNo
+}
+
 // Event is what a shard tells the dealer.
 type Event struct {
 	Kind    EventKind
--- /dev/null
+++ b/internal/core/pipeline/pipeline_test.go
@@ -0,0 +1,232 @@
+package pipeline
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"honeylock/internal/core/model"
+)
+
+func ids(rs []Release) (out []model.JobID) {
+	for _, r := range rs {
+		out = append(out, r.ID)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func TestDiamondBeginsWhenBothSidesAreDone(t *testing.T) {
+	g := New()
+	g.Add(Job{ID: 1}, 0)
+	for _, j := range []Job{{ID: 2, Awaits: []model.JobID{1}}, {ID: 3, Awaits: []model.JobID{1}},
+		{ID: 4, Rank: model.Urgent, Awaits: []model.JobID{2, 3}}} {
+		if !g.Add(j, 0) {
+			t.Fatalf("job %d may begin at once", j.ID)
+		}
+	}
+	for _, in := range g.Changed() {
+		if in.Rank != model.Urgent {
+			t.Errorf("%+v, want the rank of the last", in)
+		}
+	}
+	g.Ended(1, Done, 0)
+	if got := ids(g.Released()); !slices.Equal(got, []model.JobID{2, 3}) {
+		t.Fatalf("released %v", got)
+	}
+	g.Ended(2, Done, 0)
+	if got := g.Released(); len(got) > 0 {
+		t.Fatalf("%v before its other side is done", got)
+	}
+	g.Ended(3, Unknown, 7)
+	if got := g.Behind(9); got != 7 {
+		t.Errorf("behind since %v while an end is unknown", got)
+	}
+	if ask := g.Ask(0, 9); !slices.Equal(ask, []model.JobID{3}) {
+		t.Fatalf("asks about %v", ask)
+	}
+	g.Told(0, 3, Unknown, 0)
+	if again := g.Ask(retry-1, 9); len(again) > 0 {
+		t.Fatalf("asks again at once")
+	}
+	g.Ask(retry, 9)
+	g.Told(retry, 3, Done, 5000)
+	if got := g.Released(); len(got) != 1 || got[0] != (Release{ID: 4, AtMS: 5000, Now: true}) {
+		t.Fatalf("released %+v", got)
+	}
+}
+
+// A cancellation goes through a whole tree, also to who comes while it does, and to
+// nobody else; what was inherited is taken back.
+func TestCancellationGoesThrough(t *testing.T) {
+	g := New()
+	g.Add(Job{ID: 1}, 0)
+	g.Add(Job{ID: 900}, 0)
+	for id := model.JobID(2); id <= 50; id++ {
+		g.Add(Job{ID: id, Rank: model.Standard, Awaits: []model.JobID{id - 1, 900}}, 0)
+	}
+	g.Add(Job{ID: 60, Rank: model.Urgent, Awaits: []model.JobID{900}}, 0)
+	g.Changed()
+	g.Ended(1, Cancelled, 3)
+	if late := g.Add(Job{ID: 51, Awaits: []model.JobID{25}}, 0); !late {
+		t.Fatal("a job that names a doomed one may begin")
+	}
+	doomed := g.Doomed(0, 100)
+	if len(doomed) != 50 || doomed[0] != 2 || doomed[49] != 51 {
+		t.Fatalf("%d to be cancelled: %v", len(doomed), doomed)
+	}
+	if len(g.Doomed(0, 100)) > 0 {
+		t.Error("cancels twice at once")
+	}
+	g.Kept(0, 2)
+	if again := g.Doomed(retry, 100); !slices.Equal(again, []model.JobID{2}) {
+		t.Errorf("tries %v again", again)
+	}
+	g.Ended(900, Done, 0)
+	if got := ids(g.Released()); !slices.Equal(got, []model.JobID{60}) {
+		t.Errorf("released %v beside a tree that is cancelled", got)
+	}
+	for _, id := range doomed {
+		if b := g.Behind(9); b != 3 && b != 0 {
+			t.Fatalf("behind since %v with %d to go", b, id)
+		}
+		g.Ended(id, Cancelled, 4)
+	}
+	if b := g.Behind(9); b != 9 || len(g.nodes) != 1 {
+		t.Errorf("behind since %v, %d nodes are left", b, len(g.nodes))
+	}
+}
+
+func TestInheritedRankIsTakenBack(t *testing.T) {
+	g := New()
+	g.Add(Job{ID: 1, Rank: model.Idle}, 0)
+	g.Add(Job{ID: 2, Rank: model.Idle, Awaits: []model.JobID{1}}, 0)
+	g.Changed()
+	g.Add(Job{ID: 3, Rank: model.Urgent, Aimed: true, Awaits: []model.JobID{2}}, 0)
+	want := []Inherit{{1, model.Urgent, true}, {2, model.Urgent, true}}
+	if got := g.Changed(); !slices.Equal(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	g.Ended(3, Cancelled, 0)
+	want = []Inherit{{1, model.Idle, false}, {2, model.Idle, false}}
+	if got := g.Changed(); !slices.Equal(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// Random jobs, ends, answers and cancellations in any order: nothing begins before all
+// that it needs is done, nothing that needs a cancelled one begins at all, and once
+// everything is told nobody is left.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := New()
+		n := model.JobID(rapid.IntRange(2, 12).Draw(t, "jobs"))
+		awaits := map[model.JobID][]model.JobID{}
+		for id := range n {
+			for p := range id {
+				if rapid.IntRange(0, 3).Draw(t, "needs") == 0 {
+					awaits[id] = append(awaits[id], p)
+				}
+			}
+		}
+		end, begun, added, told := map[model.JobID]End{}, map[model.JobID]bool{}, map[model.JobID]bool{}, map[model.JobID]bool{}
+		finish := func(id model.JobID, e End) {
+			end[id] = e
+			if added[id] {
+				how := e
+				if rapid.Bool().Draw(t, "unknown") {
+					how = Unknown
+				}
+				told[id] = true
+				g.Ended(id, how, 0)
+			}
+		}
+		check := func() {
+			for _, r := range g.Released() {
+				begun[r.ID] = true
+				for _, p := range awaits[r.ID] {
+					if end[p] != Done {
+						t.Fatalf("%d begins, %d is %v", r.ID, p, end[p])
+					}
+				}
+			}
+			g.Changed()
+		}
+		for step := range 400 {
+			id := rapid.Custom(func(t *rapid.T) model.JobID { return model.JobID(rapid.IntRange(0, int(n)-1).Draw(t, "id")) }).Draw(t, "job")
+			switch {
+			case !added[id] && end[id] == Unknown:
+				added[id] = true
+				if !g.Add(Job{ID: id, Rank: model.Rank(id % 4), Awaits: awaits[id]}, 0) {
+					begun[id] = true
+				}
+			case end[id] == Unknown && rapid.IntRange(0, 5).Draw(t, "cancel") == 0:
+				finish(id, Cancelled)
+			case end[id] == Unknown && begun[id]:
+				finish(id, Done)
+			}
+			for _, id := range g.Ask(retry*4000*1000, 3) {
+				if e := end[id]; e == Unknown {
+					g.Told(0, id, Absent, 0)
+				} else {
+					g.Told(0, id, e, 0)
+				}
+			}
+			for _, id := range g.Doomed(retry*4000*1000, 2) {
+				if begun[id] {
+					t.Fatalf("step %d: %d is to be cancelled and has begun", step, id)
+				}
+				if end[id] == Unknown {
+					end[id] = Cancelled
+				}
+				g.Ended(id, Cancelled, 0)
+			}
+			check()
+		}
+		for id := range n {
+			if end[id] == Unknown {
+				t.Fatalf("%d is left: added %v, begun %v, awaits %v", id, added[id], begun[id], awaits[id])
+			}
+		}
+		if len(g.nodes) > 0 || len(g.unknown) > 0 || len(g.doomed) > 0 {
+			t.Fatalf("the graph keeps %d", len(g.nodes))
+		}
+	})
+}
+
+// What an end costs follows its successors, not the open jobs.
+func BenchmarkEnd(b *testing.B) {
+	for _, open := range []int{100, 10_000} {
+		for name, end := range map[string]End{"release": Done, "cancel": Cancelled} {
+			b.Run(fmt.Sprintf("%s/%d open", name, open), func(b *testing.B) {
+				g := New()
+				for id := range open {
+					g.Add(Job{ID: model.JobID(id)}, 0)
+				}
+				next := model.JobID(open)
+				for b.Loop() {
+					for i := range model.JobID(5) {
+						j := Job{ID: next + i, Rank: model.Rank(i % 4)}
+						if i > 0 {
+							j.Awaits = []model.JobID{next + i - 1}
+						}
+						g.Add(j, 0)
+					}
+					g.Ended(next, end, 0)
+					g.Released()
+					for _, id := range g.Doomed(0, 9) {
+						g.Ended(id, Cancelled, 0)
+					}
+					for i := range model.JobID(5) {
+						g.Ended(next+i, Done, 0)
+					}
+					g.Released()
+					g.Changed()
+					next += 5
+				}
+			})
+		}
+	}
+}
--- a/internal/core/shard/rehearse.go
+++ b/internal/core/shard/rehearse.go
@@ -73,7 +73,7 @@
 func (r *Rehearsal) Give(now time.Duration, d model.Deal) { r.s.give(now, d) }
 
 // Reprice changes the price of a job's tasks.
-func (r *Rehearsal) Reprice(job model.JobID, price float64) { r.s.reprice(job, price) }
+func (r *Rehearsal) Reprice(job model.JobID, price float64) { r.s.reprice(job, price, model.AimKept) }
 
 // Place places what waits, on whichever machine, and carries the evictions out.
 // Tasks that had to stop wait again.
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -190,7 +190,7 @@
 		delete(s.records, o.Job)
 		s.endJob(now, o.Job)
 	case model.Reprice:
-		s.reprice(o.Job, o.Price)
+		s.reprice(o.Job, o.Price, o.Aim)
 	case model.RecallWaiting:
 		s.recallWaiting(o.Job, o.Count)
 	case model.Release:
@@ -395,18 +395,30 @@
 
 // reprice changes the price of all of a job's tasks, waiting ones included: a
 // task that kept an older, lower price could fall victim to its own job.
-func (s *Shard) reprice(job model.JobID, price float64) {
+func (s *Shard) reprice(job model.JobID, price float64, aim model.Aim) {
+	var was, is *model.Spec
+	spec := func(sp *model.Spec) *model.Spec {
+		if aim == model.AimKept || sp.CanWait == (aim == model.AimNo) {
+			return sp
+		}
+		if sp != was { // others hold the one of before
+			c := *sp
+			c.CanWait = !c.CanWait
+			was, is = sp, &c
+		}
+		return is
+	}
 	for k, g := range s.queue {
 		if k.job == job {
-			g.price = price
+			g.price, g.spec = price, spec(g.spec)
 			for _, t := range g.tasks {
-				t.price = price
+				t.price, t.Spec = price, spec(t.Spec)
 			}
 		}
 	}
 	for _, sl := range s.ofJob[job] {
 		if sl.t != nil {
-			sl.t.price = price
+			sl.t.price, sl.t.Spec = price, spec(sl.t.Spec)
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/sim/chains_test.go
@@ -0,0 +1,299 @@
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/jobs"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/pipeline"
+)
+
+// chains wires the graph as the node does.
+type chains struct {
+	l *lead
+	g *pipeline.Graph
+}
+
+func (p *chains) add(o *openJob) {
+	since := -time.Hour
+	if p.l.loaded {
+		since = p.l.fresh
+	}
+	if p.g.Add(pipeline.Job{ID: o.spec.ID, Rank: o.spec.Rank, Aimed: !o.spec.CanWait, Awaits: o.awaits}, since) {
+		p.l.d.Hold(o.spec.ID)
+	}
+}
+
+func (p *chains) ended(id model.JobID, e pipeline.End) {
+	if e == pipeline.Unknown && p.l.c.w.p.goOnUnasked {
+		e = pipeline.Done
+	}
+	p.g.Ended(id, e, p.l.fresh)
+	p.settle()
+}
+
+func (p *chains) settle() {
+	for _, r := range p.g.Released() {
+		p.l.d.Release(r.ID, p.l.c.now(), r.Now)
+	}
+	for _, c := range p.g.Changed() {
+		p.l.d.Inherit(c.ID, c.Rank, c.Aimed)
+	}
+}
+
+func (p *chains) settled(now time.Duration) time.Duration { return min(p.l.fresh, p.g.Behind(now)) }
+
+func (p *chains) tick(now time.Duration) {
+	l, c := p.l, p.l.c
+	if c.w.p.resize > 0 && c.w.now > c.w.p.resize && l.d.Layout() == 0 {
+		l.d.Relay(smallBlock)
+	}
+	for _, id := range p.g.Ask(now, 4) {
+		c.storeCall(func() any { c.w.store.expire(); return c.w.store.ending(id) }, func(v any) {
+			if end, ok := v.(pipeline.End); ok && c.lead == l {
+				p.g.Told(c.now(), id, end, 0)
+				p.settle()
+			} else {
+				p.g.Told(c.now(), id, pipeline.Unknown, 0)
+			}
+		})
+	}
+	for _, id := range p.g.Doomed(now, 2) {
+		version := l.d.Version(id)
+		c.storeCall(func() any { return c.w.store.doom(l.guard, id, version) }, func(v any) {
+			r, _ := v.(written)
+			switch {
+			case r.ok:
+				l.d.Withdrawn(id)
+				p.ended(id, pipeline.Cancelled)
+			case r.lost:
+				l.d.Withdrawn(id)
+				p.ended(id, pipeline.Unknown)
+			default:
+				p.g.Kept(c.now(), id)
+			}
+		})
+	}
+}
+
+func (s *store) ending(id model.JobID) pipeline.End {
+	switch s.final[id] {
+	case jobs.Done:
+		return pipeline.Done
+	case jobs.Cancelled:
+		return pipeline.Cancelled
+	}
+	return pipeline.Absent
+}
+
+// doom ends a job that was never let begin, guarded as the leader's writes are.
+func (s *store) doom(guard uint64, id model.JobID, version uint64) any {
+	s.expire()
+	if !s.leader.Present || s.leader.Version != guard {
+		return written{}
+	}
+	if o, ok := s.open[id]; !ok || o.version != version {
+		return written{lost: !ok}
+	}
+	s.rev++
+	delete(s.open, id)
+	s.final[id] = jobs.Cancelled
+	return written{rev: s.rev, ok: true}
+}
+
+// loadRecords takes the stored blocks, those of the layout last written first.
+func (l *lead) loadRecords(records map[dealer.BlockID]record) {
+	ids := slices.SortedFunc(maps.Keys(records), func(a, b dealer.BlockID) int {
+		if (a.Size == 0) != (b.Size == 0) {
+			return int(b.Size) - int(a.Size)
+		}
+		return int(a.No) - int(b.No)
+	})
+	for _, id := range ids {
+		l.d.Recorded(id, records[id].version, records[id].machines)
+	}
+	if len(ids) > 0 && ids[0].Size != 0 {
+		l.d.Relay(smallBlock)
+	}
+}
+
+// smallBlock is the size that blocks get when limits are to fall.
+const smallBlock = 3
+
+// chain has a job await some that were accepted, in whatever state they are now.
+func (w *world) chain(u *user) {
+	if w.rng.IntN(4) == 0 {
+		return
+	}
+	var known []model.JobID
+	for id := range w.p.jobs {
+		if o := w.users[model.JobID(id)]; o != nil && o.accepted && !o.fails && !o.spec.Daemon {
+			known = append(known, o.spec.ID)
+		}
+	}
+	for range min(len(known), 1+w.rng.IntN(3)) {
+		id := known[len(known)-1-w.rng.IntN(min(len(known), 8))]
+		if !slices.Contains(u.awaits, id) {
+			u.awaits = append(u.awaits, id)
+		}
+	}
+	if w.rng.IntN(3) == 0 {
+		u.spec.Rank = model.Urgent
+	}
+}
+
+// request begins a request as a controller does.
+func (c *ctl) request(u *user, k jobs.Kind) (*jobs.Request, jobs.Op) {
+	if k == jobs.Submit && len(u.awaits) > 0 {
+		open := map[model.JobID]uint64{}
+		for _, id := range u.awaits { // what it happens to have seen
+			if v := c.w.users[id].version; v != 0 && c.w.rng.IntN(2) == 0 {
+				open[id] = v
+			}
+		}
+		return jobs.NewAwaiting(u.spec.ID, u.awaits, open, 18)
+	}
+	return jobs.New(k, u.spec.ID, u.version)
+}
+
+// vet turns an answer that nobody may vouch for into a refusal.
+func (c *ctl) vet(u *user, a *jobs.Answer) *jobs.Answer {
+	if a.Stage != jobs.Queued || a.Created || len(u.awaits) == 0 || c.w.p.vouchForEver {
+		return a
+	}
+	at := c.settled
+	if l := c.lead; l != nil && l.loaded {
+		at = max(at, l.chains.settled(c.now()))
+	}
+	if c.now()-at < c.w.p.cancel*9/10-3*time.Second {
+		return a
+	}
+	return &jobs.Answer{Status: http.StatusServiceUnavailable}
+}
+
+// needsCancelled tells whether a job needs one, directly or through others, whose user
+// asked to cancel it.
+func (w *world) needsCancelled(u *user) bool {
+	return slices.ContainsFunc(u.awaits, func(id model.JobID) bool {
+		return w.users[id].wants || w.needsCancelled(w.users[id])
+	})
+}
+
+// checkOrphan: a job is called queued or running too long after a user was told that one
+// that it needs is cancelled.
+func (w *world) checkOrphan(u *user, asked time.Duration, st jobs.Stage) {
+	if st.Ended() {
+		return
+	}
+	for _, id := range u.awaits {
+		if o := w.users[id]; o.ended == jobs.Cancelled && asked > max(o.endedAt, u.acceptedAt)+w.p.cancel {
+			w.fail("orphaned", "job %d is %s, %d was cancelled at %v", u.spec.ID, st, id, o.endedAt)
+		}
+	}
+}
+
+// checkEarly: a task starts before all that its job needs is done.
+func (w *world) checkEarly(u *user, t model.Task) {
+	for _, id := range u.awaits {
+		if o := w.users[id]; len(o.done) < int(o.spec.Tasks) {
+			w.fail("too_early", "task %v starts, job %d has %d of %d tasks done", t, id, len(o.done), o.spec.Tasks)
+		}
+	}
+}
+
+// outages are longer than a cancellation may take: whoever leads afterwards must not let
+// it be told that what waits is queued before it has looked.
+func (w *world) outages() {
+	w.after(w.p.cancel+15*time.Second, func() {
+		w.note("fault: the store is out for long")
+		w.store.out = true
+		w.after(w.p.cancel+5*time.Second, func() { w.store.back() })
+		w.outages()
+	})
+}
+
+func chained() params {
+	p := almatyLike()
+	p.chains, p.jobs, p.controllers, p.resize = true, 120, 5, 2*time.Minute
+	return p
+}
+
+// TestRulesHoldForChains plays random days of jobs that await each other, with every kind
+// of failure, while the blocks of machines' records change their size half way.
+func TestRulesHoldForChains(t *testing.T) {
+	long := longLease()
+	long.chains, long.jobs, long.resize = true, 120, 3*time.Minute
+	for name, p := range map[string]params{"short lease": chained(), "long lease": long} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(seed, p)
+				w.run()
+				if len(w.broken) > 0 {
+					t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
+				}
+				if w.started == 0 {
+					t.Fatal("no task was started")
+				}
+			})
+		}
+	}
+}
+
+// TestChainsComplete: without failures every chain ends, done or cancelled.
+func TestChainsComplete(t *testing.T) {
+	p := chained()
+	p.faults = false
+	p.rest = 3 * time.Minute
+	w := newWorld(1, p)
+	w.run()
+	if len(w.broken) > 0 {
+		t.Fatal(strings.Join(w.broken, "\n"))
+	}
+	ends := map[jobs.Stage]int{}
+	for id, u := range w.users {
+		if u.accepted && u.ended == "" {
+			t.Errorf("job %d (%+v, awaits %v) has not ended", id, u.spec, u.awaits)
+		}
+		if len(u.awaits) > 0 {
+			ends[u.ended]++
+		}
+	}
+	if ends[jobs.Done] == 0 || ends[jobs.Cancelled] == 0 {
+		t.Errorf("jobs that awaited others ended %v: one way never happened", ends)
+	}
+	for id := range w.store.records {
+		if id.Size != smallBlock {
+			t.Errorf("block %v is still there", id)
+		}
+	}
+}
+
+// TestChecksCatchBrokenChains proves the checks.
+func TestChecksCatchBrokenChains(t *testing.T) {
+	for name, breakIt := range map[string]func(*params){
+		"a job that is gone counts as done":        func(p *params) { p.goOnUnasked = true },
+		"what waits is called queued in any event": func(p *params) { p.vouchForEver = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(60) {
+				p := chained()
+				breakIt(&p)
+				w := newWorld(seed, p)
+				w.run()
+				if len(w.broken) > 0 {
+					t.Logf("seed %d: %s", seed, w.broken[0])
+					return
+				}
+			}
+			t.Fatal("no day broke a rule: the checks see nothing")
+		})
+	}
+}
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -15,11 +15,15 @@
 	report, lease, cancel, ttl, deaf time.Duration
 	length, rest                     time.Duration // rest: played on for so long, with nothing new
 	faults                           bool
-	drains                           bool // operators' drain plans
-	guests                           bool // swarms of small tasks, and jobs that always fail
-	forgetRecords                    bool // a broken guard: a new leader ignores the machines' records
-	trustOldEnd                      bool // a broken guard: old grants are taken for over at once
-	freeOnLoss                       bool // a broken guard: a lost shard's machines count as accounted for
+	drains                           bool          // operators' drain plans
+	chains                           bool          // jobs that await others
+	goOnUnasked                      bool          // a broken guard: a job that is gone counts as done
+	vouchForEver                     bool          // a broken guard: what waits is called queued whatever is known
+	resize                           time.Duration // when leaders begin to write smaller blocks; 0: never
+	guests                           bool          // swarms of small tasks, and jobs that always fail
+	forgetRecords                    bool          // a broken guard: a new leader ignores the machines' records
+	trustOldEnd                      bool          // a broken guard: old grants are taken for over at once
+	freeOnLoss                       bool          // a broken guard: a lost shard's machines count as accounted for
 }
 
 type event struct {
@@ -270,6 +274,9 @@
 	if w.p.faults {
 		w.after(10*time.Second, w.faults)
 	}
+	if w.p.faults && w.p.chains {
+		w.outages()
+	}
 	if w.p.drains {
 		w.after(5*time.Second, func() { w.operator(0) })
 	}
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -1,14 +1,16 @@
 package node
 
 import (
-	"fmt"
+	"errors"
 	"time"
 
 	"honeylock/internal/core/budget"
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/pipeline"
 	"honeylock/internal/peer/peerpb"
+	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
 
@@ -121,10 +123,11 @@
 	open := map[model.JobID]bool{}
 	m := &peerpb.Progress{StateAgeUs: p.l.n.pulse.servedAgo(p.l.n.now()).Microseconds()}
 	p.d.Open(func(id model.JobID, version uint64, done, running int) {
-		p.l.n.progress[id] = progress{done, running, version}
+		waits := p.d.Waits(id)
+		p.l.n.progress[id] = progress{done, running, version, waits}
 		open[id] = true
 		m.Jobs = append(m.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running),
-			Version: version})
+			Version: version, Waits: waits})
 	})
 	p.l.n.seat.s.Open(open)
 	return &peerpb.Down{Msg: &peerpb.Down_Progress{Progress: m}}
@@ -150,11 +153,20 @@
 	out := write{done: func(now time.Duration, o outcome) {
 		// A Finish is lost once the job's record is gone, a block's write once
 		// the block is at another version.
-		lost := o.conflict && (w.Kind == dealer.PutBlock || o.at == 0)
+		block := w.Kind == dealer.PutBlock || w.Kind == dealer.DropBlock
+		lost := o.conflict && (block || o.at == 0)
 		if o.conflict {
 			o.rev = o.at
 		}
 		p.d.Stored(now, w, o.rev, o.err == nil, lost)
+		switch {
+		case block && errors.Is(o.err, state.ErrInvalid):
+			p.l.tooLarge(w.Block)
+		case w.Kind == dealer.Finish && o.err == nil:
+			p.l.chains.ended(now, w.Job, pipeline.Done)
+		case w.Kind == dealer.Finish && lost:
+			p.l.chains.ended(now, w.Job, pipeline.Unknown)
+		}
 	}}
 	switch w.Kind {
 	case dealer.PutBlock:
@@ -162,27 +174,51 @@
 		key := blockKey(w.Block)
 		out.guards = []wire.Guard{{Key: key, Version: w.Version}}
 		out.ops = []wire.Op{{Put: key, Value: encode(wire.EncodeMachines(w.Machines, p.l.n.names))}}
+	case dealer.DropBlock:
+		key := blockKey(w.Block)
+		out.guards = []wire.Guard{{Key: key, Version: w.Version}}
+		out.ops = []wire.Op{{Delete: key}}
 	case dealer.PutChunk:
-		out.ops = []wire.Op{{Put: chunkKey(w.Job, w.Chunk), Value: encode(wire.Chunk{Bits: w.Bits})}}
+		ch := wire.Chunk{Part: w.Bits, From: w.From}
+		if w.Chunk.Old {
+			ch = wire.Chunk{Bits: w.Bits}
+		}
+		out.ops = []wire.Op{{Put: chunkKey(w.Job, w.Chunk), Value: encode(ch)}}
 		out.joins = true
 	case dealer.Finish:
 		out.guards = []wire.Guard{{Key: openKeys + wire.JobName(w.Job), Version: w.Version}}
 		out.ops = finalOps(w.Job, jobs.Done)
-		for _, c := range w.Kept {
+		room := max(0, p.l.n.cfg.Cluster.TxnOps()-len(out.ops))
+		for _, c := range w.Kept[:min(room, len(w.Kept))] {
 			out.ops = append(out.ops, wire.Op{Delete: chunkKey(w.Job, c)})
 		}
+		if rest := w.Kept[min(room, len(w.Kept)):]; len(rest) > 0 {
+			p.dropAfter(&out, w.Job, rest)
+		}
 	}
 	return out
 }
 
-func chunkKey(id model.JobID, c int32) string {
-	return fmt.Sprintf("%s%s/%d", doneKeys, wire.JobName(id), c)
+// dropAfter drops the chunks that a final's transaction has no room for, once it is
+// stored. What is left of them if this leader ends, the next one drops.
+func (p *dealing) dropAfter(w *write, id model.JobID, chunks []dealer.ChunkID) {
+	done := w.done
+	w.done = func(now time.Duration, o outcome) {
+		done(now, o)
+		if o.err != nil {
+			return
+		}
+		keys := make([]string, 0, len(chunks))
+		for _, c := range chunks {
+			keys = append(keys, chunkKey(id, c))
+		}
+		go p.dropOrphans(keys)
+	}
 }
 
-func blockKey(no uint64) string { return fmt.Sprintf("%s%08d", recordKeys, no) }
-
 // finalOps ends a job: from its open record to its final one.
 func finalOps(id model.JobID, stage jobs.Stage) []wire.Op {
 	name := wire.JobName(id)
-	return []wire.Op{{Delete: openKeys + name}, {Put: finalKeys + name, Value: encode(wire.Final{Stage: string(stage)})}}
+	end := wire.Final{Stage: string(stage), AtMS: time.Now().UnixMilli()}
+	return []wire.Op{{Delete: openKeys + name}, {Put: finalKeys + name, Value: encode(end)}}
 }
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -48,8 +48,12 @@
 	c := &l.n.cfg.Cluster
 	// A step takes three bytes as base64 for its number, two for its state.
 	most := int(c.State.ValueKB*1024-2*planfile.MaxSource) / 5
+	value := 0
+	if c.ValueKB() < c.State.ValueKB {
+		value = int(c.ValueKB() * 1024)
+	}
 	return &draining{l: l, led: ledger.New(auditSlots), learnt: runtimes.New(), e: drain.New(drain.Params{
-		Term: l.term, Report: config.Seconds(c.Workers.ReportS), Probe: rentProbe, Most: max(1, most)})}
+		Term: l.term, Report: config.Seconds(c.Workers.ReportS), Probe: rentProbe, Most: max(1, most), Value: value})}
 }
 
 // read gets the stored plans and the audit record, where there is an operators'
@@ -219,7 +223,7 @@
 		return nil
 	}
 	var out []write
-	most := max(1, min(3, p.l.n.cfg.Cluster.State.TxnOps-1))
+	most := max(1, min(3, p.l.n.cfg.Cluster.TxnOps()-1))
 	busy := map[string]bool{}
 	for _, w := range p.e.Writes(n) {
 		busy[w.Name] = true
--- a/internal/node/foresight.go
+++ b/internal/node/foresight.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	if err := p.e.Check(d.spec, wire.MachineName); err != nil {
+	if err := p.e.Check(d.spec, d.source, wire.MachineName); err != nil {
 		return nil, nil, 0, err
 	}
 	patch := defaultPatch
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -11,6 +11,7 @@
 	"honeylock/internal/core/fleet"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pace"
+	"honeylock/internal/core/pipeline"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -36,13 +37,14 @@
 	d        *dealer.Dealer
 	local    model.ShardID
 	links    map[model.ShardID]*link
-	hosts    map[string]bool // siblings that have joined this term
-	ready    chan struct{}   // closed once the store has been read
+	hosts    map[string]uint32 // siblings that have joined this term, with their releases
+	ready    chan struct{}     // closed once the store has been read
 	loaded   bool
 	loadedAt time.Duration
 	began    time.Duration
 	lost     time.Duration // the last member
 	deals    *dealing
+	chains   *chaining
 	rents    *renting
 	drains   *draining
 	parts    []part
@@ -76,13 +78,13 @@
 	lctx, cancel := context.WithCancel(ctx)
 	c := &n.cfg.Cluster
 	l := &leadership{n: n, ctx: lctx, cancel: cancel, term: n.el.Term(), guard: wire.Guard{Key: keyLeader, Version: n.el.Version()},
-		ready: make(chan struct{}), began: now, links: map[model.ShardID]*link{}, hosts: map[string]bool{},
+		ready: make(chan struct{}), began: now, links: map[model.ShardID]*link{}, hosts: map[string]uint32{},
 		budget: budget.New(c.State.WriteRPS*leadersPart, max(8, int(c.State.WriteRPS*leadersPart/2)))}
 	// Shards of the term before may act on grants that reach to the end of
 	// their leader's authority, even if its lease was ended early: up to one
 	// whole length of it from now, unless they are heard to have stopped.
-	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.State.ValueKB),
-		BlockSize: blockSize(c.State.ValueKB), Progress: 2 * time.Second,
+	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.ValueKB()),
+		BlockSize: oldBlockSize(c.State.ValueKB), Progress: 2 * time.Second,
 		Ahead: n.set.DealAhead, SureLease: c.SureLease(), Crowd: crowd(c)}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
@@ -95,9 +97,13 @@
 		IdleReturn: n.set.IdleReturn,
 		Horizon:    n.set.RentHorizon, Probe: rentProbe, Patience: 10 * n.set.RentHorizon})
 	l.deals = &dealing{l: l, d: l.d, fresh: now}
+	l.chains = &chaining{l: l, g: pipeline.New()}
 	l.rents = &renting{l: l, f: f}
 	l.drains = l.newDraining()
-	l.parts = []part{l.deals, l.rents, l.drains}
+	if len(n.cfg.Siblings) == 0 {
+		l.upgraded(release)
+	}
+	l.parts = []part{l.chains, l.deals, l.rents, l.drains}
 	l.setTypes(n.types)
 	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
 	return l
@@ -123,8 +129,12 @@
 	return int32(max(64, min(bytes, 8192))) * 8
 }
 
-// blockSize is how many machines' records fit into a value.
-func blockSize(valueKB float64) uint64 { return uint64(max(1, min(valueKB*1024/256, 256))) }
+// oldBlockSize is how many machines 0.4 and before put into a block.
+func oldBlockSize(valueKB float64) uint64 { return uint64(max(1, min(valueKB*1024/256, 256))) }
+
+// blockSize is how many machines' records fit into a value, beside the names of a few
+// types and zones. Should they not, the block's write is refused, and it is halved.
+func blockSize(valueKB float64) uint64 { return uint64(max(1, min((valueKB*1024-400)/80, 128))) }
 
 func (l *leadership) setTypes(t []model.MachineType) {
 	if len(t) == 0 {
@@ -219,6 +229,8 @@
 	if !l.loaded {
 		return
 	}
+	writes, _ := l.n.state.Writes()
+	l.budget.SetRate(now, writes*leadersPart)
 	for _, p := range l.parts {
 		p.tick(now)
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -52,6 +52,26 @@
 		_, _, busy := n.state.Stats()
 		return busy
 	})
+	counter("state_invalid", "Requests that the state service took for invalid, most likely for their size.",
+		func() uint64 { return n.state.Invalid() })
+	gauge("state_writes_per_second", "The state service's rate of changes as far as is known.", func() float64 {
+		rate, _ := n.state.Writes()
+		return rate
+	})
+	gauge("jobs_awaiting", "Open jobs that await others, on the leader.", func() float64 {
+		if n.lead == nil {
+			return 0
+		}
+		awaiting, _, _ := n.lead.chains.g.Counts()
+		return float64(awaiting)
+	})
+	gauge("cancellations_behind_seconds", "How long ago the oldest cancellation may have been told that has not gone "+
+		"through to all that need the job, on the leader.", func() float64 {
+		if n.lead == nil || !n.lead.loaded {
+			return 0
+		}
+		return (n.now() - n.lead.chains.settled(n.now())).Seconds()
+	})
 	gauge("jobs_broken", "Open jobs held to be broken, on the leader.", func() float64 {
 		if n.lead == nil {
 			return 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,8 @@
 	waits         map[model.MachineID][]chan struct{}
 	types         []model.MachineType
 	finals        map[model.JobID]jobs.Stage
-	versions      map[model.JobID]uint64 // of open records seen
+	versions      map[model.JobID]openSeen
+	settled       time.Duration // as chaining.settled of the leader that this controller is linked to
 	polls         *polls
 	order         []model.JobID // of finals, oldest first
 	stats         Stats
@@ -116,11 +117,12 @@
 			Images: wire.NewTable(), Classes: wire.NewTable()},
 		seated:   make(chan struct{}),
 		finals:   map[model.JobID]jobs.Stage{},
-		versions: map[model.JobID]uint64{},
+		versions: map[model.JobID]openSeen{},
+		settled:  -time.Hour,
 		waits:    map[model.MachineID][]chan struct{}{},
 	}
 	n.state = state.New(cfg.Services.State, pace.Params{Requests: cfg.Cluster.State.RPS,
-		Writes: cfg.Cluster.State.WriteRPS, Controllers: 1 + len(cfg.Siblings)}, 1500*time.Millisecond, n.noted)
+		Writes: cfg.Cluster.State.WriteRPS, NextWrites: cfg.Cluster.State.Next.WriteRPS, Controllers: 1 + len(cfg.Siblings)}, 1500*time.Millisecond, n.noted)
 	n.names.Aimed, n.names.Guaranteed = map[model.Name]bool{}, map[model.Name]bool{}
 	for i, t := range cfg.Cluster.Teams {
 		n.names.Guaranteed[model.Name(i)] = t.CPUs > 0 || t.GPUs > 0
@@ -130,7 +132,7 @@
 			n.names.Aimed[n.names.Classes.ID(o.Class)] = true
 		}
 	}
-	n.polls = newPolls(n.state, cfg.Cluster.State.TxnOps)
+	n.polls = newPolls(n.state, cfg.Cluster.TxnOps())
 	index := 0
 	for _, s := range cfg.Siblings {
 		if s.HostName < cfg.HostName {
@@ -329,7 +331,7 @@
 				l.setTypes(n.types)
 			}
 			n.mu.Unlock()
-			if l != nil && fresh {
+			if l != nil && fresh && len(encode(cat)) <= int(n.cfg.Cluster.ValueKB()*1024) {
 				t := wire.Txn{Guards: []wire.Guard{l.guard}, Then: []wire.Op{{Put: keyCatalog, Value: encode(cat)}}}
 				if _, err := n.state.Txn(ctx, t); err != nil {
 					n.log.Debug("catalog not stored", "err", err)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -251,7 +251,7 @@
 		return "", err
 	}
 	c.Name = d.spec.Name
-	if err := p.e.Check(d.spec, wire.MachineName); err != nil {
+	if err := p.e.Check(d.spec, d.source, wire.MachineName); err != nil {
 		return "", err
 	}
 	if err := p.pushed(c); err != nil {
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -79,7 +79,7 @@
 			go l.write([]write{w}, c)
 			continue
 		}
-		if batch = append(batch, w); len(batch) >= min(l.n.cfg.Cluster.State.TxnOps, 4) {
+		if batch = append(batch, w); len(batch) >= min(l.n.cfg.Cluster.TxnOps(), 4) {
 			flush()
 		}
 	}
--- a/internal/node/polls.go
+++ b/internal/node/polls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,8 +64,14 @@
 	for g := range asked {
 		guards = append(guards, g)
 	}
+	for some := range slices.Chunk(guards, p.most) { // more may have come meanwhile
+		p.ask(some, asked)
+	}
+}
+
+func (p *polls) ask(guards []wire.Guard, asked map[wire.Guard][]chan<- jobs.Outcome) {
 	failed, err := p.state.Compare(context.Background(), guards)
-	for g, cs := range asked {
+	for _, g := range guards {
 		o := jobs.OK
 		switch {
 		case err != nil:
@@ -72,7 +79,7 @@
 		case failed[g.Key]:
 			o = jobs.Conflict
 		}
-		for _, c := range cs {
+		for _, c := range asked[g] {
 			c <- o
 		}
 	}
--- /dev/null
+++ b/internal/node/records.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/model"
+	"honeylock/internal/wire"
+)
+
+// release is what this program can do beyond 0.4, as controllers tell each other. From
+// 1 on it reads blocks of machines of every size, and knows jobs that await others.
+const release = 1
+
+// Keys of the records whose size the state service bounds. Those of 0.4 have a number
+// alone: machines/00000003, done/job-000412/1. Later ones say how large a block is, or
+// which task is a chunk's first within its value: machines/s19/00000003,
+// done/job-000412/0.3. A leader of 0.4 that lists them takes the machines in and the
+// chunks for empty ones (docs/upgrade.md).
+
+func blockKey(id dealer.BlockID) string {
+	if id.Size == 0 {
+		return fmt.Sprintf("%s%08d", recordKeys, id.No)
+	}
+	return fmt.Sprintf("%ss%d/%08d", recordKeys, id.Size, id.No)
+}
+
+func parseBlockKey(key string) (id dealer.BlockID, err error) {
+	no := strings.TrimPrefix(key, recordKeys)
+	if size, rest, sized := strings.Cut(no, "/"); sized {
+		if id.Size, err = strconv.ParseUint(strings.TrimPrefix(size, "s"), 10, 32); err != nil || id.Size == 0 {
+			return id, fmt.Errorf("machine records %s: its layout is not known", key)
+		}
+		no = rest
+	}
+	if id.No, err = strconv.ParseUint(no, 10, 64); err != nil {
+		return id, fmt.Errorf("machine records %s: %w", key, err)
+	}
+	return id, nil
+}
+
+func chunkKey(id model.JobID, c dealer.ChunkID) string {
+	sub := ""
+	if !c.Old {
+		sub = "0."
+	}
+	return fmt.Sprintf("%s%s/%s%d", doneKeys, wire.JobName(id), sub, c.No)
+}
+
+func parseChunkKey(key string) (id model.JobID, c dealer.ChunkID, err error) {
+	name, no, _ := strings.Cut(strings.TrimPrefix(key, doneKeys), "/")
+	if id, err = wire.ParseJob(name); err != nil {
+		return id, c, err
+	}
+	sub, later := strings.CutPrefix(no, "0.")
+	n, err := strconv.ParseInt(sub, 10, 32)
+	return id, dealer.ChunkID{Old: !later, No: int32(n)}, err
+}
+
+// upgraded takes the oldest release among all controllers, now that all have joined
+// this term: once none is of 0.4, records are written that fit the limits to come.
+func (l *leadership) upgraded(oldest uint32) {
+	c := &l.n.cfg.Cluster
+	if oldest >= 1 && l.d.Layout() == 0 && c.ValueKB() < c.State.ValueKB {
+		size := blockSize(c.ValueKB())
+		l.n.log.Info("all controllers are of this release: machines' records get smaller", "machines", size)
+		l.relay(size)
+	}
+}
+
+// tooLarge takes a block that the state service refused for its size: limits that were
+// announced hold, or names are long. Written again as it is it would be refused for
+// ever, and its machines would get no task.
+func (l *leadership) tooLarge(id dealer.BlockID) {
+	if id.Size != l.d.Layout() || id.Size == 1 {
+		return // the layout has changed since
+	}
+	c := &l.n.cfg.Cluster
+	size := id.Size
+	if size == 0 {
+		size = oldBlockSize(c.State.ValueKB)
+	}
+	size = min(blockSize(c.ValueKB()), max(1, size/2))
+	l.n.log.Info("a block of machines' records is too large for the state service: smaller ones", "machines", size)
+	l.relay(size)
+}
+
+// relay has everything that may be too large for the limits to come written smaller.
+func (l *leadership) relay(size uint64) {
+	l.d.Relay(size)
+	l.drains.e.Pack()
+}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -286,7 +286,8 @@
 	}
 	n.leaveSeat()
 	n.mu.Unlock()
-	out.Send(&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: n.cfg.HostName}}})
+	out.Send(&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: n.cfg.HostName,
+		Release: release}}})
 	in := peer.NewReader(body)
 	var st *seat
 	defer func() {
@@ -334,7 +335,8 @@
 			}
 			for _, j := range msg.Progress.GetJobs() {
 				open[model.JobID(j.GetJob())] = true
-				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning()), j.GetVersion()}
+				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning()), j.GetVersion(),
+					j.GetWaits()}
 			}
 		case *peerpb.Down_Grant:
 			if st == nil {
@@ -343,6 +345,9 @@
 			if at, ok := st.asked[msg.Grant.GetSeq()]; ok {
 				delete(st.asked, msg.Grant.GetSeq())
 				st.number = msg.Grant.GetNumber()
+				if age := msg.Grant.GetSettledAgeUs(); age > 0 { // as old as its asking
+					n.settled = max(n.settled, at-time.Duration(age)*time.Microsecond)
+				}
 				n.el.Promise(now + config.Promise)
 				d := time.Duration(msg.Grant.GetForUs()) * time.Microsecond
 				// Both clocks may drift, and timers are late.
@@ -369,6 +374,7 @@
 type progress struct {
 	done, running int
 	version       uint64
+	waits         bool // jobs that it needs are not done
 }
 
 // link is the leader's end of a member's stream.
@@ -475,7 +481,7 @@
 		}
 		now := n.now()
 		if h := m.GetHello(); h != nil && id == 0 {
-			id = l.welcome(now, k, h.GetHost())
+			id = l.welcome(now, k, h)
 		} else if id != 0 && l.links[id] == k {
 			l.heard(now, id, k, &m)
 		} else {
@@ -486,7 +492,8 @@
 	}
 }
 
-func (l *leadership) welcome(now time.Duration, k *link, host string) model.ShardID {
+func (l *leadership) welcome(now time.Duration, k *link, hello *peerpb.Hello) model.ShardID {
+	host := hello.GetHost()
 	k.host = host
 	for id, o := range l.links {
 		if o.host == host {
@@ -500,13 +507,15 @@
 	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id)}}})
 	k.out.Send(l.deals.progress())
 	l.n.log.Info("member joined", "host", host, "shard", id)
-	l.hosts[host] = true
-	all := true
+	l.hosts[host] = hello.GetRelease()
+	all, oldest := true, uint32(release)
 	for _, s := range l.n.cfg.Siblings {
-		all = all && l.hosts[s.HostName]
+		r, here := l.hosts[s.HostName]
+		all, oldest = all && here, min(oldest, r)
 	}
 	if all {
 		l.d.EveryoneHere(now)
+		l.upgraded(oldest)
 	}
 	l.n.soon()
 	return id
@@ -535,7 +544,9 @@
 		k.until = max(k.until, l.until())
 		k.number++
 		k.sent[k.number] = now
-		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(), ForUs: max(0, l.until()-now).Microseconds(), Number: k.number}}})
+		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(),
+			ForUs: max(0, l.until()-now).Microseconds(), Number: k.number,
+			SettledAgeUs: max(1, (now - l.chains.settled(now)).Microseconds())}}})
 	case *peerpb.Up_Event:
 		l.hear(now, id, k.codec.FromEvent(msg.Event))
 		l.n.soon()
--- /dev/null
+++ b/internal/node/upgrade_test.go
@@ -0,0 +1,225 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/segmentio/encoding/json"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/testing/protocmp"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/dynamicpb"
+
+	"honeylock/internal/config"
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/model"
+	"honeylock/internal/peer"
+	"honeylock/internal/peer/peerpb"
+	"honeylock/internal/wire"
+)
+
+// testdata/0.4 holds records and messages as the release in production at the upgrade
+// wrote them, and the description of its messages (docs/upgrade.md).
+
+func golden(t *testing.T, name string) []byte {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("testdata/0.4", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// reads decodes a record of the release before, and writes it again: nothing it holds may
+// be lost, and what is new is not there until it is used.
+func reads[T any](t *testing.T, name string) *T {
+	t.Helper()
+	v := new(T)
+	b := golden(t, name)
+	if err := json.Unmarshal(b, v); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	again, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := string(again), strings.TrimSpace(string(b)); got != want {
+		t.Errorf("%s is written as %s, was %s", name, got, want)
+	}
+	return v
+}
+
+func TestRecordsOfTheReleaseBefore(t *testing.T) {
+	sub := reads[wire.Submission](t, "open.json")
+	if len(sub.Needs()) != 0 || *sub.NameID != "job-000412" || sub.SubmittedMS != 1790000000123 {
+		t.Errorf("%+v", sub)
+	}
+	if f := reads[wire.Final](t, "final.json"); f.Stage != "aborted" || f.AtMS != 0 {
+		t.Errorf("%+v", f)
+	}
+	if l := reads[wire.Leader](t, "leader.json"); l.Term != 7 || l.Lease != 99 {
+		t.Errorf("%+v", l)
+	}
+	reads[wire.Term](t, "term.json")
+	if c := reads[wire.Chunk](t, "chunk.json"); !slices.Equal(c.Bits, []byte{0xff, 3}) {
+		t.Errorf("%+v", c)
+	}
+	names := &wire.Names{Types: wire.NewTable(), Zones: wire.NewTable()}
+	ms, err := reads[wire.MachineBlock](t, "machines.json").Decode(names)
+	if err != nil || len(ms) != 2 || ms[0].ID != 64 || !ms[0].Spot || names.Types.Name(ms[0].Type) != "large" {
+		t.Errorf("%+v, %v", ms, err)
+	}
+}
+
+// What is new in a record is passed over by the release before, whose records these are:
+// encoding/json skips fields that it does not know, and so does what it used.
+func TestNewRecordsAtTheReleaseBefore(t *testing.T) {
+	var final struct {
+		Stage string `json:"Stage"`
+	}
+	if err := json.Unmarshal(encode(wire.Final{Stage: "done", AtMS: 5}), &final); err != nil || final.Stage != "done" {
+		t.Errorf("%+v, %v", final, err)
+	}
+	// A chunk of a job that does not fit into one must not be taken for tasks 0 and
+	// onwards.
+	var chunk struct {
+		Bits []byte `json:"Bits"`
+	}
+	if err := json.Unmarshal(encode(wire.Chunk{Part: []byte{255}, From: 9000}), &chunk); err != nil || len(chunk.Bits) != 0 {
+		t.Errorf("%+v, %v", chunk, err)
+	}
+}
+
+var upMessages, downMessages = []string{"hello", "ask"}, []string{"grant", "progress", "give", "reprice"}
+
+// Messages of the release before mean the same here.
+func TestMessagesOfTheReleaseBefore(t *testing.T) {
+	for _, name := range slices.Concat(upMessages, downMessages) {
+		var m proto.Message = &peerpb.Down{}
+		if slices.Contains(upMessages, name) {
+			m = &peerpb.Up{}
+		}
+		b := golden(t, name+".binpb")
+		if err := proto.Unmarshal(b, m); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		again, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+		if err != nil || string(again) != string(b) {
+			t.Errorf("%s is not written as it was read (%v)", name, err)
+		}
+		if n := len(m.ProtoReflect().GetUnknown()); n > 0 {
+			t.Errorf("%s: %d bytes unknown", name, n)
+		}
+	}
+	// A price without a word about aims leaves the aim as it is.
+	var down peerpb.Down
+	if err := proto.Unmarshal(golden(t, "reprice.binpb"), &down); err != nil {
+		t.Fatal(err)
+	}
+	c := peer.NewCodec(&wire.Names{})
+	o, err := c.FromOrder(0, down.GetOrder())
+	if err != nil || o.Kind != model.Reprice || o.Price != 3000 || o.Aim != model.AimKept {
+		t.Errorf("%+v, %v", o, err)
+	}
+}
+
+// What this release sends is, but for what it doesn't know, the same to the one before.
+func TestMessagesAtTheReleaseBefore(t *testing.T) {
+	var set descriptorpb.FileDescriptorSet
+	if err := proto.Unmarshal(golden(t, "peer.desc.binpb"), &set); err != nil {
+		t.Fatal(err)
+	}
+	file, err := protodesc.NewFile(set.GetFile()[0], nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		now, before proto.Message
+	}{
+		"Up": {&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: "c2", Release: release}}},
+			&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: "c2"}}}},
+		"Down": {&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: 5, ForUs: 9, Number: 6, SettledAgeUs: 70}}},
+			&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: 5, ForUs: 9, Number: 6}}}},
+		"JobProgress": {&peerpb.JobProgress{Job: 4, Version: 7, Waits: true}, &peerpb.JobProgress{Job: 4, Version: 7}},
+		"Spec":        {&peerpb.Spec{Job: 4, Class: "x", Aimed: true}, &peerpb.Spec{Job: 4, Class: "x"}},
+		"Order":       {&peerpb.Order{Kind: 7, Price: 3, Aim: 2}, &peerpb.Order{Kind: 7, Price: 3}},
+	} {
+		desc := file.Messages().ByName(protoreflect.Name(name))
+		as := func(m proto.Message) *dynamicpb.Message {
+			b, err := proto.Marshal(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d := dynamicpb.NewMessage(desc)
+			if err := (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(b, d); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			return d
+		}
+		if diff := cmp.Diff(as(c.before), as(c.now), protocmp.Transform()); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+func TestKeysOfBothLayouts(t *testing.T) {
+	for key, want := range map[string]dealer.BlockID{
+		"machines/00000003": {No: 3}, "machines/s19/00000012": {Size: 19, No: 12},
+	} {
+		if id, err := parseBlockKey(key); err != nil || id != want || blockKey(id) != key {
+			t.Errorf("%s: %+v, %v, %s", key, id, err, blockKey(id))
+		}
+	}
+	for _, key := range []string{"machines/x", "machines/s/1", "machines/s0/1"} {
+		if id, err := parseBlockKey(key); err == nil {
+			t.Errorf("%s: %+v", key, id)
+		}
+	}
+	for key, want := range map[string]dealer.ChunkID{
+		"done/job-000412/1": {Old: true, No: 1}, "done/job-000412/0.3": {No: 3},
+	} {
+		if id, c, err := parseChunkKey(key); err != nil || id != 412 || c != want || chunkKey(id, c) != key {
+			t.Errorf("%s: %v %+v, %v", key, id, c, err)
+		}
+	}
+}
+
+// Whatever is written fits the limits of now and those to come.
+func TestRecordsFitBothLimits(t *testing.T) {
+	var c config.Cluster
+	c.State.ValueKB, c.State.Next.ValueKB, c.State.TxnOps, c.State.Next.TxnOps = 16, 2, 16, 5
+	most := int(c.ValueKB() * 1024)
+	if most != 2048 || c.TxnOps() != 5 {
+		t.Fatalf("%d bytes, %d changes", most, c.TxnOps())
+	}
+	names := &wire.Names{Types: wire.NewTable("an-ordinary-type-of-machine", "another-type-of-machines"),
+		Zones: wire.NewTable("a-zone-with-a-name", "b-zone-with-a-name", "c-zone-with-a-name", "d-zone-with-a-name")}
+	var ms []model.Machine
+	for i := range blockSize(c.ValueKB()) {
+		ms = append(ms, model.Machine{ID: model.MachineID(1<<30 + i), Addr: "100.100.100.100:65535", Type: model.Name(i % 2),
+			Zone: model.Name(i % 4), Spot: true})
+	}
+	if n := len(encode(wire.EncodeMachines(ms, names))); n > most {
+		t.Errorf("%d machines take %d bytes", len(ms), n)
+	}
+	full := make([]byte, chunkSize(c.ValueKB())/8)
+	for i := range full {
+		full[i] = 255
+	}
+	if n := len(encode(wire.Chunk{Part: full, From: 99_999})); n > most {
+		t.Errorf("a chunk takes %d bytes", n)
+	}
+	// A job's final drops what it has room for, the rest comes after it.
+	n := &Node{cfg: &config.Platform{Cluster: c}}
+	p := &dealing{l: &leadership{n: n}, d: dealer.New(dealer.Params{}, 0)}
+	w := p.encode(dealer.Write{Kind: dealer.Finish, Job: 4, Kept: make([]dealer.ChunkID, 9)})
+	if len(w.ops) != 5 {
+		t.Errorf("%d changes in one transaction", len(w.ops))
+	}
+}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -64,6 +65,15 @@
 		return unavailable("the machine types are not known yet")
 	}
 	sub.SubmittedMS = time.Now().UnixMilli()
+	if size, most := len(encode(sub)), int(n.cfg.Cluster.ValueKB()*1024); size > most {
+		// As above.
+		r := n.Poll(ctx, id)
+		if r.Status == http.StatusNotFound {
+			return Reply{Status: http.StatusBadRequest, Err: fmt.Sprintf(
+				"the job takes %d bytes to store, more than %d; %d of its names are in Awaits", size, most, len(sub.Awaits))}
+		}
+		return r
+	}
 	return n.run(ctx, jobs.Submit, id, sub)
 }
 
@@ -142,9 +152,9 @@
 	if st, ok := n.final(id); ok {
 		return n.stateReply(http.StatusOK, id, st)
 	}
-	req, op := jobs.New(k, n.version(id))
+	req, op := n.request(k, id, sub)
 	for {
-		next, ans := req.Next(op, n.jobOp(ctx, id, op, sub))
+		next, ans := req.Next(op, n.jobOp(ctx, op, sub))
 		if ans == nil {
 			op = next
 			continue
@@ -152,17 +162,49 @@
 		switch {
 		case ans.Status == http.StatusServiceUnavailable:
 			return unavailable("the state service does not answer")
+		case ans.Status == http.StatusUnprocessableEntity:
+			return Reply{Status: ans.Status, Err: "Awaits: " + wire.JobName(ans.Unknown) + " was never accepted"}
 		case ans.Status == http.StatusNotFound:
 			return Reply{Status: ans.Status, Err: "no such job"}
 		}
 		if ans.Stage.Ended() {
 			n.keepFinal(id, ans.Stage)
+		} else if !ans.Created && !n.maySayQueued(id) {
+			// It may have been cancelled with a job that it needs, longer ago than may be.
+			return unavailable("no leader has told of cancellations for too long")
 		}
 		return n.stateReply(ans.Status, id, ans.Stage)
 	}
 }
 
-func (n *Node) jobOp(ctx context.Context, id model.JobID, op jobs.Op, sub *wire.Submission) jobs.Result {
+// request begins a request. What a submission awaits was mostly seen a moment ago.
+func (n *Node) request(k jobs.Kind, id model.JobID, sub *wire.Submission) (*jobs.Request, jobs.Op) {
+	if k != jobs.Submit || len(sub.Awaits) == 0 {
+		return jobs.New(k, id, n.version(id))
+	}
+	needs := sub.Needs()
+	open := make(map[model.JobID]uint64, len(needs))
+	for _, need := range needs {
+		if v := n.version(need); v != 0 {
+			open[need] = v
+		}
+	}
+	return jobs.NewAwaiting(id, needs, open, 4*n.cfg.Cluster.TxnOps()-2)
+}
+
+// maySayQueued tells whether users may be told that an open job is queued.
+func (n *Node) maySayQueued(id model.JobID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	waits := n.versions[id].awaits
+	if p, ok := n.progress[id]; ok {
+		waits = p.waits
+	}
+	return !waits || n.vouches(n.now())
+}
+
+func (n *Node) jobOp(ctx context.Context, op jobs.Op, sub *wire.Submission) jobs.Result {
+	id := op.Job
 	name := wire.JobName(id)
 	openKey, finalKey := openKeys+name, finalKeys+name
 	switch op.Kind {
@@ -182,7 +224,11 @@
 		}
 		res := jobs.Result{Version: it.Version}
 		if op.Kind == jobs.ReadOpen {
-			n.keepVersion(id, it.Version)
+			var rec struct{ Awaits []string }
+			if json.Unmarshal(it.Value, &rec) != nil {
+				return jobs.Result{Outcome: jobs.Failed}
+			}
+			n.keepVersion(id, it.Version, len(rec.Awaits) > 0)
 		}
 		if op.Kind == jobs.ReadFinal {
 			var f wire.Final
@@ -196,7 +242,13 @@
 	t := wire.Txn{}
 	if op.Kind == jobs.Create {
 		t.Guards = []wire.Guard{{Key: openKey}, {Key: finalKey}}
+		for _, g := range op.Guards {
+			t.Guards = append(t.Guards, wire.Guard{Key: openKeys + wire.JobName(g.Job), Version: g.Version})
+		}
 		t.Then = []wire.Op{{Put: openKey, Value: encode(sub)}}
+		if op.Stage != "" {
+			t.Then = finalOps(id, op.Stage)[1:] // it never was open
+		}
 	} else {
 		t.Guards = []wire.Guard{{Key: openKey, Version: op.Version}}
 		t.Then = finalOps(id, jobs.Cancelled)
@@ -204,8 +256,8 @@
 	rev, err := n.state.Txn(state.As(ctx, pace.Changes), t)
 	switch {
 	case err == nil:
-		if op.Kind == jobs.Create {
-			n.keepVersion(id, rev)
+		if op.Kind == jobs.Create && op.Stage == "" {
+			n.keepVersion(id, rev, len(sub.Awaits) > 0)
 		}
 		return jobs.Result{}
 	case errors.Is(err, state.ErrConflict):
@@ -226,19 +278,26 @@
 func (n *Node) version(id model.JobID) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if v := n.versions[id]; v != 0 {
-		return v
+	if v := n.versions[id]; v.version != 0 {
+		return v.version
 	}
 	return n.progress[id].version
 }
 
-func (n *Node) keepVersion(id model.JobID, version uint64) {
+func (n *Node) keepVersion(id model.JobID, version uint64, awaits bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.versions) >= maxFinals {
 		clear(n.versions) // they are read again
 	}
-	n.versions[id] = version
+	n.versions[id] = openSeen{version, awaits}
+}
+
+// openSeen is what was seen of an open record: its version, and whether its job awaits
+// others.
+type openSeen struct {
+	version uint64
+	awaits  bool
 }
 
 func (n *Node) keepFinal(id model.JobID, st jobs.Stage) {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -109,7 +109,7 @@
 	p := &peerpb.Spec{Job: uint64(s.ID), Class: c.names.Classes.Name(s.Class), Team: c.names.Teams.Name(s.Team), Image: c.names.Images.Name(s.Image),
 		Daemon: s.Daemon, Rank: uint32(s.Rank), Tasks: s.Tasks, Cpu: s.Each.CPU, Gpu: s.Each.GPU, Mem: s.Each.Mem, ImageGb: s.ImageGB,
 		AnyType: s.Types == nil, Together: s.Together, Spread: s.Spread, Spot: s.Spot, EstimateUs: s.Estimate.Microseconds(),
-		CheckpointUs: s.Checkpoint.Microseconds(), SaveUs: s.Save.Microseconds(), DeadlineUs: s.Deadline.Microseconds(), SubmittedMs: s.SubmittedMS}
+		CheckpointUs: s.Checkpoint.Microseconds(), SaveUs: s.Save.Microseconds(), DeadlineUs: s.Deadline.Microseconds(), SubmittedMs: s.SubmittedMS, Aimed: !s.CanWait}
 	for _, t := range s.Types {
 		p.Types = append(p.Types, c.names.Types.Name(t))
 	}
@@ -127,7 +127,7 @@
 		ImageGB: p.GetImageGb(), Zone: model.None, Together: p.GetTogether(), Spread: p.GetSpread(), Spot: p.GetSpot(),
 		Estimate: us(p.GetEstimateUs()), Checkpoint: us(p.GetCheckpointUs()), Save: us(p.GetSaveUs()), Deadline: us(p.GetDeadlineUs()),
 		SubmittedMS: p.GetSubmittedMs()}
-	s.CanWait = c.names.CanWait(s.Class, s.Team)
+	s.CanWait = !p.GetAimed() && c.names.CanWait(s.Class, s.Team)
 	if !p.GetAnyType() {
 		s.Types = []model.Name{}
 		for _, t := range p.GetTypes() {
@@ -143,7 +143,8 @@
 // Order encodes an order.
 func (c *Codec) Order(now time.Duration, o *model.Order) *peerpb.Down {
 	p := &peerpb.Order{Kind: uint32(o.Kind), Token: o.Token, Usable: o.Usable, Id: uint64(o.ID), Task: task(o.Task), Attempt: o.Attempt,
-		Job: uint64(o.Job), Price: o.Price, Count: int32(o.Count), Keeper: o.Keeper}
+		Job: uint64(o.Job), Price: o.Price, Count: int32(o.Count), Keeper: o.Keeper,
+		Aim: uint32(o.Aim)}
 	switch o.Kind {
 	case model.Own:
 		p.Machine = c.machine(&o.Machine)
@@ -168,7 +169,8 @@
 // FromOrder decodes an order.
 func (c *Codec) FromOrder(now time.Duration, p *peerpb.Order) (model.Order, error) {
 	o := model.Order{Kind: model.OrderKind(p.GetKind()), Token: p.GetToken(), Usable: p.GetUsable(), ID: model.MachineID(p.GetId()),
-		Task: fromTask(p.GetTask()), Attempt: p.GetAttempt(), Job: model.JobID(p.GetJob()), Price: p.GetPrice(), Count: int(p.GetCount()), Keeper: p.GetKeeper()}
+		Task: fromTask(p.GetTask()), Attempt: p.GetAttempt(), Job: model.JobID(p.GetJob()), Price: p.GetPrice(), Count: int(p.GetCount()), Keeper: p.GetKeeper(),
+		Aim: model.Aim(p.GetAim())}
 	switch o.Kind {
 	case model.Own:
 		o.Machine = c.fromMachine(p.GetMachine())
@@ -185,6 +187,13 @@
 		if p.Zone != nil {
 			o.Deal.Zone = c.names.Zones.ID(p.GetZone())
 		}
+	case model.Reprice:
+		// Later deals of the job come without its description.
+		if sp := c.specs[o.Job]; sp != nil && o.Aim != model.AimKept {
+			again := *sp
+			again.CanWait = o.Aim == model.AimNo
+			c.specs[o.Job] = &again
+		}
 	case model.EndJob:
 		delete(c.specs, o.Job)
 	}
--- a/internal/wire/store.go
+++ b/internal/wire/store.go
@@ -95,6 +95,7 @@
 // Final is the value of an ended job.
 type Final struct {
 	Stage string `json:"Stage"`
+	AtMS  int64  `json:"AtMs,omitempty"` // time of day of the end; 0.4 and before did not tell
 }
 
 // MachineBlock is the record of machines that may have been given tasks. Types
@@ -149,7 +150,11 @@
 	return out, nil
 }
 
-// Chunk is a part of a job's set of done tasks, a bitmap.
+// Chunk is a part of a job's set of done tasks, a bitmap. Bits begin where the key's
+// number says; a job that does not fit into one has Part, which begins with the task
+// From. A leader of 0.4 takes such a record for an empty one, and is not misled.
 type Chunk struct {
-	Bits []byte `json:"Bits"`
+	Bits []byte `json:"Bits,omitempty"`
+	Part []byte `json:"Part,omitempty"`
+	From int32  `json:"From,omitempty"`
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,7 @@
 	CheckpointS *float64 `json:"CapIntervalS"`
 	SaveS       *float64 `json:"CapS"`
 	DeadlineS   *float64 `json:"HarvestS,omitempty"`
+	Awaits      []string `json:"Awaits,omitempty"` // jobs to be done before any task starts
 	SubmittedMS int64    `json:"SubmittedMs,omitempty"`
 }
 
@@ -117,12 +119,52 @@
 			return errors.New("Breeds holds an invalid name")
 		}
 	}
+	if err := s.checkAwaits(); err != nil {
+		return err
+	}
 	if s.Zone != nil && (*s.Zone == "" || len(*s.Zone) > maxName) {
 		return errors.New("Yard is invalid")
 	}
 	return nil
 }
 
+// checkAwaits checks the names of the jobs that are awaited, and drops those that are
+// there twice.
+func (s *Submission) checkAwaits() error {
+	seen := map[string]bool{}
+	for i, name := range s.Awaits {
+		if _, err := ParseJob(name); err != nil {
+			return fmt.Errorf("Awaits[%d]: %w", i, err)
+		}
+		if name == *s.NameID {
+			return fmt.Errorf("Awaits[%d]: %s can't await itself", i, name)
+		}
+		seen[name] = true
+	}
+	if len(seen) < len(s.Awaits) {
+		s.Awaits = slices.DeleteFunc(s.Awaits, func(name string) bool {
+			first := seen[name]
+			delete(seen, name)
+			return !first
+		})
+	}
+	return nil
+}
+
+// Needs are the jobs that are awaited.
+func (s *Submission) Needs() []model.JobID {
+	if len(s.Awaits) == 0 {
+		return nil
+	}
+	out := make([]model.JobID, 0, len(s.Awaits))
+	for _, name := range s.Awaits {
+		if id, err := ParseJob(name); err == nil { // it was checked
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 var ranks = map[string]model.Rank{"idle": model.Idle, "standard": model.Standard, "urgent": model.Urgent, "prod": model.Prod}
 
 // Rank is a rank by its name.
