--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -506,7 +506,7 @@
 	l.links[id] = k
 	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id)}}})
 	k.out.Send(l.deals.progress())
-	l.n.log.Info("member joined", "host", host, "shard", id)
+	l.n.log.Info("member joined", "host", host, "shard", id, "release", hello.GetRelease())
 	l.hosts[host] = hello.GetRelease()
 	all, oldest := true, uint32(release)
 	for _, s := range l.n.cfg.Siblings {
