--- a/cmd/honeylock/drain.go
+++ b/cmd/honeylock/drain.go
@@ -95,6 +95,10 @@
 			RunE: func(c *cobra.Command, _ []string) error {
 				return get(c, &d, "drains", showPlans)
 			}},
+		&cobra.Command{Use: "budgets", Short: "Show what teams may lose by our own doing, and what is out of work now",
+			Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+				return get(c, &d, "budgets", showBudgets)
+			}},
 		about("pause", "Stop a plan: no machine is begun, nothing moves"),
 		about("resume", "Let a paused plan go on"),
 		about("cancel", "End a plan: its machines are wanted again"),
@@ -216,6 +220,21 @@
 	return table(w, []string{"PLAN", "PHASE", "BY", "MACHINES", "WAITS FOR"}, rows)
 }
 
+func showBudgets(w io.Writer, bs *[]node.BudgetStatus) error {
+	bound := func(of float64) string {
+		if of <= 0 {
+			return "-"
+		}
+		return fmt.Sprintf("%g", of)
+	}
+	var rows [][]string
+	for _, b := range *bs {
+		rows = append(rows, []string{b.Team, b.Class, fmt.Sprint(b.Running), fmt.Sprint(b.Out), bound(float64(b.Most)),
+			fmt.Sprintf("%g", b.OutCPUs), bound(b.CPUs), fmt.Sprintf("%.0f", b.LostS), bound(b.Lost), counts(b.By)})
+	}
+	return table(w, []string{"TEAM", "CLASS", "RUNNING", "OUT", "MOST", "OUT CPUS", "MOST", "LOST CPU S", "MOST", "WHY"}, rows)
+}
+
 func showPlan(w io.Writer, s *node.PlanStatus) error {
 	if _, err := fmt.Fprintf(w, "%s  %s\n", s.Name, planLine(s)); err != nil {
 		return failed(err)
--- a/cmd/honeylock/serve.go
+++ b/cmd/honeylock/serve.go
@@ -73,6 +73,11 @@
 			msgs = append(msgs, e.Error())
 		}
 	}
+	if len(msgs) == 0 {
+		if err := set.Suits(cfg); err != nil {
+			msgs = append(msgs, fmt.Sprintf("%s: %v", f.settings, err))
+		}
+	}
 	if len(msgs) > 0 {
 		return nil, nil, fmt.Errorf("%s", strings.Join(msgs, "\n"))
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -136,3 +136,30 @@
 		}
 	}
 }
+
+func TestBudgetsOfDisruption(t *testing.T) {
+	s, err := ParseSettings([]byte(`disruption {
+		budgets { team: "a" share: 0.1 moves: 2 }
+		budgets { team: "a" class: "c" tasks: 3 lost_cpu_s: 600 }
+	}`))
+	if err != nil || len(s.Budgets) != 2 || s.Budgets[1].Window != 10*time.Minute || s.Budgets[0].Share != 0.1 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	var p Platform
+	p.Cluster.Teams = []Team{{Name: "b"}}
+	if err := s.Suits(&p); err == nil || !strings.Contains(err.Error(), `budgets[0].team: the platform's file has no team "a"`) {
+		t.Errorf("%v", err)
+	}
+	for in, field := range map[string]string{
+		`budgets { tasks: 3 }`:                                          "budgets[0].team",
+		`budgets { team: "a" }`:                                         "budgets[0]: bounds nothing",
+		`budgets { team: "a" tasks: 0 }`:                                "budgets[0].tasks",
+		`budgets { team: "a" share: 1.5 }`:                              "budgets[0].share",
+		`budgets { team: "a" tasks: 1 window_s: 5 }`:                    "budgets[0].window_s",
+		`budgets { team: "a" tasks: 1 } budgets { team: "a" moves: 1 }`: "budgets[1].team",
+	} {
+		if _, err := ParseSettings([]byte("disruption { " + in + " }")); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v does not name %s", in, err, field)
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -20,6 +20,7 @@
 	IdleReturn   time.Duration
 	RentHorizon  time.Duration
 	Operator     *Operator // nil: no operators' door
+	Budgets      []Budget  // of disruption
 }
 
 // DefaultSettings are in force where the operator says nothing.
@@ -85,5 +86,8 @@
 		s.Operator, err = operator(p.Operator)
 		errs = append(errs, err)
 	}
+	var err error
+	s.Budgets, err = budgets(p.GetDisruption())
+	errs = append(errs, err)
 	return s, errors.Join(errs...)
 }
--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -49,7 +49,8 @@
 	// guarantee, and nothing is rented for it.
 	waits bool
 	// rank is the highest of its own and of those of the jobs that need it.
-	rank model.Rank
+	rank   model.Rank
+	adrift int32 // of held
 }
 
 // AddJob takes an open job. done holds its stored chunks; old tells that it
@@ -142,6 +143,7 @@
 	if m != nil && known && !j.isDone(e.Task.No) && j.spec.Allows(&m.Machine) && d.adoptable(j, e.Task.No, m) {
 		if h, ok := j.held[e.Task.No]; ok {
 			delete(h.adrift.tasks, e.Task)
+			j.adrift--
 			h.shard, h.adrift, h.zone = from, nil, m.Zone
 			j.held[e.Task.No] = h
 		} else {
@@ -184,7 +186,10 @@
 }
 
 func (d *Dealer) release(j *job, no int32) {
-	if _, ok := j.held[no]; ok {
+	if h, ok := j.held[no]; ok {
+		if h.adrift != nil {
+			j.adrift--
+		}
 		delete(j.held, no)
 		d.usage[j.spec.Team] = d.usage[j.spec.Team].Sub(j.spec.Each)
 	}
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -128,22 +128,22 @@
 	return n
 }
 
-// take picks the next task to deal.
-func (d *Dealer) take(j *job) (int32, bool) {
+// take picks the next task to deal. again: it was dealt before.
+func (d *Dealer) take(j *job) (no int32, again, ok bool) {
 	for len(j.back) > 0 {
 		no := j.back[0]
 		j.back = j.back[1:]
 		if !j.isDone(no) && !d.isHeld(j, no) {
-			return no, true
+			return no, true, true
 		}
 	}
 	for ; j.next < j.spec.Tasks; j.next++ {
 		if no := j.next; !j.isDone(no) && !d.isHeld(j, no) {
 			j.next++
-			return no, true
+			return no, false, true
 		}
 	}
-	return 0, false
+	return 0, false, false
 }
 
 // Deal deals waiting tasks, the highest price times wait first, as far as the
@@ -362,11 +362,12 @@
 }
 
 func (d *Dealer) dealOne(j *job, to model.ShardID, zone model.Name) bool {
-	no, ok := d.take(j)
+	no, again, ok := d.take(j)
 	if !ok {
 		return false
 	}
 	d.hold(j, no, zone, to)
-	d.give(to, model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price, Zone: zone, Since: j.since})
+	d.give(to, model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price, Zone: zone, Since: j.since,
+		Again: again && d.p.Tell})
 	return true
 }
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -25,6 +25,8 @@
 	Ahead     int // tasks of a job dealt beyond the free room, to find victims
 	SureLease time.Duration
 	Crowd     int // machines that are no great load for a controller
+	// Tell: it is to be told which tasks are out of work, and when they run again.
+	Tell bool
 }
 
 // member is a shard as the dealer sees it.
@@ -61,6 +63,7 @@
 	orders    []model.Order
 	types     map[model.Name]model.MachineType
 	broken    []model.JobID // newly held to be broken
+	freedNow  []model.Task  // of lost shards, surely nowhere now
 	repriced  time.Duration
 	balanced  time.Duration
 	spreadAt  time.Duration
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -90,6 +90,9 @@
 
 func (d *Dealer) setAdrift(j *job, no int32, g *adrift) {
 	h := j.held[no]
+	if h.adrift == nil {
+		j.adrift++
+	}
 	h.shard, h.adrift = 0, g
 	j.held[no] = h
 	g.tasks[model.Task{Job: j.spec.ID, No: no}] = true
@@ -108,6 +111,9 @@
 	for _, t := range tasks {
 		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
 			d.freed(j, t.No)
+			if d.p.Tell {
+				d.freedNow = append(d.freedNow, t)
+			}
 		}
 	}
 	g.tasks = nil
--- /dev/null
+++ b/internal/core/dealer/present.go
@@ -0,0 +1,33 @@
+package dealer
+
+import "honeylock/internal/core/model"
+
+// Freed takes away the tasks that lost shards had, and that are surely nowhere now. They
+// are told only where the dealer is to be told what is out of work.
+func (d *Dealer) Freed() []model.Task {
+	out := d.freedNow
+	d.freedNow = nil
+	return out
+}
+
+// AtWork counts a team's tasks, or those of one of its classes (None: all): what runs,
+// what is adrift, and what of the jobs of earlier terms is neither done nor known to run,
+// with the CPU of the last two, in thousandths.
+func (d *Dealer) AtWork(team, class model.Name) (running, adrift, unsure int, cpu int64) {
+	for _, j := range d.inOrder {
+		if j.ended || j.waits || j.spec.Team != team || class != model.None && class != j.spec.Class {
+			continue
+		}
+		at := d.Count(j.spec.ID).Running
+		running += at
+		adrift += int(j.adrift)
+		out := int(j.adrift)
+		if j.old {
+			rest := max(0, int(j.spec.Tasks-j.nDone)-at-out)
+			unsure += rest
+			out += rest
+		}
+		cpu += int64(out) * j.spec.Each.CPU
+	}
+	return running, adrift, unsure, cpu
+}
--- a/internal/core/dealer/trouble.go
+++ b/internal/core/dealer/trouble.go
@@ -60,6 +60,12 @@
 	return 0
 }
 
+// Suspected tells whether a job is held to be broken: its failures say nothing of machines.
+func (d *Dealer) Suspected(id model.JobID) bool {
+	j := d.jobs[id]
+	return j != nil && j.trouble.broken
+}
+
 // BrokenNow counts the jobs held to be broken.
 func (d *Dealer) BrokenNow() int {
 	n := 0
--- a/internal/core/drain/engine.go
+++ b/internal/core/drain/engine.go
@@ -62,6 +62,7 @@
 	seen   map[model.MachineID]seen
 	asked  map[model.MachineID]asked // Look
 	looks  uint64
+	turns  int                           // of plans
 	packs  bool                          // records that would be too large are packed
 	moved  map[model.JobID]time.Duration // services: when a replica was last moved
 	out    []Action
@@ -186,6 +187,10 @@
 	if p.Phase != from {
 		return refuse("plan %q is %s", name, p.Phase)
 	}
+	if to == Active && p.Closed != "" { // the operator's word for the gate
+		p.Closed = ""
+		p.pass(p.Passed)
+	}
 	p.Phase = to
 	p.gen++
 	return nil
--- a/internal/core/drain/hold.go
+++ b/internal/core/drain/hold.go
@@ -210,6 +210,9 @@
 		if why == "" && !room.take(t.sp) {
 			why = "no room elsewhere for " + v.JobName(t.sp.ID)
 		}
+		if why == "" {
+			why = v.draws(t, false)
+		}
 		if why != "" {
 			if !slices.Contains(held, why) {
 				held = append(held, why)
--- a/internal/core/drain/plan.go
+++ b/internal/core/drain/plan.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/rollout"
 )
 
 // How running work leaves a machine.
@@ -84,6 +85,15 @@
 	Windows   []Window
 	RentFirst bool
 	After     After
+	Waves     []Wave
+	Gate      *rollout.Gate // between waves, nil: none
+}
+
+// Wave is a part of a plan's machines, in their order; what all leave is the last.
+type Wave struct {
+	Machines int           // so many more; 0: by share
+	Share    float64       // so many, with those before, as a part of all
+	Soak     time.Duration // once they are done with
 }
 
 // Limit is the earliest time that the plan's windows let no job like this be
@@ -183,6 +193,8 @@
 	At     time.Time
 	Phase  Phase
 	Steps  []Step
+	Passed int    // waves after which the plan may go on
+	Closed string // why a gate has paused it
 
 	version uint64 // of the stored record, 0: none
 	gen     uint64 // grows with every change
@@ -190,6 +202,7 @@
 	sending uint64 // being stored, 0: none
 	foreign string // why this release does not touch it
 	rt      []runtime
+	soaking time.Duration // since when the first wave that is not passed is done with, 0: it is not
 }
 
 // runtime is what is known of a step in this term only.
--- a/internal/core/drain/record.go
+++ b/internal/core/drain/record.go
@@ -43,6 +43,8 @@
 	Machines []byte      `json:"machines"`
 	States   []byte      `json:"states"`
 	Tries    map[int]int `json:"tries,omitempty"` // of steps that rent
+	Passed   int         `json:"passed,omitempty"`
+	Closed   string      `json:"closed,omitempty"`
 }
 
 // encode makes a plan's record, packed if it has more than so many bytes; 0: never.
@@ -85,7 +87,8 @@
 // worst is about the most bytes that a plan's packed record may come to have while its
 // steps are in states that have nothing to do with each other.
 func worst(s *Spec, source []byte) int {
-	p := Plan{Spec: *s, UID: "18446744073709551615-1", Source: source, By: "somebody-with-a-name", At: time.Unix(1<<31, 0)}
+	p := Plan{Spec: *s, UID: "18446744073709551615-1", Source: source, By: "somebody-with-a-name", At: time.Unix(1<<31, 0),
+		Closed: "tasks take 10.00 times as long on machines of its waves as elsewhere (10000 tasks)"}
 	rng := rand.New(rand.NewPCG(1, 2))
 	for _, id := range s.Machines {
 		p.Steps = append(p.Steps, Step{Machine: id, State: State(rng.IntN(int(Left) + 1))})
@@ -110,7 +113,7 @@
 
 func (p *Plan) plain() ([]byte, error) {
 	r := record{V: recordVersion, Name: p.Name, UID: p.UID, By: p.By, AtMS: p.At.UnixMilli(), Phase: p.Phase,
-		Source: p.Source}
+		Source: p.Source, Passed: p.Passed, Closed: p.Closed}
 	last := int64(0)
 	for i, s := range p.Steps {
 		r.Machines = binary.AppendVarint(r.Machines, int64(s.Machine)-last)
@@ -167,6 +170,7 @@
 	name := p.Name
 	p.Spec = *spec
 	p.Name, p.UID, p.By, p.At, p.Phase, p.Source = name, r.UID, r.By, time.UnixMilli(r.AtMS), r.Phase, r.Source
+	p.Passed, p.Closed = r.Passed, r.Closed
 	last, left := int64(0), r.Machines
 	for i, st := range r.States {
 		d, n := binary.Varint(left)
--- a/internal/core/drain/rig_test.go
+++ b/internal/core/drain/rig_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/rollout"
 	"honeylock/internal/wire"
 )
 
@@ -30,6 +31,7 @@
 	recall []model.Task
 	broken []string
 	names  int
+	judge  func(rollout.Gate, []model.MachineID) rollout.Verdict
 }
 
 type rigMachine struct {
@@ -37,6 +39,8 @@
 	barred bool
 	tasks  []model.OnMachine
 	boots  int // ticks until it is up
+	since  time.Duration
+	deaf   bool // its owner does not tell how it is
 }
 
 const gb = 1000
@@ -65,7 +69,8 @@
 }
 
 func (r *rig) machine(id model.MachineID, zone model.Name) *rigMachine {
-	m := &rigMachine{Machine: model.Machine{ID: id, Zone: zone, Cap: model.Resources{CPU: 8000, Mem: 32 * gb}}}
+	m := &rigMachine{Machine: model.Machine{ID: id, Zone: zone, Cap: model.Resources{CPU: 8000, Mem: 32 * gb}},
+		since: r.now}
 	r.ms[id] = m
 	return m
 }
@@ -99,10 +104,10 @@
 		Learned: func(_ model.Name, part float64) float64 {
 			return 0.5 +
 				part
-		}, Boot: func(model.Name) time.Duration { return time.Second }, JobName: wire.JobName}
+		}, Boot: func(model.Name) time.Duration { return time.Second }, JobName: wire.JobName, Judge: r.judge}
 	for id, m := range r.ms {
 		st := model.MachineStatus{Machine: m.Machine, Avail: m.free(r), Ready: !m.barred && m.boots == 0, Slots: len(m.tasks)}
-		v.Machines[id] = Machine{st, m.boots == 0}
+		v.Machines[id] = Machine{MachineStatus: st, Told: m.boots == 0 && !m.deaf, Since: m.since}
 	}
 	for _, j := range r.jobs {
 		v.Jobs = append(v.Jobs, *j)
--- a/internal/core/drain/status.go
+++ b/internal/core/drain/status.go
@@ -62,6 +62,7 @@
 	if p.foreign != "" {
 		return s
 	}
+	s.Note = p.Closed
 	if !p.synced() {
 		s.Note = "its newest state is being stored"
 	}
--- a/internal/core/drain/steps.go
+++ b/internal/core/drain/steps.go
@@ -11,11 +11,17 @@
 // Tick moves the plans on and returns what to do.
 func (e *Engine) Tick(v *View) []Action {
 	e.out, e.free = nil, nil
-	for _, p := range e.sorted() {
+	plans := e.sorted()
+	for i := range plans {
+		// By turns: what is left of a budget is not always the first one's.
+		p := plans[(i+e.turns)%len(plans)]
 		if p.foreign == "" && !p.ended() {
 			e.step(v, p)
 		}
 	}
+	if v.Draw != nil {
+		e.turns++
+	}
 	e.drainPrice(v)
 	e.bars()
 	return e.out
@@ -85,7 +91,7 @@
 	for i := range told.tasks {
 		t := &told.tasks[i]
 		long := v.left(t, likely) > 2*(t.sp.Save+5*time.Second)
-		if t.Stopping || t.sp.Daemon || t.sp.Checkpoint == 0 || t.sp.Rank >= model.Urgent || !long || !room.take(t.sp) {
+		if t.Stopping || t.sp.Daemon || t.sp.Checkpoint == 0 || t.sp.Rank >= model.Urgent || !long || !room.take(t.sp) || v.draws(t, true) != "" {
 			continue
 		}
 		t.Stopping = true
@@ -135,12 +141,20 @@
 			zones[v.Machines[p.Steps[i].Machine].Machine.Zone]++
 		}
 	}
+	limit, why := e.until(v, p)
+	if p.Phase != Active || !p.synced() {
+		return // a gate closed, or a wave was passed: stored first
+	}
 	var r *rooms
 	for i := range p.Steps {
 		s := &p.Steps[i]
 		if s.State != Waiting {
 			continue
 		}
+		if i >= limit {
+			p.rt[i].held = why
+			return
+		}
 		m := v.Machines[s.Machine]
 		if busy >= p.AtOnce {
 			p.rt[i].held = ""
--- a/internal/core/drain/view.go
+++ b/internal/core/drain/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/rollout"
 )
 
 // View is the present as the leader knows it.
@@ -22,6 +23,11 @@
 	Learned func(class model.Name, part float64) float64
 	// Boot is how long a machine of the type may take to come up.
 	Boot func(machineType model.Name) time.Duration
+	// Draw asks for a running task to be moved, for its machine's price or for a plan: ""
+	// if it may, else what stands against it. nil: nothing does.
+	Draw func(m Moving) string
+	// Judge compares machines that a plan has renewed with all others, nil: it can't be.
+	Judge func(g rollout.Gate, ids []model.MachineID) rollout.Verdict
 	// JobName is a job's name, for people.
 	JobName func(model.JobID) string
 }
@@ -29,7 +35,8 @@
 // Machine of a view.
 type Machine struct {
 	model.MachineStatus
-	Told bool // its owner has told how it is; else only Machine is known
+	Told  bool          // its owner has told how it is; else only Machine is known
+	Since time.Duration // known since; of the steady clock, and before its beginning for old ones
 }
 
 // Job that is open.
@@ -38,6 +45,22 @@
 	Open, Running int // tasks not done, and tasks on machines
 }
 
+// Moving is a running task that is to be moved.
+type Moving struct {
+	Task      model.Task
+	Spec      *model.Spec
+	Price     bool          // for its machine's price, not for a plan
+	Ran, Left time.Duration // so far, and likely to come
+}
+
+// draws asks for a task to be moved.
+func (v *View) draws(t *task, price bool) string {
+	if v.Draw == nil {
+		return ""
+	}
+	return v.Draw(Moving{Task: t.Task, Spec: t.sp, Price: price, Ran: t.Ran, Left: v.left(t, likely)})
+}
+
 // task is what runs on a machine, with its job.
 type task struct {
 	model.OnMachine
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -141,6 +141,8 @@
 			u = f.unit(now, e.ID, kind{e.Type, e.Zone, e.Spot})
 			u.since = now - e.Age
 		}
+		// What a new leader first heard of by a report is older than that.
+		u.since = min(u.since, now-e.Age)
 		u.listed = now
 		if u.first == 0 {
 			u.first = now
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -13,6 +13,8 @@
 	// Adopted: the task was found on this machine in this attempt.
 	Machine MachineID
 	Attempt uint64 // 0: not adopted
+	// Again: it was out of work; the shard tells when it is at work again.
+	Again bool
 }
 
 // ShardID names one incarnation of a controller's shard; ids are never reused
@@ -91,7 +93,7 @@
 	Held  bool
 	Tasks []Task        // Released: tasks that were on the machine
 	On    []OnMachine   // Looked
-	Ran   time.Duration // Finished: it was seen running for so long; 0: not known
+	Ran   time.Duration // Finished: it was seen running for so long; 0: not known. Idled: so much is lost
 }
 
 // EventKind tells events apart.
@@ -114,6 +116,8 @@
 	Remembered                  // the controller's shard of an earlier term owned the machine
 	AlienGone                   // a found attempt that was not adopted is nowhere now
 	Looked                      // what runs on the machine
+	Idled                       // a task that ran is out of work, for other reasons than its own: Held: it was recalled
+	AtWork                      // a task that was told idle, or dealt again, runs
 )
 
 // OnMachine is a task on a machine, as its owner sees it.
--- /dev/null
+++ b/internal/core/rollout/rollout_test.go
@@ -0,0 +1,70 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+var gate = Gate{Tasks: 20, Slower: 1.25, Errors: 0.05}
+
+// play has tasks of two classes end on machines 0 to 9, of which 0 and 1 are new.
+func play(rng *rand.Rand, tasks int, slower, fails float64) *Book {
+	k := New()
+	for range tasks {
+		id := model.MachineID(rng.IntN(10))
+		class := model.Name(rng.IntN(2))
+		fresh := id < 2
+		if p := 0.01; rng.Float64() < p || fresh && rng.Float64() < fails {
+			k.Failed(id)
+			continue
+		}
+		ran := 20 * float64(time.Second) * (0.7 + 0.6*rng.Float64()) * (1 + float64(class))
+		if fresh {
+			ran *= slower
+		}
+		k.Done(id, class, 20*time.Second, time.Duration(ran))
+	}
+	return k
+}
+
+func TestGates(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks         int
+		slower, fails float64
+		open, closed  bool
+		why           string
+	}{
+		"too few":      {60, 1, 0, false, false, "of 20 tasks have ended"},
+		"alike":        {400, 1, 0, true, false, ""},
+		"a bit slow":   {400, 1.1, 0, true, false, ""},
+		"half as fast": {400, 2, 0, false, true, "times as long on machines of its waves"},
+		"failing":      {400, 1, 0.3, false, true, "tasks failed on machines of its waves"},
+		"all fail":     {40, 1, 1, false, true, "tasks failed on machines of its waves"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				v := play(rand.New(rand.NewPCG(seed, 1)), c.tasks, c.slower, c.fails).Judge(gate, []model.MachineID{0, 1})
+				if v.Open != c.open || v.Closed != c.closed || !strings.Contains(v.Why, c.why) {
+					t.Fatalf("seed %d: %+v", seed, v)
+				}
+			}
+		})
+	}
+}
+
+// A gate without a reason to close stays open nearly always.
+func TestChanceClosesHardlyAnyGate(t *testing.T) {
+	closed := 0
+	for seed := range uint64(2000) {
+		if play(rand.New(rand.NewPCG(seed, 2)), 300, 1, 0).Judge(gate, []model.MachineID{0, 1}).Closed {
+			closed++
+		}
+	}
+	if closed > 10 {
+		t.Errorf("%d of 2000 gates closed by chance", closed)
+	}
+}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -113,6 +113,9 @@
 		s.alienGone(sl)
 		return
 	}
+	if c == model.CauseStopped {
+		s.idled(now, sl, c)
+	}
 	sl.t = nil
 	if t.recalled || c == model.CauseError || c == model.CauseUnknown {
 		s.release(t, c) // it still tells where it was
@@ -121,6 +124,16 @@
 	s.enqueue(now, t)
 }
 
+// idled tells the dealer that a task which ran is out of work.
+func (s *Shard) idled(now time.Duration, sl *slot, c model.Cause) {
+	t := sl.t
+	if !s.tells || t == nil || t.told || sl.runSince == 0 {
+		return
+	}
+	t.told = true
+	s.emit(model.Event{Kind: model.Idled, Machine: sl.m.ID, Task: t.Task, Cause: c, Held: t.recalled, Ran: loss(now, sl)})
+}
+
 func (s *Shard) alienGone(sl *slot) {
 	if sl.alien {
 		sl.alien = false
@@ -133,6 +146,7 @@
 		s.drop(now, sl)
 		if sl.t != nil {
 			s.Stats.Lost++
+			s.idled(now, sl, model.CauseOther)
 		}
 		s.landed(now, sl, model.CauseStopped)
 	}
@@ -275,6 +289,10 @@
 		sl.state = live
 		if c.Stage == model.Running && sl.runSince == 0 {
 			sl.runSince = now
+			if t := sl.t; t != nil && t.told {
+				t.told = false
+				s.emit(model.Event{Kind: model.AtWork, Machine: m.ID, Task: t.Task})
+			}
 		}
 		return
 	}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -63,6 +63,7 @@
 	queued time.Duration
 	// recalled: give it back instead of placing it again.
 	recalled bool
+	told     bool // the dealer was told that it is out of work
 }
 
 // on is the machine that the task is on, or reserved for; nil: it waits.
@@ -113,6 +114,7 @@
 	deals    uint64
 	moved    map[model.MachineID]string
 	images   map[model.MachineID]map[model.Name]bool // remembered
+	tells    bool                                    // the dealer wants to know what is out of work
 	records  map[model.JobID]*record                 // of jobs that have failed
 	events   []model.Event
 	directs  []Direct
@@ -129,6 +131,9 @@
 		pending: map[uint64]inFlight{}, moved: map[model.MachineID]string{}, records: map[model.JobID]*record{}}
 }
 
+// Tell has the dealer told of tasks that are out of work, and when they run again.
+func (s *Shard) Tell(on bool) { s.tells = on }
+
 // Grant lets the shard act until the given time.
 func (s *Shard) Grant(until time.Duration) { s.until = until }
 
@@ -302,7 +307,7 @@
 	if s.tasks[d.Task] != nil {
 		return
 	}
-	t := &task{Deal: d, price: d.Price}
+	t := &task{Deal: d, price: d.Price, told: d.Again}
 	s.tasks[d.Task] = t
 	if d.Attempt != 0 {
 		m := s.machines[d.Machine]
--- /dev/null
+++ b/internal/core/sim/budgets_test.go
@@ -0,0 +1,144 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/disruption"
+	"honeylock/internal/core/drain"
+	"honeylock/internal/core/model"
+)
+
+func (l *lead) newBook() *disruption.Book {
+	n := l.c.w.p.budget
+	if n == 0 {
+		return nil
+	}
+	return disruption.New([]disruption.Budget{{Team: 0, Class: model.None, Tasks: n}, {Team: 1, Class: model.None, Tasks: n}})
+}
+
+// disrupt and hear wire the book as the node does.
+func (x *drains) disrupt(now time.Duration) func(drain.Moving) string {
+	if !x.book.On() {
+		return nil
+	}
+	l := x.l
+	for _, t := range l.d.Freed() {
+		if sp := l.d.Spec(t.Job); sp != nil {
+			x.book.Stopped(t, sp, disruption.Lost, sp.Estimate/2)
+		}
+	}
+	x.book.Sweep(func(id model.JobID) bool { return l.d.Spec(id) != nil })
+	x.book.Settled = l.d.Recovered() || l.c.w.p.forgetDraws
+	x.book.Present = func(team, class model.Name) (p disruption.Present) {
+		p.Running, p.Adrift, p.Unsure, p.CPU = l.d.AtWork(team, class)
+		if l.c.w.p.forgetDraws {
+			p.Unsure, p.Adrift, p.CPU = 0, 0, 0
+		}
+		return p
+	}
+	return func(m drain.Moving) string {
+		return x.book.Draw(now, disruption.Ask{Task: m.Task, Spec: m.Spec, Ran: m.Ran, Left: m.Left})
+	}
+}
+
+func (x *drains) hear(now time.Duration, e *model.Event) {
+	sp := x.l.d.Spec(e.Task.Job)
+	if !x.book.On() || sp == nil {
+		return
+	}
+	switch e.Kind {
+	case model.Idled:
+		cause := disruption.Evicted
+		if e.Cause == model.CauseOther {
+			cause = disruption.Lost
+		}
+		x.book.Stopped(e.Task, sp, cause, e.Ran)
+		if x.l.c.w.p.unpaid {
+			x.book.Ended(e.Task)
+		}
+	case model.AtWork:
+		x.book.Resumed(now, e.Task)
+	case model.Finished:
+		x.book.Ended(e.Task)
+	}
+}
+
+// observe counts from outside what plans have out of work, by what the workers do: a
+// task that ran where it was told to leave, until some worker starts it again or it is
+// done or its job is over.
+func (w *world) observe(a drain.Action) {
+	if w.p.budget == 0 {
+		return
+	}
+	for k, at := range w.workers[a.Machine].cells {
+		if k.t == a.Task && at.on && at.Stage == model.Running {
+			w.moved[a.Task] = true
+		}
+	}
+	out := map[model.Name]int{}
+	for t := range w.moved {
+		if u := w.users[t.Job]; u.ended == "" && !u.wants {
+			out[u.spec.Team]++
+		}
+	}
+	for team, n := range out {
+		if n > w.p.budget {
+			w.fail("budget", "%d tasks of team %d are out of work, %d may be", n, team, w.p.budget)
+		}
+	}
+}
+
+func budgeted(p params) params {
+	p = drained(p)
+	p.budget = 2
+	return p
+}
+
+// TestBudgetsHold plays random days of drain plans with every kind of failure: plans never
+// have more of a team's tasks out of work than its budget, across changes of leader too.
+func TestBudgetsHold(t *testing.T) {
+	moved := 0
+	t.Cleanup(func() {
+		if !t.Failed() && moved < 60 {
+			t.Errorf("%d tasks moved: these days test nothing", moved)
+		}
+	})
+	for name, p := range map[string]params{"short lease": budgeted(almatyLike()), "long lease": budgeted(longLease())} {
+		for seed := range uint64(15) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				w := newWorld(seed+500, p)
+				w.run()
+				moved += w.recalled
+				if len(w.broken) > 0 {
+					t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
+				}
+			})
+		}
+	}
+}
+
+// TestChecksCatchBrokenBudgets proves the observer.
+func TestChecksCatchBrokenBudgets(t *testing.T) {
+	for name, breakIt := range map[string]func(*params){
+		"a task that was stopped counts as back":      func(p *params) { p.unpaid = true },
+		"a new leader takes what was out for at work": func(p *params) { p.forgetDraws = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(80) {
+				p := budgeted(almatyLike())
+				p.budget = 1
+				breakIt(&p)
+				w := newWorld(seed+500, p)
+				w.run()
+				if len(w.broken) > 0 {
+					t.Logf("seed %d: %s", seed, w.broken[0])
+					return
+				}
+			}
+			t.Fatal("no day broke a budget: the observer sees nothing")
+		})
+	}
+}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -184,8 +184,10 @@
 }
 
 func (c *ctl) newSeat(attempts uint64) *seat {
-	return &seat{c: c, heard: c.now(), s: shard.New(shard.Params{SureLease: c.sureLease(), Report: c.w.p.report, Sample: 2, PaybackLimit: time.Minute,
+	st := &seat{c: c, heard: c.now(), s: shard.New(shard.Params{SureLease: c.sureLease(), Report: c.w.p.report, Sample: 2, PaybackLimit: time.Minute,
 		DemoteStep: 2, DoubtPause: 2 * time.Second}, attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
+	st.s.Tell(c.w.p.budget > 0)
+	return st
 }
 
 func (c *ctl) sureLease() time.Duration { return c.w.p.lease*1002/1000 + 250*time.Millisecond }
@@ -213,7 +215,7 @@
 		end = now - time.Hour
 	}
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: []dealer.Team{{Limit: teamLimit}, {Limit: teamLimit}}, ChunkSize: 64, BlockSize: blockSize,
-		Progress: time.Second, Ahead: 4, SureLease: c.sureLease()}, end)
+		Progress: time.Second, Ahead: 4, SureLease: c.sureLease(), Tell: c.w.p.budget > 0}, end)
 	l.d.SetTypes([]model.MachineType{theType})
 	l.local = l.d.Join(now, c.host)
 	l.drains = l.newDrains()
@@ -422,6 +424,7 @@
 }
 
 func (l *lead) hear(now time.Duration, from model.ShardID, e model.Event) {
+	l.drains.hear(now, &e)
 	if e.Kind == model.Looked {
 		l.drains.e.Seen(now, e.Machine, e.Token, e.On, l.d.Spec)
 	}
--- a/internal/core/sim/drains_test.go
+++ b/internal/core/sim/drains_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"honeylock/internal/core/disruption"
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/model"
 	"honeylock/internal/wire"
@@ -14,15 +15,17 @@
 
 // drains is the leader's engine of drain plans, wired as the node wires it.
 type drains struct {
-	l *lead
-	e *drain.Engine
+	l    *lead
+	e    *drain.Engine
+	book *disruption.Book
 }
 
 // plans are the specs of a day's plans by name: what a plan's source would say.
 type plans map[string]*drain.Spec
 
 func (l *lead) newDrains() *drains {
-	return &drains{l, drain.New(drain.Params{Term: l.term, Report: l.c.w.p.report, Probe: time.Second, Most: 200})}
+	return &drains{l, drain.New(drain.Params{Term: l.term, Report: l.c.w.p.report, Probe: time.Second, Most: 200}),
+		l.newBook()}
 }
 
 func (x *drains) load(now time.Duration, stored map[string]drain.Stored) {
@@ -39,12 +42,13 @@
 }
 
 func (x *drains) tick(now time.Duration) {
+	draw := x.disrupt(now)
 	if x.e.Idle() {
 		return
 	}
 	w := x.l.c.w
 	v := &drain.View{Now: now, Wall: time.Unix(0, 0).Add(w.now), Machines: map[model.MachineID]drain.Machine{},
-		Settled: x.l.d.Recovered(),
+		Settled: x.l.d.Recovered(), Draw: draw,
 		Learned: func(_ model.Name, p float64) float64 {
 			return 0.5 +
 				p
@@ -96,6 +100,7 @@
 		l.d.LookAt(a.Machine, a.Seq)
 	case drain.Recall:
 		w.recalled++
+		w.observe(a)
 		l.d.RecallFrom(a.Machine, a.Task)
 	case drain.Rent: // nothing to be had: plans of these days rent nothing
 		x.e.Rented(l.c.now(), a, nil, true)
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -165,11 +165,15 @@
 	}
 }
 
-func (w *world) completed(t model.Task) { w.users[t.Job].done[t.No] = true }
+func (w *world) completed(t model.Task) {
+	w.users[t.Job].done[t.No] = true
+	delete(w.moved, t)
+}
 
 // starts checks a task that has just started on a machine.
 func (w *world) starts(m *machine, t model.Task) {
 	w.started++
+	delete(w.moved, t)
 	u := w.users[t.Job]
 	if u.ended == jobs.Cancelled && w.now > u.endedAt+w.p.cancel {
 		w.fail("ran_cancelled", "task %v starts on %s", t, m.host)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -21,6 +21,9 @@
 	vouchForEver                     bool          // a broken guard: what waits is called queued whatever is known
 	resize                           time.Duration // when leaders begin to write smaller blocks; 0: never
 	guests                           bool          // swarms of small tasks, and jobs that always fail
+	budget                           int           // tasks of a team that plans may have out of work at once; 0: no bound
+	forgetDraws                      bool          // a broken guard: a new leader takes what it does not know for at work
+	unpaid                           bool          // a broken guard: a task that was stopped counts as back
 	forgetRecords                    bool          // a broken guard: a new leader ignores the machines' records
 	trustOldEnd                      bool          // a broken guard: old grants are taken for over at once
 	freeOnLoss                       bool          // a broken guard: a lost shard's machines count as accounted for
@@ -72,6 +75,7 @@
 	slow    time.Duration // until when the store answers slowly
 	log     []string
 	plans   plans
+	moved   map[model.Task]bool // by plans, and not seen at work since
 	// Of drain plans: tasks moved, machines given back.
 	recalled, given int
 }
@@ -79,7 +83,7 @@
 func newWorld(seed uint64, p params) *world {
 	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{},
 		users: map[model.JobID]*user{},
-		plans: plans{}}
+		plans: plans{}, moved: map[model.Task]bool{}}
 	w.store = newStore(w)
 	for i := range p.controllers {
 		w.ctls = append(w.ctls, newCtl(w, i))
--- /dev/null
+++ b/internal/node/disrupting.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"honeylock/internal/core/disruption"
+	"honeylock/internal/core/drain"
+	"honeylock/internal/core/model"
+)
+
+// newBook makes the book of the settings' budgets; nil where there are none.
+func (n *Node) newBook() *disruption.Book {
+	if len(n.set.Budgets) == 0 {
+		return nil
+	}
+	var bs []disruption.Budget
+	for _, b := range n.set.Budgets {
+		team, ok := n.names.Teams.Lookup(b.Team)
+		if !ok {
+			continue // the command has refused it
+		}
+		x := disruption.Budget{Team: team, Class: model.None, Tasks: b.Tasks, Share: b.Share,
+			CPU: model.Capacity(b.CPUs, 0, 0).CPU, LostCPU: b.LostCPUS, Window: b.Window, Moves: b.Moves, LastPart: b.LastPart}
+		if b.Class != "" {
+			x.Class = n.names.Classes.ID(b.Class)
+		}
+		bs = append(bs, x)
+	}
+	k := disruption.New(bs)
+	k.TeamName = n.names.Teams.Name
+	return k
+}
+
+// part of work: a team's, or one of its classes'.
+type work struct{ team, class model.Name }
+
+// disrupt brings the book up to date for a turn of the drains, and returns how they draw
+// from it; nil where there are no budgets.
+func (p *draining) disrupt(now time.Duration) func(drain.Moving) string {
+	if !p.book.On() {
+		return nil
+	}
+	l := p.l
+	for _, t := range l.d.Freed() {
+		if sp := l.d.Spec(t.Job); sp != nil { // nobody saw how long it had run
+			p.book.Stopped(t, sp, disruption.Lost, sp.Estimate/2)
+		}
+	}
+	p.book.Sweep(func(id model.JobID) bool { return l.d.Spec(id) != nil })
+	p.book.Settled = l.d.Recovered()
+	told := map[work]disruption.Present{}
+	p.book.Present = func(team, class model.Name) disruption.Present {
+		w := work{team, class}
+		x, ok := told[w]
+		if !ok {
+			x.Running, x.Adrift, x.Unsure, x.CPU = l.d.AtWork(team, class)
+			told[w] = x
+		}
+		return x
+	}
+	return func(m drain.Moving) string {
+		cause := disruption.Plan
+		if m.Price {
+			cause = disruption.Price
+		}
+		return p.book.Draw(now, disruption.Ask{Task: m.Task, Spec: m.Spec, Cause: cause, Ran: m.Ran, Left: m.Left})
+	}
+}
+
+// hearWork takes what shards tell of work that is out, and at work again.
+func (p *draining) hearWork(now time.Duration, e *model.Event) {
+	sp := p.l.d.Spec(e.Task.Job)
+	if sp == nil {
+		return
+	}
+	switch e.Kind {
+	case model.Idled:
+		cause := disruption.Evicted
+		if e.Cause == model.CauseOther {
+			cause = disruption.Lost
+		}
+		p.book.Stopped(e.Task, sp, cause, e.Ran)
+	case model.AtWork:
+		p.book.Resumed(now, e.Task)
+	case model.Finished:
+		p.book.Ended(e.Task)
+	}
+}
+
+// BudgetStatus is how a budget of disruption stands, as operators see it.
+type BudgetStatus struct {
+	Team    string         `json:"team"`
+	Class   string         `json:"class,omitempty"`
+	Running int            `json:"running"`
+	Out     int            `json:"out"`
+	Most    int            `json:"most"` // tasks, -1: not bounded
+	OutCPUs float64        `json:"out_cpus"`
+	CPUs    float64        `json:"cpus,omitempty"` // bound, 0: none
+	LostS   float64        `json:"lost_cpu_s"`
+	Lost    float64        `json:"most_lost_cpu_s,omitempty"`
+	By      map[string]int `json:"by"`
+}
+
+func (p *draining) budgets(now time.Duration) []BudgetStatus {
+	out := []BudgetStatus{}
+	if p.disrupt(now) == nil {
+		return out
+	}
+	for _, s := range p.book.Status(now) {
+		b := BudgetStatus{Team: p.l.n.names.Teams.Name(s.Team), Running: s.Running, Out: s.Tasks, Most: s.MostTasks,
+			OutCPUs: float64(s.CPU) / 1000, CPUs: float64(s.Budget.CPU) / 1000, LostS: s.LostCPU, Lost: s.Budget.LostCPU,
+			By: map[string]int{}}
+		if s.Class != model.None {
+			b.Class = p.l.n.names.Classes.Name(s.Class)
+		}
+		for c, n := range s.By {
+			if n > 0 {
+				b.By[disruption.Cause(c).Label()] = n
+			}
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// disruptionMetrics are the book's counts, on the leader.
+type disruptionMetrics struct {
+	n                     *Node
+	drawn, refused, eaten *prometheus.Desc
+}
+
+func newDisruptionMetrics(n *Node) *disruptionMetrics {
+	desc := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc("honeylock_disruption_"+name+"_total", help+" by this leader, by team and cause.",
+			[]string{"team", "cause"}, nil)
+	}
+	return &disruptionMetrics{n, desc("drawn", "Running tasks moved"), desc("refused", "Moves of running tasks refused"),
+		desc("eaten", "Running tasks seen out of work for other reasons")}
+}
+
+// Describe implements prometheus.Collector.
+func (m *disruptionMetrics) Describe(c chan<- *prometheus.Desc) {
+	c <- m.drawn
+	c <- m.refused
+	c <- m.eaten
+}
+
+// Collect implements prometheus.Collector.
+func (m *disruptionMetrics) Collect(c chan<- prometheus.Metric) {
+	m.n.mu.Lock()
+	defer m.n.mu.Unlock()
+	if m.n.lead == nil || !m.n.lead.drains.book.On() {
+		return
+	}
+	for team, x := range m.n.lead.drains.book.Counts {
+		name := m.n.names.Teams.Name(team)
+		for _, s := range []struct {
+			d *prometheus.Desc
+			n [disruption.Causes]uint64
+		}{{m.drawn, x.Drawn}, {m.refused, x.Refused}, {m.eaten, x.Eaten}} {
+			for cause, v := range s.n {
+				if v > 0 {
+					c <- prometheus.MustNewConstMetric(s.d, prometheus.CounterValue, float64(v), name, disruption.Cause(cause).Label())
+				}
+			}
+		}
+	}
+}
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -11,10 +11,12 @@
 
 	"honeylock/internal/config"
 	"honeylock/internal/core/budget"
+	"honeylock/internal/core/disruption"
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/fleet"
 	"honeylock/internal/core/ledger"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/rollout"
 	"honeylock/internal/core/runtimes"
 	"honeylock/internal/planfile"
 	"honeylock/internal/wire"
@@ -40,6 +42,8 @@
 	e      *drain.Engine
 	led    *ledger.Ledger
 	learnt *runtimes.Book
+	book   *disruption.Book // of budgets of disruption, nil: there are none
+	fares  *rollout.Book    // how tasks fare on machines, nil: no plan has a gate
 	ticked time.Duration
 	ahead  foresight
 }
@@ -52,7 +56,7 @@
 	if c.ValueKB() < c.State.ValueKB {
 		value = int(c.ValueKB() * 1024)
 	}
-	return &draining{l: l, led: ledger.New(auditSlots), learnt: runtimes.New(), e: drain.New(drain.Params{
+	return &draining{l: l, led: ledger.New(auditSlots), learnt: runtimes.New(), book: l.n.newBook(), e: drain.New(drain.Params{
 		Term: l.term, Report: config.Seconds(c.Workers.ReportS), Probe: rentProbe, Most: max(1, most), Value: value})}
 }
 
@@ -112,11 +116,19 @@
 		return
 	}
 	p.ticked = now
+	draw := p.disrupt(now)
 	if p.e.Idle() {
 		return
 	}
 	var empty []model.MachineID
-	for _, a := range p.e.Tick(p.view(now)) {
+	v := p.view(now)
+	v.Draw = draw
+	if !p.e.Gated() {
+		p.fares = nil
+	} else if p.fares == nil {
+		p.fares = rollout.New()
+	}
+	for _, a := range p.e.Tick(v) {
 		if a.Kind == drain.Give {
 			empty = append(empty, a.Machine)
 			continue
@@ -180,6 +192,12 @@
 
 // hear takes what shards tell.
 func (p *draining) hear(now time.Duration, e *model.Event) {
+	if p.book.On() {
+		p.hearWork(now, e)
+	}
+	if p.fares != nil {
+		p.fare(e)
+	}
 	switch e.Kind {
 	case model.Looked:
 		if p.ahead.heard(e) {
@@ -198,17 +216,35 @@
 	}
 }
 
+// fare takes how a task ended on a machine.
+func (p *draining) fare(e *model.Event) {
+	switch sp := p.l.d.Spec(e.Task.Job); {
+	case sp == nil || sp.Daemon:
+	case e.Kind == model.Finished:
+		ran := e.Ran
+		if sp.Estimate < learnFrom*config.Seconds(p.l.n.cfg.Cluster.Workers.ReportS) {
+			ran = 0 // of short tasks reports tell too little
+		}
+		p.fares.Done(e.Machine, sp.Class, sp.Estimate, ran)
+	case e.Kind == model.Gone && e.Cause == model.CauseError && !p.l.d.Suspected(e.Task.Job):
+		p.fares.Failed(e.Machine)
+	}
+}
+
 // view is the present for the engine.
 func (p *draining) view(now time.Duration) *drain.View {
 	l := p.l
 	v := &drain.View{Now: now, Wall: time.Now(), Machines: map[model.MachineID]drain.Machine{}, Spare: l.d.Spare(),
 		Learned: p.learnt.Factor, Boot: l.rents.f.Boot, JobName: wire.JobName}
-	listed := l.rents.f.Units(now, func(m model.Machine, _ time.Duration) {
-		v.Machines[m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: m}}
+	listed := l.rents.f.Units(now, func(m model.Machine, since time.Duration) {
+		v.Machines[m.ID] = drain.Machine{MachineStatus: model.MachineStatus{Machine: m}, Since: since}
 	})
 	l.d.Known(func(st model.MachineStatus, told bool) {
-		v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: told}
+		v.Machines[st.Machine.ID] = drain.Machine{MachineStatus: st, Told: told, Since: v.Machines[st.Machine.ID].Since}
 	})
+	if p.fares != nil {
+		v.Judge = p.fares.Judge
+	}
 	v.Settled = listed && l.d.Recovered()
 	for _, need := range l.d.Needs() {
 		v.Jobs = append(v.Jobs, drain.Job{Spec: need.Spec, Open: int(need.Open), Running: l.d.Count(need.Spec.ID).Running})
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -85,7 +85,8 @@
 	// whole length of it from now, unless they are heard to have stopped.
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.ValueKB()),
 		BlockSize: oldBlockSize(c.State.ValueKB), Progress: 2 * time.Second,
-		Ahead: n.set.DealAhead, SureLease: c.SureLease(), Crowd: crowd(c)}, now+max(n.ttl, config.Promise)+time.Second)
+		Ahead: n.set.DealAhead, SureLease: c.SureLease(), Crowd: crowd(c),
+		Tell: len(n.set.Budgets) > 0}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
 	}
@@ -93,6 +94,7 @@
 	n.leaveSeat()
 	n.takeSeat(n.newSeat(l.d.Attempts(l.local)))
 	n.seat.s.Grant(n.el.Deadline())
+	n.seat.s.Tell(len(n.set.Budgets) > 0)
 	f := fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS),
 		IdleReturn: n.set.IdleReturn,
 		Horizon:    n.set.RentHorizon, Probe: rentProbe, Patience: 10 * n.set.RentHorizon})
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -30,6 +30,7 @@
 	AuditList   Verb = "audit list"
 	DrainList   Verb = "drain list"
 	DrainStatus Verb = "drain status"
+	DrainBudget Verb = "drain budgets"
 	// DrainPlan forecasts a plan, DrainAgain one that is under way: begun under a
 	// request's id, asked again under it until it is complete.
 	DrainPlan   Verb = "drain plan"
@@ -44,7 +45,7 @@
 // Changes tells whether a call changes something.
 func (v Verb) Changes() bool {
 	switch v {
-	case AuditList, DrainList, DrainStatus, DrainPlan, DrainAgain:
+	case AuditList, DrainList, DrainStatus, DrainBudget, DrainPlan, DrainAgain:
 		return false
 	}
 	return true
@@ -321,6 +322,8 @@
 			out = append(out, p.planStatus(&s))
 		}
 		return body(out)
+	case DrainBudget:
+		return body(p.budgets(now))
 	case DrainPlan, DrainAgain:
 		return p.askForecast(now, c)
 	case DrainStatus:
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -320,6 +320,7 @@
 			}
 			st = n.newSeat(msg.Welcome.GetAttempts())
 			st.out = out
+			st.s.Tell(msg.Welcome.GetTell())
 			n.leader = host
 			n.takeSeat(st)
 			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm(), "remembered", len(n.kept))
@@ -504,7 +505,8 @@
 	}
 	id := l.d.Join(now, host)
 	l.links[id] = k
-	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id)}}})
+	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id),
+		Tell: l.drains.book.On()}}})
 	k.out.Send(l.deals.progress())
 	l.n.log.Info("member joined", "host", host, "shard", id, "release", hello.GetRelease())
 	l.hosts[host] = hello.GetRelease()
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -67,6 +67,7 @@
 	e.Use(s.authorise)
 	e.GET("/ops/v1/audit", s.call(node.AuditList))
 	e.GET("/ops/v1/drains", s.call(node.DrainList))
+	e.GET("/ops/v1/budgets", s.call(node.DrainBudget))
 	e.GET("/ops/v1/drains/:name", s.call(node.DrainStatus))
 	e.POST("/ops/v1/forecasts", s.call(node.DrainPlan))
 	e.POST("/ops/v1/drains/:name/forecast", s.call(node.DrainAgain))
--- a/internal/planfile/planfile.go
+++ b/internal/planfile/planfile.go
@@ -18,6 +18,7 @@
 
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/rollout"
 	"honeylock/internal/planfile/planpb"
 	"honeylock/internal/wire"
 )
@@ -30,6 +31,7 @@
 	maxFloor   = 10
 	maxWindows = 16
 	maxRules   = 32
+	maxWaves   = 16
 )
 
 var planName = regexp.MustCompile(`^[a-z][a-z0-9-]{0,39}$`)
@@ -82,9 +84,71 @@
 	}
 	checkRules(&m, p.GetRules())
 	checkWindows(&m, p.GetWindows())
+	checkWaves(&m, p)
 	return errors.Join(m...)
 }
 
+func checkWaves(m *mistakes, p *planpb.Plan) {
+	if n := len(p.GetWaves()); n > maxWaves {
+		m.add("waves", "%d given, at most %d are taken", n, maxWaves)
+	}
+	last := 0.0
+	for i, w := range p.GetWaves() {
+		f := fmt.Sprintf("waves[%d]", i)
+		if (w.Machines == nil) == (w.Share == nil) {
+			m.add(f, "give either machines or share")
+		}
+		if w.Machines != nil && (w.GetMachines() < 1 || w.GetMachines() > 100_000) {
+			m.add(f+".machines", "%d must be from 1 to 100000", w.GetMachines())
+		}
+		if w.Share != nil && !(w.GetShare() > last && w.GetShare() <= 1) {
+			m.add(f+".share", "%v must be above %v, as a part of all machines, and at most 1", w.GetShare(), last)
+		}
+		last = max(last, w.GetShare())
+		if !(w.GetSoakS() >= 0 && w.GetSoakS() <= 86400) {
+			m.add(f+".soak_s", "%v must be from 0 to 86400", w.GetSoakS())
+		}
+	}
+	g := p.GetGate()
+	if g == nil {
+		return
+	}
+	if len(p.GetWaves()) == 0 {
+		m.add("gate", "there are no waves between which it could stand")
+	}
+	if g.Tasks != nil && (g.GetTasks() < 1 || g.GetTasks() > 100_000) {
+		m.add("gate.tasks", "%d must be from 1 to 100000", g.GetTasks())
+	}
+	if g.Slower != nil && !(g.GetSlower() >= 1 && g.GetSlower() <= 100) {
+		m.add("gate.slower", "%v must be from 1 to 100", g.GetSlower())
+	}
+	if g.Errors != nil && !(g.GetErrors() >= 0 && g.GetErrors() <= 1) {
+		m.add("gate.errors", "%v must be from 0 to 1", g.GetErrors())
+	}
+}
+
+// waves are a plan's waves and its gate in the cores' terms.
+func waves(p *planpb.Plan, s *drain.Spec) {
+	for _, w := range p.GetWaves() {
+		s.Waves = append(s.Waves, drain.Wave{Machines: int(w.GetMachines()), Share: w.GetShare(),
+			Soak: wire.Duration(w.GetSoakS())})
+	}
+	g := p.GetGate()
+	if g == nil {
+		return
+	}
+	s.Gate = &rollout.Gate{Tasks: 20, Slower: 1.25, Errors: 0.05}
+	if g.Tasks != nil {
+		s.Gate.Tasks = int(g.GetTasks())
+	}
+	if g.Slower != nil {
+		s.Gate.Slower = g.GetSlower()
+	}
+	if g.Errors != nil {
+		s.Gate.Errors = g.GetErrors()
+	}
+}
+
 func enum(m *mistakes, field string, v int32, names map[int32]string) {
 	if _, ok := names[v]; !ok {
 		m.add(field, "%d has no meaning", v)
@@ -200,6 +264,7 @@
 	for _, w := range p.GetWindows() {
 		s.Windows = append(s.Windows, window(w, n))
 	}
+	waves(p, s)
 	return s
 }
 
--- a/internal/planfile/planfile_test.go
+++ b/internal/planfile/planfile_test.go
@@ -169,3 +169,27 @@
 }
 
 const twoBrackets = `name: "a" machines < names: "m-000001" > running: MOVE`
+
+func TestWaves(t *testing.T) {
+	const head = "name: \"p\" machines { all: true } "
+	p, err := Parse([]byte(head + "waves { machines: 2 soak_s: 60 } waves { share: 0.25 } gate { tasks: 5 }"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Spec(p, &wire.Names{Classes: wire.NewTable()})
+	if len(s.Waves) != 2 || s.Waves[0].Soak != time.Minute || s.Waves[1].Share != 0.25 || s.Gate.Tasks != 5 || s.Gate.Slower != 1.25 {
+		t.Errorf("%+v, %+v", s.Waves, s.Gate)
+	}
+	for in, field := range map[string]string{
+		"waves { soak_s: 1 }":                               "waves[0]: give either",
+		"waves { machines: 0 }":                             "waves[0].machines",
+		"waves { share: 0.5 } waves { share: 0.2 }":         "waves[1].share",
+		"waves { share: 0.5 soak_s: -1 }":                   "waves[0].soak_s",
+		"gate { tasks: 3 }":                                 "gate: there are no waves",
+		"waves { machines: 1 } gate { tasks: 0 slower: 0 }": "gate.slower",
+	} {
+		if _, err := Parse([]byte(head + in)); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v does not name %s", in, err, field)
+		}
+	}
+}
