quota, node, ops: teams' limits and guarantees shown and changed while the service runs

honeylock team list|show|set|unset at the operators' door: a change is stored under the leader's key, acts once it is, is taken up by any leader and taken back when its time is over; never above the platform's limit.

--- /dev/null
+++ b/cmd/honeylock/team.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"honeylock/internal/config"
+	"honeylock/internal/config/settingspb"
+	"honeylock/internal/node"
+)
+
+func teamCommand() *cobra.Command {
+	var d door
+	c := &cobra.Command{Use: "team", Short: "Teams' limits and guarantees, and what holds each team now"}
+	d.flags(c)
+	c.AddCommand(
+		&cobra.Command{Use: "list", Short: "List the teams", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error { return get(c, &d, "teams", showTeams) }},
+		&cobra.Command{Use: "show NAME", Short: "Show how a team stands", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return get(c, &d, "teams/"+url.PathEscape(args[0]), showTeam)
+			}},
+		setTeamCommand(&d),
+		&cobra.Command{Use: "unset NAME", Short: "Take changes of a team back: it is as the platform has it", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return d.change(c, "teams/"+url.PathEscape(args[0])+"/unset", nil)
+			}})
+	return c
+}
+
+func setTeamCommand(d *door) *cobra.Command {
+	var limit, limitGPUs, guarantee, guaranteeGPUs float64
+	var until string
+	c := &cobra.Command{Use: "set NAME", Short: "Change a team's limit or guarantee, at once and until it is unset, or until a time",
+		Args: cobra.ExactArgs(1)}
+	f := c.Flags()
+	f.Float64Var(&limit, "limit-cpus", 0, "CPUs at most; not above the platform's limit")
+	f.Float64Var(&limitGPUs, "limit-gpus", 0, "accelerators at most")
+	f.Float64Var(&guarantee, "guarantee-cpus", 0, "CPUs guaranteed; not above the limit")
+	f.Float64Var(&guaranteeGPUs, "guarantee-gpus", 0, "accelerators guaranteed")
+	f.StringVar(&until, "until", "", "when the change ends: a time (2026-12-31T18:00:00+04:00) or a span (90m)")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		p := &settingspb.TeamChange{Until: until}
+		if span, err := time.ParseDuration(until); err == nil {
+			p.Until = time.Now().Add(span).Format(time.RFC3339)
+		}
+		for name, to := range map[string]**float64{"limit-cpus": &p.LimitCpus, "limit-gpus": &p.LimitGpus,
+			"guarantee-cpus": &p.GuaranteeCpus, "guarantee-gpus": &p.GuaranteeGpus} {
+			if f.Changed(name) {
+				v, err := f.GetFloat64(name)
+				if err != nil {
+					return err
+				}
+				*to = &v
+			}
+		}
+		text, err := prototext.Marshal(p)
+		if err != nil {
+			return failed(err)
+		}
+		if _, err := config.ParseTeamChange(text); err != nil {
+			return err
+		}
+		return d.change(c, "teams/"+url.PathEscape(args[0]), text)
+	}
+	return c
+}
+
+func showTeams(w io.Writer, ts *[]node.TeamReply) error {
+	var rows [][]string
+	for _, t := range *ts {
+		limit := "-"
+		if t.Limit > 0 {
+			limit = fmt.Sprintf("%g", t.Limit)
+		}
+		rows = append(rows, []string{t.Team, limit, fmt.Sprintf("%g", t.Guarantee), fmt.Sprintf("%g", t.Used),
+			fmt.Sprintf("%g", t.Borrowed), fmt.Sprintf("%g", t.Unseen), fmt.Sprint(t.Waiting), fmt.Sprint(t.Awaiting), t.Holds, t.Changed})
+	}
+	return table(w, []string{"TEAM", "LIMIT", "GUARANTEED", "USED", "BORROWED", "UNSEEN", "WAITING", "AWAITING", "HELD BY", "CHANGED"}, rows)
+}
+
+func showTeam(w io.Writer, t *node.TeamReply) error { return showTeams(w, &[]node.TeamReply{*t}) }
--- /dev/null
+++ b/internal/core/quota/quota_test.go
@@ -0,0 +1,88 @@
+package quota
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/model"
+)
+
+var wall = time.Date(2026, 11, 26, 12, 0, 0, 0, time.UTC)
+
+func teams() []dealer.Team {
+	return []dealer.Team{{Limit: model.Capacity(100, 0, 0), Guarantee: model.Capacity(40, 0, 0)}, {}}
+}
+
+func cpus(n float64) *int64 { v := int64(n * 1000); return &v }
+
+// A change acts once it is stored, whatever becomes of the answers; any leader takes it
+// up, and lets go of it when its time is over or it is unset.
+func TestAChangeActsOnceItIsStored(t *testing.T) {
+	b := New(teams())
+	if err := b.Set(wall, 0, Change{LimitCPU: cpus(50), UntilMS: wall.Add(time.Hour).UnixMilli(), By: "ops"}); err != nil {
+		t.Fatal(err)
+	}
+	w := b.Writes(9)
+	if len(w) != 1 || b.Synced(0) || b.Team(0, wall).Limit.CPU != 100_000 {
+		t.Fatalf("%+v: it acts before it is stored", w)
+	}
+	b.Wrote(w[0], 0, false, false, 0) // no answer, though it is stored, at 7
+	w = b.Writes(9)
+	b.Wrote(w[0], 0, false, true, 7)
+	w = b.Writes(9)
+	if w[0].Version != 7 {
+		t.Fatalf("%+v", w)
+	}
+	b.Wrote(w[0], 8, true, false, 0)
+	if !b.Synced(0) || b.Team(0, wall).Limit.CPU != 50_000 || len(b.Writes(9)) > 0 {
+		t.Fatalf("%+v", b.Team(0, wall))
+	}
+	next := New(teams())
+	next.Load(0, w[0].Value, 8)
+	if got := next.Team(0, wall); got.Limit.CPU != 50_000 || got.Guarantee.CPU != 40_000 {
+		t.Errorf("the next leader has %+v", got)
+	}
+	later := wall.Add(2 * time.Hour)
+	if got := next.Team(0, later); got.Limit.CPU != 100_000 {
+		t.Errorf("%+v when its time is over", got)
+	}
+	next.Tick(later)
+	if w := next.Writes(9); len(w) != 1 || w[0].Value != nil || w[0].Version != 8 {
+		t.Errorf("%+v, want the record to go", w)
+	}
+	if err := b.Unset(0); err != nil || b.Team(0, wall).Limit.CPU != 50_000 {
+		t.Errorf("%v, %+v before it is stored", err, b.Team(0, wall))
+	}
+	w = b.Writes(9)
+	b.Wrote(w[0], 9, true, false, 0)
+	if got := b.Team(0, wall); got.Limit.CPU != 100_000 || b.Unset(0) != nil || len(b.Writes(9)) > 0 {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestWhatCantBeChanged(t *testing.T) {
+	for why, c := range map[string]Change{
+		"limit_cpus: 101 is above the platform's limit of 100": {LimitCPU: cpus(101)},
+		"guarantee_cpus: 40 is above the limit of 30":          {LimitCPU: cpus(30)},
+		"guarantee_cpus: 110 is above the limit of 100":        {GuaranteeCPU: cpus(110)},
+		"until: 2026-11-26T11:00:00Z is over":                  {LimitCPU: cpus(60), UntilMS: wall.Add(-time.Hour).UnixMilli()},
+	} {
+		b := New(teams())
+		if err := b.Set(wall, 0, c); err == nil || !strings.Contains(err.Error(), why) {
+			t.Errorf("%v, want %q", err, why)
+		}
+		if len(b.Writes(9)) > 0 {
+			t.Errorf("%s: something is stored", why)
+		}
+	}
+	b := New(teams())
+	b.Load(1, []byte(`{"v":2}`), 5)
+	if err := b.Set(wall, 1, Change{LimitCPU: cpus(9)}); err == nil || !strings.Contains(err.Error(), "newer release") {
+		t.Errorf("%v", err)
+	}
+	if b.Unset(1) == nil || len(b.Writes(9)) > 0 {
+		t.Error("a newer release's record is touched")
+	}
+}
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -16,6 +16,7 @@
 	"honeylock/internal/core/fleet"
 	"honeylock/internal/core/ledger"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/quota"
 	"honeylock/internal/core/rollout"
 	"honeylock/internal/core/runtimes"
 	"honeylock/internal/planfile"
@@ -43,6 +44,7 @@
 	led    *ledger.Ledger
 	learnt *runtimes.Book
 	book   *disruption.Book // of budgets of disruption, nil: there are none
+	teams  *quota.Book      // what operators changed about teams
 	fares  *rollout.Book    // how tasks fare on machines, nil: no plan has a gate
 	ticked time.Duration
 	ahead  foresight
@@ -56,8 +58,9 @@
 	if c.ValueKB() < c.State.ValueKB {
 		value = int(c.ValueKB() * 1024)
 	}
-	return &draining{l: l, led: ledger.New(auditSlots), learnt: runtimes.New(), book: l.n.newBook(), e: drain.New(drain.Params{
-		Term: l.term, Report: config.Seconds(c.Workers.ReportS), Probe: rentProbe, Most: max(1, most), Value: value})}
+	return &draining{l: l, led: ledger.New(auditSlots), learnt: runtimes.New(), book: l.n.newBook(),
+		teams: quota.New(l.n.teams()), e: drain.New(drain.Params{
+			Term: l.term, Report: config.Seconds(c.Workers.ReportS), Probe: rentProbe, Most: max(1, most), Value: value})}
 }
 
 // read gets the stored plans and the audit record, where there is an operators'
@@ -65,6 +68,7 @@
 func (p *draining) read(ctx context.Context) (func(time.Duration) error, error) {
 	var plans []drain.Stored
 	var entries []ledger.Entry
+	var teams []storedTeam
 	if p.l.n.set.Operator != nil {
 		if _, err := p.l.n.state.List(ctx, planKeys, func(it *wire.Item) error {
 			plans = append(plans, drain.Stored{Name: strings.TrimPrefix(it.Key, planKeys), Value: it.Value, Version: it.Version})
@@ -83,6 +87,10 @@
 		}); err != nil {
 			return nil, err
 		}
+		var err error
+		if teams, err = p.readTeams(ctx); err != nil {
+			return nil, err
+		}
 	}
 	return func(now time.Duration) error {
 		for _, s := range plans {
@@ -91,6 +99,10 @@
 		for _, e := range entries {
 			p.led.Load(e)
 		}
+		for _, t := range teams {
+			p.teams.Load(t.team, t.value, t.version)
+		}
+		p.limit()
 		for _, a := range p.e.Bars() {
 			p.do(now, a)
 		}
@@ -117,6 +129,7 @@
 	}
 	p.ticked = now
 	draw := p.disrupt(now)
+	p.limit()
 	if p.e.Idle() {
 		return
 	}
@@ -265,7 +278,12 @@
 		busy[w.Name] = true
 		out = append(out, p.planWrite(w, p.led.Unstored(most, func(name string) bool { return name == w.Name })))
 	}
-	alone := p.led.Unstored(most, func(name string) bool { return !busy[name] && p.e.Synced(name) })
+	for _, w := range p.teams.Writes(n - len(out)) {
+		about := teamEntry(p.l.n.names.Teams.Name(w.Team))
+		busy[about] = true
+		out = append(out, p.teamWrite(w, p.led.Unstored(most, func(name string) bool { return name == about })))
+	}
+	alone := p.led.Unstored(most, func(name string) bool { return !busy[name] && p.synced(name) })
 	if len(alone) > 0 && len(out) < n {
 		out = append(out, p.auditWrite(alone))
 	}
@@ -274,26 +292,43 @@
 
 // pending tells whether something is to be stored.
 func (p *draining) pending() bool {
-	return !p.e.AllSynced() || len(p.led.Unstored(1, func(string) bool { return true })) > 0
+	return !p.e.AllSynced() || p.teams.Unsynced() || len(p.led.Unstored(1, func(string) bool { return true })) > 0
 }
 
 func (p *draining) planWrite(w drain.Write, about []*ledger.Entry) write {
-	key := planKeys + w.Name
-	op := wire.Op{Put: key, Value: w.Value}
-	if w.Value == nil {
+	return p.recordWrite(planKeys+w.Name, w.Value, w.Version, about, func(o outcome) {
+		p.e.Wrote(w, o.rev, o.err == nil, o.conflict, o.at)
+	})
+}
+
+// recordWrite stores a record of operators' (nil: it goes) over that of a version, with
+// the audit entries about it.
+func (p *draining) recordWrite(key string, value []byte, version uint64, about []*ledger.Entry, wrote func(outcome)) write {
+	op := wire.Op{Put: key, Value: value}
+	if value == nil {
 		op = wire.Op{Delete: key}
 	}
 	out := p.auditWrite(about)
-	out.guards = []wire.Guard{{Key: key, Version: w.Version}}
+	out.guards = []wire.Guard{{Key: key, Version: version}}
 	out.ops = append([]wire.Op{op}, out.ops...)
 	entries := out.done
 	out.done = func(now time.Duration, o outcome) {
-		p.e.Wrote(w, o.rev, o.err == nil, o.conflict, o.at)
+		wrote(o)
 		entries(now, o)
 	}
 	return out
 }
 
+// synced tells whether all that an audit entry's name stands for is surely stored.
+func (p *draining) synced(name string) bool {
+	team, of := strings.CutPrefix(name, teamEntry(""))
+	if !of {
+		return p.e.Synced(name)
+	}
+	id, ok := p.l.n.names.Teams.Lookup(team)
+	return !ok || p.teams.Synced(id)
+}
+
 // auditWrite stores entries. One that is applied late can do no more harm than
 // show an entry older than the newest 256 again.
 func (p *draining) auditWrite(es []*ledger.Entry) write {
--- a/internal/node/forecastreply.go
+++ b/internal/node/forecastreply.go
@@ -7,6 +7,7 @@
 
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/forecast"
+	"honeylock/internal/core/quota"
 	"honeylock/internal/wire"
 )
 
@@ -82,7 +83,8 @@
 // statusOf tells refusals from malformed requests.
 func statusOf(err error) int {
 	var r *drain.Refusal
-	if errors.As(err, &r) {
+	var q *quota.Refusal
+	if errors.As(err, &r) || errors.As(err, &q) {
 		return http.StatusConflict
 	}
 	return http.StatusBadRequest
--- a/internal/node/foresight.go
+++ b/internal/node/foresight.go
@@ -197,7 +197,7 @@
 // snapshot copies what a forecast needs.
 func (p *draining) snapshot(now time.Duration, s *survey) *forecast.Snapshot {
 	l := p.l
-	out := &forecast.Snapshot{Now: now, Wall: time.Now(), Learned: p.learnt.Copy().Factor, Teams: l.n.teams(),
+	out := &forecast.Snapshot{Now: now, Wall: time.Now(), Learned: p.learnt.Copy().Factor, Teams: l.d.Teams(),
 		JobName: wire.JobName,
 		Shard:   l.n.shardParams()}
 	boots := map[model.Name]time.Duration{}
--- /dev/null
+++ b/internal/node/limiting.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"honeylock/internal/config"
+	"honeylock/internal/core/dealer"
+	"honeylock/internal/core/ledger"
+	"honeylock/internal/core/model"
+	"honeylock/internal/core/quota"
+	"honeylock/internal/wire"
+)
+
+// teamKeys are of what operators changed about teams, by the team's name (escaped, for a
+// key has no spaces).
+const teamKeys = "ops/team/"
+
+func teamKey(name string) string { return teamKeys + url.PathEscape(name) }
+
+// teamEntry is a team's name in the audit record: no plan has a name like it.
+func teamEntry(name string) string { return "team " + name }
+
+type storedTeam struct {
+	team    model.Name
+	value   []byte
+	version uint64
+}
+
+// readTeams gets the stored changes of teams. Those of teams that the platform has no
+// more are left alone.
+func (p *draining) readTeams(ctx context.Context) (out []storedTeam, err error) {
+	_, err = p.l.n.state.List(ctx, teamKeys, func(it *wire.Item) error {
+		name, err := url.PathUnescape(strings.TrimPrefix(it.Key, teamKeys))
+		if err != nil {
+			return fmt.Errorf("changes of a team %s: %w", it.Key, err)
+		}
+		if team, ok := p.l.n.names.Teams.Lookup(name); ok {
+			out = append(out, storedTeam{team, it.Value, it.Version})
+		}
+		return nil
+	})
+	return out, err
+}
+
+// limit brings the teams' limits and guarantees up to date.
+func (p *draining) limit() {
+	wall := time.Now()
+	p.teams.Tick(wall)
+	for i := range p.l.n.cfg.Cluster.Teams {
+		team := model.Name(i)
+		p.l.d.SetTeam(team, p.teams.Team(team, wall))
+	}
+}
+
+// teamWrite stores a change of a team with the audit entries about it.
+func (p *draining) teamWrite(w quota.Write, about []*ledger.Entry) write {
+	return p.recordWrite(teamKey(p.l.n.names.Teams.Name(w.Team)), w.Value, w.Version, about, func(o outcome) {
+		p.teams.Wrote(w, o.rev, o.err == nil, o.conflict, o.at)
+		p.limit()
+	})
+}
+
+// changeTeam makes an operator's change of a team.
+func (p *draining) changeTeam(c *Call) (string, error) {
+	team, ok := p.l.n.names.Teams.Lookup(c.Name)
+	if !ok {
+		return "", &quota.Refusal{Why: fmt.Sprintf("the platform's file has no team %q", c.Name)}
+	}
+	if c.Verb == TeamUnset {
+		return "as the platform has it", p.teams.Unset(team)
+	}
+	x, err := config.ParseTeamChange([]byte(c.Plan))
+	if err != nil {
+		return "", err
+	}
+	milli := func(v *float64) *int64 {
+		if v == nil {
+			return nil
+		}
+		n := model.Capacity(*v, 0, 0).CPU
+		return &n
+	}
+	change := quota.Change{LimitCPU: milli(x.LimitCPUs), LimitGPU: milli(x.LimitGPUs), GuaranteeCPU: milli(x.GuaranteeCPUs),
+		GuaranteeGPU: milli(x.GuaranteeGPUs), By: c.Who}
+	if !x.Until.IsZero() {
+		change.UntilMS = x.Until.UnixMilli()
+	}
+	if err := p.teams.Set(time.Now(), team, change); err != nil {
+		return "", err
+	}
+	return "changed" + p.promised(team, change), nil
+}
+
+// promised warns if more is guaranteed than there are machines for.
+func (p *draining) promised(team model.Name, c quota.Change) string {
+	if c.GuaranteeCPU == nil {
+		return ""
+	}
+	var sum, have int64
+	for i, t := range p.l.d.Teams() {
+		if model.Name(i) == team {
+			t.Guarantee.CPU = *c.GuaranteeCPU
+		}
+		sum += t.Guarantee.CPU
+	}
+	for _, st := range p.l.d.Machines() {
+		have += st.Machine.Cap.CPU
+	}
+	if sum <= have {
+		return ""
+	}
+	return fmt.Sprintf("; guarantees add up to %g CPUs, the machines that are up have %g", float64(sum)/1000, float64(have)/1000)
+}
+
+// TeamReply is how a team stands, as operators see it. Amounts are CPUs.
+type TeamReply struct {
+	Team      string  `json:"team"`
+	Limit     float64 `json:"limit_cpus"` // 0: none
+	Guarantee float64 `json:"guarantee_cpus"`
+	Used      float64 `json:"used_cpus"`
+	Borrowed  float64 `json:"borrowed_cpus"` // beyond the guarantee
+	Unseen    float64 `json:"unseen_cpus"`   // charged for machines that are not accounted for
+	Waiting   int     `json:"waiting"`       // tasks
+	Awaiting  int     `json:"awaiting"`      // jobs that wait for other jobs
+	Holds     string  `json:"holds"`         // what holds the team now
+	Changed   string  `json:"changed,omitempty"`
+}
+
+func (p *draining) teamReplies() []TeamReply {
+	wall := time.Now()
+	var out []TeamReply
+	for i, t := range p.l.d.TeamStatus() {
+		cpu := func(n int64) float64 { return float64(n) / 1000 }
+		r := TeamReply{Team: p.l.n.names.Teams.Name(model.Name(i)), Limit: cpu(t.Limit.CPU), Guarantee: cpu(t.Guarantee.CPU),
+			Used: cpu(t.Used.CPU), Borrowed: cpu(max(0, t.Used.CPU-t.Guarantee.CPU)), Unseen: cpu(t.Unseen.CPU),
+			Waiting: t.Waiting + t.Old, Awaiting: t.Awaiting, Holds: holds(&t)}
+		if c, ok := p.teams.Changed(model.Name(i), wall); ok {
+			r.Changed = "by " + c.By
+			if c.UntilMS > 0 {
+				r.Changed += " until " + time.UnixMilli(c.UntilMS).UTC().Format(time.RFC3339)
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// holds is what holds a team, in one line.
+func holds(t *dealer.TeamStatus) string {
+	switch {
+	case t.Old > 0:
+		return fmt.Sprintf("%s of before the change of leader wait for machines that are not accounted for", count(t.Old, "task"))
+	case t.Stopped() && t.Unseen.CPU > 0:
+		return "its limit, with what is charged for machines that are not accounted for"
+	case t.Stopped():
+		return "its limit"
+	case t.Waiting > 0:
+		return "room"
+	case t.Awaiting > 0:
+		return count(t.Awaiting, "job") + " of its own wait for others"
+	}
+	return "nothing"
+}
+
+func (p *draining) askTeams(c *Call) CallReply {
+	all := p.teamReplies()
+	if c.Verb == TeamList {
+		return body(all)
+	}
+	for _, r := range all {
+		if r.Team == c.Name {
+			return body(r)
+		}
+	}
+	return callError(404, errors.New("the platform's file has no team \""+c.Name+"\""))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,6 +166,29 @@
 	}
 }
 
+// leaveTime is what a process that is told to stop takes to give leadership up.
+const leaveTime = time.Second
+
+// Leave gives leadership up once Run has ended, for a process that is told to stop: the
+// others need not wait until its lease is over. Whoever is killed skips it.
+func (n *Node) Leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	n.mu.Lock()
+	if n.lead == nil {
+		n.mu.Unlock()
+		return
+	}
+	now := n.now()
+	n.el.Resign(now, 0)
+	n.followLeadership(ctx, now)
+	ops := n.el.Step(now)
+	n.mu.Unlock()
+	for _, op := range ops {
+		n.electionOp(state.As(ctx, pace.Authority), op)
+	}
+}
+
 // Takes tells whether a user's request should be begun at all, or when its user
 // should ask again.
 func (n *Node) Takes(k strain.Kind) (ok bool, again time.Duration) { return n.pulse.takes(n.now(), k) }
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -40,12 +40,16 @@
 	DrainResume Verb = "drain resume"
 	DrainCancel Verb = "drain cancel"
 	DrainDone   Verb = "drain patched"
+	TeamList    Verb = "team list"
+	TeamShow    Verb = "team show"
+	TeamSet     Verb = "team set"
+	TeamUnset   Verb = "team unset"
 )
 
 // Changes tells whether a call changes something.
 func (v Verb) Changes() bool {
 	switch v {
-	case AuditList, DrainList, DrainStatus, DrainBudget, DrainPlan, DrainAgain:
+	case AuditList, DrainList, DrainStatus, DrainBudget, DrainPlan, DrainAgain, TeamList, TeamShow:
 		return false
 	}
 	return true
@@ -54,9 +58,9 @@
 // Call is an operator's request, as one controller passes it to another.
 type Call struct {
 	Verb    Verb
-	Name    string // of the plan
+	Name    string // of the plan, or the team
 	Machine string // DrainDone
-	Plan    string // DrainApply: protobuf text
+	Plan    string // DrainApply, TeamSet: protobuf text
 	Who     string
 	Request string // the asker's id; a change repeated under it is not made twice
 	// Seal is made with the hash of the token that the caller showed to the
@@ -190,7 +194,7 @@
 // settle answers a change once it is surely stored: before, a new leader might
 // not know of it.
 func (l *leadership) settle(ctx context.Context, e *ledger.Entry) CallReply {
-	for !l.drains.led.IsStored(e) || !l.drains.e.Synced(e.Name) && e.Status == http.StatusOK {
+	for !l.drains.led.IsStored(e) || !l.drains.synced(e.Name) && e.Status == http.StatusOK {
 		l.n.mu.Unlock()
 		sleep(ctx, 20*time.Millisecond)
 		l.n.mu.Lock()
@@ -217,6 +221,9 @@
 		Status: http.StatusOK}
 	outcome, err := p.make(now, c)
 	e.Name = c.Name // of a plan that is applied
+	if c.Verb == TeamSet || c.Verb == TeamUnset {
+		e.Name = teamEntry(c.Name)
+	}
 	if err != nil {
 		e.Status, outcome = statusOf(err), err.Error()
 	}
@@ -230,6 +237,8 @@
 	switch c.Verb {
 	case DrainApply:
 		return p.apply(now, c)
+	case TeamSet, TeamUnset:
+		return p.changeTeam(c)
 	case DrainPause:
 		return "paused", p.e.Pause(c.Name)
 	case DrainResume:
@@ -322,6 +331,8 @@
 			out = append(out, p.planStatus(&s))
 		}
 		return body(out)
+	case TeamList, TeamShow:
+		return p.askTeams(c)
 	case DrainBudget:
 		return body(p.budgets(now))
 	case DrainPlan, DrainAgain:
