--- a/cmd/honeylock/drain.go
+++ b/cmd/honeylock/drain.go
@@ -232,7 +232,8 @@
 		rows = append(rows, []string{b.Team, b.Class, fmt.Sprint(b.Running), fmt.Sprint(b.Out), bound(float64(b.Most)),
 			fmt.Sprintf("%g", b.OutCPUs), bound(b.CPUs), fmt.Sprintf("%.0f", b.LostS), bound(b.Lost), counts(b.By)})
 	}
-	return table(w, []string{"TEAM", "CLASS", "RUNNING", "OUT", "MOST", "OUT CPUS", "MOST", "LOST CPU S", "MOST", "WHY"}, rows)
+	return table(w, []string{"TEAM", "CLASS", "RUNNING", "OUT", "MOST", "OUT CPUS", "MOST", "LOST CPU S", "MOST", "WHY"},
+		rows)
 }
 
 func showPlan(w io.Writer, s *node.PlanStatus) error {
--- a/cmd/honeylock/team.go
+++ b/cmd/honeylock/team.go
@@ -26,7 +26,8 @@
 				return get(c, &d, "teams/"+url.PathEscape(args[0]), showTeam)
 			}},
 		setTeamCommand(&d),
-		&cobra.Command{Use: "unset NAME", Short: "Take changes of a team back: it is as the platform has it", Args: cobra.ExactArgs(1),
+		&cobra.Command{Use: "unset NAME", Short: "Take changes of a team back: it is as the platform has it",
+			Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
 				return d.change(c, "teams/"+url.PathEscape(args[0])+"/unset", nil)
 			}})
@@ -36,8 +37,8 @@
 func setTeamCommand(d *door) *cobra.Command {
 	var limit, limitGPUs, guarantee, guaranteeGPUs float64
 	var until string
-	c := &cobra.Command{Use: "set NAME", Short: "Change a team's limit or guarantee, at once and until it is unset, or until a time",
-		Args: cobra.ExactArgs(1)}
+	c := &cobra.Command{Use: "set NAME", Args: cobra.ExactArgs(1),
+		Short: "Change a team's limit or guarantee, at once and until it is unset, or until a time"}
 	f := c.Flags()
 	f.Float64Var(&limit, "limit-cpus", 0, "CPUs at most; not above the platform's limit")
 	f.Float64Var(&limitGPUs, "limit-gpus", 0, "accelerators at most")
@@ -79,9 +80,11 @@
 			limit = fmt.Sprintf("%g", t.Limit)
 		}
 		rows = append(rows, []string{t.Team, limit, fmt.Sprintf("%g", t.Guarantee), fmt.Sprintf("%g", t.Used),
-			fmt.Sprintf("%g", t.Borrowed), fmt.Sprintf("%g", t.Unseen), fmt.Sprint(t.Waiting), fmt.Sprint(t.Awaiting), t.Holds, t.Changed})
+			fmt.Sprintf("%g", t.Borrowed), fmt.Sprintf("%g", t.Unseen), fmt.Sprint(t.Waiting), fmt.Sprint(t.Awaiting),
+			t.Holds, t.Changed})
 	}
-	return table(w, []string{"TEAM", "LIMIT", "GUARANTEED", "USED", "BORROWED", "UNSEEN", "WAITING", "AWAITING", "HELD BY", "CHANGED"}, rows)
+	return table(w, []string{"TEAM", "LIMIT", "GUARANTEED", "USED", "BORROWED", "UNSEEN", "WAITING", "AWAITING", "HELD BY",
+		"CHANGED"}, rows)
 }
 
 func showTeam(w io.Writer, t *node.TeamReply) error { return showTeams(w, &[]node.TeamReply{*t}) }
--- a/internal/config/budgets.go
+++ b/internal/config/budgets.go
@@ -58,8 +58,9 @@
 			return int(num(name, &f, 1, hi))
 		}
 		const above = math.SmallestNonzeroFloat64
-		x := Budget{Team: b.GetTeam(), Class: b.GetClass(), Tasks: whole("tasks", b.Tasks, 1e6), Share: num("share", b.Share, above, 1),
-			CPUs: num("cpus", b.Cpus, above, 1e6), LostCPUS: num("lost_cpu_s", b.LostCpuS, above, 1e9),
+		x := Budget{Team: b.GetTeam(), Class: b.GetClass(), Tasks: whole("tasks", b.Tasks, 1e6),
+			Share: num("share", b.Share, above, 1),
+			CPUs:  num("cpus", b.Cpus, above, 1e6), LostCPUS: num("lost_cpu_s", b.LostCpuS, above, 1e9),
 			Window: Seconds(num("window_s", b.WindowS, 1, 86400)), Moves: whole("moves", b.Moves, 1000),
 			LastPart: num("last_part", b.LastPart, above, 1)}
 		if x.Team == "" {
--- a/internal/config/teamchange.go
+++ b/internal/config/teamchange.go
@@ -24,7 +24,8 @@
 	if err := prototext.Unmarshal(b, &p); err != nil {
 		return nil, err
 	}
-	out := &TeamChange{LimitCPUs: p.LimitCpus, LimitGPUs: p.LimitGpus, GuaranteeCPUs: p.GuaranteeCpus, GuaranteeGPUs: p.GuaranteeGpus}
+	out := &TeamChange{LimitCPUs: p.LimitCpus, LimitGPUs: p.LimitGpus, GuaranteeCPUs: p.GuaranteeCpus,
+		GuaranteeGPUs: p.GuaranteeGpus}
 	var errs []error
 	for _, f := range []struct {
 		name string
--- a/internal/core/dealer/blocks.go
+++ b/internal/core/dealer/blocks.go
@@ -91,7 +91,9 @@
 			}
 		}
 	}
-	slices.SortFunc(ids, func(a, b BlockID) int { return cmp.Or(cmp.Compare(waits[a], waits[b]), cmp.Compare(a.No, b.No)) })
+	slices.SortFunc(ids, func(a, b BlockID) int {
+		return cmp.Or(cmp.Compare(waits[a], waits[b]), cmp.Compare(a.No, b.No))
+	})
 	for _, id := range ids {
 		if len(out) >= n {
 			return out
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -367,7 +367,7 @@
 		return false
 	}
 	d.hold(j, no, zone, to)
-	d.give(to, model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price, Zone: zone, Since: j.since,
-		Again: again && d.p.Tell})
+	d.give(to, model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price, Zone: zone,
+		Since: j.since, Again: again && d.p.Tell})
 	return true
 }
--- a/internal/core/disruption/disruption.go
+++ b/internal/core/disruption/disruption.go
@@ -101,7 +101,8 @@
 
 // New returns a book with these budgets.
 func New(budgets []Budget) *Book {
-	return &Book{budgets: budgets, out: map[model.Task]*out{}, moves: map[model.Task]int{}, Counts: map[model.Name]*Counts{},
+	return &Book{budgets: budgets, out: map[model.Task]*out{}, moves: map[model.Task]int{},
+		Counts:   map[model.Name]*Counts{},
 		TeamName: func(model.Name) string { return "its team" }}
 }
 
@@ -340,6 +341,8 @@
 		out = append(out, Status{Budget: *b, Running: u.running, Tasks: u.tasks, MostTasks: most, CPU: u.cpu, LostCPU: lost,
 			By: u.by})
 	}
-	slices.SortStableFunc(out, func(a, b Status) int { return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Class, b.Class)) })
+	slices.SortStableFunc(out, func(a, b Status) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Class, b.Class))
+	})
 	return out
 }
--- a/internal/core/disruption/disruption_test.go
+++ b/internal/core/disruption/disruption_test.go
@@ -30,10 +30,11 @@
 		moves int // that may be
 		why   string
 	}{
-		"tasks":     {Budget{Tasks: 2}, 2, "2 of 2 tasks are out of work (2 moved by plans)"},
-		"share":     {Budget{Share: 0.1}, 4, "4 of 4 tasks"},
-		"CPUs":      {Budget{CPU: 9000}, 2, "8.0 of 9.0 CPUs"},
-		"lost work": {Budget{LostCPU: 250, Window: time.Minute}, 2, "240 of 250 CPU seconds were lost in 1m0s, some are forgotten in 1m0s"},
+		"tasks": {Budget{Tasks: 2}, 2, "2 of 2 tasks are out of work (2 moved by plans)"},
+		"share": {Budget{Share: 0.1}, 4, "4 of 4 tasks"},
+		"CPUs":  {Budget{CPU: 9000}, 2, "8.0 of 9.0 CPUs"},
+		"lost work": {Budget{LostCPU: 250, Window: time.Minute}, 2,
+			"240 of 250 CPU seconds were lost in 1m0s, some are forgotten in 1m0s"},
 		"last part": {Budget{LastPart: 0.6}, 0, "the last 60% of its run"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/drain/packed_test.go
+++ b/internal/core/drain/packed_test.go
@@ -36,7 +36,8 @@
 		t.Fatalf("%d bytes", len(w[0].Value))
 	}
 	next := New(Params{Term: 2, Most: 9000, Value: 2048})
-	next.Load(0, Stored{Name: "patch", Value: w[0].Value, Version: 7}, func([]byte) (*Spec, error) { return &Spec{Name: "patch"}, nil })
+	next.Load(0, Stored{Name: "patch", Value: w[0].Value, Version: 7},
+		func([]byte) (*Spec, error) { return &Spec{Name: "patch"}, nil })
 	got := next.plans["patch"]
 	if got.foreign != "" || len(got.Steps) != len(p.Steps) {
 		t.Fatalf("%q, %d steps", got.foreign, len(got.Steps))
@@ -50,7 +51,8 @@
 	for i := range model.MachineID(4000) {
 		spec.Machines = append(spec.Machines, 9000+i)
 	}
-	if err := next.Check(spec, source, name); err == nil || !strings.Contains(err.Error(), "bytes to store, at most 2048") {
+	err := next.Check(spec, source, name)
+	if err == nil || !strings.Contains(err.Error(), "bytes to store, at most 2048") {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/core/drain/steps.go
+++ b/internal/core/drain/steps.go
@@ -91,7 +91,10 @@
 	for i := range told.tasks {
 		t := &told.tasks[i]
 		long := v.left(t, likely) > 2*(t.sp.Save+5*time.Second)
-		if t.Stopping || t.sp.Daemon || t.sp.Checkpoint == 0 || t.sp.Rank >= model.Urgent || !long || !room.take(t.sp) || v.draws(t, true) != "" {
+		if t.Stopping || t.sp.Daemon || t.sp.Checkpoint == 0 || t.sp.Rank >= model.Urgent || !long || !room.take(t.sp) {
+			continue
+		}
+		if v.draws(t, true) != "" {
 			continue
 		}
 		t.Stopping = true
--- a/internal/core/drain/waves_test.go
+++ b/internal/core/drain/waves_test.go
@@ -123,11 +123,12 @@
 	}
 	r.ms[1].deaf = true
 	r.ticks(20)
-	if st := r.e.Status(r.now, "p"); st.Phase != Paused || !strings.Contains(st.Note, "1 of 1 renewed machines don't report") {
+	if st := r.e.Status(r.now, "p"); st.Phase != Paused ||
+		!strings.Contains(st.Note, "1 of 1 renewed machines don't report") {
 		t.Errorf("%+v", st)
 	}
-	if got := (&Plan{Spec: Spec{Waves: []Wave{{Machines: 3}, {Share: 0.25}, {Share: 0.9}}}, Steps: make([]Step, 10)}); got.waveEnd(1, 3) != 3 ||
-		got.waveEnd(2, 3) != 9 {
+	got := &Plan{Spec: Spec{Waves: []Wave{{Machines: 3}, {Share: 0.25}, {Share: 0.9}}}, Steps: make([]Step, 10)}
+	if got.waveEnd(1, 3) != 3 || got.waveEnd(2, 3) != 9 {
 		t.Errorf("shares end at %d and %d", got.waveEnd(1, 3), got.waveEnd(2, 3))
 	}
 }
--- a/internal/core/jobs/awaits_test.go
+++ b/internal/core/jobs/awaits_test.go
@@ -70,13 +70,16 @@
 		stage  Stage
 		ops    int
 	}{
-		"open ones that were seen":      {map[model.JobID]uint64{2: 7, 3: 8}, []model.JobID{2, 3}, http.StatusCreated, Queued, 1},
-		"one that is read":              {map[model.JobID]uint64{}, []model.JobID{2}, http.StatusCreated, Queued, 2},
-		"one that is done":              {map[model.JobID]uint64{}, []model.JobID{5}, http.StatusCreated, Queued, 3},
-		"one that is cancelled":         {map[model.JobID]uint64{}, []model.JobID{2, 6}, http.StatusCreated, Cancelled, 4},
-		"one seen open that has ended":  {map[model.JobID]uint64{6: 3}, []model.JobID{6}, http.StatusCreated, Cancelled, 6},
-		"one that was never accepted":   {map[model.JobID]uint64{}, []model.JobID{2, 99}, http.StatusUnprocessableEntity, "", 5},
-		"more than a transaction takes": {map[model.JobID]uint64{2: 7, 3: 8, 4: 9}, []model.JobID{2, 3, 4}, http.StatusCreated, Queued, 1},
+		"open ones that were seen": {map[model.JobID]uint64{2: 7, 3: 8}, []model.JobID{2, 3},
+			http.StatusCreated, Queued, 1},
+		"one that is read":             {map[model.JobID]uint64{}, []model.JobID{2}, http.StatusCreated, Queued, 2},
+		"one that is done":             {map[model.JobID]uint64{}, []model.JobID{5}, http.StatusCreated, Queued, 3},
+		"one that is cancelled":        {map[model.JobID]uint64{}, []model.JobID{2, 6}, http.StatusCreated, Cancelled, 4},
+		"one seen open that has ended": {map[model.JobID]uint64{6: 3}, []model.JobID{6}, http.StatusCreated, Cancelled, 6},
+		"one that was never accepted": {map[model.JobID]uint64{}, []model.JobID{2, 99},
+			http.StatusUnprocessableEntity, "", 5},
+		"more than a transaction takes": {map[model.JobID]uint64{2: 7, 3: 8, 4: 9}, []model.JobID{2, 3, 4},
+			http.StatusCreated, Queued, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &shelf{open: map[model.JobID]uint64{}, final: map[model.JobID]Stage{}}
@@ -120,7 +123,8 @@
 			s.final[2] = Cancelled
 		}
 	}
-	if a := s.submit(t, map[model.JobID]uint64{}, 2); a.Status != http.StatusCreated || a.Stage != Cancelled || s.open[1] != 0 {
+	a := s.submit(t, map[model.JobID]uint64{}, 2)
+	if a.Status != http.StatusCreated || a.Stage != Cancelled || s.open[1] != 0 {
 		t.Errorf("%+v, open %v", a, s.open)
 	}
 	// It changes for ever: nothing is told.
--- a/internal/core/jobs/jobs_test.go
+++ b/internal/core/jobs/jobs_test.go
@@ -74,7 +74,8 @@
 	if next, a := req.Next(op, Result{Outcome: Conflict}); a != nil || next.Kind != ReadFinal {
 		t.Fatalf("%+v, %+v for one that is not", next, a)
 	}
-	if _, a := req.Next(Op{Kind: ReadFinal, Job: 1}, Result{Outcome: Missing}); a == nil || a.Status != http.StatusServiceUnavailable {
+	_, a := req.Next(Op{Kind: ReadFinal, Job: 1}, Result{Outcome: Missing})
+	if a == nil || a.Status != http.StatusServiceUnavailable {
 		t.Fatalf("%+v for a job that was open: it must not be forgotten", a)
 	}
 	if _, a := req.Next(op, Result{Outcome: Failed}); a == nil || a.Status != http.StatusServiceUnavailable {
--- a/internal/core/pipeline/pipeline_test.go
+++ b/internal/core/pipeline/pipeline_test.go
@@ -131,7 +131,7 @@
 				}
 			}
 		}
-		end, begun, added, told := map[model.JobID]End{}, map[model.JobID]bool{}, map[model.JobID]bool{}, map[model.JobID]bool{}
+		end, begun, added := map[model.JobID]End{}, map[model.JobID]bool{}, map[model.JobID]bool{}
 		finish := func(id model.JobID, e End) {
 			end[id] = e
 			if added[id] {
@@ -139,7 +139,6 @@
 				if rapid.Bool().Draw(t, "unknown") {
 					how = Unknown
 				}
-				told[id] = true
 				g.Ended(id, how, 0)
 			}
 		}
@@ -155,7 +154,7 @@
 			g.Changed()
 		}
 		for step := range 400 {
-			id := rapid.Custom(func(t *rapid.T) model.JobID { return model.JobID(rapid.IntRange(0, int(n)-1).Draw(t, "id")) }).Draw(t, "job")
+			id := model.JobID(rapid.IntRange(0, int(n)-1).Draw(t, "job"))
 			switch {
 			case !added[id] && end[id] == Unknown:
 				added[id] = true
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -44,7 +44,8 @@
 	for _, f := range []struct {
 		to *int64
 		v  *int64
-	}{{&t.Limit.CPU, c.LimitCPU}, {&t.Limit.GPU, c.LimitGPU}, {&t.Guarantee.CPU, c.GuaranteeCPU}, {&t.Guarantee.GPU, c.GuaranteeGPU}} {
+	}{{&t.Limit.CPU, c.LimitCPU}, {&t.Limit.GPU, c.LimitGPU}, {&t.Guarantee.CPU, c.GuaranteeCPU},
+		{&t.Guarantee.GPU, c.GuaranteeGPU}} {
 		if f.v != nil {
 			*f.to = *f.v
 		}
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -67,7 +67,8 @@
 		"limit_cpus: 101 is above the platform's limit of 100": {LimitCPU: cpus(101)},
 		"guarantee_cpus: 40 is above the limit of 30":          {LimitCPU: cpus(30)},
 		"guarantee_cpus: 110 is above the limit of 100":        {GuaranteeCPU: cpus(110)},
-		"until: 2026-11-26T11:00:00Z is over":                  {LimitCPU: cpus(60), UntilMS: wall.Add(-time.Hour).UnixMilli()},
+		"until: 2026-11-26T11:00:00Z is over": {LimitCPU: cpus(60),
+			UntilMS: wall.Add(-time.Hour).UnixMilli()},
 	} {
 		b := New(teams())
 		if err := b.Set(wall, 0, c); err == nil || !strings.Contains(err.Error(), why) {
--- a/internal/core/sim/budgets_test.go
+++ b/internal/core/sim/budgets_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +15,8 @@
 	if n == 0 {
 		return nil
 	}
-	return disruption.New([]disruption.Budget{{Team: 0, Class: model.None, Tasks: n}, {Team: 1, Class: model.None, Tasks: n}})
+	return disruption.New([]disruption.Budget{{Team: 0, Class: model.None, Tasks: n},
+		{Team: 1, Class: model.None, Tasks: n}})
 }
 
 // disrupt and hear wire the book as the node does.
@@ -109,12 +109,7 @@
 	for name, p := range map[string]params{"short lease": budgeted(almatyLike()), "long lease": budgeted(longLease())} {
 		for seed := range uint64(15) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				w := newWorld(seed+500, p)
-				w.run()
-				moved += w.recalled
-				if len(w.broken) > 0 {
-					t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
-				}
+				moved += play(t, seed+500, p).recalled
 			})
 		}
 	}
@@ -127,18 +122,10 @@
 		"a new leader takes what was out for at work": func(p *params) { p.forgetDraws = true },
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(80) {
-				p := budgeted(almatyLike())
-				p.budget = 1
-				breakIt(&p)
-				w := newWorld(seed+500, p)
-				w.run()
-				if len(w.broken) > 0 {
-					t.Logf("seed %d: %s", seed, w.broken[0])
-					return
-				}
-			}
-			t.Fatal("no day broke a budget: the observer sees nothing")
+			p := budgeted(almatyLike())
+			p.budget = 1
+			breakIt(&p)
+			breaks(t, 80, 500, p)
 		})
 	}
 }
--- a/internal/core/sim/chains_test.go
+++ b/internal/core/sim/chains_test.go
@@ -234,14 +234,7 @@
 		for seed := range uint64(20) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				w := newWorld(seed, p)
-				w.run()
-				if len(w.broken) > 0 {
-					t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
-				}
-				if w.started == 0 {
-					t.Fatal("no task was started")
-				}
+				play(t, seed, p)
 			})
 		}
 	}
@@ -283,17 +276,9 @@
 		"what waits is called queued in any event": func(p *params) { p.vouchForEver = true },
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(60) {
-				p := chained()
-				breakIt(&p)
-				w := newWorld(seed, p)
-				w.run()
-				if len(w.broken) > 0 {
-					t.Logf("seed %d: %s", seed, w.broken[0])
-					return
-				}
-			}
-			t.Fatal("no day broke a rule: the checks see nothing")
+			p := chained()
+			breakIt(&p)
+			breaks(t, 60, 0, p)
 		})
 	}
 }
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -184,8 +184,9 @@
 }
 
 func (c *ctl) newSeat(attempts uint64) *seat {
-	st := &seat{c: c, heard: c.now(), s: shard.New(shard.Params{SureLease: c.sureLease(), Report: c.w.p.report, Sample: 2, PaybackLimit: time.Minute,
-		DemoteStep: 2, DoubtPause: 2 * time.Second}, attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
+	st := &seat{c: c, heard: c.now(), s: shard.New(shard.Params{SureLease: c.sureLease(), Report: c.w.p.report,
+		Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2, DoubtPause: 2 * time.Second},
+		attempts, rand.New(rand.NewPCG(c.w.rng.Uint64(), 1)))}
 	st.s.Tell(c.w.p.budget > 0)
 	return st
 }
--- a/internal/core/sim/sim_test.go
+++ b/internal/core/sim/sim_test.go
@@ -34,6 +34,34 @@
 	return p
 }
 
+// play plays a day on which no rule may break.
+func play(t *testing.T, seed uint64, p params) *world {
+	t.Helper()
+	w := newWorld(seed, p)
+	w.run()
+	if len(w.broken) > 0 {
+		t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
+	}
+	if w.started == 0 {
+		t.Fatal("no task was started")
+	}
+	return w
+}
+
+// breaks plays days until one breaks a rule, as one must with a guard broken.
+func breaks(t *testing.T, days uint64, first uint64, p params) {
+	t.Helper()
+	for seed := range days {
+		w := newWorld(first+seed, p)
+		w.run()
+		if len(w.broken) > 0 {
+			t.Logf("seed %d: %s", seed, w.broken[0])
+			return
+		}
+	}
+	t.Fatal("no day broke a rule: the checks see nothing")
+}
+
 // TestRulesHold plays random days with every kind of failure; no rule may break.
 func TestRulesHold(t *testing.T) {
 	for name, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease(), "grown": grown(), "visited": visited()} {
@@ -44,14 +72,7 @@
 		for seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				w := newWorld(seed, p)
-				w.run()
-				if len(w.broken) > 0 {
-					t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
-				}
-				if w.started == 0 {
-					t.Fatal("no task was started")
-				}
+				play(t, seed, p)
 			})
 		}
 	}
@@ -86,17 +107,9 @@
 		"a lost shard's authority is taken for over":   func(p *params) { p.freeOnLoss = true; p.trustOldEnd = true },
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(60) {
-				p := almatyLike()
-				breakIt(&p)
-				w := newWorld(seed, p)
-				w.run()
-				if len(w.broken) > 0 {
-					t.Logf("seed %d: %s", seed, w.broken[0])
-					return
-				}
-			}
-			t.Fatal("no day broke a rule: the checks see nothing")
+			p := almatyLike()
+			breakIt(&p)
+			breaks(t, 60, 0, p)
 		})
 	}
 }
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -30,16 +30,13 @@
 	o.Depot = standin.NewDepot()
 	o.Depot.Factor = func(task string) float64 { return 0.9 + (dev.Wrong(task, seed)-0.6)/4.5 } // 0.9 to 1.1
 	o.Settings = func(string) (*config.Settings, error) { return dev.Operated(token) }
-	c, err := dev.Start(o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		c.Close()
-		if b := c.Depot.Broken(); len(b) > 0 {
-			t.Error(b)
-		}
-	})
+	return opened(t, o)
+}
+
+// opened starts a cluster with operators' doors.
+func opened(t *testing.T, o dev.Options) (*dev.Cluster, *client.Operators) {
+	t.Helper()
+	c := start(t, o)
 	ops, err := client.NewOperators(c.OpsAddrs(), token, "")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -35,6 +35,12 @@
 	t.Helper()
 	o := options()
 	o.Seeds = []dev.Seed{{Zone: "a", N: n}}
+	return start(t, o)
+}
+
+// start starts a cluster that is closed with the test, which fails if a task ran twice.
+func start(t *testing.T, o dev.Options) *dev.Cluster {
+	t.Helper()
 	c, err := dev.Start(o)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/e2e/limits_test.go
+++ b/internal/e2e/limits_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"honeylock/internal/client"
 	"honeylock/internal/config"
 	"honeylock/internal/dev"
 	"honeylock/internal/node"
@@ -74,20 +73,7 @@
 	o.Teams = []config.Team{{Name: "vision", CPUs: 8, CPUsMax: 24}} // 12 tasks
 	o.Seeds = []dev.Seed{{Zone: "a", N: 4}, {Zone: "b", N: 4}}      // room for 32
 	o.Settings = func(string) (*config.Settings, error) { return dev.Operated(token) }
-	c, err := dev.Start(o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		c.Close()
-		if b := c.Depot.Broken(); len(b) > 0 {
-			t.Error(b)
-		}
-	})
-	ops, err := client.NewOperators(c.OpsAddrs(), token, "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	c, ops := opened(t, o)
 	for i, id := range []string{"job-000001", "job-000002", "job-000003"} {
 		s := submission(id, 200)
 		s["ForageS"], s["ImageGb"] = 1.5, 0.01
--- a/internal/e2e/pipeline_test.go
+++ b/internal/e2e/pipeline_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"honeylock/internal/client"
 	"honeylock/internal/config"
 	"honeylock/internal/dev"
 	"honeylock/internal/standin"
@@ -21,16 +20,7 @@
 	o := options()
 	o.Seeds = []dev.Seed{{Zone: "a", N: 4}}
 	o.Limits.ValueKB, o.Limits.TxnOps = 2, 5
-	c, err := dev.Start(o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		c.Close()
-		if b := c.Depot.Broken(); len(b) > 0 {
-			t.Error(b)
-		}
-	})
+	c := start(t, o)
 	ks := c.Controllers
 	job := func(id string, tasks int, run float64, awaits ...string) object {
 		s := submission(id, tasks)
@@ -43,7 +33,8 @@
 	accept(t, ks[0], job("job-000004", 1, 60))
 	accept(t, ks[1], job("job-000005", 2, 1, "job-000004"))
 	accept(t, ks[2], job("job-000006", 2, 1, "job-000005", "job-000001"))
-	if st, v := call(ks[0], http.MethodPost, "/v1/jobs", job("job-000007", 1, 1, "job-000099")); st != http.StatusUnprocessableEntity {
+	st, v := call(ks[0], http.MethodPost, "/v1/jobs", job("job-000007", 1, 1, "job-000099"))
+	if st != http.StatusUnprocessableEntity {
 		t.Errorf("a job that names nothing got %d %v", st, v)
 	}
 	until(t, "the first job runs", func() bool { return c.Depot.Running("job-000001") > 0 })
@@ -72,7 +63,8 @@
 		until(t, id+" is cancelled with it", func() bool { return stage(up(), id) == "aborted" })
 	}
 	// It is named once more, after its cancellation.
-	if st, v := call(up(), http.MethodPost, "/v1/jobs", job("job-000008", 1, 1, "job-000004")); st != http.StatusCreated || v["Stage"] != "aborted" {
+	st, v = call(up(), http.MethodPost, "/v1/jobs", job("job-000008", 1, 1, "job-000004"))
+	if st != http.StatusCreated || v["Stage"] != "aborted" {
 		t.Errorf("a job that names a cancelled one got %d %v", st, v)
 	}
 	until(t, "the chain", func() bool { return stage(up(), "job-000003") == "done" })
@@ -135,20 +127,7 @@
 		s.Budgets = []config.Budget{{Team: "vision", Tasks: budget}}
 		return s, err
 	}
-	c, err := dev.Start(o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		c.Close()
-		if b := c.Depot.Broken(); len(b) > 0 {
-			t.Error(b)
-		}
-	})
-	ops, err := client.NewOperators(c.OpsAddrs(), token, "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	c, ops := opened(t, o)
 	s := submission("job-000001", 20)
 	s["ForageS"], s["ImageGb"], s["CapIntervalS"], s["CapS"] = 45, 0.01, 1, 0.1
 	accept(t, c.Controllers[0], s)
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -303,7 +303,8 @@
 
 // recordWrite stores a record of operators' (nil: it goes) over that of a version, with
 // the audit entries about it.
-func (p *draining) recordWrite(key string, value []byte, version uint64, about []*ledger.Entry, wrote func(outcome)) write {
+func (p *draining) recordWrite(key string, value []byte, version uint64, about []*ledger.Entry,
+	wrote func(outcome)) write {
 	op := wire.Op{Put: key, Value: value}
 	if value == nil {
 		op = wire.Op{Delete: key}
--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -85,8 +85,8 @@
 		n := model.Capacity(*v, 0, 0).CPU
 		return &n
 	}
-	change := quota.Change{LimitCPU: milli(x.LimitCPUs), LimitGPU: milli(x.LimitGPUs), GuaranteeCPU: milli(x.GuaranteeCPUs),
-		GuaranteeGPU: milli(x.GuaranteeGPUs), By: c.Who}
+	change := quota.Change{LimitCPU: milli(x.LimitCPUs), LimitGPU: milli(x.LimitGPUs),
+		GuaranteeCPU: milli(x.GuaranteeCPUs), GuaranteeGPU: milli(x.GuaranteeGPUs), By: c.Who}
 	if !x.Until.IsZero() {
 		change.UntilMS = x.Until.UnixMilli()
 	}
@@ -114,7 +114,8 @@
 	if sum <= have {
 		return ""
 	}
-	return fmt.Sprintf("; guarantees add up to %g CPUs, the machines that are up have %g", float64(sum)/1000, float64(have)/1000)
+	return fmt.Sprintf("; guarantees add up to %g CPUs, the machines that are up have %g", float64(sum)/1000,
+		float64(have)/1000)
 }
 
 // TeamReply is how a team stands, as operators see it. Amounts are CPUs.
@@ -154,7 +155,7 @@
 func holds(t *dealer.TeamStatus) string {
 	switch {
 	case t.Old > 0:
-		return fmt.Sprintf("%s of before the change of leader wait for machines that are not accounted for", count(t.Old, "task"))
+		return count(t.Old, "task") + " of before the change of leader wait for machines that are not accounted for"
 	case t.Stopped() && t.Unseen.CPU > 0:
 		return "its limit, with what is charged for machines that are not accounted for"
 	case t.Stopped():
--- a/internal/node/loadlog.go
+++ b/internal/node/loadlog.go
@@ -54,7 +54,8 @@
 		}
 	}
 	awaiting, unknown, doomed := p.l.chains.g.Counts()
-	p.l.n.log.Info("load", "awaiting", awaiting, "unknown", unknown, "doomed", doomed, "machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "cpus", cpus/1000,
+	p.l.n.log.Info("load", "awaiting", awaiting, "unknown", unknown, "doomed", doomed,
+		"machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "cpus", cpus/1000,
 		"free", free/1000)
 	for _, name := range slices.Sorted(maps.Keys(classes)) {
 		c := classes[name]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,8 @@
 		waits:    map[model.MachineID][]chan struct{}{},
 	}
 	n.state = state.New(cfg.Services.State, pace.Params{Requests: cfg.Cluster.State.RPS,
-		Writes: cfg.Cluster.State.WriteRPS, NextWrites: cfg.Cluster.State.Next.WriteRPS, Controllers: 1 + len(cfg.Siblings)}, 1500*time.Millisecond, n.noted)
+		Writes: cfg.Cluster.State.WriteRPS, NextWrites: cfg.Cluster.State.Next.WriteRPS,
+		Controllers: 1 + len(cfg.Siblings)}, 1500*time.Millisecond, n.noted)
 	n.names.Aimed, n.names.Guaranteed = map[model.Name]bool{}, map[model.Name]bool{}
 	for i, t := range cfg.Cluster.Teams {
 		n.names.Guaranteed[model.Name(i)] = t.CPUs > 0 || t.GPUs > 0
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -91,7 +91,8 @@
 	var chunk struct {
 		Bits []byte `json:"Bits"`
 	}
-	if err := json.Unmarshal(encode(wire.Chunk{Part: []byte{255}, From: 9000}), &chunk); err != nil || len(chunk.Bits) != 0 {
+	err := json.Unmarshal(encode(wire.Chunk{Part: []byte{255}, From: 9000}), &chunk)
+	if err != nil || len(chunk.Bits) != 0 {
 		t.Errorf("%+v, %v", chunk, err)
 	}
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -109,7 +109,8 @@
 	p := &peerpb.Spec{Job: uint64(s.ID), Class: c.names.Classes.Name(s.Class), Team: c.names.Teams.Name(s.Team), Image: c.names.Images.Name(s.Image),
 		Daemon: s.Daemon, Rank: uint32(s.Rank), Tasks: s.Tasks, Cpu: s.Each.CPU, Gpu: s.Each.GPU, Mem: s.Each.Mem, ImageGb: s.ImageGB,
 		AnyType: s.Types == nil, Together: s.Together, Spread: s.Spread, Spot: s.Spot, EstimateUs: s.Estimate.Microseconds(),
-		CheckpointUs: s.Checkpoint.Microseconds(), SaveUs: s.Save.Microseconds(), DeadlineUs: s.Deadline.Microseconds(), SubmittedMs: s.SubmittedMS, Aimed: !s.CanWait}
+		CheckpointUs: s.Checkpoint.Microseconds(), SaveUs: s.Save.Microseconds(), DeadlineUs: s.Deadline.Microseconds(),
+		SubmittedMs: s.SubmittedMS, Aimed: !s.CanWait}
 	for _, t := range s.Types {
 		p.Types = append(p.Types, c.names.Types.Name(t))
 	}
@@ -170,8 +171,9 @@
 // FromOrder decodes an order.
 func (c *Codec) FromOrder(now time.Duration, p *peerpb.Order) (model.Order, error) {
 	o := model.Order{Kind: model.OrderKind(p.GetKind()), Token: p.GetToken(), Usable: p.GetUsable(), ID: model.MachineID(p.GetId()),
-		Task: fromTask(p.GetTask()), Attempt: p.GetAttempt(), Job: model.JobID(p.GetJob()), Price: p.GetPrice(), Count: int(p.GetCount()), Keeper: p.GetKeeper(),
-		Aim: model.Aim(p.GetAim())}
+		Task: fromTask(p.GetTask()), Attempt: p.GetAttempt(), Job: model.JobID(p.GetJob()),
+		Price: p.GetPrice(), Count: int(p.GetCount()),
+		Keeper: p.GetKeeper(), Aim: model.Aim(p.GetAim())}
 	switch o.Kind {
 	case model.Own:
 		o.Machine = c.fromMachine(p.GetMachine())
--- a/internal/planfile/planfile_test.go
+++ b/internal/planfile/planfile_test.go
@@ -177,7 +177,8 @@
 		t.Fatal(err)
 	}
 	s := Spec(p, &wire.Names{Classes: wire.NewTable()})
-	if len(s.Waves) != 2 || s.Waves[0].Soak != time.Minute || s.Waves[1].Share != 0.25 || s.Gate.Tasks != 5 || s.Gate.Slower != 1.25 {
+	if len(s.Waves) != 2 || s.Waves[0].Soak != time.Minute || s.Waves[1].Share != 0.25 || s.Gate.Tasks != 5 ||
+		s.Gate.Slower != 1.25 {
 		t.Errorf("%+v, %+v", s.Waves, s.Gate)
 	}
 	for in, field := range map[string]string{
--- a/internal/wire/awaits_test.go
+++ b/internal/wire/awaits_test.go
@@ -24,7 +24,8 @@
 	for in, field := range map[string]string{
 		`["job-000398","job-1"]`: "Awaits[1]", `["job-000412"]`: "Awaits[0]", `"job-000398"`: "malformed", `[3]`: "malformed",
 	} {
-		if _, err := ParseSubmission([]byte(strings.Replace(asked, "AWAITS", in, 1))); err == nil || !strings.Contains(err.Error(), field) {
+		_, err := ParseSubmission([]byte(strings.Replace(asked, "AWAITS", in, 1)))
+		if err == nil || !strings.Contains(err.Error(), field) {
 			t.Errorf("%s: %v does not name %s", in, err, field)
 		}
 	}
