--- a/internal/e2e/pipeline_test.go
+++ b/internal/e2e/pipeline_test.go
@@ -128,6 +128,10 @@
 		return s, err
 	}
 	c, ops := opened(t, o)
+	first := submission("job-000009", 32) // a plan names the machines that the leader knows
+	first["ForageS"], first["ImageGb"] = 2, 0.01
+	accept(t, c.Controllers[0], first)
+	until(t, "all machines are known", func() bool { return c.Depot.Running("job-000009") == 32 })
 	s := submission("job-000001", 20)
 	s["ForageS"], s["ImageGb"], s["CapIntervalS"], s["CapS"] = 45, 0.01, 1, 0.1
 	accept(t, c.Controllers[0], s)
@@ -160,7 +164,7 @@
 		}
 	}
 	if len(left) > 0 {
-		t.Errorf("%v are still there", left)
+		t.Errorf("%v are still there: %+v", left, status(t, ops, "renew").Steps)
 	}
 	if most := mostOut(c.Depot.Runs()); most > budget || most == 0 {
 		t.Errorf("%d tasks were out of work at a time, the budget is %d", most, budget)
