--- /dev/null
+++ b/cmd/honeylock/member.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"honeylock/internal/node"
+)
+
+func memberCommand() *cobra.Command {
+	var d door
+	c := &cobra.Command{Use: "member", Short: "The controllers, and which release each speaks"}
+	d.flags(c)
+	c.AddCommand(&cobra.Command{Use: "list", Short: "List the controllers", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return get(c, &d, "members", showMembers) }})
+	return c
+}
+
+func showMembers(w io.Writer, ms *[]node.MemberReply) error {
+	var rows [][]string
+	for _, m := range *ms {
+		state, stands := "-", "away"
+		if m.StateS >= 0 {
+			state = fmt.Sprintf("%.1fs", m.StateS)
+		}
+		switch {
+		case m.Leads:
+			stands = "leads"
+		case m.Here:
+			stands = "here"
+		}
+		rows = append(rows, []string{m.Host, stands, fmt.Sprint(m.Release), fmt.Sprint(m.Machines), state})
+	}
+	return table(w, []string{"CONTROLLER", "STANDS", "RELEASE", "MACHINES", "STATE SERVICE AGO"}, rows)
+}
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -83,7 +83,7 @@
 func TestNewLeaderWaitsForTheMachinesOfTheOld(t *testing.T) {
 	r := newRig(t, 100)
 	s := r.d.Join(0, "a")
-	r.d.Recorded(BlockID{}, 4, []model.Machine{model.Machine{ID: 1, Addr: "x"}})
+	r.d.Recorded(BlockID{}, 4, []model.Machine{{ID: 1, Addr: "x"}})
 	r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 1})
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
@@ -118,7 +118,7 @@
 func TestUnseenMachineIsChargedInFull(t *testing.T) {
 	r := newRig(t, 9)
 	s := r.d.Join(0, "a")
-	r.d.Recorded(BlockID{}, 4, []model.Machine{model.Machine{ID: 1, Addr: "x"}})
+	r.d.Recorded(BlockID{}, 4, []model.Machine{{ID: 1, Addr: "x"}})
 	r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 1})
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
@@ -133,7 +133,7 @@
 func TestUnseenMachineOfUnknownTypeStopsDealing(t *testing.T) {
 	r := newRig(t, 1000)
 	s := r.d.Join(0, "a")
-	r.d.Recorded(BlockID{}, 4, []model.Machine{model.Machine{ID: 1, Addr: "x", Type: 9}})
+	r.d.Recorded(BlockID{}, 4, []model.Machine{{ID: 1, Addr: "x", Type: 9}})
 	r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 1})
 	r.machine(0, 2, s)
 	r.status(0, s, 2)
@@ -438,7 +438,7 @@
 	r := newRig(t, 100)
 	a, b := r.d.Join(0, "a"), r.d.Join(0, "b")
 	for id := range model.MachineID(6) {
-		r.d.Recorded(BlockID{}, 4, []model.Machine{model.Machine{ID: id, Addr: "x"}})
+		r.d.Recorded(BlockID{}, 4, []model.Machine{{ID: id, Addr: "x"}})
 	}
 	r.d.Event(0, a, model.Event{Kind: model.Remembered, Machine: 0})
 	if o := r.orders(model.Own); len(o) != 1 || o[0].To != a {
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -298,6 +298,16 @@
 	return out
 }
 
+// Owners are the owners of all machines that have one.
+func (d *Dealer) Owners() (out []model.ShardID) {
+	for _, m := range d.byID {
+		if m.owner != 0 && !m.gone {
+			out = append(out, m.owner)
+		}
+	}
+	return out
+}
+
 // HasMachines tells whether there is any machine.
 func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
 
--- a/internal/core/pipeline/pipeline_test.go
+++ b/internal/core/pipeline/pipeline_test.go
@@ -229,3 +229,80 @@
 		}
 	}
 }
+
+// store is what leaders share: open records with what they await, and final ones.
+type store struct {
+	open  map[model.JobID][]model.JobID
+	final map[model.JobID]End
+}
+
+// lead makes a leader's graph from the store, and has it cancel at most so many jobs;
+// it returns how many it did.
+func (s *store) lead(t *testing.T, most int) (cancelled int) {
+	t.Helper()
+	g := New()
+	for id, awaits := range s.open { // in any order, as records are listed
+		g.Add(Job{ID: id, Awaits: awaits}, 0)
+	}
+	for cancelled < most {
+		for _, id := range g.Ask(0, 50) {
+			e := s.final[id]
+			if e == Unknown {
+				e = Absent
+			}
+			g.Told(0, id, e, 0)
+		}
+		ids := g.Doomed(0, 1)
+		if len(ids) == 0 {
+			break
+		}
+		delete(s.open, ids[0])
+		s.final[ids[0]] = Cancelled
+		g.Ended(ids[0], Cancelled, 0)
+		cancelled++
+	}
+	for _, r := range g.Released() {
+		if slices.ContainsFunc(s.open[r.ID], func(id model.JobID) bool { return s.final[id] != Done }) {
+			t.Fatalf("job %d is let begin", r.ID)
+		}
+	}
+	return cancelled
+}
+
+// A job with 300 successors, and theirs, is cancelled; each leader dies after one more
+// write than the one before. Any next one goes on, none repeats a write, and all are
+// cancelled in the end.
+func TestAnyLeaderGoesOnWithACancellation(t *testing.T) {
+	s := &store{open: map[model.JobID][]model.JobID{}, final: map[model.JobID]End{1: Cancelled, 2: Done}}
+	for id := model.JobID(10); id < 310; id++ {
+		s.open[id] = []model.JobID{1, 2}
+		s.open[id+1000] = []model.JobID{id, 2}
+	}
+	s.open[5] = []model.JobID{2}
+	writes, leaders := 0, 0
+	for ; len(s.open) > 1; leaders++ {
+		n := s.lead(t, leaders%40)
+		if writes += n; leaders > 100 {
+			t.Fatalf("%d are left", len(s.open))
+		}
+	}
+	if writes != 600 {
+		t.Errorf("%d writes for 600 jobs", writes)
+	}
+}
+
+// 300 successors of one job are let begin at once, each once.
+func TestManySuccessorsBeginAtOnce(t *testing.T) {
+	g := New()
+	g.Add(Job{ID: 1}, 0)
+	for id := model.JobID(10); id < 310; id++ {
+		g.Add(Job{ID: id, Awaits: []model.JobID{1}}, 0)
+	}
+	g.Ended(1, Done, 0)
+	if got := ids(g.Released()); len(got) != 300 || slices.Compact(got)[299] != 309 {
+		t.Errorf("%d let begin", len(got))
+	}
+	if len(g.Released()) > 0 || len(g.nodes) != 300 {
+		t.Error("the graph keeps more than the open jobs")
+	}
+}
--- a/internal/e2e/limits_test.go
+++ b/internal/e2e/limits_test.go
@@ -89,6 +89,16 @@
 		}
 		return r
 	}
+	var members []node.MemberReply
+	until(t, "all controllers are members", func() bool {
+		err := ops.Get(t.Context(), "members", &members)
+		return err == nil && len(members) == 3 && !slices.ContainsFunc(members, func(m node.MemberReply) bool {
+			return !m.Here || m.Release == 0
+		})
+	})
+	if n := members[0].Machines + members[1].Machines + members[2].Machines; n != 8 {
+		t.Errorf("%+v have %d machines", members, n)
+	}
 	if r := team(); r.Limit != 24 || r.Used != 24 || r.Borrowed != 16 || r.Waiting == 0 || r.Holds != "its limit" {
 		t.Errorf("%+v", r)
 	}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -40,6 +40,7 @@
 	DrainResume Verb = "drain resume"
 	DrainCancel Verb = "drain cancel"
 	DrainDone   Verb = "drain patched"
+	MemberList  Verb = "member list"
 	TeamList    Verb = "team list"
 	TeamShow    Verb = "team show"
 	TeamSet     Verb = "team set"
@@ -49,7 +50,7 @@
 // Changes tells whether a call changes something.
 func (v Verb) Changes() bool {
 	switch v {
-	case AuditList, DrainList, DrainStatus, DrainBudget, DrainPlan, DrainAgain, TeamList, TeamShow:
+	case AuditList, DrainList, DrainStatus, DrainBudget, DrainPlan, DrainAgain, MemberList, TeamList, TeamShow:
 		return false
 	}
 	return true
@@ -331,6 +332,8 @@
 			out = append(out, p.planStatus(&s))
 		}
 		return body(out)
+	case MemberList:
+		return body(p.l.members(now))
 	case TeamList, TeamShow:
 		return p.askTeams(c)
 	case DrainBudget:
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -67,6 +67,7 @@
 	e.Use(s.authorise)
 	e.GET("/ops/v1/audit", s.call(node.AuditList))
 	e.GET("/ops/v1/drains", s.call(node.DrainList))
+	e.GET("/ops/v1/members", s.call(node.MemberList))
 	e.GET("/ops/v1/teams", s.call(node.TeamList))
 	e.GET("/ops/v1/teams/:name", s.call(node.TeamShow))
 	e.POST("/ops/v1/teams/:name", s.call(node.TeamSet))
