disruption, drain: one way to hear of work that is out, one to order ids; tidy

What shards tell of work was taken in by the node and the simulation each for itself; machines' ids were sorted by two functions. A plan's largest record is worked out only where values are to get smaller. One test's expectation, cut short for a line's length, is whole again; two comments say what is so. No behaviour changed.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -147,7 +147,8 @@
 	}
 	var p Platform
 	p.Cluster.Teams = []Team{{Name: "b"}}
-	if err := s.Suits(&p); err == nil || !strings.Contains(err.Error(), `budgets[0].team: the platform's file has no`) {
+	const want = `budgets[0].team: the platform's file has no team "a"`
+	if err := s.Suits(&p); err == nil || !strings.Contains(err.Error(), want) {
 		t.Errorf("%v", err)
 	}
 	for in, field := range map[string]string{
--- a/internal/core/disruption/disruption.go
+++ b/internal/core/disruption/disruption.go
@@ -270,6 +270,22 @@
 	return cpuS, until
 }
 
+// Hear takes what a shard tells of a job's task that is out of work, at work again, or done.
+func (k *Book) Hear(now time.Duration, e *model.Event, sp *model.Spec) {
+	switch e.Kind {
+	case model.Idled:
+		cause := Evicted
+		if e.Cause == model.CauseOther {
+			cause = Lost
+		}
+		k.Stopped(e.Task, sp, cause, e.Ran)
+	case model.AtWork:
+		k.Resumed(now, e.Task)
+	case model.Finished:
+		k.Ended(e.Task)
+	}
+}
+
 // Stopped takes the news that a running task is out of work. What was drawn for stays
 // drawn; all else eats of the budget.
 func (k *Book) Stopped(t model.Task, sp *model.Spec, c Cause, lost time.Duration) {
--- a/internal/core/drain/engine.go
+++ b/internal/core/drain/engine.go
@@ -122,9 +122,11 @@
 	if len(s.Machines) > e.p.Most {
 		return refuse("machines: %d, a plan holds %d at most: split it", len(s.Machines), e.p.Most)
 	}
-	if size := worst(s, source); e.p.Value > 0 && size > e.p.Value {
-		return refuse("machines: %d, with a text of %d bytes, may take %d bytes to store, at most %d: split the plan",
-			len(s.Machines), len(source), size, e.p.Value)
+	if e.p.Value > 0 {
+		if size := worst(s, source); size > e.p.Value {
+			return refuse("machines: %d, with a text of %d bytes, may take %d bytes to store, at most %d: split the plan",
+				len(s.Machines), len(source), size, e.p.Value)
+		}
 	}
 	var errs []error
 	for _, p := range e.sorted() {
--- a/internal/core/drain/steps.go
+++ b/internal/core/drain/steps.go
@@ -54,7 +54,7 @@
 	e.barred = want
 }
 
-func sortedIDs(m map[model.MachineID]bool) []model.MachineID {
+func sortedIDs[V any](m map[model.MachineID]V) []model.MachineID {
 	out := make([]model.MachineID, 0, len(m))
 	for id := range m {
 		out = append(out, id)
--- a/internal/core/drain/waves.go
+++ b/internal/core/drain/waves.go
@@ -96,7 +96,7 @@
 		}
 	}
 	began := v.Now - v.Wall.Sub(p.At)
-	for _, id := range sortedKeys(v.Machines) {
+	for _, id := range sortedIDs(v.Machines) {
 		if p.After != Patch && !old[id] && v.Machines[id].Since >= began {
 			out = append(out, id)
 		}
@@ -104,15 +104,6 @@
 	return out
 }
 
-func sortedKeys(ms map[model.MachineID]Machine) []model.MachineID {
-	out := make([]model.MachineID, 0, len(ms))
-	for id := range ms {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // missing counts the machines that nobody hears, or that are held to be faulty.
 func missing(v *View, ids []model.MachineID) (n int) {
 	for _, id := range ids {
--- a/internal/core/sim/budgets_test.go
+++ b/internal/core/sim/budgets_test.go
@@ -49,19 +49,8 @@
 	if !x.book.On() || sp == nil {
 		return
 	}
-	switch e.Kind {
-	case model.Idled:
-		cause := disruption.Evicted
-		if e.Cause == model.CauseOther {
-			cause = disruption.Lost
-		}
-		x.book.Stopped(e.Task, sp, cause, e.Ran)
-		if x.l.c.w.p.unpaid {
-			x.book.Ended(e.Task)
-		}
-	case model.AtWork:
-		x.book.Resumed(now, e.Task)
-	case model.Finished:
+	x.book.Hear(now, e, sp)
+	if e.Kind == model.Idled && x.l.c.w.p.unpaid {
 		x.book.Ended(e.Task)
 	}
 }
--- a/internal/node/chaining.go
+++ b/internal/node/chaining.go
@@ -120,8 +120,8 @@
 	return pipeline.Unknown, 0
 }
 
-// writes are the cancellations of jobs that need a cancelled one. They leave half of
-// what may be written to the ends of jobs.
+// writes are the cancellations of jobs that need a cancelled one. They take a
+// quarter of what may be written at a time, and leave the rest to the ends of jobs.
 func (p *chaining) writes(now time.Duration, c budget.Class, n int) []write {
 	if c != budget.Finals {
 		return nil
--- a/internal/node/disrupting.go
+++ b/internal/node/disrupting.go
@@ -33,7 +33,7 @@
 	return k
 }
 
-// part of work: a team's, or one of its classes'.
+// work is a team's, or one of its classes'.
 type work struct{ team, class model.Name }
 
 // disrupt brings the book up to date for a turn of the drains, and returns how they draw
@@ -69,26 +69,6 @@
 	}
 }
 
-// hearWork takes what shards tell of work that is out, and at work again.
-func (p *draining) hearWork(now time.Duration, e *model.Event) {
-	sp := p.l.d.Spec(e.Task.Job)
-	if sp == nil {
-		return
-	}
-	switch e.Kind {
-	case model.Idled:
-		cause := disruption.Evicted
-		if e.Cause == model.CauseOther {
-			cause = disruption.Lost
-		}
-		p.book.Stopped(e.Task, sp, cause, e.Ran)
-	case model.AtWork:
-		p.book.Resumed(now, e.Task)
-	case model.Finished:
-		p.book.Ended(e.Task)
-	}
-}
-
 // BudgetStatus is how a budget of disruption stands, as operators see it.
 type BudgetStatus struct {
 	Team    string         `json:"team"`
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -206,7 +206,9 @@
 // hear takes what shards tell.
 func (p *draining) hear(now time.Duration, e *model.Event) {
 	if p.book.On() {
-		p.hearWork(now, e)
+		if sp := p.l.d.Spec(e.Task.Job); sp != nil {
+			p.book.Hear(now, e, sp)
+		}
 	}
 	if p.fares != nil {
 		p.fare(e)
