shard, dealer: a copy is no report, and that a worker is heard does not show that it hears

A copy of a report counted as a sign of life and was answered; a machine that nothing reaches went from controller to controller, each of which put its lease off, so its tasks and after a change of leader all old jobs waited for ever.

Change: reports count only if newer than the last one; a worker that passes its token over is answered only on proof; an owner lets go only of what has reported anew elsewhere; a told session frees what was left of earlier ones; numbers that begin anew are fenced once more.

--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -137,7 +137,7 @@
 		d.order(from, model.Order{Kind: model.ClearIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
 		return
 	}
-	if m != nil && (m.releasing || m.gone || m.owner != from) {
+	if m != nil && (m.gone || m.owner != from) {
 		return // the next owner will find it
 	}
 	if m != nil && known && !j.isDone(e.Task.No) && j.spec.Allows(&m.Machine) && d.adoptable(j, e.Task.No, m) {
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -47,6 +47,7 @@
 // Dealer is the state machine.
 type Dealer struct {
 	p         Params
+	now       time.Duration // of the last input that tells it
 	owned     uint64
 	jobs      map[model.JobID]*job
 	inOrder   []*job // of jobs, as sortJobs orders them
@@ -61,6 +62,7 @@
 	oldEnd    time.Duration // no authority of an earlier term lasts beyond
 	usage     []model.Resources
 	orders    []model.Order
+	heldBack  map[model.MachineID][]model.Event // told by shards that are to let go
 	types     map[model.Name]model.MachineType
 	broken    []model.JobID // newly held to be broken
 	freedNow  []model.Task  // of lost shards, surely nowhere now
@@ -78,7 +80,8 @@
 // acts beyond oldEnd.
 func New(p Params, oldEnd time.Duration) *Dealer {
 	return &Dealer{p: p, members: map[model.ShardID]*member{}, oldEnd: oldEnd, shunned: map[reach]time.Duration{},
-		barred: map[model.MachineID]bool{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{},
+		heldBack: map[model.MachineID][]model.Event{},
+		barred:   map[model.MachineID]bool{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{},
 		blocks: map[BlockID]*block{}, suspects: map[model.MachineID]bool{},
 		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
@@ -218,19 +221,22 @@
 	if s == nil {
 		return
 	}
+	d.now = now
 	s.heardFrom(now, e.Kind)
 	m := d.machines[e.Machine]
 	owner := m != nil && m.owner == from
+	if owner && m.releasing && d.meanwhile(&e) {
+		return
+	}
 	switch e.Kind {
 	case model.Unowned:
-		d.unowned(now, from, e.Report)
+		d.unowned(now, from, &e)
 	case model.Fenced:
 		if owner {
 			d.alive(m)
+			m.fenced, m.unheard = true, 0
 		}
-		// From a shard that is to let go, neither this nor what it found
-		// counts: orders that follow from it would arrive too late there.
-		if owner && !m.releasing {
+		if owner {
 			m.silent = false
 			d.resolve(m)
 		}
@@ -249,7 +255,7 @@
 			d.order(from, model.Order{Kind: model.Lapse, ID: m.ID})
 		}
 	case model.Lapsed:
-		if owner && !m.releasing && e.Token == m.token {
+		if owner && e.Token == m.token {
 			d.resolve(m)
 			m.lapsed = true
 			d.block(m.ID).dirty = true
@@ -268,6 +274,10 @@
 		if owner {
 			m.unanswered, m.deaf = true, e.Held
 		}
+	case model.Kept:
+		if owner {
+			d.kept(now, from, m)
+		}
 	case model.Remembered:
 		// Its worker will report there again: it is fenced there, and need not
 		// change hands.
@@ -284,6 +294,7 @@
 		}
 	case model.AlienGone:
 		delete(d.aliens, e.Attempt)
+		d.forgetFound(e.Attempt)
 	}
 }
 
--- /dev/null
+++ b/internal/core/dealer/hears.go
@@ -0,0 +1,89 @@
+package dealer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// A machine whose reports arrive while nothing reaches it goes from controller to
+// controller, for its worker takes none of them to answer. Each new owner would answer
+// it, and count its lease from then: what it held would wait for ever. So once two owners
+// in succession have not had it show its token, the next ones answer it only when it has
+// been shown to hear, by an answer on a connection that they opened; its lease runs from
+// the last answer that may have arrived.
+const (
+	unheardEnough = 2
+	// proveTurn is for how long such an owner asks before another one may try.
+	proveTurn = 5 * time.Second
+	// unknownSession: what may be on the machine may be of any session.
+	unknownSession = math.MaxUint64
+)
+
+func (m *machine) toProve() bool { return m.unheard >= unheardEnough }
+
+// newSession takes the session of a report that came in where the machine is not owned.
+// A worker that has begun a session has killed and forgotten what it held, and takes no
+// command of an earlier one; a copy can only be of an earlier one. So what was left there
+// by owners that told their session is nowhere.
+func (d *Dealer) newSession(m *machine, session uint64) {
+	if len(m.groups) > 0 && m.session != unknownSession && session > m.session && !d.suspects[m.ID] {
+		d.resolve(m)
+	}
+}
+
+// letGo notes what its owner told when it let go of a machine.
+func (m *machine) letGo(now time.Duration, e *model.Event) {
+	if !m.fenced {
+		m.unheard++
+	}
+	switch {
+	case e.Session != 0 && m.session != unknownSession:
+		m.session = max(m.session, e.Session)
+	case len(e.Tasks) > 0: // in a session that was not told
+		m.session = unknownSession
+	}
+	if !e.Held {
+		// It was answered until now at the latest.
+		m.lost = max(m.lost, now)
+		m.authority = max(m.authority, now)
+	}
+}
+
+// meanwhile holds back what a shard tells that is to let go of a machine: orders that
+// follow from it would arrive too late there. Should it keep the machine, it counts.
+func (d *Dealer) meanwhile(e *model.Event) bool {
+	switch e.Kind {
+	case model.Fenced, model.Lapsed:
+	case model.Found:
+		if e.Cell.Stage == model.Exited {
+			return false
+		}
+	default:
+		return false
+	}
+	d.heldBack[e.Machine] = append(d.heldBack[e.Machine], *e)
+	return true
+}
+
+// kept takes the news that a shard was right to keep a machine: what came in elsewhere
+// was a copy.
+func (d *Dealer) kept(now time.Duration, from model.ShardID, m *machine) {
+	m.releasing, m.next = false, 0
+	held := d.heldBack[m.ID]
+	delete(d.heldBack, m.ID)
+	for i := range held {
+		d.Event(now, from, held[i])
+	}
+}
+
+// forgetFound drops what was held back of an attempt that is nowhere any more.
+func (d *Dealer) forgetFound(attempt uint64) {
+	for id, held := range d.heldBack {
+		d.heldBack[id] = slices.DeleteFunc(held, func(e model.Event) bool {
+			return e.Kind == model.Found && e.Attempt == attempt
+		})
+	}
+}
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -44,6 +44,10 @@
 	status     model.MachineStatus // as its owner last told
 	told       model.ShardID       // the owner that told it, 0: none has
 	avail      model.Resources     // of status, less what was dealt since
+	fenced     bool                // by its present owner
+	unheard    int                 // owners in succession that let go without having fenced it
+	ownedAt    time.Duration       // its owner was told
+	session    uint64              // what groups may have there is of this session or an earlier one
 	movedTo    model.ShardID       // its worker was told to report there
 	movedAt    time.Duration
 }
@@ -68,6 +72,7 @@
 		}
 		if m.owner == id {
 			m.owner, m.next, m.releasing = 0, 0, false
+			delete(d.heldBack, m.ID)
 			m.lost = max(m.lost, end)
 			m.authority = max(m.authority, end)
 			m.silent = false
@@ -76,6 +81,7 @@
 			}
 			g.machines[m.ID] = true
 			m.groups = append(m.groups, g)
+			m.session = unknownSession
 		}
 	}
 	for _, j := range d.sortedJobs() {
@@ -129,7 +135,7 @@
 		}
 	}
 	groups := m.groups
-	m.groups = nil
+	m.groups, m.session = nil, 0
 	for _, g := range groups {
 		delete(g.machines, m.ID)
 		d.settle(g)
@@ -142,6 +148,7 @@
 
 // Tick settles what time alone decides.
 func (d *Dealer) Tick(now time.Duration) {
+	d.now = now
 	d.spread(now)
 	members := d.sortedMembers()
 	for _, m := range d.sortedMachines() {
@@ -224,7 +231,8 @@
 	if d.machines[m.ID] != nil {
 		return
 	}
-	r := &machine{Machine: m, recorded: true, stored: true, recordedIn: layout, authority: d.oldEnd}
+	r := &machine{Machine: m, recorded: true, stored: true, recordedIn: layout, authority: d.oldEnd,
+		session: unknownSession}
 	if t, ok := d.types[m.Type]; ok {
 		r.Cap, r.FetchRate = t.Cap, t.FetchRate
 	}
@@ -235,7 +243,8 @@
 // own gives the machine to a shard, under a token never used before.
 func (d *Dealer) own(m *machine, to model.ShardID) {
 	if m.owner != to {
-		m.silent, m.deaf, m.told = false, false, 0
+		m.ownedAt = d.now
+		m.silent, m.deaf, m.told, m.fenced = false, false, 0, false
 		if d.owns != nil {
 			d.owns[m.owner]--
 			d.owns[to]++
@@ -244,7 +253,7 @@
 	d.owned++
 	m.owner, m.next = to, 0
 	m.token = d.p.Term<<32 | d.owned
-	d.order(to, model.Order{Kind: model.Own, Machine: m.Machine, Token: m.token, Usable: m.usable()})
+	d.order(to, model.Order{Kind: model.Own, Machine: m.Machine, Token: m.token, Usable: m.usable(), Prove: m.toProve()})
 }
 
 // Gone takes the certainty that a machine and everything on it are gone.
@@ -340,9 +349,11 @@
 	d.Use(m.ID, true)
 }
 
-func (d *Dealer) unowned(now time.Duration, from model.ShardID, r *model.Report) {
+func (d *Dealer) unowned(now time.Duration, from model.ShardID, e *model.Event) {
+	r := e.Report
 	m := d.machines[r.Machine.ID]
 	if m != nil {
+		d.newSession(m, e.Session)
 		d.arrived(now, m, from)
 		if m.owner == 0 {
 			m.Addr = r.Machine.Addr
@@ -370,10 +381,13 @@
 		d.own(m, from)
 	case m.releasing:
 		m.next = from
+	case m.toProve() && !m.fenced && now-m.ownedAt < proveTurn:
+		// Its owner is asking it whether it hears.
 	default:
-		// The worker has moved. What its owner knows of it must not be lost.
+		// The worker has moved, unless this is a copy: its owner knows. What that knows
+		// of the machine must not be lost.
 		m.next, m.releasing = from, true
-		d.order(m.owner, model.Order{Kind: model.Release, ID: m.ID})
+		d.order(m.owner, model.Order{Kind: model.Release, ID: m.ID, Numbers: e.Numbers})
 	}
 }
 
@@ -391,12 +405,11 @@
 		d.settle(g)
 		return
 	}
+	m.letGo(now, &e)
 	g.machines[m.ID] = true
 	m.groups = append(m.groups, g)
 	m.owner, m.releasing = 0, false
-	// It was answered until now at the latest.
-	m.lost = max(m.lost, now)
-	m.authority = max(m.authority, now)
+	delete(d.heldBack, m.ID)
 	if m.gone {
 		d.resolve(m)
 	} else if d.members[m.next] != nil {
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -37,6 +37,10 @@
 	Count   int       // RecallWaiting
 	Keeper  string    // Release, Elsewhere: where its worker should report instead
 	Aim     Aim       // Reprice
+	// Own: others could not show that its worker hears; it is answered only once it does.
+	Prove bool
+	// Release: of the report that came in elsewhere; none: let go in any case.
+	Numbers
 }
 
 // OrderKind tells orders apart.
@@ -88,12 +92,15 @@
 	Cell    Cell   // Found
 	Cause   Cause  // Gone
 	Token   uint64 // Superseded
-	// Finished: the task held here ended with it. Unanswered: its report is overdue as
+	// Finished: the task held here ended with it. Released: its worker was never answered
+	// here. Unanswered: its report is overdue as
 	// well, while others of its zone report.
 	Held  bool
-	Tasks []Task        // Released: tasks that were on the machine
-	On    []OnMachine   // Looked
-	Ran   time.Duration // Finished: it was seen running for so long; 0: not known. Idled: so much is lost
+	Tasks []Task      // Released: tasks that were on the machine
+	On    []OnMachine // Looked
+	// Unowned: of the report. Released: the session in which tasks may be there; 0: not known.
+	Numbers
+	Ran time.Duration // Finished: it was seen running for so long; 0: not known. Idled: so much is lost
 }
 
 // EventKind tells events apart.
@@ -118,6 +125,7 @@
 	Looked                      // what runs on the machine
 	Idled                       // a task that ran is out of work, for other reasons than its own: Held: it was recalled
 	AtWork                      // a task that was told idle, or dealt again, runs
+	Kept                        // the machine is not let go of: its worker reports here
 )
 
 // OnMachine is a task on a machine, as its owner sees it.
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -215,6 +215,14 @@
 	Cells   []Cell
 }
 
+// Numbers order a worker's messages.
+type Numbers struct{ Session, Seq uint64 }
+
+// Covers tells whether a message with these numbers is as new as another one.
+func (n Numbers) Covers(o Numbers) bool {
+	return n.Session > o.Session || n.Session == o.Session && n.Seq >= o.Seq
+}
+
 // Newer orders messages of one worker.
 func (r *Report) Newer(session, seq uint64) bool {
 	return r.Session > session || r.Session == session && r.Seq > seq
--- a/internal/core/shard/deaf.go
+++ b/internal/core/shard/deaf.go
@@ -24,7 +24,7 @@
 
 // probe asks an overdue worker directly, once in a while.
 func (s *Shard) probe(now time.Duration, m *machine) {
-	if m.fenced && !m.silent && now >= m.quietUntil && m.inFlight == 0 && s.overdue(now, m) {
+	if m.fenced && !m.silent && now >= m.quietUntil && m.inFlight == 0 && (m.dumb || s.overdue(now, m)) {
 		m.probe, m.wake = true, true
 	}
 }
@@ -32,7 +32,7 @@
 // unheard takes a direct command without an answer. One to a worker that is not fenced
 // yet says little: it may have come to a socket that was just closed.
 func (s *Shard) unheard(now time.Duration, m *machine) {
-	deaf := m.fenced && s.overdue(now, m) && s.zoneHeard(now, m)
+	deaf := m.fenced && (s.overdue(now, m) || m.dumb && m.asks >= asksEnough) && s.zoneHeard(now, m)
 	if !m.fenced || deaf {
 		m.deaf = deaf
 		s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID, Held: deaf})
@@ -55,7 +55,7 @@
 			continue
 		}
 		all++
-		if now-o.answered <= s.p.Report*5/4 {
+		if now-o.answered <= s.p.Report*5/4 && !o.dumb {
 			heard++
 		}
 	}
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -22,6 +22,8 @@
 type inFlight struct {
 	m        *machine
 	launched []*slot
+	asks     bool          // to learn whether its worker hears
+	seen     model.Numbers // the newest message of its worker when it was sent
 }
 
 // Directs takes away the commands to send.
@@ -41,7 +43,12 @@
 		if len(s.pending) >= most {
 			return // a thousand at once would all be late
 		}
-		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent || !m.fenced && now < m.patient {
+		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent && !m.probe ||
+			!m.fenced && now < m.patient {
+			continue
+		}
+		asks := m.dumb || s.mute(now, m)
+		if asks && s.asking >= max(1, most/askPart) {
 			continue
 		}
 		m.wake = false
@@ -60,7 +67,10 @@
 				launched = append(launched, sl)
 			}
 		}
-		s.pending[d.ID] = inFlight{m, launched}
+		s.pending[d.ID] = inFlight{m, launched, asks, model.Numbers{Session: m.session, Seq: m.seq}}
+		if asks {
+			s.asking++
+		}
 		m.inFlight++
 		s.directs = append(s.directs, d)
 	}
@@ -71,6 +81,9 @@
 func (s *Shard) DirectDone(now time.Duration, d Direct, r *model.Report, executed bool) {
 	sent := s.pending[d.ID]
 	delete(s.pending, d.ID)
+	if sent.asks {
+		s.asking--
+	}
 	for _, sl := range sent.launched {
 		sl.direct--
 		if r == nil {
@@ -84,11 +97,12 @@
 	}
 	m.inFlight--
 	if r == nil {
-		m.quietUntil = now + s.p.DoubtPause
+		m.quietUntil = now + s.pause(now, m)
+		m.vain = m.vain || m.offered != 0
 		s.unheard(now, m)
 		return
 	}
-	if !executed && r.Token <= m.token && r.Session >= m.session && !m.fenced {
+	if !executed && r.Token <= m.token && !m.fenced {
 		m.wake = true // the session was unknown: once more, with it
 	}
 	if r.Machine.ID != m.ID {
@@ -98,10 +112,19 @@
 		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
 		return
 	}
-	if m.deaf {
+	if m.deaf || m.silent && s.mute(now, m) {
 		s.heard(m)
 	}
-	if r.Newer(m.session, m.seq) && s.Granted(now) {
+	s.hears(m)
+	m.asked = now
+	switch {
+	case !s.Granted(now):
+	case !m.fenced:
+		// Said on a connection that was opened to it, so it holds, whatever copies told.
+		s.take(now, m, r, false)
+	case r.Token < m.first || sent.seen.Covers(model.Numbers{Session: r.Session, Seq: r.Seq}):
+		s.reborn(m, r)
+	case r.Newer(m.session, m.seq):
 		s.take(now, m, r, false)
 	}
 }
--- /dev/null
+++ b/internal/core/shard/hears_test.go
@@ -0,0 +1,201 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// old is a message of the worker's, not necessarily a new one.
+func (r *rig) old(id model.MachineID, session, seq, token uint64, cells ...model.Cell) *model.Report {
+	return &model.Report{Machine: model.Machine{ID: id}, Session: session, Seq: seq, Token: token, Notice: -1, Cells: cells}
+}
+
+// ask lets the shard send its direct commands and answers each with f.
+func (r *rig) ask(f func(d Direct) (*model.Report, bool)) (n int) {
+	r.s.Tick(r.now)
+	r.s.Flush(r.now, 100)
+	for _, d := range r.s.Directs() {
+		rep, executed := f(d)
+		r.s.DirectDone(r.now, d, rep, executed)
+		n++
+	}
+	return n
+}
+
+func unanswered(Direct) (*model.Report, bool) { return nil, false }
+
+// A copy of a report kept a machine that had died alive, and was answered with launches
+// under its old number, which the next genuine report seemed to disprove.
+func TestACopyIsNoSignOfLifeAndCarriesNothing(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.report(1, 5)
+	for i := range 12 { // the machine is dead; copies of its reports go on
+		r.now += time.Second
+		if i == 5 {
+			r.give(r.spec(1, model.Standard, 2), 0, 10)
+		}
+		for seq := range uint64(3) {
+			if r.s.Report(r.now, r.old(1, 1, seq, 5)) {
+				t.Fatal("a copy was answered")
+			}
+		}
+		r.ask(unanswered)
+	}
+	if e := r.events(model.Silent); len(e) == 0 {
+		t.Fatal("the machine counts as alive after its lease")
+	}
+	if sl := r.s.ofJob[1]; len(sl) != 0 {
+		t.Errorf("%d tasks went to a machine that only copies speak of", len(sl))
+	}
+}
+
+// A report that the answer to a direct command has overtaken is new, once.
+func TestAnOvertakenReportIsNewOnce(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.ask(func(Direct) (*model.Report, bool) { return r.old(1, 1, 7, 5), true })
+	late := r.old(1, 1, 6, 0)
+	if !r.s.Report(r.now, late) {
+		t.Fatal("refused, though its worker waits for the answer")
+	}
+	if r.s.Report(r.now, late) {
+		t.Error("its copy was answered as well")
+	}
+	r.now += time.Minute
+	if r.s.Report(r.now, r.old(1, 1, 6, 0)) {
+		t.Error("a copy was answered after a minute")
+	}
+}
+
+// What comes in elsewhere takes a machine from its owner only if it is newer than what
+// the owner has.
+func TestACopyElsewhereTakesNoMachine(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.report(1, 5)
+	release := func(seq uint64) {
+		r.s.Order(r.now, model.Order{Kind: model.Release, ID: 1, Numbers: model.Numbers{Session: 1, Seq: seq}})
+	}
+	release(2)
+	if !r.s.Owns(1) || len(r.events(model.Kept)) != 1 {
+		t.Fatal("a copy took the machine")
+	}
+	release(3)
+	if e := r.events(model.Released); r.s.Owns(1) || len(e) != 1 || e[0].Held || e[0].Session != 1 {
+		t.Fatalf("%+v, want it let go of, with its session, and as answered", e)
+	}
+}
+
+// A worker that takes no answer is not answered for ever: its lease runs out from the
+// last one that it may have heard.
+func TestAWorkerThatHearsNothingIsNotAnsweredForEver(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	began, last := r.now, r.now
+	for r.now < began+time.Minute {
+		r.seq++
+		rep := r.old(1, 1+uint64((r.now-began)/lease), r.seq, 0)
+		if r.s.Report(r.now, rep) {
+			r.s.Answer(r.now, rep)
+			last = r.now
+		}
+		r.now += tellsItself
+		r.ask(unanswered)
+		r.now += time.Second - tellsItself
+	}
+	if last > began+10*time.Second {
+		t.Fatalf("answered for %v", last-began)
+	}
+	if len(r.events(model.Silent)) == 0 {
+		t.Fatal("not told to be silent")
+	}
+	// It hears again: a question is answered, and so are its reports.
+	r.now += longestAsk
+	r.s.Report(r.now, r.old(1, 7, 1000, 0))
+	if n := r.ask(func(d Direct) (*model.Report, bool) { return r.old(1, 7, 1001, d.Token), true }); n != 1 {
+		t.Fatalf("%d questions, want one", n)
+	}
+	if !r.s.Report(r.now, r.old(1, 7, 1002, 5)) || r.s.machines[1].silent {
+		t.Fatal("not taken again on proof")
+	}
+}
+
+// A fenced worker that passes launches over gets nothing more until it is shown to hear.
+func TestLaunchesPassedOverStop(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	launches := 0
+	for range 8 {
+		launches += len(r.report(1, 5))
+		r.now += time.Second
+		r.ask(unanswered)
+	}
+	if launches != 2 {
+		t.Fatalf("%d launches went to a worker that hears nothing", launches)
+	}
+	if b := r.s.Status(r.now); len(b) != 1 || b[0].Ready || !b[0].Draining {
+		t.Fatalf("%+v, want it to count as no room", b)
+	}
+	r.now += longestAsk
+	r.report(1, 5)
+	r.ask(func(d Direct) (*model.Report, bool) { r.seq++; return r.old(1, 1, r.seq, d.Token), true })
+	r.s.Tick(r.now)
+	if cmds := r.report(1, 5); len(cmds) != 1 {
+		t.Fatalf("%v, want the task launched once it hears", cmds)
+	}
+}
+
+// A session that ends although its reports were answered shows that they were not heard.
+func TestASessionThatEndsInSpiteOfAnswersShowsADeafWorker(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.now += time.Second
+	r.report(1, 5)
+	if !r.s.Report(r.now+time.Second, r.old(1, 2, 1, 5)) || !r.s.machines[1].dumb {
+		t.Fatal("its next session counts as if it heard")
+	}
+}
+
+// A worker whose numbers begin anew is neither taken for a copy for ever, nor are its
+// tasks free before it has shown a new token; copies of its earlier life change nothing.
+func TestAWorkerThatBeginsItsNumbersAnew(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.seq = 40
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.report(1, 5)
+	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	if r.s.Report(r.now, r.old(1, 1, 3, 0)) {
+		t.Fatal("answered before it is known to be no copy")
+	}
+	r.ask(func(Direct) (*model.Report, bool) { return r.old(1, 1, 4, 0), false })
+	if e := r.events(model.NeedToken); len(e) != 1 {
+		t.Fatalf("%+v, want a new token asked for", e)
+	}
+	if len(r.s.ofJob[1]) != 1 {
+		t.Fatal("its task is free before the new token was shown")
+	}
+	r.s.Order(r.now, model.Order{Kind: model.Own, Machine: model.Machine{ID: 1, Addr: "x", Cap: model.Capacity(8, 0, 64)},
+		Token: 9, Usable: true})
+	r.s.Report(r.now, r.old(1, 1, 43, 5, cell(1, 0, 1001, model.Running, 0))) // a copy of its earlier life
+	if r.s.machines[1].fenced {
+		t.Fatal("fenced by a copy")
+	}
+	r.ask(func(d Direct) (*model.Report, bool) { return r.old(1, 1, 6, d.Token), true })
+	if !r.s.machines[1].fenced || r.s.tasks[model.Task{Job: 1}].slot != nil && r.s.ofJob[1][0].attempt == 1001 {
+		t.Fatal("the task that is gone is not placed anew")
+	}
+	r.s.Report(r.now, r.old(1, 2, 90, 5)) // a copy once more, of a later session even
+	if m := r.s.machines[1]; m.session != 1 {
+		t.Fatalf("session %d, from a copy", m.session)
+	}
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -11,7 +11,7 @@
 )
 
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && !m.silent && m.noticeAt == 0 && now >= m.faultyUntil && now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
+	return m.fenced && m.usable && !m.silent && !m.dumb && m.noticeAt == 0 && now >= m.faultyUntil && now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
 }
 
 // level is the lowest priority that runs on the machine. A machine that runs
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -170,7 +170,8 @@
 		if s.moved[r.Machine.ID] != "" {
 			return false
 		}
-		s.emit(model.Event{Kind: model.Unowned, Machine: r.Machine.ID, Report: r})
+		s.emit(model.Event{Kind: model.Unowned, Machine: r.Machine.ID, Report: r,
+			Numbers: model.Numbers{Session: r.Session, Seq: r.Seq}})
 		return false
 	}
 	if r.Token > m.token {
@@ -178,14 +179,20 @@
 		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
 		return false
 	}
-	if r.Session < m.session {
+	if s.mute(now, m) {
+		s.askMute(m, r)
+		return false
+	}
+	if !s.fresh(now, m, r) {
+		s.stale(now, m)
 		return false
 	}
 	if r.Newer(m.session, m.seq) {
 		s.take(now, m, r, true)
+	} else {
+		// Overtaken by the answer to a direct command; it still wants its own answer.
+		m.reported = r.Seq
 	}
-	// An older message of the same session was overtaken by the answer to a
-	// direct command; it still wants its own answer.
 	return true
 }
 
@@ -196,7 +203,10 @@
 	if m == nil || !s.Granted(now) {
 		return Answer{}
 	}
-	m.answered = now
+	m.answered, m.spoke = now, true
+	if !m.fenced && m.offered == 0 {
+		m.offered, m.vain = now, false
+	}
 	s.heard(m)
 	cmds := append(s.vet(m, r), s.commands(now, m, r.Seq, false)...)
 	// A worker that is not fenced yet has the token with this answer, and mostly
@@ -229,10 +239,16 @@
 // isReport tells a report from the answer to a direct command: only a report
 // proves that the answer to the report before it has arrived or never will.
 func (s *Shard) take(now time.Duration, m *machine, r *model.Report, isReport bool) {
-	if r.Session > m.session && m.session != 0 {
+	if r.Session > m.session && m.session != 0 && m.fenced {
 		// The worker has killed and forgotten all of its earlier session.
+		s.deafSession(now, m)
 		s.loseAll(now, m)
 	}
+	if isReport {
+		m.reported = r.Seq
+	} else if r.Session != m.session {
+		m.reported = 0
+	}
 	m.session, m.seq, m.shown = r.Session, r.Seq, r.Token
 	if m.Addr == "" && r.Machine.Addr != "" {
 		m.Addr, m.anew = r.Machine.Addr, true
@@ -264,6 +280,7 @@
 	}
 	if !m.fenced {
 		m.fenced = true
+		s.hears(m)
 		s.replan = true
 		s.emit(model.Event{Kind: model.Fenced, Machine: m.ID})
 	}
@@ -285,6 +302,9 @@
 		return
 	}
 	sl.stage = c.Stage
+	if sl.state == starting {
+		s.hears(m)
+	}
 	if c.Stage != model.Exited {
 		sl.state = live
 		if c.Stage == model.Running && sl.runSince == 0 {
@@ -340,6 +360,9 @@
 		// A direct launch without an answer may yet be executed, until the
 		// worker has seen a higher token than it bears. A launch in an answer
 		// is over once a later report was made.
+		if isReport && sl.sentSeq != 0 && r.Seq > sl.sentSeq {
+			s.passedOver(sl.m, r)
+		}
 		over := sl.direct == 0 && (sl.doubt == 0 || r.Token > sl.doubt) &&
 			(sl.sentSeq == 0 || isReport && r.Seq > sl.sentSeq)
 		if over && sl.stop {
@@ -387,7 +410,7 @@
 		case sl.state == starting && sl.direct == 0:
 			if !sl.sent {
 				// A reservation waits until its victims are gone.
-				if !sl.each.Fits(room) || !m.usable {
+				if !sl.each.Fits(room) || !m.usable || m.dumb {
 					continue
 				}
 				room = room.Sub(sl.each)
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -30,6 +30,18 @@
 	fenced       bool
 	usable       bool
 	session, seq uint64
+	reported     uint64        // of session: the newest report, answers to direct commands left out
+	asked        time.Duration // the last answer to a direct command came
+	askStale     time.Duration // not to be asked before because of reports that are not new
+	spoke        bool          // this shard has answered it
+	offered      time.Duration // the first answer that bore the token to be shown, 0: none
+	vain         bool          // a question went unanswered since
+	prove        bool          // to be answered only once it is shown to hear
+	dumb         bool          // fenced, and does not hear: it gets nothing new
+	passed       int           // answers in succession whose launches it passed over
+	passedSeq    uint64        // the report that showed the last of them
+	asks         int           // questions in succession without an answer
+	refence      bool          // the token to come is the one to be shown
 	answered     time.Duration
 	silent       bool
 	told         time.Duration // silence last told to the dealer
@@ -101,6 +113,7 @@
 	tasks    map[model.Task]*task
 	queue    map[groupKey]*group
 	pending  map[uint64]inFlight
+	asking   int                  // of pending: questions whether a worker hears
 	open     map[model.JobID]bool // the leader's picture of the open jobs, nil: not told yet
 	ranked   []*group             // of queue, by score when all were last placed
 	replan   bool                 // more than machines' room has changed since
@@ -199,6 +212,13 @@
 	case model.RecallWaiting:
 		s.recallWaiting(o.Job, o.Count)
 	case model.Release:
+		if m := s.machines[o.ID]; m != nil && m.fenced && o.Session != 0 &&
+			(model.Numbers{Session: m.session, Seq: m.reported}).Covers(o.Numbers) {
+			// What came in elsewhere was a copy: the worker reports here.
+			s.stale(now, m)
+			s.emit(model.Event{Kind: model.Kept, Machine: o.ID})
+			return
+		}
 		s.letGo(o.ID, o.Keeper)
 	case model.Elsewhere:
 		if s.machines[o.ID] == nil {
@@ -244,6 +264,10 @@
 func (s *Shard) letGo(id model.MachineID, keeper string) {
 	e := model.Event{Kind: model.Released, Machine: id}
 	if m := s.machines[id]; m != nil {
+		e.Held = !m.spoke
+		if m.fenced {
+			e.Session = m.session
+		}
 		for _, sl := range slices.Clone(m.slots) {
 			switch t := sl.t; {
 			case t == nil || t.slot != sl:
@@ -285,7 +309,10 @@
 	delete(s.moved, o.Machine.ID)
 	if m == nil {
 		m = &machine{Machine: o.Machine, first: o.Token, answered: now, idleSince: now,
-			images: s.images[o.Machine.ID], anew: true}
+			images: s.images[o.Machine.ID], anew: true, prove: o.Prove}
+		if o.Prove { // this shard does not answer it before it is shown to hear
+			m.answered = now - s.p.SureLease
+		}
 		if m.images == nil {
 			m.images = map[model.Name]bool{}
 		}
@@ -297,6 +324,9 @@
 	m.Machine = o.Machine
 	m.token = max(m.token, o.Token)
 	m.needToken = false
+	if m.refence {
+		m.refence, m.first, m.offered = false, o.Token, 0
+	}
 	m.usable = o.Usable
 	m.wake, m.patient = true, 0
 	s.replan = true
@@ -441,7 +471,7 @@
 		if m.noticeAt != 0 {
 			s.evacuate(now, m)
 		}
-		if s.quiet(now, m) {
+		if s.quiet(now, m) || m.dumb {
 			s.unreserve(now, m)
 		}
 	}
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -34,7 +34,7 @@
 }
 
 func (s *Shard) brief(now time.Duration, m *machine) brief {
-	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m), draining: m.noticeAt != 0,
+	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m), draining: m.noticeAt != 0 || m.dumb || s.mute(now, m),
 		faulty: now < m.faultyUntil, slots: len(m.slots), idleSince: m.idleSince}
 }
 
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -139,6 +139,16 @@
 	m.reports++
 	no, sent, c := m.reports, w.now, w.ctls[m.target]
 	m.awaiting, m.sentAt = no, sent
+	if w.p.copies {
+		w.copyOf(func(c *ctl) {
+			copied := *r
+			if w.p.believed {
+				m.seq++
+				copied.Session, copied.Seq, copied.Token = m.session, m.seq, m.token
+			}
+			c.onReport(&copied, func(bool, uint64, []model.Command, string) {})
+		})
+	}
 	w.send(m.host, c.host, false, func() {
 		c.onReport(r, func(ok bool, token uint64, cmds []model.Command, keeper string) {
 			w.send(c.host, m.host, false, func() { m.answered(no, sent, r.Session, ok, token, cmds, keeper) })
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -26,6 +26,7 @@
 	awaits    []model.JobID
 
 	acceptedAt time.Duration
+	answeredAt time.Duration // the last time that a question was
 }
 
 func (w *world) submit(id model.JobID) {
@@ -132,6 +133,7 @@
 		}
 		return
 	}
+	u.answeredAt = w.now
 	if !u.accepted {
 		u.accepted, u.acceptedAt = true, w.now
 	}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -140,6 +140,9 @@
 	}
 	st.s.DirectDone(now, d, rep, executed)
 	if n.seat == st {
+		if rep != nil {
+			n.wake(d.Machine)
+		}
 		n.soon()
 	}
 }
@@ -182,6 +185,11 @@
 	default:
 		return
 	}
+	n.wake(id)
+}
+
+// wake lets the reports of a machine go on that wait.
+func (n *Node) wake(id model.MachineID) {
 	for _, c := range n.waits[id] {
 		close(c)
 	}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -350,6 +350,14 @@
 		delete(n.waits, r.Machine.ID)
 		a, keeper, _ = n.answer(r)
 	}
+	if !a.OK && n.seat != nil && n.seat.s.Proving(n.now(), r.Machine.ID) {
+		// Nothing shows that it hears; it is being asked, and mostly answers at once.
+		c := make(chan struct{})
+		n.waits[r.Machine.ID] = append(n.waits[r.Machine.ID], c)
+		n.wait(ctx, c, time.Second)
+		delete(n.waits, r.Machine.ID)
+		a, keeper, _ = n.answer(r)
+	}
 	if a.OK {
 		return a, "", nil
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -41,7 +41,7 @@
 func (c *Codec) Event(e *model.Event) *peerpb.Up {
 	p := &peerpb.Event{Kind: uint32(e.Kind), Machine: uint64(e.Machine), Task: task(e.Task), Attempt: e.Attempt,
 		Stage: uint32(e.Cell.Stage), CellCause: uint32(e.Cell.Cause), Cause: uint32(e.Cause),
-		Token: e.Token, Held: e.Held, RanUs: e.Ran.Microseconds()}
+		Token: e.Token, Held: e.Held, RanUs: e.Ran.Microseconds(), Session: e.Session, Seq: e.Seq}
 	for _, o := range e.On {
 		p.On = append(p.On, &peerpb.OnMachine{Task: task(o.Task), Stage: uint32(o.Stage), RanUs: o.Ran.Microseconds(),
 			Stopping: o.Stopping, Adopted: o.Adopted})
@@ -61,7 +61,8 @@
 	e := model.Event{Kind: model.EventKind(p.GetKind()), Machine: model.MachineID(p.GetMachine()), Task: t, Attempt: p.GetAttempt(),
 		Cell:  model.Cell{Task: t, Attempt: p.GetAttempt(), Stage: model.Stage(p.GetStage()), Cause: model.Cause(p.GetCellCause())},
 		Cause: model.Cause(p.GetCause()), Token: p.GetToken(), Held: p.GetHeld(),
-		Ran: time.Duration(p.GetRanUs()) * time.Microsecond}
+		Numbers: model.Numbers{Session: p.GetSession(), Seq: p.GetSeq()},
+		Ran:     time.Duration(p.GetRanUs()) * time.Microsecond}
 	for _, o := range p.GetOn() {
 		e.On = append(e.On, model.OnMachine{Task: fromTask(o.GetTask()), Stage: model.Stage(o.GetStage()),
 			Ran: time.Duration(o.GetRanUs()) * time.Microsecond, Stopping: o.GetStopping(), Adopted: o.GetAdopted()})
@@ -145,7 +146,7 @@
 func (c *Codec) Order(now time.Duration, o *model.Order) *peerpb.Down {
 	p := &peerpb.Order{Kind: uint32(o.Kind), Token: o.Token, Usable: o.Usable, Id: uint64(o.ID), Task: task(o.Task), Attempt: o.Attempt,
 		Job: uint64(o.Job), Price: o.Price, Count: int32(o.Count), Keeper: o.Keeper,
-		Aim: uint32(o.Aim)}
+		Aim: uint32(o.Aim), Prove: o.Prove, Session: o.Session, Seq: o.Seq}
 	switch o.Kind {
 	case model.Own:
 		p.Machine = c.machine(&o.Machine)
@@ -173,7 +174,8 @@
 	o := model.Order{Kind: model.OrderKind(p.GetKind()), Token: p.GetToken(), Usable: p.GetUsable(), ID: model.MachineID(p.GetId()),
 		Task: fromTask(p.GetTask()), Attempt: p.GetAttempt(), Job: model.JobID(p.GetJob()),
 		Price: p.GetPrice(), Count: int(p.GetCount()),
-		Keeper: p.GetKeeper(), Aim: model.Aim(p.GetAim())}
+		Keeper: p.GetKeeper(), Aim: model.Aim(p.GetAim()), Prove: p.GetProve(),
+		Numbers: model.Numbers{Session: p.GetSession(), Seq: p.GetSeq()}}
 	switch o.Kind {
 	case model.Own:
 		o.Machine = c.fromMachine(p.GetMachine())
