pipeline, node: what is known of a waiting job is told job by job; a controller cut off says so

Cause: one cancelled tree whose records could not be ended in time had every poll of every waiting job answered with 503, for longer than 75 s. And a controller that had lost the state service and its siblings stayed healthy.

Change: progress tells the jobs in doubt, all others are vouched for; a doomed job is called aborted once nobody can call it queued. /healthz fails and users get 503 at once where neither the state service nor a sibling is heard.

--- a/internal/core/sim/chains_test.go
+++ b/internal/core/sim/chains_test.go
@@ -17,8 +17,10 @@
 
 // chains wires the graph as the node does.
 type chains struct {
-	l *lead
-	g *pipeline.Graph
+	l      *lead
+	g      *pipeline.Graph
+	doubts pipeline.Doubts
+	doomed time.Duration // the last cancellation was written
 }
 
 func (p *chains) add(o *openJob) {
@@ -65,7 +67,13 @@
 			}
 		})
 	}
-	for _, id := range p.g.Doomed(now, 2) {
+	most := 2
+	if c.w.p.slowDooms > 0 { // hardly any changes are left for them
+		if most = 0; now-p.doomed >= c.w.p.slowDooms {
+			most, p.doomed = 1, now
+		}
+	}
+	for _, id := range p.g.Doomed(now, most) {
 		version := l.d.Version(id)
 		c.storeCall(func() any { return c.w.store.doom(l.guard, id, version) }, func(v any) {
 			r, _ := v.(written)
@@ -163,18 +171,46 @@
 	return jobs.New(k, u.spec.ID, u.version)
 }
 
-// vet turns an answer that nobody may vouch for into a refusal.
+// vouched is how long ago the last news of cancellations may be, as the node's settings
+// have it.
+func (p *params) vouched() time.Duration { return p.cancel*9/10 - 3*time.Second }
+
+// tell is, for each job that waits, whether it is in doubt.
+func (p *chains) tell(now time.Duration) map[model.JobID]bool {
+	doubted := p.doubts.Take(now, p.g)
+	out := map[model.JobID]bool{}
+	p.l.d.Open(func(id model.JobID, _ uint64, _, _ int) {
+		if p.l.d.Waits(id) {
+			out[id] = doubted[id]
+		}
+	})
+	return out
+}
+
+// vet turns an answer that nobody may vouch for into a refusal, or into what is certain.
 func (c *ctl) vet(u *user, a *jobs.Answer) *jobs.Answer {
 	if a.Stage != jobs.Queued || a.Created || len(u.awaits) == 0 || c.w.p.vouchForEver {
 		return a
 	}
-	at := c.settled
+	now, id := c.now(), u.spec.ID
 	if l := c.lead; l != nil && l.loaded {
-		at = max(at, l.chains.settled(c.now()))
+		c.doubt = l.chains.tell(now)
+		c.vouch.Settled(l.chains.settled(now))
+		c.vouch.Told(l.fresh)
+		if c.w.p.hastyCancel && l.chains.g.ToCancel(id) {
+			return &jobs.Answer{Status: http.StatusOK, Stage: jobs.Cancelled}
+		}
 	}
-	if c.now()-at < c.w.p.cancel*9/10-3*time.Second {
+	doubt, told := c.doubt[id]
+	if c.vouch.Queued(now, told && (!doubt || c.w.p.vouchInDoubt) && !c.w.p.oneForAll) {
 		return a
 	}
+	for _, o := range c.w.ctls { // passed on, as the node does
+		if l := o.lead; l != nil && o.up && l.loaded && (o == c || doubt) && !o.halted() && !c.w.p.oneForAll &&
+			l.chains.doubts.Certain(o.now(), c.vouch.Within, l.chains.g, id) {
+			return &jobs.Answer{Status: http.StatusOK, Stage: jobs.Cancelled}
+		}
+	}
 	return &jobs.Answer{Status: http.StatusServiceUnavailable}
 }
 
@@ -212,7 +248,11 @@
 // it be told that what waits is queued before it has looked.
 func (w *world) outages() {
 	w.after(w.p.cancel+15*time.Second, func() {
+		if w.now > w.p.length {
+			return
+		}
 		w.note("fault: the store is out for long")
+		w.troubled(w.p.cancel + 15*time.Second)
 		w.store.out = true
 		w.after(w.p.cancel+5*time.Second, func() { w.store.back() })
 		w.outages()
@@ -282,3 +322,32 @@
 		})
 	}
 }
+
+// bushy has trees of jobs that are cancelled faster than their records can be ended.
+func bushy() params {
+	p := chained()
+	p.slowDooms, p.rest = 6*time.Second, 4*time.Minute
+	return p
+}
+
+// TestATreeThatIsBehindHidesNoJob: one cancelled tree whose records could not be ended in
+// time had every poll of a waiting job answered with 503, for longer than 75 s.
+func TestATreeThatIsBehindHidesNoJob(t *testing.T) {
+	for seed := range seeds(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed, bushy())
+		})
+	}
+	for name, breakIt := range map[string]func(*params){
+		"one tree for all":                     func(p *params) { p.oneForAll = true },
+		"jobs in doubt are vouched for":        func(p *params) { p.vouchInDoubt = true },
+		"cancelled is said while others vouch": func(p *params) { p.hastyCancel = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := bushy()
+			breakIt(&p)
+			breaks(t, 60, 0, p)
+		})
+	}
+}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -17,19 +17,20 @@
 
 // ctl is a controller: the cores wired as the node wires them.
 type ctl struct {
-	w       *world
-	host    string
-	up      bool
-	life    int
-	rate    float64 // of its steady clock
-	origin  time.Duration
-	el      *election.Election
-	lead    *lead
-	led     uint64
-	seat    *seat
-	kept    []model.MachineID // of the seat before
-	halt    halt
-	settled time.Duration // as the leader told with the newest grant
+	w      *world
+	host   string
+	up     bool
+	life   int
+	rate   float64 // of its steady clock
+	origin time.Duration
+	el     *election.Election
+	lead   *lead
+	led    uint64
+	seat   *seat
+	kept   []model.MachineID // of the seat before
+	halt   halt
+	vouch  *pipeline.Voucher
+	doubt  map[model.JobID]bool // told by the leader: waiting jobs, and whether they are in doubt
 }
 
 // halt is a process that stands still while its clocks run on: what is sent to
@@ -134,7 +135,7 @@
 	c.origin = c.w.now
 	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond), promise, 0)
 	c.lead, c.seat = nil, nil
-	c.settled = -time.Hour
+	c.vouch, c.doubt = pipeline.NewVoucher(c.w.p.vouched()), nil
 	c.tick(c.life)
 }
 
@@ -545,9 +546,11 @@
 					l.back()
 					k.until = max(k.until, l.until())
 					d := l.until() - ln
-					age := ln - l.chains.settled(ln)
+					age, told, doubt := ln-l.chains.settled(ln), ln-l.fresh, l.chains.tell(ln)
 					l.down(k, func(st *seat) {
-						st.c.settled = max(st.c.settled, now-age)
+						st.c.vouch.Settled(now - age)
+						st.c.vouch.Told(now - told)
+						st.c.doubt = doubt
 						st.grants = append(st.grants, ln)
 						st.c.el.Promise(st.c.now() + promise)
 						st.s.Grant(now + d - d/500 - 50*time.Millisecond)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -28,6 +28,10 @@
 	trustOldEnd                      bool          // a broken guard: old grants are taken for over at once
 	oneWay                           bool          // machines that send, and that nothing reaches
 	copies                           bool          // copies of reports come late
+	slowDooms                        time.Duration // between cancellations of jobs that need a cancelled one; 0: as ever
+	oneForAll                        bool          // as 0.5.0: one tree that is behind leaves all waiting jobs unanswered
+	vouchInDoubt                     bool          // a broken guard: jobs in doubt are called queued
+	hastyCancel                      bool          // a broken guard: cancelled is said while others may say queued
 	hastyLease                       bool          // a broken guard: leases are taken for over too early
 	believed                         bool          // a broken guard: copies are taken for new
 	blinks                           bool          // controllers are back within a fraction of a second
--- a/internal/node/chaining.go
+++ b/internal/node/chaining.go
@@ -25,6 +25,7 @@
 	l      *leadership
 	g      *pipeline.Graph
 	asking int
+	doubts pipeline.Doubts
 }
 
 // read has nothing to get: the open jobs' records name what they await.
@@ -166,10 +167,27 @@
 // vouches tells whether a job that waits for others may be called queued: no
 // cancellation of one of them that is older than cancel_s can be unknown here. Called
 // under the lock.
-func (n *Node) vouches(now time.Duration) bool {
-	at := n.settled
+func (n *Node) vouches(now time.Duration, id model.JobID) bool {
 	if l := n.lead; l != nil && l.loaded {
-		at = max(at, l.chains.settled(now))
+		n.vouch.Settled(l.chains.settled(now))
 	}
-	return now-at < n.cfg.Cluster.Vouched()
+	p, told := n.progress[id]
+	return n.vouch.Queued(now, told && !p.doubt)
+}
+
+// certain tells whether a job that is open may be called cancelled. Called under the lock.
+func (n *Node) certain(now time.Duration, id model.JobID) bool {
+	l := n.lead
+	return l != nil && l.loaded && l.chains.doubts.Certain(now, n.vouch.Within, l.chains.g, id)
+}
+
+// knower is the address of the leader if it may know what became of a job that can't be
+// vouched for here, else "".
+func (n *Node) knower(id model.JobID) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lead != nil || n.seat == nil || n.seat.out == nil || !n.progress[id].doubt {
+		return ""
+	}
+	return n.siblingAddr(n.leader)
 }
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -21,8 +21,9 @@
 	// fresh is when the last question about open jobs that was answered was
 	// asked: a leader that hears of no cancellations must not go on.
 	fresh   time.Duration
-	rev     uint64   // the open jobs were listed at
-	orphans []string // keys of jobs that have ended
+	told    time.Duration // fresh when progress was last gathered
+	rev     uint64        // the open jobs were listed at
+	orphans []string      // keys of jobs that have ended
 	ticked  time.Duration
 	due     bool // to deal
 	dealt   time.Duration
@@ -114,6 +115,7 @@
 	m := p.progress()
 	for _, k := range p.l.links {
 		k.out.Send(m)
+		k.told = p.told
 	}
 }
 
@@ -122,12 +124,15 @@
 	p.l.n.progress = map[model.JobID]progress{}
 	open := map[model.JobID]bool{}
 	m := &peerpb.Progress{StateAgeUs: p.l.n.pulse.servedAgo(p.l.n.now()).Microseconds()}
+	p.told = p.fresh
+	p.l.n.vouch.Told(p.told)
+	doubted := p.l.chains.doubts.Take(p.l.n.now(), p.l.chains.g)
 	p.d.Open(func(id model.JobID, version uint64, done, running int) {
 		waits := p.d.Waits(id)
-		p.l.n.progress[id] = progress{done, running, version, waits}
+		p.l.n.progress[id] = progress{done, running, version, waits, doubted[id]}
 		open[id] = true
 		m.Jobs = append(m.Jobs, &peerpb.JobProgress{Job: uint64(id), Done: int32(done), Running: int32(running),
-			Version: version, Waits: waits})
+			Version: version, Waits: waits, Doubt: doubted[id]})
 	})
 	p.l.n.seat.s.Open(open)
 	return &peerpb.Down{Msg: &peerpb.Down_Progress{Progress: m}}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pace"
+	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/standing"
 	"honeylock/internal/core/strain"
 	"honeylock/internal/peer"
@@ -72,7 +73,8 @@
 	types         []model.MachineType
 	finals        map[model.JobID]jobs.Stage
 	versions      map[model.JobID]openSeen
-	settled       time.Duration // as chaining.settled of the leader that this controller is linked to
+	vouch         *pipeline.Voucher // as the leader that this controller is linked to has told
+	sibling       time.Duration     // a sibling was last heard
 	polls         *polls
 	order         []model.JobID // of finals, oldest first
 	stats         Stats
@@ -118,7 +120,8 @@
 		seated:   make(chan struct{}),
 		finals:   map[model.JobID]jobs.Stage{},
 		versions: map[model.JobID]openSeen{},
-		settled:  -time.Hour,
+		vouch:    pipeline.NewVoucher(cfg.Cluster.Vouched()),
+		sibling:  -time.Hour,
 		waits:    map[model.MachineID][]chan struct{}{},
 	}
 	n.state = state.New(cfg.Services.State, pace.Params{Requests: cfg.Cluster.State.RPS,
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -264,7 +264,13 @@
 // leader's key.
 func (n *Node) findLeader(ctx context.Context, dialer *peer.Dialer) string {
 	for _, s := range n.cfg.Siblings {
-		if leads, _ := dialer.Leading(ctx, s.Address); leads {
+		leads, known := dialer.Leading(ctx, s.Address)
+		if known {
+			n.mu.Lock()
+			n.sibling = n.now()
+			n.mu.Unlock()
+		}
+		if leads {
 			return s.HostName
 		}
 	}
@@ -316,6 +322,7 @@
 		alive.Reset(linkTimeout)
 		n.mu.Lock()
 		now := n.now()
+		n.sibling = now
 		if st != nil && n.seat != st {
 			n.mu.Unlock()
 			return errors.New("another shard took over")
@@ -345,7 +352,7 @@
 			for _, j := range msg.Progress.GetJobs() {
 				open[model.JobID(j.GetJob())] = true
 				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning()), j.GetVersion(),
-					j.GetWaits()}
+					j.GetWaits(), j.GetDoubt()}
 			}
 		case *peerpb.Down_Grant:
 			if st == nil {
@@ -355,7 +362,10 @@
 				delete(st.asked, msg.Grant.GetSeq())
 				st.number = msg.Grant.GetNumber()
 				if age := msg.Grant.GetSettledAgeUs(); age > 0 { // as old as its asking
-					n.settled = max(n.settled, at-time.Duration(age)*time.Microsecond)
+					n.vouch.Settled(at - time.Duration(age)*time.Microsecond)
+				}
+				if age := msg.Grant.GetToldAgeUs(); age > 0 {
+					n.vouch.Told(at - time.Duration(age)*time.Microsecond)
 				}
 				n.el.Promise(now + config.Promise)
 				d := time.Duration(msg.Grant.GetForUs()) * time.Microsecond
@@ -384,6 +394,7 @@
 	done, running int
 	version       uint64
 	waits         bool // jobs that it needs are not done
+	doubt         bool // ... or one of them was cancelled, or that is being found out
 }
 
 // link is the leader's end of a member's stream.
@@ -397,6 +408,7 @@
 	sent    map[uint64]time.Duration // grants, by number
 	promise time.Duration            // the member does not take over before
 	stateAt time.Duration            // the state service last answered it
+	told    time.Duration            // the picture that its last progress was of was made
 }
 
 // ServePeers serves the other controllers until the context ends.
@@ -489,6 +501,7 @@
 			return id, errors.New("leadership over")
 		}
 		now := n.now()
+		n.sibling = now
 		if h := m.GetHello(); h != nil && id == 0 {
 			id = l.welcome(now, k, h)
 		} else if id != 0 && l.links[id] == k {
@@ -516,6 +529,7 @@
 	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id),
 		Tell: l.drains.book.On()}}})
 	k.out.Send(l.deals.progress())
+	k.told = l.deals.told
 	l.n.log.Info("member joined", "host", host, "shard", id, "release", hello.GetRelease())
 	l.hosts[host] = hello.GetRelease()
 	all, oldest := true, uint32(release)
@@ -556,7 +570,8 @@
 		k.sent[k.number] = now
 		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(),
 			ForUs: max(0, l.until()-now).Microseconds(), Number: k.number,
-			SettledAgeUs: max(1, (now - l.chains.settled(now)).Microseconds())}}})
+			SettledAgeUs: max(1, (now - l.chains.settled(now)).Microseconds()),
+			ToldAgeUs:    max(1, (now - k.told).Microseconds())}}})
 	case *peerpb.Up_Event:
 		l.hear(now, id, k.codec.FromEvent(msg.Event))
 		l.n.soon()
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -140,7 +140,13 @@
 		}
 	}
 	r := n.ask(ctx, k, id, sub)
-	if r.Status == http.StatusServiceUnavailable && helper != "" && !first {
+	if r.Status != http.StatusServiceUnavailable {
+		return r
+	}
+	if helper == "" || first {
+		helper = n.knower(id) // it has been asked, or there is none
+	}
+	if helper != "" {
 		if f, ok := n.forward(ctx, helper, k, id, sub); ok {
 			return f
 		}
@@ -152,6 +158,9 @@
 	if st, ok := n.final(id); ok {
 		return n.stateReply(http.StatusOK, id, st)
 	}
+	if n.cutOff() {
+		return unavailable("cut off from the state service and the other controllers")
+	}
 	req, op := n.request(k, id, sub)
 	for {
 		next, ans := req.Next(op, n.jobOp(ctx, op, sub))
@@ -170,8 +179,7 @@
 		if ans.Stage.Ended() {
 			n.keepFinal(id, ans.Stage)
 		} else if !ans.Created && !n.maySayQueued(id) {
-			// It may have been cancelled with a job that it needs, longer ago than may be.
-			return unavailable("no leader has told of cancellations for too long")
+			return n.inDoubt(id)
 		}
 		return n.stateReply(ans.Status, id, ans.Stage)
 	}
@@ -200,7 +208,21 @@
 	if p, ok := n.progress[id]; ok {
 		waits = p.waits
 	}
-	return !waits || n.vouches(n.now())
+	return !waits || n.vouches(n.now(), id)
+}
+
+// inDoubt answers about a waiting job that nobody may call queued: as cancelled, where
+// that is certain.
+func (n *Node) inDoubt(id model.JobID) Reply {
+	n.mu.Lock()
+	cancelled := n.certain(n.now(), id)
+	n.mu.Unlock()
+	if !cancelled {
+		// It may have been cancelled with a job that it needs, longer ago than may be.
+		return unavailable("no leader has told of cancellations for too long")
+	}
+	n.keepFinal(id, jobs.Cancelled)
+	return n.stateReply(http.StatusOK, id, jobs.Cancelled)
 }
 
 func (n *Node) jobOp(ctx context.Context, op jobs.Op, sub *wire.Submission) jobs.Result {
@@ -419,7 +441,21 @@
 	refused := n.pulse.alone(n.now(), n.leaderStateAt) && n.leaderStateAt > served+2500*time.Millisecond
 	// Without the machine types it still answers polls and cancellations, which
 	// is better than no node at all.
-	return (len(n.types) > 0 || n.now() > 10*time.Second) && !refused
+	return (len(n.types) > 0 || n.now() > 10*time.Second) && !refused && !n.cutFrom(n.now())
+}
+
+// cutFrom tells whether neither the state service nor any sibling has been heard for a
+// while: whatever users ask here, nobody could answer, while its workers may still be
+// served under the grant. In an outage siblings are heard, and in a quarrel of
+// controllers the state service is. Called under the lock.
+func (n *Node) cutFrom(now time.Duration) bool {
+	return len(n.cfg.Siblings) > 0 && n.pulse.missing(now) && now-n.sibling > linkTimeout
+}
+
+func (n *Node) cutOff() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cutFrom(n.now())
 }
 
 func (n *Node) rent(ctx context.Context, r wire.Rental) (ids []model.MachineID, refused, doubt bool) {
