e2e, standin: machines that nothing reaches, late copies, a controller cut off, back at once

Need: the new troubles seen with real sockets. Relays cut a controller off from the state service and its siblings; workers go deaf, and have copies of their reports come at every controller.

--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -40,6 +40,9 @@
 	Log         *slog.Logger
 	Seed        uint64
 	Depot       *standin.Depot
+	// Cuttable: what a controller says to the state service and to its siblings passes
+	// relays, so that it can be cut off from both.
+	Cuttable bool
 }
 
 // Seed is a number of machines of a kind.
@@ -58,6 +61,7 @@
 	Ops   string // its operators' door, if there is one
 	o     *Options
 	stop  context.CancelFunc
+	ways  []*standin.Relay
 }
 
 // Cluster is all that runs.
@@ -109,6 +113,11 @@
 			}
 		}
 	}
+	if o.Cuttable {
+		if err := c.relay(); err != nil {
+			return c, err
+		}
+	}
 	for _, k := range c.Controllers {
 		if err := k.Start(); err != nil {
 			return c, err
@@ -122,6 +131,40 @@
 	return c, nil
 }
 
+// relay puts a relay on each way from a controller to the state service and to a sibling.
+func (c *Cluster) relay() error {
+	for _, k := range c.Controllers {
+		addrs := []*string{&k.Cfg.Services.State}
+		for i := range k.Cfg.Siblings {
+			addrs = append(addrs, &k.Cfg.Siblings[i].Address)
+		}
+		for _, a := range addrs {
+			r, err := standin.NewRelay(*a)
+			if err != nil {
+				return err
+			}
+			k.ways = append(k.ways, r)
+			*a = r.Addr()
+		}
+	}
+	return nil
+}
+
+// CutOff cuts a controller off from the state service and from all other controllers, in
+// both directions, or ends that. Its workers and users still reach it.
+func (c *Cluster) CutOff(k *Controller, on bool) {
+	for _, r := range k.ways {
+		r.Cut(on)
+	}
+	for _, o := range c.Controllers {
+		for i, s := range o.Cfg.Siblings {
+			if o != k && s.HostName == k.Cfg.HostName {
+				o.ways[i+1].Cut(on) // the first is to the state service
+			}
+		}
+	}
+}
+
 // Find returns a job's open record.
 func (c *Cluster) Find(name string) []byte { return c.Store.Peek("open/" + name) }
 
@@ -194,6 +237,9 @@
 func (c *Cluster) Close() {
 	for _, k := range c.Controllers {
 		k.Stop()
+		for _, r := range k.ways {
+			r.Close()
+		}
 	}
 	if c.Cloud != nil {
 		c.Cloud.Close()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -69,6 +69,8 @@
 	mu      sync.Mutex
 	dead    bool
 	hung    time.Time // does not run until then
+	deaf    time.Time // nothing reaches it until then; what it sends arrives
+	copies  []time.Duration
 	session uint64
 	seq     uint64
 	token   uint64
@@ -125,6 +127,44 @@
 	w.hung = time.Now().Add(d)
 }
 
+// Deafen keeps answers and commands from the machine for a while; its reports arrive.
+func (w *Worker) Deafen(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = time.Now().Add(d)
+}
+
+// Copies has each report come again, at every controller, so much later each time.
+// Nobody hears the answers.
+func (w *Worker) Copies(after ...time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.copies = after
+}
+
+// again sends the copies of a report, as long as the rig lasts; the machine may have died
+// meanwhile.
+func (w *Worker) again(after []time.Duration, body []byte) {
+	for _, d := range after {
+		time.AfterFunc(d, func() {
+			for _, h := range w.hosts {
+				c := http.Client{Timeout: 4 * time.Second}
+				if res, err := c.Post("http://"+h.Addr+"/agent/beat", "application/json", bytes.NewReader(body)); err == nil {
+					res.Body.Close()
+				}
+				c.CloseIdleConnections()
+			}
+		})
+	}
+}
+
+// hears tells whether anything reaches the machine.
+func (w *Worker) hears() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().After(w.deaf)
+}
+
 // Notice tells the worker that the cloud takes the machine then.
 func (w *Worker) Notice(d time.Duration) {
 	w.mu.Lock()
@@ -322,6 +362,10 @@
 		answer(rw, http.StatusBadRequest, object{})
 		return
 	}
+	if !w.hears() { // it never came: its sender waits in vain
+		<-r.Context().Done()
+		return
+	}
 	w.awake(r.Context())
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -366,10 +410,12 @@
 		session := w.session
 		body, err := json.Marshal(w.report(sent))
 		host := w.hosts[w.target%len(w.hosts)]
+		copies := w.copies
 		w.mu.Unlock()
 		if err != nil {
 			return // a report of plain values always encodes
 		}
+		w.again(copies, body)
 		pause := w.exchange(ctx, client, host, session, sent, body)
 		w.wait(ctx, pause)
 	}
@@ -395,6 +441,13 @@
 			status = res.StatusCode
 		}
 	}
+	if !w.hears() {
+		select { // its patience for an answer
+		case <-ctx.Done():
+		case <-time.After(max(0, 4*time.Second-time.Since(sent))):
+		}
+		status = 0
+	}
 	w.awake(ctx)
 	w.mu.Lock()
 	defer w.mu.Unlock()
