floor, dealer, shard: a job that should have begun comes first, once

Need: the users' rules do not accept that anybody is starved, as the paper's order does: each job begins within four minutes.

Change: a job without a begun task for begin_within_s (120 s) has its first task dealt and placed before all else; a machine is kept where none has room; guests' work rents for its first task. Shares by class, team and largest jobs as metrics.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -21,12 +21,13 @@
 	RentHorizon  time.Duration
 	Operator     *Operator // nil: no operators' door
 	Budgets      []Budget  // of disruption
+	BeginWithin  time.Duration
 }
 
 // DefaultSettings are in force where the operator says nothing.
 func DefaultSettings() *Settings {
 	return &Settings{SampleSize: 2, PaybackLimit: time.Minute, DemotionStep: 2, DealAhead: 16,
-		IdleReturn: 240 * time.Second, RentHorizon: 30 * time.Second}
+		IdleReturn: 240 * time.Second, RentHorizon: 30 * time.Second, BeginWithin: 2 * time.Minute}
 }
 
 // LoadSettings reads the operator's settings; "" means none.
@@ -75,6 +76,7 @@
 		num("scheduling.sample_size", whole(c.SampleSize), 1, 64, func(v float64) { s.SampleSize = int(v) })
 		num("scheduling.payback_limit_s", c.PaybackLimitS, 0, 3600, func(v float64) { s.PaybackLimit = Seconds(v) })
 		num("scheduling.demotion_step", c.DemotionStep, 1, 10, func(v float64) { s.DemotionStep = v })
+		num("scheduling.begin_within_s", c.BeginWithinS, 10, 230, func(v float64) { s.BeginWithin = Seconds(v) })
 		num("scheduling.deal_ahead", whole(c.DealAhead), 0, 1000, func(v float64) { s.DealAhead = int(v) })
 	}
 	if c := p.Fleet; c != nil {
--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -49,8 +49,11 @@
 	// guarantee, and nothing is rented for it.
 	waits bool
 	// rank is the highest of its own and of those of the jobs that need it.
-	rank   model.Rank
-	adrift int32 // of held
+	rank    model.Rank
+	adrift  int32         // of held
+	begun   bool          // a task of it has run, or runs
+	late    bool          // none has, for too long
+	pressed time.Duration // the shards were last told so
 }
 
 // AddJob takes an open job. done holds its stored chunks; old tells that it
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -151,6 +151,7 @@
 func (d *Dealer) Deal(now time.Duration) {
 	jobs := d.sortedJobs()
 	d.reprice(now, jobs)
+	d.watch(now, jobs)
 	members := d.sortedMembers()
 	d.rebalance(now, jobs, members)
 	jobs = slices.DeleteFunc(jobs, func(j *job) bool { return d.undealt(now, j) <= 0 })
@@ -158,8 +159,7 @@
 		return
 	}
 	d.open(jobs, members)
-	score := func(j *job) float64 { return j.spec.Score(j.price, now-j.since) }
-	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(score(b), score(a)) })
+	d.ranked(now, jobs)
 	exposure := d.exposure()
 	for _, j := range jobs {
 		n := min(int64(d.undealt(now, j)), j.spec.Each.Count(d.headroom(j.spec.Team, exposure)))
@@ -169,8 +169,11 @@
 		for _, p := range plan(j, n, members) {
 			n -= d.dealPart(j, p)
 		}
-		if n > 0 && !j.pinned() {
+		switch {
+		case n > 0 && !j.pinned():
 			d.dealAhead(j, n, members)
+		case n > 0:
+			d.dealFirst(j, members)
 		}
 	}
 }
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"honeylock/internal/core/floor"
 	"honeylock/internal/core/model"
 )
 
@@ -24,7 +25,8 @@
 	Progress  time.Duration
 	Ahead     int // tasks of a job dealt beyond the free room, to find victims
 	SureLease time.Duration
-	Crowd     int // machines that are no great load for a controller
+	Crowd     int           // machines that are no great load for a controller
+	Begin     time.Duration // a job's first task should begin within so long; 0: whenever
 	// Tell: it is to be told which tasks are out of work, and when they run again.
 	Tell bool
 }
@@ -74,6 +76,8 @@
 	barred    map[model.MachineID]bool
 	owns      map[model.ShardID]int // machines of each shard when they were last counted
 	countedAt time.Duration
+	floors    *floor.Book
+	watched   time.Duration
 }
 
 // New returns a dealer for a term that begins now. No shard of an earlier term
@@ -310,7 +314,7 @@
 		if j.trouble.broken { // no machine is rented for it
 			open = int32(len(j.held))
 		}
-		out = append(out, Need{Spec: j.spec, Open: open, Held: int32(len(j.held)), Within: j.within, Since: j.since})
+		out = append(out, Need{Spec: j.spec, Open: open, Held: int32(len(j.held)), Within: j.within, Since: j.since, Late: j.late})
 	}
 	return out
 }
@@ -321,6 +325,7 @@
 	Open, Held int32
 	Within     bool
 	Since      time.Duration
+	Late       bool // it should have begun
 }
 
 // Bar keeps tasks from a machine, whoever owns it, or lets it have some again.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -342,9 +342,17 @@
 // pressing is the demand that machines are rented for: work that no aim speaks
 // of waits for what stands idle, but not for ever.
 func (f *Fleet) pressing(now time.Duration, demand []Demand) []Demand {
-	return slices.DeleteFunc(slices.Clone(demand), func(d Demand) bool {
-		return d.Need.Spec.CanWait && now-d.Need.Since < f.p.Patience
-	})
+	out := make([]Demand, 0, len(demand))
+	for _, d := range demand {
+		if d.Need.Spec.CanWait && now-d.Need.Since < f.p.Patience {
+			if !d.Need.Late {
+				continue
+			}
+			d.Need.Open = min(d.Need.Open, d.Placed+1) // it should have begun: room for its first task
+		}
+		out = append(out, d)
+	}
+	return out
 }
 
 // unmet is the waiting work for which there is no room, now or soon.
--- /dev/null
+++ b/internal/core/floor/floor_test.go
@@ -0,0 +1,54 @@
+package floor
+
+import (
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+const s = time.Second
+
+// Jobs that wait too long are late until they begin or are cancelled, and each floor
+// counts those that begin and those that should have.
+func TestFloorsCountWhatBeginsAndWhatShouldHave(t *testing.T) {
+	b := New(60 * s)
+	var jobs []Job
+	for i := range 20 { // the last two are wide
+		tasks := int32(4)
+		if i >= 18 {
+			tasks = 400
+		}
+		jobs = append(jobs, Job{ID: model.JobID(i), Class: model.Name(i % 2), Team: 7, Tasks: tasks})
+	}
+	b.See(10*s, jobs)
+	if len(b.Late()) != 0 || len(Danger(b.Shares(10*s))) != 0 {
+		t.Fatal("late after 10 s")
+	}
+	for i := range jobs {
+		jobs[i].Begun = jobs[i].Class == 0 && i != 18
+	}
+	b.See(61*s, jobs)
+	late := b.Late()
+	if len(late) != 11 || late[0] != 1 {
+		t.Fatalf("late %v, want the ten of class 1 and the wide one of class 0, the oldest first", late)
+	}
+	got := map[Of]Share{}
+	for _, x := range b.Shares(61 * s) {
+		got[x.Of] = x
+	}
+	if x := got[Of{Class, 0}]; x.Begun != 9 || x.Late != 1 || x.Part() != 0.9 {
+		t.Errorf("class 0: %+v", x)
+	}
+	if x := got[Of{Largest, 0}]; x.Begun != 0 || x.Late != 1 || x.Longest != 61*s {
+		t.Errorf("largest of class 0: %+v", x)
+	}
+	danger := Danger(b.Shares(61 * s))
+	if len(danger) != 2 || danger[0].Of != (Of{Class, 1}) || danger[1].Of != (Of{Team, 7}) {
+		t.Errorf("in danger: %+v, want class 1 and the team", danger)
+	}
+	b.See(70*s, jobs[:1]) // all but one were cancelled, or are done
+	if len(b.Late()) != 0 {
+		t.Errorf("late %v, though they are no longer open", b.Late())
+	}
+}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -62,6 +62,7 @@
 	Lapse                          // its worker's lease is surely over
 	LookAt                         // tell what runs on the machine
 	Elsewhere                      // a machine that is not this shard's is another's: its worker should report there
+	First                          // the job should have begun: its first task comes before all else
 )
 
 // Aim tells whether an aim speaks of a job, or of one that needs it.
--- /dev/null
+++ b/internal/core/shard/first_test.go
@@ -0,0 +1,98 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// small keeps machines full of small tasks, of which there are always more, until a job
+// begins or the time is over. It returns how long that took.
+func (r *rig) small(machines int, job model.JobID, press bool) time.Duration {
+	type on struct {
+		c   model.Cell
+		end time.Duration
+	}
+	running := map[model.MachineID][]on{}
+	sp := r.spec(1, model.Urgent, 1)
+	next := int32(0)
+	began := r.now
+	for r.now < began+3*time.Minute {
+		for len(r.s.queue[groupKey{1, model.None}].list()) < 20 {
+			r.give(sp, next, 100)
+			next++
+		}
+		if press {
+			r.s.Order(r.now, model.Order{Kind: model.First, Job: job})
+		}
+		for id := range model.MachineID(machines) {
+			var cells []model.Cell
+			for i, o := range running[id] {
+				if r.now >= o.end {
+					o.c.Stage, o.c.Cause = model.Exited, model.CauseDone
+					running[id][i] = o
+				}
+				cells = append(cells, o.c)
+			}
+			var left []on
+			for _, o := range running[id] {
+				if o.c.Stage != model.Exited {
+					left = append(left, o)
+				}
+			}
+			running[id] = left
+			for _, c := range r.report(id, 5, cells...) {
+				if c.Verb != model.Launch {
+					continue
+				}
+				if c.Task.Job == job {
+					return r.now - began
+				}
+				running[id] = append(running[id], on{model.Cell{Task: c.Task, Attempt: c.Attempt, Stage: model.Running},
+					r.now + time.Duration(5+c.Task.No%7)*time.Second})
+			}
+			for _, e := range r.s.Events() {
+				if e.Kind == model.Finished {
+					r.s.Order(r.now, model.Order{Kind: model.ClearIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
+				}
+			}
+		}
+		r.now += time.Second
+		r.s.Tick(r.now)
+	}
+	return r.now - began
+}
+
+func (g *group) list() []*task {
+	if g == nil {
+		return nil
+	}
+	return g.tasks
+}
+
+// A task that needs a whole machine never found one, for each hole went to the small ones
+// that waited beside it.
+func TestARoomIsKeptForAJobThatShouldHaveBegun(t *testing.T) {
+	play := func(press bool) time.Duration {
+		r := newRig(t)
+		for id := range model.MachineID(4) {
+			r.own(id, 5, 8)
+			r.report(id, 5)
+		}
+		r.s.Events()
+		sp := r.spec(2, model.Idle, 8)
+		r.give(sp, 0, 1)
+		// The machines are full before the large one is looked at.
+		for no := range int32(40) {
+			r.give(r.spec(1, model.Urgent, 1), 1000+no, 100)
+		}
+		return r.small(4, 2, press)
+	}
+	if d := play(false); d < 3*time.Minute {
+		t.Fatalf("it began after %v by itself: the test shows nothing", d)
+	}
+	if d := play(true); d > 20*time.Second {
+		t.Errorf("it began after %v", d)
+	}
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -115,27 +115,33 @@
 		}
 	}
 	v := &prey{s: s, now: now, at: s.prey[:0]}
+	s.placeFirsts(now, open, v)
 	for _, g := range s.ranked {
 		r := s.rooms(now, g, open)
-		// Each waiting task is tried once a round, whatever evictions put back.
-		for n := len(g.tasks); n > 0 && len(g.tasks) > 0; n-- {
-			m := r.best()
-			if m == nil {
-				if m = s.evict(now, g, v); m == nil {
-					break
-				}
-			}
-			s.putNext(m, g)
-			r.taken()
-		}
+		s.placeGroup(now, g, len(g.tasks), r, v)
 		s.leave(g)
 	}
 	s.prey = v.at
 }
 
+// placeGroup puts up to n of a group's tasks on machines. Each is tried once a round,
+// whatever evictions put back.
+func (s *Shard) placeGroup(now time.Duration, g *group, n int, r *rooms, v *prey) {
+	for ; n > 0 && len(g.tasks) > 0; n-- {
+		m := r.best()
+		if m == nil {
+			if m = s.evict(now, g, v); m == nil {
+				break
+			}
+		}
+		s.putNext(m, g)
+		r.taken()
+	}
+}
+
 func (s *Shard) allows(now time.Duration, g *group, m *machine) bool {
 	s.Stats.Looked++
-	return s.ready(now, m) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap) && !s.shuns(now, g.job, m)
+	return s.ready(now, m) && !m.kept(now, g.job) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap) && !s.shuns(now, g.job, m)
 }
 
 // rooms are the machines with a group's full request free, as a heap: the one
@@ -421,5 +427,6 @@
 	m.wake = true
 	m.runs(t.Spec.Rank)
 	t.slot = sl
+	s.pressed(m, g.job)
 	s.Stats.Placed++
 }
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -57,6 +57,8 @@
 	faultyUntil  time.Duration // held to be faulty
 	refusedUntil time.Duration // it had less room than the books say
 	wake         bool          // has commands that should go out directly
+	keptFor      model.JobID   // no other job's tasks are placed here
+	keptUntil    time.Duration // ... until then
 	patient      time.Duration // not directly before, while it is not fenced
 	probe        bool          // its worker is to be asked, whether there are commands or not
 	deaf         bool          // it did not answer, and the dealer knows
@@ -113,10 +115,11 @@
 	tasks    map[model.Task]*task
 	queue    map[groupKey]*group
 	pending  map[uint64]inFlight
-	asking   int                  // of pending: questions whether a worker hears
-	open     map[model.JobID]bool // the leader's picture of the open jobs, nil: not told yet
-	ranked   []*group             // of queue, by score when all were last placed
-	replan   bool                 // more than machines' room has changed since
+	firsts   map[model.JobID]time.Duration // jobs that should have begun, until when that holds
+	asking   int                           // of pending: questions whether a worker hears
+	open     map[model.JobID]bool          // the leader's picture of the open jobs, nil: not told yet
+	ranked   []*group                      // of queue, by score when all were last placed
+	replan   bool                          // more than machines' room has changed since
 	roomier  []*machine
 	round    uint64              // of placing, from 1
 	prey     []preyAt            // of the last round: its room is used again
@@ -206,6 +209,7 @@
 	case model.EndJob:
 		delete(s.open, o.Job)
 		delete(s.records, o.Job)
+		delete(s.firsts, o.Job)
 		s.endJob(now, o.Job)
 	case model.Reprice:
 		s.reprice(o.Job, o.Price, o.Aim)
@@ -220,6 +224,8 @@
 			return
 		}
 		s.letGo(o.ID, o.Keeper)
+	case model.First:
+		s.press(now, o.Job)
 	case model.Elsewhere:
 		if s.machines[o.ID] == nil {
 			s.moved[o.ID] = o.Keeper
@@ -485,7 +491,7 @@
 			continue
 		}
 		for _, t := range slices.Clone(g.tasks) {
-			if now-t.queued > pinPatience {
+			if now-t.queued > pinPatience && !s.first(now, g.job) {
 				s.dequeue(t)
 				s.release(t, model.CauseStopped)
 			}
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -222,7 +222,7 @@
 		end = now - time.Hour
 	}
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: []dealer.Team{{Limit: teamLimit}, {Limit: teamLimit}}, ChunkSize: 64, BlockSize: blockSize,
-		Progress: time.Second, Ahead: 4, SureLease: c.sureLease(), Tell: c.w.p.budget > 0}, end)
+		Progress: time.Second, Ahead: 4, Begin: 30 * time.Second, SureLease: c.sureLease(), Tell: c.w.p.budget > 0}, end)
 	l.d.SetTypes([]model.MachineType{theType})
 	l.local = l.d.Join(now, c.host)
 	l.drains = l.newDrains()
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -86,7 +86,8 @@
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: n.teams(), ChunkSize: chunkSize(c.ValueKB()),
 		BlockSize: oldBlockSize(c.State.ValueKB), Progress: 2 * time.Second,
 		Ahead: n.set.DealAhead, SureLease: c.SureLease(), Crowd: crowd(c),
-		Tell: len(n.set.Budgets) > 0}, now+max(n.ttl, config.Promise)+time.Second)
+		Begin: n.set.BeginWithin,
+		Tell:  len(n.set.Budgets) > 0}, now+max(n.ttl, config.Promise)+time.Second)
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
 	}
--- a/internal/node/loadlog.go
+++ b/internal/node/loadlog.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"honeylock/internal/core/floor"
 	"honeylock/internal/core/model"
 )
 
@@ -57,6 +58,10 @@
 	p.l.n.log.Info("load", "awaiting", awaiting, "unknown", unknown, "doomed", doomed,
 		"machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "cpus", cpus/1000,
 		"free", free/1000)
+	for _, s := range floor.Danger(p.d.Floors(p.l.n.now())) {
+		p.l.n.log.Warn("jobs wait for too long to begin", "of", p.l.n.floorName(s.Of), "begun", s.Begun, "late", s.Late,
+			"longest", s.Longest)
+	}
 	for _, name := range slices.Sorted(maps.Keys(classes)) {
 		c := classes[name]
 		p.l.n.log.Info("load of a class", "class", p.l.n.names.Classes.Name(name), "jobs", c.jobs, "ending",
