--- a/internal/core/dealer/hears.go
+++ b/internal/core/dealer/hears.go
@@ -87,3 +87,14 @@
 		})
 	}
 }
+
+// Unheard counts the machines that have shown no owner that they hear, two in succession
+// or more.
+func (d *Dealer) Unheard() (n int) {
+	for _, m := range d.byID {
+		if m.toProve() && !m.fenced && !m.gone {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -90,6 +90,12 @@
 		}
 		return float64(faulty)
 	})
+	gauge("machines_unheard", "Machines that report and that nothing shows to hear, on the leader.", func() float64 {
+		if n.lead == nil {
+			return 0
+		}
+		return float64(n.lead.d.Unheard())
+	})
 	leading := func(f func(l *leadership) float64) func() float64 {
 		return func() float64 {
 			if n.lead == nil {
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -24,12 +24,13 @@
 	"honeylock/internal/wire"
 )
 
-// testdata/0.4 holds records and messages as the release in production at the upgrade
-// wrote them, and the description of its messages (docs/upgrade.md).
+// testdata/0.4 and 0.5 hold records and messages as the release in production at the
+// upgrade and the one after it wrote them, and the descriptions of their messages
+// (docs/upgrade.md).
 
 func golden(t *testing.T, name string) []byte {
 	t.Helper()
-	b, err := os.ReadFile(filepath.Join("testdata/0.4", name))
+	b, err := os.ReadFile(filepath.Join("testdata", name))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,27 +57,49 @@
 }
 
 func TestRecordsOfTheReleaseBefore(t *testing.T) {
-	sub := reads[wire.Submission](t, "open.json")
+	sub := reads[wire.Submission](t, "0.4/open.json")
 	if len(sub.Needs()) != 0 || *sub.NameID != "job-000412" || sub.SubmittedMS != 1790000000123 {
 		t.Errorf("%+v", sub)
 	}
-	if f := reads[wire.Final](t, "final.json"); f.Stage != "aborted" || f.AtMS != 0 {
+	if f := reads[wire.Final](t, "0.4/final.json"); f.Stage != "aborted" || f.AtMS != 0 {
 		t.Errorf("%+v", f)
 	}
-	if l := reads[wire.Leader](t, "leader.json"); l.Term != 7 || l.Lease != 99 {
+	if l := reads[wire.Leader](t, "0.4/leader.json"); l.Term != 7 || l.Lease != 99 {
 		t.Errorf("%+v", l)
 	}
-	reads[wire.Term](t, "term.json")
-	if c := reads[wire.Chunk](t, "chunk.json"); !slices.Equal(c.Bits, []byte{0xff, 3}) {
+	reads[wire.Term](t, "0.4/term.json")
+	if c := reads[wire.Chunk](t, "0.4/chunk.json"); !slices.Equal(c.Bits, []byte{0xff, 3}) {
 		t.Errorf("%+v", c)
 	}
 	names := &wire.Names{Types: wire.NewTable(), Zones: wire.NewTable()}
-	ms, err := reads[wire.MachineBlock](t, "machines.json").Decode(names)
+	ms, err := reads[wire.MachineBlock](t, "0.4/machines.json").Decode(names)
 	if err != nil || len(ms) != 2 || ms[0].ID != 64 || !ms[0].Spot || names.Types.Name(ms[0].Type) != "large" {
 		t.Errorf("%+v, %v", ms, err)
 	}
 }
 
+func TestRecordsOfTheLastRelease(t *testing.T) {
+	sub := reads[wire.Submission](t, "0.5/open.json")
+	if !slices.Equal(sub.Needs(), []model.JobID{398, 405}) || *sub.NameID != "job-000420" {
+		t.Errorf("%+v", sub)
+	}
+	if f := reads[wire.Final](t, "0.5/final.json"); f.Stage != "done" || f.AtMS != 1790000009999 {
+		t.Errorf("%+v", f)
+	}
+	if l := reads[wire.Leader](t, "0.5/leader.json"); l.Term != 9 || l.Lease != 101 {
+		t.Errorf("%+v", l)
+	}
+	reads[wire.Term](t, "0.5/term.json")
+	if c := reads[wire.Chunk](t, "0.5/chunk.json"); !slices.Equal(c.Part, []byte{0xff, 3}) || c.From != 11904 {
+		t.Errorf("%+v", c)
+	}
+	names := &wire.Names{Types: wire.NewTable(), Zones: wire.NewTable()}
+	ms, err := reads[wire.MachineBlock](t, "0.5/machines.json").Decode(names)
+	if err != nil || len(ms) != 2 || ms[0].ID != 38 || !ms[0].Spot {
+		t.Errorf("%+v, %v", ms, err)
+	}
+}
+
 // What is new in a record is passed over by the release before, whose records these are:
 // encoding/json skips fields that it does not know, and so does what it used.
 func TestNewRecordsAtTheReleaseBefore(t *testing.T) {
@@ -97,10 +120,14 @@
 	}
 }
 
-var upMessages, downMessages = []string{"hello", "ask"}, []string{"grant", "progress", "give", "reprice"}
+var (
+	upMessages   = []string{"0.4/hello", "0.4/ask", "0.5/hello", "0.5/ask", "0.5/unowned", "0.5/released", "0.5/found"}
+	downMessages = []string{"0.4/grant", "0.4/progress", "0.4/give", "0.4/reprice", "0.5/grant", "0.5/progress",
+		"0.5/give", "0.5/reprice", "0.5/own", "0.5/release"}
+)
 
-// Messages of the release before mean the same here.
-func TestMessagesOfTheReleaseBefore(t *testing.T) {
+// Messages of the releases before mean the same here.
+func TestMessagesOfTheReleasesBefore(t *testing.T) {
 	for _, name := range slices.Concat(upMessages, downMessages) {
 		var m proto.Message = &peerpb.Down{}
 		if slices.Contains(upMessages, name) {
@@ -120,7 +147,7 @@
 	}
 	// A price without a word about aims leaves the aim as it is.
 	var down peerpb.Down
-	if err := proto.Unmarshal(golden(t, "reprice.binpb"), &down); err != nil {
+	if err := proto.Unmarshal(golden(t, "0.4/reprice.binpb"), &down); err != nil {
 		t.Fatal(err)
 	}
 	c := peer.NewCodec(&wire.Names{})
@@ -128,21 +155,37 @@
 	if err != nil || o.Kind != model.Reprice || o.Price != 3000 || o.Aim != model.AimKept {
 		t.Errorf("%+v, %v", o, err)
 	}
-}
-
-// What this release sends is, but for what it doesn't know, the same to the one before.
-func TestMessagesAtTheReleaseBefore(t *testing.T) {
-	var set descriptorpb.FileDescriptorSet
-	if err := proto.Unmarshal(golden(t, "peer.desc.binpb"), &set); err != nil {
+	// A member of the last release tells no session, and its leader asks for none: a
+	// machine is let go of in any case, its worker need not be shown to hear, and nothing
+	// left there is freed by a session.
+	if err := proto.Unmarshal(golden(t, "0.5/release.binpb"), &down); err != nil {
 		t.Fatal(err)
 	}
-	file, err := protodesc.NewFile(set.GetFile()[0], nil)
-	if err != nil {
+	if o, err = c.FromOrder(0, down.GetOrder()); err != nil || o.Kind != model.Release || o.Numbers != (model.Numbers{}) || o.Prove {
+		t.Errorf("%+v, %v", o, err)
+	}
+	var up peerpb.Up
+	if err := proto.Unmarshal(golden(t, "0.5/released.binpb"), &up); err != nil {
 		t.Fatal(err)
 	}
-	for name, c := range map[string]struct {
-		now, before proto.Message
-	}{
+	if e := c.FromEvent(up.GetEvent()); e.Kind != model.Released || e.Session != 0 || e.Held || len(e.Tasks) != 1 {
+		t.Errorf("%+v", e)
+	}
+}
+
+type pairOf struct{ now, before proto.Message }
+
+// What this release sends is, but for what they don't know, the same to those before.
+func TestMessagesAtTheReleasesBefore(t *testing.T) {
+	sameAt(t, "0.5", map[string]pairOf{
+		"Event": {&peerpb.Event{Kind: 5, Machine: 7, Session: 3, Seq: 9}, &peerpb.Event{Kind: 5, Machine: 7}},
+		"Order": {&peerpb.Order{Kind: 10, Id: 7, Prove: true, Session: 3, Seq: 9}, &peerpb.Order{Kind: 10, Id: 7}},
+		"Grant": {&peerpb.Grant{Seq: 5, ForUs: 9, SettledAgeUs: 70, ToldAgeUs: 80},
+			&peerpb.Grant{Seq: 5, ForUs: 9, SettledAgeUs: 70}},
+		"JobProgress": {&peerpb.JobProgress{Job: 4, Version: 7, Waits: true, Doubt: true},
+			&peerpb.JobProgress{Job: 4, Version: 7, Waits: true}},
+	})
+	sameAt(t, "0.4", map[string]pairOf{
 		"Up": {&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: "c2", Release: release}}},
 			&peerpb.Up{Msg: &peerpb.Up_Hello{Hello: &peerpb.Hello{Host: "c2"}}}},
 		"Down": {&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: 5, ForUs: 9, Number: 6, SettledAgeUs: 70}}},
@@ -150,7 +193,20 @@
 		"JobProgress": {&peerpb.JobProgress{Job: 4, Version: 7, Waits: true}, &peerpb.JobProgress{Job: 4, Version: 7}},
 		"Spec":        {&peerpb.Spec{Job: 4, Class: "x", Aimed: true}, &peerpb.Spec{Job: 4, Class: "x"}},
 		"Order":       {&peerpb.Order{Kind: 7, Price: 3, Aim: 2}, &peerpb.Order{Kind: 7, Price: 3}},
-	} {
+	})
+}
+
+func sameAt(t *testing.T, release string, pairs map[string]pairOf) {
+	t.Helper()
+	var set descriptorpb.FileDescriptorSet
+	if err := proto.Unmarshal(golden(t, release+"/peer.desc.binpb"), &set); err != nil {
+		t.Fatal(err)
+	}
+	file, err := protodesc.NewFile(set.GetFile()[0], nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range pairs {
 		desc := file.Messages().ByName(protoreflect.Name(name))
 		as := func(m proto.Message) *dynamicpb.Message {
 			b, err := proto.Marshal(m)
