--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -29,6 +29,7 @@
 	seat   *seat
 	kept   []model.MachineID // of the seat before
 	halt   halt
+	old    bool // says and hears only what release 0.5 does
 	vouch  *pipeline.Voucher
 	doubt  map[model.JobID]bool // told by the leader: waiting jobs, and whether they are in doubt
 }
@@ -135,6 +136,7 @@
 	c.origin = c.w.now
 	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond), promise, 0)
 	c.lead, c.seat = nil, nil
+	c.old = c.w.p.mixed && c.w.rng.IntN(2) == 0
 	c.vouch, c.doubt = pipeline.NewVoucher(c.w.p.vouched()), nil
 	c.tick(c.life)
 }
@@ -421,6 +423,9 @@
 			if o.To == l.local {
 				s.Order(now, o)
 			} else if k := l.links[o.To]; k != nil {
+				if l.c.old || k.peer.c.old {
+					o.Prove, o.Numbers = false, model.Numbers{}
+				}
 				l.down(k, func(st *seat) { st.s.Order(st.c.now(), shift(o, now, st.c.now())) })
 			}
 		}
@@ -516,6 +521,10 @@
 	st := c.seat
 	for _, e := range st.s.Events() {
 		if st.l != nil {
+			if c.old || st.l.c.old {
+				e.Numbers = model.Numbers{}
+				e.Held = e.Held && e.Kind != model.Released
+			}
 			st.up(func(l *lead, k *link) {
 				l.hear(l.c.now(), st.id, e)
 				l.exchange()
@@ -549,8 +558,10 @@
 					age, told, doubt := ln-l.chains.settled(ln), ln-l.fresh, l.chains.tell(ln)
 					l.down(k, func(st *seat) {
 						st.c.vouch.Settled(now - age)
-						st.c.vouch.Told(now - told)
-						st.c.doubt = doubt
+						if !st.c.old && !l.c.old {
+							st.c.vouch.Told(now - told)
+							st.c.doubt = doubt
+						}
 						st.grants = append(st.grants, ln)
 						st.c.el.Promise(st.c.now() + promise)
 						st.s.Grant(now + d - d/500 - 50*time.Millisecond)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -34,6 +34,7 @@
 	hastyCancel                      bool          // a broken guard: cancelled is said while others may say queued
 	hastyLease                       bool          // a broken guard: leases are taken for over too early
 	believed                         bool          // a broken guard: copies are taken for new
+	mixed                            bool          // some controllers are of release 0.5 as far as others can tell
 	blinks                           bool          // controllers are back within a fraction of a second
 	freeOnLoss                       bool          // a broken guard: a lost shard's machines count as accounted for
 }
