shard: a session's lease runs from its begin; no session frees anything by itself

And workers whose numbers begin anew broke rules with what a later session proved to the leader.

Change: a new session, and the first token shown, count as an answer; the leader no longer frees by session.

--- a/internal/core/dealer/hears.go
+++ b/internal/core/dealer/hears.go
@@ -1,7 +1,6 @@
 package dealer
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -18,33 +17,15 @@
 	unheardEnough = 2
 	// proveTurn is for how long such an owner asks before another one may try.
 	proveTurn = 5 * time.Second
-	// unknownSession: what may be on the machine may be of any session.
-	unknownSession = math.MaxUint64
 )
 
 func (m *machine) toProve() bool { return m.unheard >= unheardEnough }
 
-// newSession takes the session of a report that came in where the machine is not owned.
-// A worker that has begun a session has killed and forgotten what it held, and takes no
-// command of an earlier one; a copy can only be of an earlier one. So what was left there
-// by owners that told their session is nowhere.
-func (d *Dealer) newSession(m *machine, session uint64) {
-	if len(m.groups) > 0 && m.session != unknownSession && session > m.session && !d.suspects[m.ID] {
-		d.resolve(m)
-	}
-}
-
 // letGo notes what its owner told when it let go of a machine.
 func (m *machine) letGo(now time.Duration, e *model.Event) {
 	if !m.fenced {
 		m.unheard++
 	}
-	switch {
-	case e.Session != 0 && m.session != unknownSession:
-		m.session = max(m.session, e.Session)
-	case len(e.Tasks) > 0: // in a session that was not told
-		m.session = unknownSession
-	}
 	if !e.Held {
 		// It was answered until now at the latest.
 		m.lost = max(m.lost, now)
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -47,7 +47,6 @@
 	fenced     bool                // by its present owner
 	unheard    int                 // owners in succession that let go without having fenced it
 	ownedAt    time.Duration       // its owner was told
-	session    uint64              // what groups may have there is of this session or an earlier one
 	movedTo    model.ShardID       // its worker was told to report there
 	movedAt    time.Duration
 }
@@ -81,7 +80,6 @@
 			}
 			g.machines[m.ID] = true
 			m.groups = append(m.groups, g)
-			m.session = unknownSession
 		}
 	}
 	for _, j := range d.sortedJobs() {
@@ -135,7 +133,7 @@
 		}
 	}
 	groups := m.groups
-	m.groups, m.session = nil, 0
+	m.groups = nil
 	for _, g := range groups {
 		delete(g.machines, m.ID)
 		d.settle(g)
@@ -231,8 +229,7 @@
 	if d.machines[m.ID] != nil {
 		return
 	}
-	r := &machine{Machine: m, recorded: true, stored: true, recordedIn: layout, authority: d.oldEnd,
-		session: unknownSession}
+	r := &machine{Machine: m, recorded: true, stored: true, recordedIn: layout, authority: d.oldEnd}
 	if t, ok := d.types[m.Type]; ok {
 		r.Cap, r.FetchRate = t.Cap, t.FetchRate
 	}
@@ -353,7 +350,6 @@
 	r := e.Report
 	m := d.machines[r.Machine.ID]
 	if m != nil {
-		d.newSession(m, e.Session)
 		d.arrived(now, m, from)
 		if m.owner == 0 {
 			m.Addr = r.Machine.Addr
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -99,7 +99,7 @@
 	Held  bool
 	Tasks []Task      // Released: tasks that were on the machine
 	On    []OnMachine // Looked
-	// Unowned: of the report. Released: the session in which tasks may be there; 0: not known.
+	// Unowned: of the report.
 	Numbers
 	Ran time.Duration // Finished: it was seen running for so long; 0: not known. Idled: so much is lost
 }
--- a/internal/core/shard/hears.go
+++ b/internal/core/shard/hears.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// mayLast takes a session that may have begun just now: its lease runs from its begin,
+// whether a report of it has been answered or not. A launch that went straight to the
+// worker would else be taken for over while it ran, if no report came through.
+func (s *Shard) mayLast(now time.Duration, m *machine) {
+	m.answered = max(m.answered, now)
+	s.heard(m)
+}
+
 // deafSession takes a new session of a worker that was fenced. It ends for want of
 // answers: one that was given a moment ago has not arrived.
 func (s *Shard) deafSession(now time.Duration, m *machine) {
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -243,6 +243,7 @@
 		// The worker has killed and forgotten all of its earlier session.
 		s.deafSession(now, m)
 		s.loseAll(now, m)
+		s.mayLast(now, m)
 	}
 	if isReport {
 		m.reported = r.Seq
@@ -280,6 +281,7 @@
 	}
 	if !m.fenced {
 		m.fenced = true
+		s.mayLast(now, m)
 		s.hears(m)
 		s.replan = true
 		s.emit(model.Event{Kind: model.Fenced, Machine: m.ID})
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -270,10 +270,7 @@
 func (s *Shard) letGo(id model.MachineID, keeper string) {
 	e := model.Event{Kind: model.Released, Machine: id}
 	if m := s.machines[id]; m != nil {
-		e.Held = !m.spoke
-		if m.fenced {
-			e.Session = m.session
-		}
+		e.Held = !m.spoke && !m.fenced // it launched nothing either, and renewed nothing
 		for _, sl := range slices.Clone(m.slots) {
 			switch t := sl.t; {
 			case t == nil || t.slot != sl:
--- a/internal/core/sim/troubles_test.go
+++ b/internal/core/sim/troubles_test.go
@@ -96,6 +96,49 @@
 	w.after(w.between(5*time.Second, 40*time.Second), w.blinks)
 }
 
+// cutOffs has controllers lose the state service and the others, but not their workers:
+// one, or two at once, the leader among them or not.
+func (w *world) cutOffs() {
+	if w.now > w.p.length-30*time.Second {
+		return
+	}
+	d := w.between(500*time.Millisecond, 30*time.Second)
+	for range 1 + w.rng.IntN(2) {
+		c := w.ctls[w.rng.IntN(len(w.ctls))]
+		w.note("fault: %s loses all but its workers for %v", c.host, d)
+		w.cutFor(c.host, "store", d)
+		for _, o := range w.ctls {
+			if o != c {
+				w.cutFor(c.host, o.host, d)
+			}
+		}
+	}
+	w.troubled(d)
+	w.after(w.between(10*time.Second, 60*time.Second), w.cutOffs)
+}
+
+// backAtOnce has machines be back within a fraction of a second: with all they had, with
+// their next session, without their tasks, or with numbers that begin anew.
+func (w *world) backAtOnce() {
+	if w.now > w.p.length-30*time.Second {
+		return
+	}
+	m := w.workers[w.rng.IntN(len(w.workers))]
+	m.hungUntil = max(m.hungUntil, w.now+w.between(50*time.Millisecond, 900*time.Millisecond))
+	switch []int{0, 3}[w.rng.IntN(2)] {
+	case 0:
+		m.nextSession()
+	case 1:
+		m.cells = map[key]*attempt{}
+	case 2:
+		m.nextSession()
+		m.session, m.seq, m.token = 1, 0, 0
+	}
+	w.note("fault: %s is back at once, session %d, message %d", m.host, m.session, m.seq)
+	w.troubled(time.Second)
+	w.after(w.between(2*time.Second, 20*time.Second), w.backAtOnce)
+}
+
 // known is for how long a job may be asked about in vain once all troubles are over.
 const known = 75 * time.Second
 
@@ -133,6 +176,7 @@
 	long.oneWay, long.copies, long.blinks, long.rest = true, true, true, 8*time.Minute
 	mixed, chains := troubled(), bushy()
 	mixed.mixed = true
+	chains.rest = 10 * time.Minute // outages take most of such a day
 	chains.mixed, chains.oneWay, chains.copies, chains.blinks, chains.slowDooms = true, true, true, true, time.Second
 	for name, p := range map[string]params{"short lease": troubled(), "long lease": long, "two releases": mixed,
 		"two releases, chains": chains} {
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -298,6 +298,8 @@
 	}
 	if w.p.blinks {
 		w.after(12*time.Second, w.blinks)
+		w.after(15*time.Second, w.cutOffs)
+		w.after(10*time.Second, w.backAtOnce)
 	}
 	if w.p.drains {
 		w.after(5*time.Second, func() { w.operator(0) })
