shard: an attempt is cleared, or placed anew, only once its worker refuses its launch

Cause: a request that was carried out may come once more.

Change: clears wait until the worker has shown a token above that of any direct launch; it is asked for at most each half of a lease, and a new token alone has nothing placed anew.

--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -86,10 +86,9 @@
 	}
 	for _, sl := range sent.launched {
 		sl.direct--
-		if r == nil {
-			// It may be executed minutes later, as long as token and session match.
-			sl.doubt = max(sl.doubt, d.Token)
-		}
+		// It may be executed minutes later, or once more, as long as token and session match.
+		sl.doubt = max(sl.doubt, d.Token)
+		sl.unsure = sl.unsure || r == nil
 	}
 	m := s.machines[d.Machine]
 	if m == nil || m != sent.m {
--- a/internal/core/shard/hears_test.go
+++ b/internal/core/shard/hears_test.go
@@ -230,3 +230,47 @@
 		}
 	}
 }
+
+// A launch that was carried out may come once more. An attempt that its worker has been told
+// to forget would begin anew by it, so it is cleared only once the worker refuses the launch.
+func TestAnAttemptIsClearedOnceItsLaunchIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.ask(func(d Direct) (*model.Report, bool) {
+		r.seq++
+		return r.old(1, 1, r.seq, d.Token, cell(1, 0, 1001, model.Running, 0)), true
+	})
+	done := cell(1, 0, 1001, model.Exited, model.CauseDone)
+	r.report(1, 5, done)
+	r.s.Order(r.now, model.Order{Kind: model.ClearIt, ID: 1, Task: done.Task, Attempt: 1001})
+	if c := r.report(1, 5, done); len(c) != 0 {
+		t.Fatalf("%v, though the launch may come once more", c)
+	}
+	if e := r.events(model.NeedToken); len(e) != 1 {
+		t.Fatalf("%+v, want a higher token asked for, once", e)
+	}
+	r.own(1, 6, 8)
+	if c := r.report(1, 5, done); len(c) != 0 {
+		t.Fatalf("%v before the token is shown", c)
+	}
+	if c := r.report(1, 6, done); len(c) != 1 || c[0].Verb != model.Clear {
+		t.Fatalf("%v, want it cleared", c)
+	}
+	// One that a machine has lost, without a new session, is not placed anew before that.
+	r.give(r.spec(1, model.Standard, 2), 1, 10)
+	r.ask(func(d Direct) (*model.Report, bool) {
+		r.seq++
+		return r.old(1, 1, r.seq, d.Token, cell(1, 1, 1002, model.Running, 0)), true
+	})
+	r.report(1, 6)
+	if len(r.s.ofJob[1]) != 1 || r.s.ofJob[1][0].attempt != 1002 {
+		t.Fatal("placed anew while its launch may begin it")
+	}
+	r.own(1, 7, 8)
+	r.report(1, 7)
+	if len(r.s.ofJob[1]) != 1 || r.s.ofJob[1][0].attempt == 1002 {
+		t.Fatal("not placed anew")
+	}
+}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -33,7 +33,8 @@
 	sent     bool
 	sentSeq  uint64 // the report in whose answer the launch last went out
 	direct   int    // direct commands in flight that carry the launch
-	doubt    uint64 // token of a direct launch that went unanswered
+	doubt    uint64 // token of the newest direct launch: it may arrive once more
+	unsure   bool   // one went unanswered
 	stop     bool
 	grace    time.Duration
 	hardAt   time.Duration // a saving task is ended then
@@ -353,6 +354,10 @@
 	case exited: // cleared
 		s.drop(now, sl)
 	case live: // the worker knew it and knows it no more
+		if sl.doubt != 0 && r.Token <= sl.doubt {
+			s.wantToken(sl.m) // its launch, repeated, would begin it anew
+			return
+		}
 		s.drop(now, sl)
 		s.landed(now, sl, model.CauseStopped)
 	case starting:
@@ -371,7 +376,7 @@
 			s.drop(now, sl)
 			s.landed(now, sl, model.CauseStopped)
 		} else if over {
-			sl.sent, sl.doubt, sl.sentSeq = false, 0, 0
+			sl.sent, sl.doubt, sl.sentSeq, sl.unsure = false, 0, 0, false
 		}
 	}
 }
@@ -392,10 +397,14 @@
 	for _, sl := range m.slots {
 		switch {
 		case sl.state == exited:
-			if sl.clear && (sl.doubt == 0 || m.shown > sl.doubt) && sl.direct == 0 {
+			switch {
+			case !sl.clear:
+			case (sl.doubt == 0 || m.shown > sl.doubt) && sl.direct == 0:
 				cmds = append(cmds, model.Command{Verb: model.Clear, Task: sl.task, Attempt: sl.attempt})
-			} else if sl.clear && sl.doubt != 0 {
+			case sl.unsure:
 				s.wantToken(m)
+			case sl.doubt != 0:
+				s.raise(now, m)
 			}
 		case sl.stop:
 			g := sl.grace
@@ -427,6 +436,17 @@
 	return cmds
 }
 
+// raise asks for a higher token, so that attempts which were launched directly can be
+// cleared: a worker that knows an attempt no more begins it anew if the launch comes once
+// more under a token that still stands. The worker reports such a change at once, but not
+// more often than each half of its lease; until then what has exited takes no room.
+func (s *Shard) raise(now time.Duration, m *machine) {
+	if m.token == m.shown && (m.raised == 0 || now-m.raised >= s.p.SureLease/2) {
+		m.raised = now
+		s.emit(model.Event{Kind: model.NeedToken, Machine: m.ID})
+	}
+}
+
 func (s *Shard) wantToken(m *machine) {
 	if !m.needToken && m.token == m.shown {
 		m.needToken = true
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -42,6 +42,7 @@
 	passedSeq    uint64        // the report that showed the last of them
 	asks         int           // questions in succession without an answer
 	refence      bool          // the token to come is the one to be shown
+	raised       time.Duration // a higher token was last asked for to clear attempts
 	answered     time.Duration
 	silent       bool
 	told         time.Duration // silence last told to the dealer
@@ -323,6 +324,7 @@
 		i, _ := slices.BinarySearchFunc(s.order, m, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
 		s.order = slices.Insert(s.order, i, m)
 	}
+	s.replan = s.replan || !m.fenced || m.Machine != o.Machine || m.usable != o.Usable || m.needToken
 	m.anew = m.anew || m.Machine != o.Machine
 	m.Machine = o.Machine
 	m.token = max(m.token, o.Token)
@@ -332,7 +334,6 @@
 	}
 	m.usable = o.Usable
 	m.wake, m.patient = true, 0
-	s.replan = true
 }
 
 func (s *Shard) give(now time.Duration, d model.Deal) {
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -498,6 +498,9 @@
 			}
 		}
 		m := c.w.workers[d.Machine]
+		if c.w.p.copies {
+			c.w.repeatOf(func() { m.direct(d.Token, d.Session, d.Commands, func(*model.Report, bool) {}) })
+		}
 		c.w.send(c.host, m.host, false, func() {
 			m.direct(d.Token, d.Session, d.Commands, func(r *model.Report, ok bool) {
 				c.w.send(m.host, c.host, false, func() { finish(r, ok) })
--- a/internal/core/sim/troubles_test.go
+++ b/internal/core/sim/troubles_test.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// repeatOf has a request that was perhaps carried out come again, late.
+func (w *world) repeatOf(deliver func()) {
+	if w.now > w.p.length || w.rng.IntN(10) > 0 {
+		return
+	}
+	d := w.between(time.Second, 3*w.p.lease)
+	w.troubled(d)
+	w.after(d, deliver)
+}
+
 // blinks has controllers that end be back within a fraction of a second, one or all,
 // once or twice in succession.
 func (w *world) blinks() {
