--- a/internal/core/shard/hears_test.go
+++ b/internal/core/shard/hears_test.go
@@ -248,6 +248,14 @@
 	if c := r.report(1, 5, done); len(c) != 0 {
 		t.Fatalf("%v, though the launch may come once more", c)
 	}
+	if e := r.events(model.NeedToken); len(e) != 0 {
+		t.Fatal("a higher token is asked for at once, for one attempt")
+	}
+	if b := r.s.brief(r.now, r.s.machines[1]); b.slots != 0 {
+		t.Fatal("the machine counts as in use")
+	}
+	r.now += unclearedFor
+	r.report(1, 5, done)
 	if e := r.events(model.NeedToken); len(e) != 1 {
 		t.Fatalf("%+v, want a higher token asked for, once", e)
 	}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -91,9 +91,6 @@
 	}
 	s.cut(sl)
 	m.leveled = 0
-	if len(m.slots) == 0 {
-		m.idleSince = now
-	}
 }
 
 // free gives an attempt's room back to its machine.
@@ -388,6 +385,7 @@
 		return nil
 	}
 	var cmds []model.Command
+	kept := 0
 	room := m.Cap
 	for _, sl := range m.slots {
 		if sl.state != exited && sl.sent {
@@ -404,7 +402,7 @@
 			case sl.unsure:
 				s.wantToken(m)
 			case sl.doubt != 0:
-				s.raise(now, m)
+				kept++
 			}
 		case sl.stop:
 			g := sl.grace
@@ -433,15 +431,30 @@
 			cmds = append(cmds, model.Command{Verb: model.Launch, Task: sl.task, Attempt: sl.attempt})
 		}
 	}
+	s.raise(now, m, kept)
 	return cmds
 }
 
+// Attempts that are kept though they could be cleared: until they are so many, or have
+// waited for so long. Each raised token costs a report of its own.
+const (
+	mostUncleared = 16
+	unclearedFor  = 90 * time.Second
+)
+
 // raise asks for a higher token, so that attempts which were launched directly can be
 // cleared: a worker that knows an attempt no more begins it anew if the launch comes once
-// more under a token that still stands. The worker reports such a change at once, but not
-// more often than each half of its lease; until then what has exited takes no room.
-func (s *Shard) raise(now time.Duration, m *machine) {
-	if m.token == m.shown && (m.raised == 0 || now-m.raised >= s.p.SureLease/2) {
+// more under a token that still stands. What has exited takes no room meanwhile.
+func (s *Shard) raise(now time.Duration, m *machine, kept int) {
+	if kept == 0 {
+		m.unclearedSince = 0
+		return
+	}
+	if m.unclearedSince == 0 {
+		m.unclearedSince = now
+	}
+	if m.token == m.shown && (kept >= mostUncleared || now-m.unclearedSince >= unclearedFor) &&
+		(m.raised == 0 || now-m.raised >= s.p.SureLease/2) {
 		m.raised = now
 		s.emit(model.Event{Kind: model.NeedToken, Machine: m.ID})
 	}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -25,50 +25,52 @@
 
 type machine struct {
 	model.Machine
-	token, shown uint64
-	first        uint64 // the token whose showing fences the worker
-	fenced       bool
-	usable       bool
-	session, seq uint64
-	reported     uint64        // of session: the newest report, answers to direct commands left out
-	asked        time.Duration // the last answer to a direct command came
-	askStale     time.Duration // not to be asked before because of reports that are not new
-	spoke        bool          // this shard has answered it
-	offered      time.Duration // the first answer that bore the token to be shown, 0: none
-	vain         bool          // a question went unanswered since
-	prove        bool          // to be answered only once it is shown to hear
-	dumb         bool          // fenced, and does not hear: it gets nothing new
-	passed       int           // answers in succession whose launches it passed over
-	passedSeq    uint64        // the report that showed the last of them
-	asks         int           // questions in succession without an answer
-	refence      bool          // the token to come is the one to be shown
-	raised       time.Duration // a higher token was last asked for to clear attempts
-	answered     time.Duration
-	silent       bool
-	told         time.Duration // silence last told to the dealer
-	slots        slots
-	used         model.Resources // of all slots not exited, reservations included
-	images       map[model.Name]bool
-	noticeAt     time.Duration // 0: none
-	inFlight     int
-	quietUntil   time.Duration
-	needToken    bool
-	idleSince    time.Duration
-	errors       []jobError
-	faultyUntil  time.Duration // held to be faulty
-	refusedUntil time.Duration // it had less room than the books say
-	wake         bool          // has commands that should go out directly
-	keptFor      model.JobID   // no other job's tasks are placed here
-	keptUntil    time.Duration // ... until then
-	patient      time.Duration // not directly before, while it is not fenced
-	probe        bool          // its worker is to be asked, whether there are commands or not
-	deaf         bool          // it did not answer, and the dealer knows
-	roomier      bool          // has had room freed since waiting tasks were placed
-	last         brief         // as last told to the dealer
-	anew         bool          // more has changed since than that
-	leveled      uint64        // round in which lowest and busy were looked up
-	lowest       model.Rank
-	busy         bool
+	token, shown   uint64
+	first          uint64 // the token whose showing fences the worker
+	fenced         bool
+	usable         bool
+	session, seq   uint64
+	reported       uint64        // of session: the newest report, answers to direct commands left out
+	asked          time.Duration // the last answer to a direct command came
+	askStale       time.Duration // not to be asked before because of reports that are not new
+	spoke          bool          // this shard has answered it
+	offered        time.Duration // the first answer that bore the token to be shown, 0: none
+	vain           bool          // a question went unanswered since
+	prove          bool          // to be answered only once it is shown to hear
+	dumb           bool          // fenced, and does not hear: it gets nothing new
+	passed         int           // answers in succession whose launches it passed over
+	passedSeq      uint64        // the report that showed the last of them
+	asks           int           // questions in succession without an answer
+	refence        bool          // the token to come is the one to be shown
+	raised         time.Duration // a higher token was last asked for to clear attempts
+	unclearedSince time.Duration // attempts that could be cleared are kept since, 0: there are none
+	inUse          bool          // has attempts besides those that only wait to be cleared
+	answered       time.Duration
+	silent         bool
+	told           time.Duration // silence last told to the dealer
+	slots          slots
+	used           model.Resources // of all slots not exited, reservations included
+	images         map[model.Name]bool
+	noticeAt       time.Duration // 0: none
+	inFlight       int
+	quietUntil     time.Duration
+	needToken      bool
+	idleSince      time.Duration
+	errors         []jobError
+	faultyUntil    time.Duration // held to be faulty
+	refusedUntil   time.Duration // it had less room than the books say
+	wake           bool          // has commands that should go out directly
+	keptFor        model.JobID   // no other job's tasks are placed here
+	keptUntil      time.Duration // ... until then
+	patient        time.Duration // not directly before, while it is not fenced
+	probe          bool          // its worker is to be asked, whether there are commands or not
+	deaf           bool          // it did not answer, and the dealer knows
+	roomier        bool          // has had room freed since waiting tasks were placed
+	last           brief         // as last told to the dealer
+	anew           bool          // more has changed since than that
+	leveled        uint64        // round in which lowest and busy were looked up
+	lowest         model.Rank
+	busy           bool
 }
 
 type task struct {
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -34,8 +34,24 @@
 }
 
 func (s *Shard) brief(now time.Duration, m *machine) brief {
+	n := m.inUseBy()
+	if n == 0 && m.inUse {
+		m.idleSince = now
+	}
+	m.inUse = n > 0
 	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m), draining: m.noticeAt != 0 || m.dumb || s.mute(now, m),
-		faulty: now < m.faultyUntil, slots: len(m.slots), idleSince: m.idleSince}
+		faulty: now < m.faultyUntil, slots: n, idleSince: m.idleSince}
+}
+
+// inUseBy counts the attempts that are on the machine, or that it is still to tell of:
+// those that only wait to be cleared are neither.
+func (m *machine) inUseBy() (n int) {
+	for _, sl := range m.slots {
+		if sl.state != exited || !sl.clear {
+			n++
+		}
+	}
+	return n
 }
 
 func (m *machine) summary(b brief) model.MachineStatus {
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -34,7 +34,8 @@
 	reports             uint64
 	hungUntil           time.Duration
 	results             map[model.Task]bool
-	dead                bool // given back
+	dead                bool          // given back
+	unheard             time.Duration // its reports get lost until then, its answers to commands don't
 }
 
 func newMachine(w *world, id model.MachineID, zone int) *machine {
@@ -149,6 +150,9 @@
 			c.onReport(&copied, func(bool, uint64, []model.Command, string) {})
 		})
 	}
+	if w.now < m.unheard {
+		return
+	}
 	w.send(m.host, c.host, false, func() {
 		c.onReport(r, func(ok bool, token uint64, cmds []model.Command, keeper string) {
 			w.send(c.host, m.host, false, func() { m.answered(no, sent, r.Session, ok, token, cmds, keeper) })
