fleet: a zone that is silent is a cut, and not given back after 90 s

Machines are given back after 90 s of silence as before, those of a zone that is mostly silent after 5 min. Reports with many ended attempts have their token raised at once: 64 KiB is all they may hold.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -399,16 +399,21 @@
 // went silent for good, and those that stand idle.
 func (f *Fleet) surplus(now time.Duration, status []model.MachineStatus, rooms []room, slackening bool) []model.MachineID {
 	var out []model.MachineID
+	cut := f.cutZones()
 	for id, u := range f.units {
 		if u.drop {
 			continue
 		}
 		t := f.typeOf(u.typ)
+		patience := silentLong
+		if cut[u.zone] {
+			patience = cutLong
+		}
 		switch {
 		case u.failed,
 			!u.heard && t != nil && now-max(u.since, f.p.Began) > 4*t.Boot+20*time.Second,
 			u.silent != 0 && now-u.silent > 20*time.Second && now-u.listed > 2*f.p.ListLag,
-			u.silent != 0 && now-u.silent > 90*time.Second:
+			u.silent != 0 && now-u.silent > patience:
 			out = append(out, id)
 		}
 	}
--- a/internal/core/fleet/giveup.go
+++ b/internal/core/fleet/giveup.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"honeylock/internal/core/model"
 )
@@ -48,3 +49,29 @@
 	}
 	return ids
 }
+
+const (
+	// silentLong: a machine that is silent for so long is given back.
+	silentLong = 90 * time.Second
+	// cutLong is the same where most of a zone is: that is a cut, not machines, and they
+	// come back with it.
+	cutLong = 5 * time.Minute
+)
+
+// cutZones are the zones of which most machines that were ever heard are silent.
+func (f *Fleet) cutZones() map[model.Name]bool {
+	heard, silent := map[model.Name]int{}, map[model.Name]int{}
+	for _, u := range f.units {
+		if u.heard && !u.drop {
+			heard[u.zone]++
+			if u.silent != 0 {
+				silent[u.zone]++
+			}
+		}
+	}
+	out := map[model.Name]bool{}
+	for z, n := range silent {
+		out[z] = n >= 3 && 2*n > heard[z]
+	}
+	return out
+}
--- a/internal/core/fleet/giveup_test.go
+++ b/internal/core/fleet/giveup_test.go
@@ -42,3 +42,36 @@
 		})
 	}
 }
+
+// Machines that are silent for long are given back, but not most of a zone: that is a cut,
+// and they come back with it.
+func TestAZoneThatIsSilentIsNotGivenBack(t *testing.T) {
+	for _, c := range []struct {
+		silent int
+		after  time.Duration
+		want   int
+	}{{3, 100 * time.Second, 3}, {8, 100 * time.Second, 0}, {8, 301 * time.Second, 8}} {
+		f := newFleet()
+		var status []model.MachineStatus
+		for id := range model.MachineID(10) {
+			status = append(status, model.MachineStatus{Machine: model.Machine{ID: id, Cap: model.Capacity(8, 0, 32)},
+				Ready: true, Slots: 1})
+		}
+		f.Observe(0, status, func(model.MachineID) bool { return false })
+		f.Observe(time.Second, status, func(id model.MachineID) bool { return int(id) < c.silent })
+		var listed []Listed
+		for id := range model.MachineID(10) {
+			listed = append(listed, Listed{ID: id})
+		}
+		f.List(time.Second+c.after, c.after, listed)
+		got := 0
+		for _, a := range f.Step(time.Second+c.after, status, demand(1, true), noLimit) {
+			if a.Kind == Return {
+				got += len(a.Machine)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%d of 10 silent for %v: %d given back, want %d", c.silent, c.after, got, c.want)
+		}
+	}
+}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -440,6 +440,8 @@
 const (
 	mostUncleared = 16
 	unclearedFor  = 90 * time.Second
+	// A report holds 64 KiB: where many short tasks end, that does not wait.
+	tooManyUncleared = 64
 )
 
 // raise asks for a higher token, so that attempts which were launched directly can be
@@ -453,8 +455,9 @@
 	if m.unclearedSince == 0 {
 		m.unclearedSince = now
 	}
-	if m.token == m.shown && (kept >= mostUncleared || now-m.unclearedSince >= unclearedFor) &&
-		(m.raised == 0 || now-m.raised >= s.p.SureLease/2) {
+	due := (kept >= mostUncleared || now-m.unclearedSince >= unclearedFor) &&
+		(m.raised == 0 || now-m.raised >= s.p.SureLease/2)
+	if m.token == m.shown && (due || kept >= tooManyUncleared) {
 		m.raised = now
 		s.emit(model.Event{Kind: model.NeedToken, Machine: m.ID})
 	}
