--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -438,8 +438,8 @@
 // Attempts that are kept though they could be cleared: until they are so many, or have
 // waited for so long. Each raised token costs a report of its own.
 const (
-	mostUncleared = 16
-	unclearedFor  = 90 * time.Second
+	mostUncleared = 32
+	unclearedFor  = 3 * time.Minute
 	// A report holds 64 KiB: where many short tasks end, that does not wait.
 	tooManyUncleared = 64
 )
