--- a/internal/core/sim/chains_test.go
+++ b/internal/core/sim/chains_test.go
@@ -175,14 +175,12 @@
 // have it.
 func (p *params) vouched() time.Duration { return p.cancel*9/10 - 3*time.Second }
 
-// tell is, for each job that waits, whether it is in doubt.
+// tell is, for each open job, whether it is in doubt.
 func (p *chains) tell(now time.Duration) map[model.JobID]bool {
 	doubted := p.doubts.Take(now, p.g)
 	out := map[model.JobID]bool{}
 	p.l.d.Open(func(id model.JobID, _ uint64, _, _ int) {
-		if p.l.d.Waits(id) {
-			out[id] = doubted[id]
-		}
+		out[id] = doubted[id]
 	})
 	return out
 }
@@ -329,7 +327,7 @@
 // bushy has trees of jobs that are cancelled faster than their records can be ended.
 func bushy() params {
 	p := chained()
-	p.slowDooms, p.rest = 6*time.Second, 4*time.Minute
+	p.slowDooms, p.rest = 6*time.Second, 10*time.Minute // outages take most of such a day
 	return p
 }
 
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -133,6 +133,7 @@
 		}
 		return
 	}
+	w.checkAnswered(u)
 	u.answeredAt = w.now
 	if !u.accepted {
 		u.accepted, u.acceptedAt = true, w.now
--- a/internal/core/sim/troubles_test.go
+++ b/internal/core/sim/troubles_test.go
@@ -157,6 +157,14 @@
 // known is for how long a job may be asked about in vain once all troubles are over.
 const known = 75 * time.Second
 
+// checkAnswered: a question about an accepted job is answered in time once all troubles,
+// which begin before the day's end, are over.
+func (w *world) checkAnswered(u *user) {
+	if from := max(u.answeredAt, w.calm, w.p.length); u.accepted && w.p.rest > known && w.now-from > known {
+		w.fail("forgotten", "job %d was not answered about for %v", u.spec.ID, w.now-from)
+	}
+}
+
 // checkKnown looks, at the end, at every accepted job: it was answered about lately, and
 // has run if nobody cancelled it.
 func (w *world) checkKnown() {
@@ -191,7 +199,6 @@
 	long.oneWay, long.copies, long.blinks, long.rest = true, true, true, 8*time.Minute
 	mixed, chains := troubled(), bushy()
 	mixed.mixed = true
-	chains.rest = 10 * time.Minute // outages take most of such a day
 	chains.mixed, chains.oneWay, chains.copies, chains.blinks, chains.slowDooms = true, true, true, true, time.Second
 	for name, p := range map[string]params{"short lease": troubled(), "long lease": long, "two releases": mixed,
 		"two releases, chains": chains} {
