shard, dealer, node: one order of messages, one way to ask for a token, one to wait; tidy

No behaviour changed: a report's numbers are compared in one place, wantToken and reborn ask alike, reports wait for news of their machine in one function, the simulation cuts a controller off in one; comments and lines put right.

--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -239,9 +239,6 @@
 		if owner {
 			d.alive(m)
 			m.fenced, m.unheard = true, 0
-		}
-		if owner {
-			m.silent = false
 			d.resolve(m)
 		}
 	case model.Heard:
@@ -314,7 +311,8 @@
 		if j.trouble.broken { // no machine is rented for it
 			open = int32(len(j.held))
 		}
-		out = append(out, Need{Spec: j.spec, Open: open, Held: int32(len(j.held)), Within: j.within, Since: j.since, Late: j.late})
+		out = append(out, Need{Spec: j.spec, Open: open, Held: int32(len(j.held)), Within: j.within, Since: j.since,
+			Late: j.late})
 	}
 	return out
 }
--- a/internal/core/dealer/hears_test.go
+++ b/internal/core/dealer/hears_test.go
@@ -11,8 +11,9 @@
 // let go of it.
 func (r *rig) comes(now time.Duration, to model.ShardID, session uint64, let model.Event) []model.Order {
 	r.t.Helper()
-	r.d.Event(now, to, model.Event{Kind: model.Unowned, Machine: 1, Numbers: model.Numbers{Session: session, Seq: uint64(now)},
-		Report: &model.Report{Machine: model.Machine{ID: 1, Addr: "x"}}})
+	r.d.Event(now, to, model.Event{Kind: model.Unowned, Machine: 1,
+		Numbers: model.Numbers{Session: session, Seq: uint64(now)},
+		Report:  &model.Report{Machine: model.Machine{ID: 1, Addr: "x"}}})
 	rel := r.orders(model.Release)
 	if len(rel) != 1 || rel[0].Seq != uint64(now) {
 		r.t.Fatalf("%+v, want it asked for under the report's numbers", rel)
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -225,9 +225,12 @@
 
 // Newer orders messages of one worker.
 func (r *Report) Newer(session, seq uint64) bool {
-	return r.Session > session || r.Session == session && r.Seq > seq
+	return !(Numbers{session, seq}).Covers(r.Numbers())
 }
 
+// Numbers of the report.
+func (r *Report) Numbers() Numbers { return Numbers{r.Session, r.Seq} }
+
 // Verb of a command.
 type Verb uint8
 
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -121,7 +121,7 @@
 	case !m.fenced:
 		// Said on a connection that was opened to it, so it holds, whatever copies told.
 		s.take(now, m, r, false)
-	case r.Token < m.first || sent.seen.Covers(model.Numbers{Session: r.Session, Seq: r.Seq}):
+	case r.Token < m.first || sent.seen.Covers(r.Numbers()):
 		s.reborn(m, r)
 	case r.Newer(m.session, m.seq):
 		s.take(now, m, r, false)
--- a/internal/core/shard/hears.go
+++ b/internal/core/shard/hears.go
@@ -34,8 +34,8 @@
 	askPart = 4
 )
 
-// fresh tells whether a report is newer than the last one. old: its numbers are such as
-// a worker that has begun anew would have, or a copy.
+// fresh tells whether a report is newer than the last one: else it is a copy, or its
+// worker has begun its numbers anew.
 func (s *Shard) fresh(now time.Duration, m *machine, r *model.Report) bool {
 	if !m.fenced {
 		return r.Newer(m.session, m.reported)
@@ -136,8 +136,5 @@
 	}
 	m.fenced, m.first, m.refence = false, math.MaxUint64, true
 	m.session, m.seq, m.reported = r.Session, r.Seq, 0
-	if !m.needToken {
-		m.needToken = true
-		s.emit(model.Event{Kind: model.NeedToken, Machine: m.ID})
-	}
+	s.askToken(m)
 }
--- a/internal/core/shard/hears_test.go
+++ b/internal/core/shard/hears_test.go
@@ -11,7 +11,8 @@
 
 // old is a message of the worker's, not necessarily a new one.
 func (r *rig) old(id model.MachineID, session, seq, token uint64, cells ...model.Cell) *model.Report {
-	return &model.Report{Machine: model.Machine{ID: id}, Session: session, Seq: seq, Token: token, Notice: -1, Cells: cells}
+	return &model.Report{Machine: model.Machine{ID: id}, Session: session, Seq: seq, Token: token, Notice: -1,
+		Cells: cells}
 }
 
 // ask lets the shard send its direct commands and answers each with f.
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -11,7 +11,8 @@
 )
 
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && !m.silent && !m.dumb && m.noticeAt == 0 && now >= m.faultyUntil && now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
+	return m.fenced && m.usable && !m.silent && !m.dumb && m.noticeAt == 0 && now >= m.faultyUntil &&
+		now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
 }
 
 // level is the lowest priority that runs on the machine. A machine that runs
@@ -141,7 +142,8 @@
 
 func (s *Shard) allows(now time.Duration, g *group, m *machine) bool {
 	s.Stats.Looked++
-	return s.ready(now, m) && !m.kept(now, g.job) && (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap) && !s.shuns(now, g.job, m)
+	return s.ready(now, m) && !m.kept(now, g.job) && (g.zone == model.None || g.zone == m.Zone) &&
+		g.spec.Allows(&m.Machine) && g.spec.Each.Fits(m.Cap) && !s.shuns(now, g.job, m)
 }
 
 // rooms are the machines with a group's full request free, as a heap: the one
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -168,8 +168,7 @@
 		if s.moved[r.Machine.ID] != "" {
 			return false
 		}
-		s.emit(model.Event{Kind: model.Unowned, Machine: r.Machine.ID, Report: r,
-			Numbers: model.Numbers{Session: r.Session, Seq: r.Seq}})
+		s.emit(model.Event{Kind: model.Unowned, Machine: r.Machine.ID, Report: r, Numbers: r.Numbers()})
 		return false
 	}
 	if r.Token > m.token {
@@ -361,14 +360,14 @@
 		if !sl.sent {
 			return
 		}
-		// A direct launch without an answer may yet be executed, until the
-		// worker has seen a higher token than it bears. A launch in an answer
-		// is over once a later report was made.
-		if isReport && sl.sentSeq != 0 && r.Seq > sl.sentSeq {
+		// A direct launch may yet be executed, or once more, until the worker has
+		// seen a higher token than it bears. A launch in an answer is over once a
+		// later report was made.
+		later := isReport && r.Seq > sl.sentSeq
+		if later && sl.sentSeq != 0 {
 			s.passedOver(sl.m, r)
 		}
-		over := sl.direct == 0 && (sl.doubt == 0 || r.Token > sl.doubt) &&
-			(sl.sentSeq == 0 || isReport && r.Seq > sl.sentSeq)
+		over := sl.direct == 0 && (sl.doubt == 0 || r.Token > sl.doubt) && (sl.sentSeq == 0 || later)
 		if over && sl.stop {
 			s.drop(now, sl)
 			s.landed(now, sl, model.CauseStopped)
@@ -463,8 +462,16 @@
 	}
 }
 
+// wantToken asks for a higher token than the one that the worker has shown; until it is
+// there the machine gets nothing new.
 func (s *Shard) wantToken(m *machine) {
-	if !m.needToken && m.token == m.shown {
+	if m.token == m.shown {
+		s.askToken(m)
+	}
+}
+
+func (s *Shard) askToken(m *machine) {
+	if !m.needToken {
 		m.needToken = true
 		s.emit(model.Event{Kind: model.NeedToken, Machine: m.ID})
 	}
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -36,7 +36,7 @@
 func (r *rig) report(id model.MachineID, token uint64, cells ...model.Cell) []model.Command {
 	r.t.Helper()
 	r.seq++
-	rep := &model.Report{Machine: model.Machine{ID: id}, Session: 1, Seq: r.seq, Token: token, Notice: -1, Cells: cells}
+	rep := r.old(id, 1, r.seq, token, cells...)
 	if !r.s.Report(r.now, rep) {
 		r.t.Fatal("report refused")
 	}
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -39,8 +39,8 @@
 		m.idleSince = now
 	}
 	m.inUse = n > 0
-	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m), draining: m.noticeAt != 0 || m.dumb || s.mute(now, m),
-		faulty: now < m.faultyUntil, slots: n, idleSince: m.idleSince}
+	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m),
+		draining: m.noticeAt != 0 || m.dumb || s.mute(now, m), faulty: now < m.faultyUntil, slots: n, idleSince: m.idleSince}
 }
 
 // inUseBy counts the attempts that are on the machine, or that it is still to tell of:
--- a/internal/core/sim/troubles_test.go
+++ b/internal/core/sim/troubles_test.go
@@ -121,12 +121,7 @@
 	for range 1 + w.rng.IntN(2) {
 		c := w.ctls[w.rng.IntN(len(w.ctls))]
 		w.note("fault: %s loses all but its workers for %v", c.host, d)
-		w.cutFor(c.host, "store", d)
-		for _, o := range w.ctls {
-			if o != c {
-				w.cutFor(c.host, o.host, d)
-			}
-		}
+		w.cutOff(c, d)
 	}
 	w.troubled(d)
 	w.after(w.between(10*time.Second, 60*time.Second), w.cutOffs)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -203,6 +203,20 @@
 	w.after(d, func() { w.heal(a, b) })
 }
 
+func (w *world) cutFromSiblings(c *ctl, d time.Duration) {
+	for _, o := range w.ctls {
+		if o != c {
+			w.cutFor(c.host, o.host, d)
+		}
+	}
+}
+
+// cutOff cuts a controller off from all but its workers.
+func (w *world) cutOff(c *ctl, d time.Duration) {
+	w.cutFor(c.host, "store", d)
+	w.cutFromSiblings(c, d)
+}
+
 // faults keeps breaking things at random.
 func (w *world) faults() {
 	if w.now > w.p.length-30*time.Second {
@@ -231,11 +245,7 @@
 		}
 	case 5:
 		w.note("fault: %s is cut from its siblings for %v", c.host, d)
-		for _, o := range w.ctls {
-			if o != c {
-				w.cutFor(c.host, o.host, d)
-			}
-		}
+		w.cutFromSiblings(c, d)
 	case 6:
 		w.note("fault: the store is out")
 		w.store.out = true
@@ -266,12 +276,7 @@
 		w.after(w.between(0, 10*time.Second), func() { o.haltIn(w.rng.IntN(6), w.between(time.Second, 60*time.Second)) })
 	case 8:
 		w.note("fault: %s is cut off for %v", c.host, d)
-		w.cutFor(c.host, "store", d)
-		for _, o := range w.ctls {
-			if o != c {
-				w.cutFor(c.host, o.host, d)
-			}
-		}
+		w.cutOff(c, d)
 	}
 	w.troubled(70 * time.Second)
 	w.after(w.between(2*time.Second, 25*time.Second), w.faults)
--- a/internal/node/floors.go
+++ b/internal/node/floors.go
@@ -26,7 +26,8 @@
 
 func newFloorMetrics(n *Node) *floorMetrics {
 	return &floorMetrics{n, prometheus.NewDesc("honeylock_begun_share",
-		"Part of the jobs that have begun, of those that have or should have, by what they have in common.", []string{"of"}, nil),
+		"Part of the jobs that have begun, of those that have or should have, by what they have in common.",
+		[]string{"of"}, nil),
 		prometheus.NewDesc("honeylock_begin_longest_seconds", "Longest wait of a job to begin, by what they have in common.",
 			[]string{"of"}, nil)}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -90,12 +90,6 @@
 		}
 		return float64(faulty)
 	})
-	gauge("machines_unheard", "Machines that report and that nothing shows to hear, on the leader.", func() float64 {
-		if n.lead == nil {
-			return 0
-		}
-		return float64(n.lead.d.Unheard())
-	})
 	leading := func(f func(l *leadership) float64) func() float64 {
 		return func() float64 {
 			if n.lead == nil {
@@ -104,6 +98,8 @@
 			return f(n.lead)
 		}
 	}
+	gauge("machines_unheard", "Machines that report and that nothing shows to hear, on the leader.",
+		leading(func(l *leadership) float64 { return float64(l.d.Unheard()) }))
 	gauge("drain_plans", "Drain plans under way, on the leader.", leading(func(l *leadership) float64 {
 		plans, _ := l.drains.e.Active()
 		return float64(plans)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -12,7 +12,7 @@
 
 // release is what this program can do beyond 0.4, as controllers tell each other. From
 // 1 on it reads blocks of machines of every size, and knows jobs that await others; from 2
-// on it tells sessions and jobs in doubt.
+// on it tells reports' numbers and jobs in doubt.
 const release = 2
 
 // Keys of the records whose size the state service bounds. Those of 0.4 have a number
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -161,7 +161,8 @@
 	if err := proto.Unmarshal(golden(t, "0.5/release.binpb"), &down); err != nil {
 		t.Fatal(err)
 	}
-	if o, err = c.FromOrder(0, down.GetOrder()); err != nil || o.Kind != model.Release || o.Numbers != (model.Numbers{}) || o.Prove {
+	o, err = c.FromOrder(0, down.GetOrder())
+	if err != nil || o.Kind != model.Release || o.Numbers != (model.Numbers{}) || o.Prove {
 		t.Errorf("%+v, %v", o, err)
 	}
 	var up peerpb.Up
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -366,19 +366,11 @@
 	a, keeper, unowned := n.answer(r)
 	if !a.OK && unowned && (n.lead != nil || n.seat.out != nil) {
 		// The leader is asked whose machine it is; that takes a moment.
-		c := make(chan struct{})
-		n.waits[r.Machine.ID] = append(n.waits[r.Machine.ID], c)
-		n.wait(ctx, c, time.Second)
-		delete(n.waits, r.Machine.ID)
-		a, keeper, _ = n.answer(r)
+		a, keeper = n.answerLater(ctx, r)
 	}
 	if !a.OK && n.seat != nil && n.seat.s.Proving(n.now(), r.Machine.ID) {
 		// Nothing shows that it hears; it is being asked, and mostly answers at once.
-		c := make(chan struct{})
-		n.waits[r.Machine.ID] = append(n.waits[r.Machine.ID], c)
-		n.wait(ctx, c, time.Second)
-		delete(n.waits, r.Machine.ID)
-		a, keeper, _ = n.answer(r)
+		a, keeper = n.answerLater(ctx, r)
 	}
 	if a.OK {
 		return a, "", nil
@@ -394,6 +386,16 @@
 	return a, keeper, nil
 }
 
+// answerLater waits for news of a report's machine, then answers it as answer does.
+func (n *Node) answerLater(ctx context.Context, r *model.Report) (a shard.Answer, keeper string) {
+	c := make(chan struct{})
+	n.waits[r.Machine.ID] = append(n.waits[r.Machine.ID], c)
+	n.wait(ctx, c, time.Second)
+	delete(n.waits, r.Machine.ID)
+	a, keeper, _ = n.answer(r)
+	return a, keeper
+}
+
 // wait lets go of the lock until c is closed or the time is over.
 func (n *Node) wait(ctx context.Context, c <-chan struct{}, d time.Duration) {
 	n.mu.Unlock()
