--- a/internal/core/sim/chains_test.go
+++ b/internal/core/sim/chains_test.go
@@ -313,7 +313,7 @@
 // TestChecksCatchBrokenChains proves the checks.
 func TestChecksCatchBrokenChains(t *testing.T) {
 	for name, breakIt := range map[string]func(*params){
-		"a job that is gone counts as done":        func(p *params) { p.goOnUnasked = true },
+		"a job that is gone counts as done": func(p *params) { p.goOnUnasked = true },
 		// Leaders that are refused alone give up at once here as they do in the node, so only
 		// records that end slowly leave time for it.
 		"what waits is called queued in any event": func(p *params) { p.vouchForEver, p.slowDooms = true, 6*time.Second },
