witness: the picture of open jobs stays young through an outage by what controllers tell

Change: each controller notes a cancellation before it tells a user, and sends what it noted with each question for a grant. A leader that is refused alone gives way only while a sibling is served and it was refused after that. Nothing is rented that could not be put to use, and a machine with 400 attempts to tell of gets no more, for a report holds 64 KiB.

--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -10,8 +10,12 @@
 	"honeylock/internal/core/model"
 )
 
+// mostAttempts is how many attempts a machine may have and still get more: a report holds
+// 64 KiB, and what has ended is told until it is stored, which may take a whole outage.
+const mostAttempts = 400
+
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && !m.silent && !m.dumb && m.noticeAt == 0 && now >= m.faultyUntil &&
+	return m.fenced && m.usable && len(m.slots) < mostAttempts && !m.silent && !m.dumb && m.noticeAt == 0 && now >= m.faultyUntil &&
 		now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
 }
 
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -14,6 +14,7 @@
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/shard"
 	"honeylock/internal/core/standing"
+	"honeylock/internal/core/witness"
 )
 
 // ctl is a controller: the cores wired as the node wires them.
@@ -34,6 +35,7 @@
 	vouch  *pipeline.Voucher
 	doubt  map[model.JobID]bool // told by the leader: waiting jobs, and whether they are in doubt
 	stands standing.Standing    // with the state service
+	told   *witness.Log
 }
 
 // halt is a process that stands still while its clocks run on: what is sent to
@@ -97,9 +99,12 @@
 	newest model.ShardID
 	loaded bool
 	fresh  time.Duration
-	asking bool
-	drains *drains
-	chains *chains
+	// cancels and gone are the picture and gone that the node's dealing has.
+	cancels witness.Picture
+	gone    map[model.JobID]time.Duration
+	asking  bool
+	drains  *drains
+	chains  *chains
 }
 
 const promise = 2500 * time.Millisecond
@@ -111,6 +116,8 @@
 	until   time.Duration
 	heard   time.Duration
 	stateAt time.Duration // the state service last served the member
+	word    witness.Word
+	tells   bool
 	dead    bool
 }
 
@@ -124,6 +131,7 @@
 	asked  time.Duration
 	joined bool
 	grants []time.Duration // sent, by the leader's clock, of those received
+	toldTo int
 }
 
 func newCtl(w *world, i int) *ctl {
@@ -138,7 +146,7 @@
 	c.halt = halt{}
 	c.origin = c.w.now
 	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond), promise, 0)
-	c.lead, c.seat, c.stands = nil, nil, standing.Standing{}
+	c.lead, c.seat, c.stands, c.told = nil, nil, standing.Standing{}, witness.NewLog(0)
 	c.old = c.w.p.mixed && c.w.rng.IntN(2) == 0
 	c.vouch, c.doubt = pipeline.NewVoucher(c.w.p.vouched()), nil
 	c.tick(c.life)
@@ -233,7 +241,9 @@
 		return
 	}
 	c.led = c.el.Term()
-	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{}, hosts: map[string]bool{}, known: map[model.JobID]bool{}, fresh: now}
+	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{}, hosts: map[string]bool{}, known: map[model.JobID]bool{}, fresh: now,
+		gone: map[model.JobID]time.Duration{}}
+	l.cancels.Read(now)
 	c.lead = l
 	c.w.note("%s leads term %d", c.host, l.term)
 	end := now + c.w.p.ttl + time.Second
@@ -297,9 +307,17 @@
 		if !l.loaded && !c.w.p.forgetRecords {
 			l.loadRecords(snap.records)
 		}
+		if told, _ := c.told.From(0); !l.loaded {
+			for _, id := range told {
+				l.gone[id] = now
+			}
+		}
 		known := map[model.JobID]bool{}
 		for id := range c.w.p.jobs {
 			if o, ok := snap.open[model.JobID(id)]; ok {
+				if _, over := l.gone[o.spec.ID]; over {
+					continue
+				}
 				known[o.spec.ID] = true
 				fresh := !l.known[o.spec.ID]
 				l.known[o.spec.ID] = true
@@ -321,6 +339,9 @@
 		l.fresh = asked
 		l.loaded = true
 		l.chains.settle()
+		l.exchange()
+		l.cancels.Read(asked)
+		maps.DeleteFunc(l.gone, func(_ model.JobID, at time.Duration) bool { return at < asked })
 		c.seat.s.Open(l.picture())
 		l.pump()
 	})
@@ -333,7 +354,34 @@
 	return open
 }
 
-func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.fresh+l.c.w.p.deaf) }
+func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.cancels.At()+l.c.w.p.deaf) }
+
+// cancelled takes a controller's word that it told a user of a cancellation.
+func (l *lead) cancelled(now time.Duration, id model.JobID) {
+	if _, known := l.gone[id]; known {
+		return
+	}
+	l.gone[id] = now
+	if l.d.Version(id) != 0 {
+		l.d.Withdrawn(id)
+		l.chains.ended(id, pipeline.Cancelled)
+	}
+}
+
+// listen brings the picture up to what all controllers have told.
+func (l *lead) listen(now time.Duration) {
+	words := map[string]witness.Word{}
+	for _, k := range l.links {
+		if k.tells {
+			words[k.host] = k.word
+		}
+	}
+	if len(words) < len(l.c.w.ctls)-1 || !l.loaded {
+		return
+	}
+	l.exchange()
+	l.cancels.Heard(now, slices.Collect(maps.Values(words)))
+}
 
 func (l *lead) back() {
 	end := map[string]time.Duration{}
@@ -366,12 +414,13 @@
 func (l *lead) tick() {
 	c := l.c
 	now := c.now()
-	if now-l.fresh > c.w.p.deaf {
+	l.listen(now)
+	if now-l.cancels.At() > c.w.p.deaf {
 		c.el.Resign(now, time.Second)
 		c.follow()
 		return
 	}
-	if c.stands.Alone(now, l.servedSibling()) {
+	if c.stands.Yields(now, l.servedSibling()) {
 		c.w.note("%s is refused alone", c.host)
 		c.el.Resign(now, 4*time.Second)
 		c.follow()
@@ -583,16 +632,28 @@
 			status, counts, deals := st.s.Status(now), st.s.Jobs(now), st.s.Deals()
 			served, known := c.stands.Served()
 			stateAge := now - served
+			toldFor, told := now-c.told.Since(), []model.JobID(nil)
+			told, st.toldTo = c.told.From(st.toldTo)
 			st.up(func(l *lead, k *link) {
 				ln := l.c.now()
 				if l.c.el.Leading(ln) {
 					if known {
 						k.stateAt = ln - stateAge
 					}
+					if !l.c.old && !c.old {
+						for _, id := range told {
+							l.cancelled(ln, id)
+						}
+						k.tells, k.word.Since = true, ln-(toldFor-toldFor/500)
+						if n := len(echo); n > 0 {
+							k.word.Until = max(k.word.Until, echo[n-1])
+						}
+					}
 					if n := len(echo); n > 0 {
 						k.promise = max(k.promise, echo[n-1]+promise-promise/200-50*time.Millisecond)
 					}
 					l.back()
+					l.listen(ln)
 					k.until = max(k.until, l.until())
 					d := l.until() - ln
 					age, told, doubt := ln-l.chains.settled(ln), ln-l.fresh, l.chains.tell(ln)
--- a/internal/core/sim/meetings_test.go
+++ b/internal/core/sim/meetings_test.go
@@ -281,7 +281,7 @@
 	for name, breakIt := range map[string]func(*params){
 		"leader cut off":     old,
 		"hand over and back": old,
-		"the gap":            func(p *params) { p.deaf = time.Hour },
+		"the gap":            func(p *params) { p.mum = true },
 		"slow store":         func(p *params) { p.unguarded = true },
 		"tasks far apart":    func(p *params) { p.forgetRecords = true },
 		"old reports":        func(p *params) { p.believed = true },
@@ -297,3 +297,37 @@
 		})
 	}
 }
+
+// TestWorkGoesOnThroughTheGap: while all controllers live and hear each other, what runs goes
+// on through an outage of any length, and what is cancelled goes.
+func TestWorkGoesOnThroughTheGap(t *testing.T) {
+	p := longLease()
+	p.faults, p.apart, p.jobs, p.length, p.rest = false, true, 30, 4*time.Minute, 8*time.Minute
+	for seed := range seeds(3) {
+		w := newWorld(3000+seed, p)
+		w.after(70*time.Second, func() {
+			w.store.refuses[w.leading().host] = w.now + 14*time.Second
+			w.cancelSome(6, 1500*time.Millisecond)
+		})
+		w.after(71500*time.Millisecond, func() { w.store.out = true })
+		w.after(71500*time.Millisecond+p.cancel+p.lease, func() { w.store.back() })
+		w.run()
+		for _, b := range w.broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		for _, m := range w.workers {
+			if m.session > 1 {
+				t.Errorf("seed %d: %s lost all it had: session %d", seed, m.host, m.session)
+			}
+		}
+		gone := 0
+		for _, u := range w.users {
+			if u.ended == jobs.Cancelled {
+				gone++
+			}
+		}
+		if gone == 0 {
+			t.Errorf("seed %d: nothing was cancelled", seed)
+		}
+	}
+}
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -107,6 +107,12 @@
 				}
 				if !answered {
 					answered = true
+					if ans.Stage == jobs.Cancelled && !w.p.mum {
+						c.told.Told(c.now(), u.spec.ID)
+						if c.lead != nil && c.lead.loaded {
+							c.lead.cancelled(c.now(), u.spec.ID)
+						}
+					}
 					w.told(u, k, asked, &before, c.vet(u, ans))
 				}
 			})
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -38,6 +38,7 @@
 	blinks                           bool          // controllers are back within a fraction of a second
 	freeOnLoss                       bool          // a broken guard: a lost shard's machines count as accounted for
 	meets                            meeting       // troubles that meet, again and again; nil: none
+	mum                              bool          // a broken guard: nobody says of which cancellations users were told
 	unguarded                        bool          // a broken guard: writes bear no versions
 	anyToken                         bool          // a broken guard: machines take commands under old tokens
 	apart                            bool          // jobs of few tasks that end far apart, and long ones to cancel
--- a/internal/core/standing/standing.go
+++ b/internal/core/standing/standing.go
@@ -30,6 +30,12 @@
 	// for so long while a sibling's request was served so much later.
 	aloneAfter   = 2500 * time.Millisecond
 	siblingAhead = 1500 * time.Millisecond
+	// yieldAfter is the length of the leader's lease: before that is over nobody else can
+	// have its key.
+	yieldAfter = 3 * time.Second
+	// A sibling was served just now, or (its requests take long, or are few) lately.
+	justNow = 500 * time.Millisecond
+	lately  = 3 * time.Second
 	// enough requests must have failed since: one may have been unlucky.
 	enough = 3
 	// lateBy is how late a timer must fire to show that silence may be this
@@ -42,6 +48,7 @@
 	served  time.Duration // the newest request that was served was sent
 	reached time.Duration // ... that was served, or refused for the rate alone
 	failed  int           // requests sent since reached that were refused or not answered
+	vain    time.Duration // the newest of them was sent
 	excused time.Duration // this process was late then: silence before it proves nothing
 	known   bool          // any request was served
 }
@@ -62,6 +69,7 @@
 	case Refused:
 		if sent > a.reached {
 			a.failed++
+			a.vain = max(a.vain, sent)
 		}
 	}
 }
@@ -93,3 +101,13 @@
 func (a *Standing) Alone(now, sibling time.Duration) bool {
 	return now-a.reached >= aloneAfter && a.failed >= enough && sibling > a.reached+siblingAhead
 }
+
+// Yields tells that a leader that is refused alone should let another lead, as long as that
+// one is served, and this controller was refused after it. For if the service is out for all
+// by now, nobody can lead until it is back, and all that runs would be lost with its leases;
+// and when it is back for all, a sibling may only have asked first.
+func (a *Standing) Yields(now, sibling time.Duration) bool {
+	silent := now - a.reached
+	return a.Alone(now, sibling) && a.vain >= sibling && (silent >= yieldAfter && now-sibling <= justNow ||
+		silent >= 2*yieldAfter && now-sibling <= lately)
+}
--- a/internal/core/standing/standing_test.go
+++ b/internal/core/standing/standing_test.go
@@ -40,6 +40,32 @@
 	}
 }
 
+// TestALeaderYieldsOnlyToOneThatIsServed: refused alone, then out for all, or back for all.
+func TestALeaderYieldsOnlyToOneThatIsServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		at, sibling time.Duration
+		want        bool
+	}{
+		"a sibling is served":                           {13 * time.Second, 12600 * ms, true},
+		"its key can't be free yet":                     {12600 * ms, 12500 * ms, false},
+		"no sibling is served any more":                 {13 * time.Second, 12400 * ms, false},
+		"its siblings ask seldom":                       {16 * time.Second, 13500 * ms, true},
+		"an outage of long":                             {19 * time.Second, 13500 * ms, false},
+		"back for all, and a sibling has asked first":   {19 * time.Second, 18950 * ms, false},
+		"back for the others, and refused after that":   {19 * time.Second, 18600 * ms, true},
+		"a sibling was served before all were, no more": {13 * time.Second, 11 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Standing
+			script(&s, 0, 10*time.Second, Served)
+			script(&s, 10*time.Second, c.at, Refused)
+			if got := s.Yields(c.at, c.sibling); got != c.want {
+				t.Errorf("yields: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // TestOwnSlownessIsNoRefusal: a process that hardly runs reads answers too late, and
 // would give up leadership for that.
 func TestOwnSlownessIsNoRefusal(t *testing.T) {
--- /dev/null
+++ b/internal/core/witness/witness.go
@@ -0,0 +1,95 @@
+// Package witness keeps a leader's picture of the open jobs young while the state service
+// answers nobody: controllers tell the leader of which jobs they told users that they are
+// cancelled. Once all have, whatever users were told before that is known, so the picture is
+// as young as the oldest of their words. It is a state machine without input or output;
+// times are the steady clock's.
+//
+// Only what users were told counts for the rule. A job that is stored as cancelled, and of
+// which nobody was told, may run on until somebody is.
+package witness
+
+import (
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+const (
+	// keptFor is how long a telling is kept for a leader to come: one who lived through a
+	// longer outage than that goes by the state service again.
+	keptFor = 10 * time.Minute
+	most    = 20_000
+)
+
+type telling struct {
+	job model.JobID
+	at  time.Duration
+}
+
+// Log is what one controller has told users in this life.
+type Log struct {
+	since   time.Duration // it is complete from then on
+	dropped int           // tellings that are kept no longer
+	kept    []telling
+	told    map[model.JobID]bool // of kept
+}
+
+// NewLog begins with the controller's life.
+func NewLog(now time.Duration) *Log { return &Log{since: now, told: map[model.JobID]bool{}} }
+
+// Told notes that a user is about to be told that a job is cancelled.
+func (l *Log) Told(now time.Duration, job model.JobID) {
+	if !l.told[job] {
+		l.told[job] = true
+		l.kept = append(l.kept, telling{job, now})
+	}
+	drop := 0
+	for drop < len(l.kept) && (now-l.kept[drop].at > keptFor || len(l.kept)-drop > most) {
+		l.since = l.kept[drop].at + 1
+		delete(l.told, l.kept[drop].job)
+		drop++
+	}
+	l.kept = l.kept[drop:]
+	l.dropped += drop
+}
+
+// Since is the moment from which on nothing is missing.
+func (l *Log) Since() time.Duration { return l.since }
+
+// From returns the jobs told from the n-th telling on, and what to ask from next time.
+func (l *Log) From(n int) (jobs []model.JobID, next int) {
+	for _, t := range l.kept[max(0, n-l.dropped):] {
+		jobs = append(jobs, t.job)
+	}
+	return jobs, l.dropped + len(l.kept)
+}
+
+// Word is how far one controller's tellings are known: all that it told users in between.
+type Word struct {
+	Since, Until time.Duration
+}
+
+// Picture is the moment up to which the leader knows of every cancellation that a user was
+// told of.
+type Picture struct{ at time.Duration }
+
+// At is that moment.
+func (p *Picture) At() time.Duration { return p.at }
+
+// Read takes that the open jobs were read, as of when they were asked for: nobody can have
+// been told of an end that was not stored by then.
+func (p *Picture) Read(asked time.Duration) { p.at = max(p.at, asked) }
+
+// Heard takes the words of all other controllers, and the leader's own, which is always of
+// now. A word that begins later than the picture leaves a gap: its controller may have told
+// anything in an earlier life.
+func (p *Picture) Heard(now time.Duration, words []Word) {
+	until := now
+	for _, w := range words {
+		if w.Since > p.at {
+			return
+		}
+		until = min(until, w.Until)
+	}
+	p.at = max(p.at, until)
+}
--- a/internal/e2e/troubles_test.go
+++ b/internal/e2e/troubles_test.go
@@ -14,10 +14,15 @@
 	o := options()
 	o.Lease, o.Cancel, o.Cuttable = 5*time.Second, 25*time.Second, true
 	o.Teams[0].CPUsMax = 400
-	o.Seeds = []dev.Seed{{Zone: "a", N: machines / 2}, {Zone: "b", N: machines - machines/2}}
+	o.Seeds = seedsOf(machines)
 	return start(t, o)
 }
 
+// seedsOf are so many machines in two zones.
+func seedsOf(machines int) []dev.Seed {
+	return []dev.Seed{{Zone: "a", N: machines / 2}, {Zone: "b", N: machines - machines/2}}
+}
+
 func leader(t *testing.T, cl *dev.Cluster) (k *dev.Controller) {
 	t.Helper()
 	until(t, "somebody leads", func() bool {
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -9,6 +9,7 @@
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
+	"honeylock/internal/core/witness"
 	"honeylock/internal/peer/peerpb"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -20,7 +21,13 @@
 	d *dealer.Dealer
 	// fresh is when the last question about open jobs that was answered was
 	// asked: a leader that hears of no cancellations must not go on.
-	fresh   time.Duration
+	fresh time.Duration
+	// picture is up to when every cancellation that a user was told of is known: fresh, or
+	// later by what all controllers tell. Authority goes by it.
+	picture witness.Picture
+	// gone are the cancelled jobs that a controller told of, and when: what was asked for
+	// before may still show them as open.
+	gone    map[model.JobID]time.Duration
 	told    time.Duration // fresh when progress was last gathered
 	rev     uint64        // the open jobs were listed at
 	orphans []string      // keys of jobs that have ended
--- a/internal/node/grants_test.go
+++ b/internal/node/grants_test.go
@@ -11,14 +11,16 @@
 	"honeylock/internal/config"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/witness"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
 	"honeylock/internal/wire"
 )
 
 // rig is a leader of term 1 with one member, hive-1, and no world around it. Its clock is
-// the node's, which has just begun.
+// the node's, which began an hour ago.
 type rig struct {
+	t  *testing.T
 	n  *Node
 	l  *leadership
 	k  *link
@@ -33,8 +35,9 @@
 	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.CancelS = 8, 42, 67
 	c.State.RPS, c.State.WriteRPS, c.State.ValueKB, c.State.TxnOps = 100, 100, 16, 16
 	n := New(cfg, config.DefaultSettings(), slog.New(slog.DiscardHandler), rand.New(rand.NewPCG(1, 1)))
+	n.start = n.start.Add(-time.Hour)
 	n.el.Unbound(0)
-	op := n.el.Step(time.Hour)[0]
+	op := n.el.Step(n.now())[0]
 	for range 3 { // read, asked for a lease, acquired
 		now := n.now()
 		op.SentAt = now
@@ -54,7 +57,7 @@
 	n.lead = n.newLeadership(ctx, now)
 	l := n.lead
 	l.loaded = true
-	r := &rig{n: n, l: l, k: &link{out: peer.NewQueue(), codec: peer.NewCodec(n.names), sent: map[uint64]time.Duration{}}}
+	r := &rig{t: t, n: n, l: l, k: &link{out: peer.NewQueue(), codec: peer.NewCodec(n.names), sent: map[uint64]time.Duration{}}}
 	r.id = l.welcome(now, r.k, &peerpb.Hello{Host: "hive-1", Release: release})
 	r.sent(t)
 	return r
@@ -79,6 +82,23 @@
 	}
 }
 
+// asOf sets back what is known of the open jobs.
+func (r *rig) asOf(at time.Duration) {
+	r.l.deals.fresh, r.l.deals.picture = at, witness.Picture{}
+	r.l.deals.picture.Read(at)
+	r.sent(r.t)
+}
+
+func (r *rig) ask(now time.Duration, a *peerpb.Ask) {
+	r.l.heard(now, r.id, r.k, &peerpb.Up{Msg: &peerpb.Up_Ask{Ask: a}})
+}
+
+// told has the member say that it told users of these cancellations, and all that it told in
+// the last minute, once it has had a grant.
+func (r *rig) told(now time.Duration, grant uint64, jobs ...uint64) {
+	r.ask(now, &peerpb.Ask{Promised: grant, Told: jobs, ToldForUs: time.Minute.Microseconds()})
+}
+
 func (r *rig) open(job model.JobID) {
 	r.n.names.Images.ID("img")
 	r.l.d.AddJob(r.n.now(), &model.Spec{ID: job, Tasks: 2, Zone: model.None}, 3, 0, false)
@@ -92,6 +112,11 @@
 		"by the watch": func(r *rig, now time.Duration) {
 			r.l.deals.changed(now, now, []wire.Event{{Delete: openKeys + wire.JobName(7)}})
 		},
+		"by another controller": func(r *rig, now time.Duration) {
+			r.ask(now-time.Second, &peerpb.Ask{ToldForUs: time.Minute.Microseconds()}) // gets grant 1
+			r.sent(r.t)
+			r.told(now, 1, 7)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
@@ -99,10 +124,10 @@
 			defer r.n.mu.Unlock()
 			r.open(7)
 			now := r.n.now()
-			r.l.deals.fresh = now - 20*time.Second
+			r.asOf(now - 20*time.Second)
 			was := r.l.until()
 			know(r, now)
-			r.l.heard(now, r.id, r.k, &peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: 1}}})
+			r.ask(now, &peerpb.Ask{})
 			if r.l.until() <= was {
 				t.Fatal("nothing was gained: the test shows nothing")
 			}
@@ -120,3 +145,43 @@
 		})
 	}
 }
+
+// While the state service answers nobody, the picture of the open jobs is as young as the
+// member's word: counted from the grant that its word answers, and only if it has told all
+// since before the picture.
+func TestAuthorityGoesByWhatMembersHaveTold(t *testing.T) {
+	r := newRig(t)
+	r.n.mu.Lock()
+	defer r.n.mu.Unlock()
+	now := r.n.now()
+	picture := func() time.Duration { return now - r.l.deals.picture.At() }
+	r.asOf(now - 20*time.Second)
+	r.ask(now-3*time.Second, &peerpb.Ask{}) // grant 1
+	r.ask(now-2*time.Second, &peerpb.Ask{Promised: 1})
+	if picture() != 20*time.Second {
+		t.Errorf("a member that says nothing of what it told makes the picture %v old", picture())
+	}
+	r.ask(now-time.Second, &peerpb.Ask{Promised: 2, ToldForUs: (5 * time.Second).Microseconds()})
+	if picture() != 20*time.Second {
+		t.Errorf("one that began since makes it %v old", picture())
+	}
+	r.told(now, 2)
+	if picture() != 2*time.Second {
+		t.Errorf("one that has told all makes it %v old, want the age of the grant that it answers", picture())
+	}
+	// A job that it told of is over, even if what was asked for before still shows it.
+	r.open(7)
+	r.told(now, 2, 7, 8)
+	sub, err := wire.ParseSubmission([]byte(`{"NameId":"job-000008","Comb":"train","Colony":"vision","Shape":"batch",
+		"Rank":"standard","Cells":2,"Cpus":1,"Accelerators":0,"MemGb":1,"Wax":"img","ImageGb":1,"Together":false,
+		"Spread":false,"SwarmBoxes":false,"ForageS":1,"CapIntervalS":0,"CapS":0}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.l.deals.add(now, stored{sub, 9}, now)
+	for _, id := range []model.JobID{7, 8} {
+		if r.l.d.Version(id) != 0 {
+			t.Errorf("job %d is open", id)
+		}
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -99,7 +99,8 @@
 	f := fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS),
 		IdleReturn: n.set.IdleReturn,
 		Horizon:    n.set.RentHorizon, Probe: rentProbe, Patience: 10 * n.set.RentHorizon})
-	l.deals = &dealing{l: l, d: l.d, fresh: now}
+	l.deals = &dealing{l: l, d: l.d, fresh: now, gone: map[model.JobID]time.Duration{}}
+	l.deals.picture.Read(now)
 	l.chains = &chaining{l: l, g: pipeline.New()}
 	l.rents = &renting{l: l, f: f}
 	l.drains = l.newDraining()
@@ -203,17 +204,30 @@
 	for _, k := range l.links {
 		newest = max(newest, k.stateAt)
 	}
-	return l.n.pulse.alone(now, newest)
+	return l.n.pulse.yields(now, newest)
+}
+
+// linkTo is the link of a controller, nil if there is none.
+func (l *leadership) linkTo(host string) *link {
+	for _, k := range l.links {
+		if k.host == host {
+			return k
+		}
+	}
+	return nil
 }
 
 // until is when this leader's authority ends unless it is renewed.
 func (l *leadership) until() time.Duration {
-	return min(l.n.el.Deadline(), l.deals.fresh+l.n.cfg.Cluster.Deaf())
+	return min(l.n.el.Deadline(), l.deals.picture.At()+l.n.cfg.Cluster.Deaf())
 }
 
 // tick is called a few times a second.
 func (l *leadership) tick(now time.Duration) {
-	if now-l.deals.fresh > l.n.cfg.Cluster.Deaf() {
+	if l.loaded {
+		l.deals.listen(now)
+	}
+	if now-l.deals.picture.At() > l.n.cfg.Cluster.Deaf() {
 		l.n.log.Error("no news of open jobs: giving leadership up", "term", l.term)
 		l.n.el.Resign(now, time.Second)
 		return
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -10,6 +10,7 @@
 
 	"honeylock/internal/config"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/witness"
 	"honeylock/internal/httpserve"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
@@ -26,6 +27,8 @@
 	sent    map[uint64]time.Duration // grants, by number
 	promise time.Duration            // the member does not take over before
 	stateAt time.Duration            // the state service last answered it
+	tells   bool                     // the member says of which cancellations it told users
+	word    witness.Word             // how far that is known
 	told    time.Duration            // the picture that its last progress was of was made
 }
 
@@ -172,10 +175,18 @@
 		if age := msg.Ask.GetStateAgeUs(); age >= 0 {
 			k.stateAt = now - time.Duration(age)*time.Microsecond
 		}
+		for _, id := range msg.Ask.GetTold() {
+			l.deals.cancelled(now, model.JobID(id))
+		}
+		if d := time.Duration(msg.Ask.GetToldForUs()) * time.Microsecond; d > 0 {
+			k.tells, k.word.Since = true, now-(d-d/500) // its clock may be the faster one
+		}
 		// The member promised when it received that grant, so after it was
 		// sent: from then on by this clock, less drift.
 		if at, ok := k.sent[msg.Ask.GetPromised()]; ok {
 			k.promise = max(k.promise, at+config.Promise-config.Promise/200-50*time.Millisecond)
+			// ... and what it told users before that came in no later than this.
+			k.word.Until = max(k.word.Until, at)
 			for no := range k.sent {
 				if no < msg.Ask.GetPromised() {
 					delete(k.sent, no)
@@ -183,6 +194,7 @@
 			}
 		}
 		l.back()
+		l.deals.listen(now)
 		k.until = max(k.until, l.until())
 		k.number++
 		k.sent[k.number] = now
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -16,6 +17,7 @@
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pace"
 	"honeylock/internal/core/pipeline"
+	"honeylock/internal/core/witness"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -101,6 +103,10 @@
 		for id := range n.kept {
 			p.d.Event(now, p.l.local, model.Event{Kind: model.Remembered, Machine: id})
 		}
+		told, _ := n.told.From(0) // some perhaps since that was asked
+		for _, id := range told {
+			p.gone[id] = now
+		}
 		for _, st := range open {
 			p.add(now, st, -time.Hour) // users may have been told long ago
 		}
@@ -108,7 +114,8 @@
 		for _, c := range parts {
 			p.d.AddDone(c.id, c.chunk, c.version, c.from, c.bits)
 		}
-		p.fresh, p.rev, p.orphans = asked, rev, orphans
+		p.rev, p.orphans = rev, orphans
+		p.seen(now, asked)
 		n.log.Info("store read", "term", p.l.term, "open", len(open), "machines", machines)
 		return nil
 	}, nil
@@ -202,6 +209,9 @@
 func (p *dealing) add(now time.Duration, st stored, since time.Duration) {
 	waited := time.Duration(max(0, time.Now().UnixMilli()-st.sub.SubmittedMS)) * time.Millisecond
 	sp := st.sub.Spec(p.l.n.names)
+	if _, over := p.gone[sp.ID]; over {
+		return
+	}
 	p.d.AddJob(now, sp, st.version, min(waited, time.Hour), st.version <= p.l.guard.Version)
 	p.l.chains.add(sp, st.sub.Needs(), since)
 }
@@ -272,6 +282,37 @@
 func (p *dealing) seen(now, asked time.Duration) {
 	p.exchange(now)
 	p.fresh = asked
+	p.picture.Read(asked)
+	maps.DeleteFunc(p.gone, func(_ model.JobID, at time.Duration) bool { return at < asked })
+}
+
+// cancelled takes a controller's word that it told a user of a cancellation.
+func (p *dealing) cancelled(now time.Duration, id model.JobID) {
+	if _, known := p.gone[id]; known {
+		return
+	}
+	p.gone[id] = now
+	if p.d.Version(id) == 0 {
+		return
+	}
+	p.d.Withdrawn(id)
+	p.l.chains.ended(now, id, pipeline.Cancelled)
+	p.due = true
+	p.l.n.soon()
+}
+
+// listen brings the picture up to what all controllers have told, as this one knows it.
+func (p *dealing) listen(now time.Duration) {
+	var words []witness.Word
+	for _, s := range p.l.n.cfg.Siblings {
+		k := p.l.linkTo(s.HostName)
+		if k == nil || !k.tells {
+			return
+		}
+		words = append(words, k.word)
+	}
+	p.exchange(now) // as for what was seen
+	p.picture.Heard(now, words)
 }
 
 // relist reads all open jobs, where the watch has fallen behind; over tells that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/standing"
 	"honeylock/internal/core/strain"
+	"honeylock/internal/core/witness"
 	"honeylock/internal/peer"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -73,6 +74,7 @@
 	types         []model.MachineType
 	finals        map[model.JobID]jobs.Stage
 	versions      map[model.JobID]openSeen
+	told          *witness.Log      // cancellations that users were told of here
 	vouch         *pipeline.Voucher // as the leader that this controller is linked to has told
 	sibling       time.Duration     // a sibling was last heard
 	polls         *polls
@@ -120,6 +122,7 @@
 		seated:   make(chan struct{}),
 		finals:   map[model.JobID]jobs.Stage{},
 		versions: map[model.JobID]openSeen{},
+		told:     witness.NewLog(0),
 		vouch:    pipeline.NewVoucher(cfg.Cluster.Vouched()),
 		sibling:  -time.Hour,
 		waits:    map[model.MachineID][]chan struct{}{},
--- a/internal/node/pulse.go
+++ b/internal/node/pulse.go
@@ -56,7 +56,7 @@
 	return p.strain.Lag(now)
 }
 
-// missing and alone are the standing's.
+// missing, alone and yields are the standing's.
 func (p *pulse) missing(now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -69,6 +69,12 @@
 	return p.standing.Alone(now, sibling)
 }
 
+func (p *pulse) yields(now, sibling time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.standing.Yields(now, sibling)
+}
+
 // served is when the newest request was sent that the state service has served.
 func (p *pulse) served() (at time.Duration, known bool) {
 	p.mu.Lock()
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -45,6 +45,9 @@
 	// A zone that is cut off is more than that, and waits for its leases.
 	fewUnseen  = 0.02
 	someUnseen = 0.15
+	// A leader that has not heard of the state service for so long rents nothing: a machine
+	// gets tasks only once its record is stored.
+	blind = 15 * time.Second
 )
 
 // settleUnseen returns the machines of earlier terms that answer neither
@@ -98,6 +101,10 @@
 			}
 			go p.giveBack(a, nil)
 		case fleet.Rent:
+			if now-p.l.deals.fresh > blind {
+				p.f.Rented(now, a, nil, true, false)
+				continue
+			}
 			go p.rent(a)
 		}
 	}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -35,6 +35,7 @@
 	seq    uint64
 	askAt  time.Duration
 	number uint64 // of the newest grant
+	toldTo int    // of the cancellations that users were told of here: what the leader has
 }
 
 func (n *Node) newSeat(attempts uint64) *seat {
@@ -161,8 +162,14 @@
 		st.seq++
 		st.asked[st.seq] = now
 		st.askAt = now
-		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: &peerpb.Ask{Seq: st.seq, Promised: st.number,
-			StateAgeUs: n.pulse.servedAgo(now).Microseconds()}}})
+		ask := &peerpb.Ask{Seq: st.seq, Promised: st.number, StateAgeUs: n.pulse.servedAgo(now).Microseconds(),
+			ToldForUs: max(1, (now - n.told.Since()).Microseconds())}
+		var told []model.JobID
+		told, st.toldTo = n.told.From(st.toldTo)
+		for _, id := range told {
+			ask.Told = append(ask.Told, uint64(id))
+		}
+		st.out.Send(&peerpb.Up{Msg: &peerpb.Up_Ask{Ask: ask}})
 		st.dirty = true
 	}
 	if st.dirty {
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -179,6 +179,8 @@
 // What this release sends is, but for what they don't know, the same to those before.
 func TestMessagesAtTheReleasesBefore(t *testing.T) {
 	sameAt(t, "0.5", map[string]pairOf{
+		"Ask": {&peerpb.Ask{Seq: 5, Promised: 4, StateAgeUs: 7, Told: []uint64{412, 9}, ToldForUs: 60},
+			&peerpb.Ask{Seq: 5, Promised: 4, StateAgeUs: 7}},
 		"Event": {&peerpb.Event{Kind: 5, Machine: 7, Session: 3, Seq: 9}, &peerpb.Event{Kind: 5, Machine: 7}},
 		"Order": {&peerpb.Order{Kind: 10, Id: 7, Prove: true, Session: 3, Seq: 9}, &peerpb.Order{Kind: 10, Id: 7}},
 		"Grant": {&peerpb.Grant{Seq: 5, ForUs: 9, SettledAgeUs: 70, ToldAgeUs: 80},
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -177,7 +177,7 @@
 			return Reply{Status: ans.Status, Err: "no such job"}
 		}
 		if ans.Stage.Ended() {
-			n.keepFinal(id, ans.Stage)
+			n.tellEnd(id, ans.Stage)
 		} else if !ans.Created && !n.maySayQueued(id) {
 			return n.inDoubt(id)
 		}
@@ -322,6 +322,20 @@
 	awaits  bool
 }
 
+// tellEnd notes how a job is stored to have ended, before a user is told here.
+func (n *Node) tellEnd(id model.JobID, st jobs.Stage) {
+	if st == jobs.Cancelled {
+		n.mu.Lock()
+		now := n.now()
+		n.told.Told(now, id)
+		if n.lead != nil && n.lead.loaded {
+			n.lead.deals.cancelled(now, id)
+		}
+		n.mu.Unlock()
+	}
+	n.keepFinal(id, st)
+}
+
 func (n *Node) keepFinal(id model.JobID, st jobs.Stage) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
