node, sim: no authority before the picture; a second trouble at each boundary of the first

- A new leader's picture of the open jobs begins as none: neither its grants nor its own shard act before the store was read.
Before, its shard had the election's deadline at once, and one flag in the node, repeated by the simulation's rig, kept reports from being answered until then (TestNoAuthorityBeforeThePicture).
Which jobs controllers told of is kept by the core now, for both (internal/core/witness).
- A leader that the state service answers, but not about the open jobs, gives way after 10 s, as it did when its picture aged by the service alone (TestALeaderThatLearnsOfNoNewJobGivesWay).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -224,10 +224,10 @@
 	return Seconds(c.Workers.LeaseS*1.002) + 250*time.Millisecond
 }
 
-// Deaf is how long a leader may act without news of cancellations. The
+// StalenessBound is how old a leader's picture of the open jobs may be. The
 // cancellation rule bounds it: that time, and then one lease of the workers,
 // must be over within cancel_s.
-func (c *Cluster) Deaf() time.Duration {
+func (c *Cluster) StalenessBound() time.Duration {
 	room := Seconds(c.Workers.CancelS) - c.SureLease() - time.Second
 	return max(100*time.Millisecond, min(room*9/10, 30*time.Second))
 }
@@ -235,7 +235,7 @@
 // LeaderTTL is the length of the leader's lease at the state service: short,
 // for a dead leader is replaced when it ends. An outage of the service is
 // outlasted by the siblings' promises.
-func (c *Cluster) LeaderTTL() time.Duration { return min(3*time.Second, c.Deaf()) }
+func (c *Cluster) LeaderTTL() time.Duration { return min(3*time.Second, c.StalenessBound()) }
 
 // Promise is for how long a member of a leader's term does not take over.
 const Promise = 2500 * time.Millisecond
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -82,7 +82,7 @@
 	for _, c := range [][2]float64{{10, 40}, {42, 67}, {5, 8}, {30, 300}, {10, 12}} {
 		var cl Cluster
 		cl.Workers.LeaseS, cl.Workers.CancelS = c[0], c[1]
-		if sum := cl.Deaf() + cl.SureLease(); sum >= Seconds(c[1]) {
+		if sum := cl.StalenessBound() + cl.SureLease(); sum >= Seconds(c[1]) {
 			t.Errorf("lease %v: %v of %v s", c[0], sum, c[1])
 		}
 		if cl.LeaderTTL() < 100*time.Millisecond {
--- a/internal/core/dealer/chunks_test.go
+++ b/internal/core/dealer/chunks_test.go
@@ -17,7 +17,8 @@
 	r.machine(0, 1, shard)
 	r.job(4, 3, false)
 	finish := func(no int32) {
-		r.d.Event(time.Minute, shard, model.Event{Kind: model.Finished, Machine: 1, Task: model.Task{Job: 4, No: no}, Attempt: 9})
+		r.d.Event(time.Minute, shard, model.Event{Kind: model.Finished, Machine: 1, Task: model.Task{Job: 4, No: no},
+			Attempt: 9})
 	}
 	write := func(now time.Duration, version uint64, bits byte) Write {
 		t.Helper()
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -15,7 +15,8 @@
 const mostAttempts = 400
 
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && len(m.slots) < mostAttempts && !m.silent && !m.dumb && m.noticeAt == 0 && now >= m.faultyUntil &&
+	return m.fenced && m.usable && len(m.slots) < mostAttempts && !m.silent && !m.dumb && m.noticeAt == 0 &&
+		now >= m.faultyUntil &&
 		now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
 }
 
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"honeylock/internal/core/dealer"
-	"honeylock/internal/core/drain"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
@@ -87,26 +84,6 @@
 	})
 }
 
-type lead struct {
-	c      *ctl
-	term   uint64
-	guard  uint64
-	d      *dealer.Dealer
-	local  model.ShardID
-	links  map[model.ShardID]*link
-	hosts  map[string]bool
-	known  map[model.JobID]bool
-	newest model.ShardID
-	loaded bool
-	fresh  time.Duration
-	// cancels and gone are the picture and gone that the node's dealing has.
-	cancels witness.Picture
-	gone    map[model.JobID]time.Duration
-	asking  bool
-	drains  *drains
-	chains  *chains
-}
-
 const promise = 2500 * time.Millisecond
 
 type link struct {
@@ -166,7 +143,8 @@
 // no answer. Now and then the answer is lost, or the request is late.
 func (c *ctl) storeCall(op func() any, done func(any)) { c.call(false, op, done) }
 
-// storeTxn is the same for a transaction, which may be carried out late.
+// storeTxn is the same for a transaction, or for a lease's begin or end, which may be carried
+// out late.
 func (c *ctl) storeTxn(op func() any, done func(any)) { c.call(true, op, done) }
 
 func (c *ctl) call(txn bool, op func() any, done func(any)) {
@@ -197,7 +175,7 @@
 func (c *ctl) runElection(ops []election.Op) {
 	for _, op := range ops {
 		call := c.storeCall
-		if op.Verb == election.Acquire {
+		if op.Verb != election.Read && op.Verb != election.Renew {
 			call = c.storeTxn
 		}
 		call(func() any { return c.w.store.election(c.host, op) }, func(v any) {
@@ -241,9 +219,8 @@
 		return
 	}
 	c.led = c.el.Term()
-	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{}, hosts: map[string]bool{}, known: map[model.JobID]bool{}, fresh: now,
-		gone: map[model.JobID]time.Duration{}}
-	l.cancels.Read(now)
+	l := &lead{c: c, term: c.el.Term(), guard: c.el.Version(), links: map[model.ShardID]*link{},
+		hosts: map[string]bool{}, known: map[model.JobID]bool{}, fresh: now, began: now}
 	c.lead = l
 	c.w.note("%s leads term %d", c.host, l.term)
 	end := now + c.w.p.ttl + time.Second
@@ -258,149 +235,14 @@
 	l.chains = &chains{l: l, g: pipeline.New()}
 	c.seat = c.newSeat(l.d.Attempts(l.local))
 	c.seat.id = l.local
-	c.seat.s.Grant(c.el.Deadline())
 	l.load()
 }
 
-type snapshot struct {
-	open    map[model.JobID]openJob
-	done    map[model.JobID]map[int32]chunk
-	records map[dealer.BlockID]record
-	plans   map[string]drain.Stored
-	rev     uint64
-}
-
-func (s *store) snapshot() any {
-	s.expire()
-	v := snapshot{open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32]chunk{},
-		records: map[dealer.BlockID]record{}, rev: s.rev, plans: maps.Clone(s.plans)}
-	for k, x := range s.open {
-		v.open[k] = x
-	}
-	for k, x := range s.done {
-		v.done[k] = map[int32]chunk{}
-		for i, b := range x {
-			v.done[k][i] = b
-		}
-	}
-	for k, x := range s.records {
-		v.records[k] = x
-	}
-	return v
-}
-
-// load reads the store, and goes on reading it in place of a watch.
-func (l *lead) load() {
-	c := l.c
-	asked := c.now()
-	l.asking = true
-	c.storeCall(c.w.store.snapshot, func(v any) {
-		if c.lead != l {
-			return
-		}
-		l.asking = false
-		snap, ok := v.(snapshot)
-		if !ok {
-			return
-		}
-		now := c.now()
-		if !l.loaded && !c.w.p.forgetRecords {
-			l.loadRecords(snap.records)
-		}
-		if told, _ := c.told.From(0); !l.loaded {
-			for _, id := range told {
-				l.gone[id] = now
-			}
-		}
-		known := map[model.JobID]bool{}
-		for id := range c.w.p.jobs {
-			if o, ok := snap.open[model.JobID(id)]; ok {
-				if _, over := l.gone[o.spec.ID]; over {
-					continue
-				}
-				known[o.spec.ID] = true
-				fresh := !l.known[o.spec.ID]
-				l.known[o.spec.ID] = true
-				l.d.AddJob(now, o.spec, o.version, 0, o.version <= l.guard)
-				l.chains.add(&o)
-				if fresh {
-					for i, b := range snap.done[o.spec.ID] {
-						l.d.AddDone(o.spec.ID, dealer.ChunkID{Old: true, No: i}, b.version, i*64, b.bits)
-					}
-				}
-			}
-		}
-		if !l.loaded {
-			l.drains.load(now, snap.plans)
-		}
-		for _, id := range l.d.Sync(known, snap.rev) {
-			l.chains.ended(id, pipeline.Unknown)
-		}
-		l.fresh = asked
-		l.loaded = true
-		l.chains.settle()
-		l.exchange()
-		l.cancels.Read(asked)
-		maps.DeleteFunc(l.gone, func(_ model.JobID, at time.Duration) bool { return at < asked })
-		c.seat.s.Open(l.picture())
-		l.pump()
-	})
-}
-
-// picture is the set of open jobs as the leader sees them.
-func (l *lead) picture() map[model.JobID]bool {
-	open := map[model.JobID]bool{}
-	l.d.Open(func(id model.JobID, _ uint64, _, _ int) { open[id] = true })
-	return open
-}
-
-func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.cancels.At()+l.c.w.p.deaf) }
-
-// cancelled takes a controller's word that it told a user of a cancellation.
-func (l *lead) cancelled(now time.Duration, id model.JobID) {
-	if _, known := l.gone[id]; known {
-		return
-	}
-	l.gone[id] = now
-	if l.d.Version(id) != 0 {
-		l.d.Withdrawn(id)
-		l.chains.ended(id, pipeline.Cancelled)
-	}
-}
-
-// listen brings the picture up to what all controllers have told.
-func (l *lead) listen(now time.Duration) {
-	words := map[string]witness.Word{}
-	for _, k := range l.links {
-		if k.tells {
-			words[k.host] = k.word
-		}
-	}
-	if len(words) < len(l.c.w.ctls)-1 || !l.loaded {
-		return
-	}
-	l.exchange()
-	l.cancels.Heard(now, slices.Collect(maps.Values(words)))
-}
-
-func (l *lead) back() {
-	end := map[string]time.Duration{}
-	for _, k := range l.links {
-		end[k.host] = max(end[k.host], k.promise)
-	}
-	least := time.Duration(1<<63 - 1)
-	for _, o := range l.c.w.ctls {
-		if o != l.c {
-			least = min(least, end[o.host])
-		}
-	}
-	l.c.el.Back(least)
-}
-
 func (c *ctl) tick(life int) {
 	if !c.up || c.life != life {
 		return
 	}
+	c.w.boundary()
 	c.timer(c.w.between(80*time.Millisecond, 130*time.Millisecond), func() { c.tick(life) })
 	c.runElection(c.el.Step(c.now()))
 	c.follow()
@@ -411,143 +253,6 @@
 	}
 }
 
-func (l *lead) tick() {
-	c := l.c
-	now := c.now()
-	l.listen(now)
-	if now-l.cancels.At() > c.w.p.deaf {
-		c.el.Resign(now, time.Second)
-		c.follow()
-		return
-	}
-	if c.stands.Yields(now, l.servedSibling()) {
-		c.w.note("%s is refused alone", c.host)
-		c.el.Resign(now, 4*time.Second)
-		c.follow()
-		return
-	}
-	c.seat.s.Grant(l.until())
-	if !l.asking {
-		l.load()
-	}
-	if !l.loaded {
-		return
-	}
-	for id := model.ShardID(1); id <= l.newest; id++ {
-		k := l.links[id]
-		if k == nil {
-			continue
-		}
-		if now-k.heard > 2500*time.Millisecond {
-			c.w.note("%s loses member %s", c.host, k.host)
-			k.dead = true
-			delete(l.links, id)
-			l.lose(id, max(now, k.until))
-		}
-	}
-	c.seat.s.Tick(now)
-	l.d.Tick(now)
-	l.drains.tick(now)
-	l.chains.tick(now)
-	l.deal()
-	for _, wr := range l.d.Writes(now, 20) {
-		c.storeTxn(func() any { return c.w.store.write(l.guard, wr) }, func(v any) {
-			r, _ := v.(written)
-			l.d.Stored(c.now(), wr, r.rev, r.ok, r.lost)
-			if wr.Kind == dealer.Finish && r.ok {
-				l.chains.ended(wr.Job, pipeline.Done)
-			} else if wr.Kind == dealer.Finish && r.lost {
-				l.chains.ended(wr.Job, pipeline.Unknown)
-			}
-			if c.lead == l {
-				l.pump()
-			}
-		})
-	}
-}
-
-// servedSibling is when the newest request of a member's was sent that the state service
-// has served.
-func (l *lead) servedSibling() (newest time.Duration) {
-	for _, k := range l.links {
-		newest = max(newest, k.stateAt)
-	}
-	return newest
-}
-
-func (l *lead) lose(id model.ShardID, end time.Duration) {
-	if l.c.w.p.freeOnLoss {
-		end = l.c.now() - time.Hour
-	}
-	l.d.Lost(id, end)
-	l.pump()
-}
-
-func (l *lead) deal() {
-	s := l.c.seat.s
-	now := l.c.now()
-	l.exchange()
-	l.d.Status(now, l.local, s.Status(now), s.Jobs(now), l.d.Dealt(l.local))
-	l.d.Deal(now)
-	l.pump()
-}
-
-func (l *lead) exchange() {
-	now := l.c.now()
-	s := l.c.seat.s
-	for {
-		orders, evs := l.d.Orders(), s.Events()
-		if len(orders) == 0 && len(evs) == 0 {
-			return
-		}
-		for _, o := range orders {
-			if o.To == l.local {
-				s.Order(now, o)
-			} else if k := l.links[o.To]; k != nil {
-				if l.c.old || k.peer.c.old {
-					o.Prove, o.Numbers = false, model.Numbers{}
-				}
-				l.down(k, func(st *seat) { st.s.Order(st.c.now(), shift(o, now, st.c.now())) })
-			}
-		}
-		for _, e := range evs {
-			l.hear(now, l.local, e)
-		}
-	}
-}
-
-func (l *lead) hear(now time.Duration, from model.ShardID, e model.Event) {
-	l.drains.hear(now, &e)
-	if e.Kind == model.Looked {
-		l.drains.e.Seen(now, e.Machine, e.Token, e.On, l.d.Spec)
-	}
-	l.d.Event(now, from, e)
-}
-
-// shift brings a deal's times into the receiver's clock.
-func shift(o model.Order, from, to time.Duration) model.Order {
-	o.Deal.Since += to - from
-	return o
-}
-
-func (l *lead) down(k *link, f func(*seat)) {
-	st := k.peer
-	l.c.w.send(l.c.host, k.host, true, func() {
-		if st.c.seat == st && st.l != nil && st.c.up {
-			st.heard = st.c.now()
-			f(st)
-			st.c.pump()
-		}
-	})
-}
-
-func (l *lead) pump() {
-	l.exchange()
-	l.c.seat.s.Place(l.c.now())
-	l.exchange()
-	l.c.flush()
-}
-
 func (c *ctl) pump() {
 	if c.lead != nil {
 		if c.lead.loaded {
@@ -679,71 +384,6 @@
 	c.join()
 }
 
-// join opens a link to whoever leads; the shard of before acts no more.
-func (c *ctl) join() {
-	host := c.el.Holder()
-	if host == "" || host == c.host || c.w.rng.IntN(4) > 0 {
-		return
-	}
-	life := c.life
-	if o := c.w.ctl(host); o != nil {
-		c.w.send(c.host, host, true, func() {
-			l := o.lead
-			if l == nil || !l.loaded || !o.up {
-				return
-			}
-			c.w.send(host, c.host, true, func() { // taken: Hello, Welcome
-				if !c.up || c.life != life || c.lead != nil || c.seat != nil && c.seat.l != nil {
-					return
-				}
-				k := &link{host: c.host}
-				st := &seat{c: c, l: l, lk: k, heard: c.now()}
-				if c.seat != nil {
-					c.kept = slices.Sorted(maps.Keys(c.seat.s.Images()))
-				}
-				c.seat = nil
-				c.w.send(c.host, host, true, func() {
-					if o.lead != l || !o.up {
-						return
-					}
-					for id := model.ShardID(1); id <= l.newest; id++ {
-						if x := l.links[id]; x != nil && x.host == c.host {
-							x.dead = true
-							delete(l.links, id)
-							l.lose(id, o.now())
-						}
-					}
-					id := l.d.Join(o.now(), c.host)
-					l.newest = id
-					k.heard = o.now()
-					l.hosts[c.host] = true
-					if len(l.hosts) == c.w.p.controllers-1 {
-						l.d.EveryoneHere(o.now())
-					}
-					attempts, picture := l.d.Attempts(id), l.picture()
-					c.w.send(host, c.host, true, func() {
-						if !c.up || c.life != life || c.lead != nil || c.seat != nil {
-							return
-						}
-						n := c.newSeat(attempts)
-						st.s, st.id, st.joined, st.heard = n.s, id, true, c.now()
-						st.s.Open(picture)
-						c.seat = st
-						for _, mid := range c.kept {
-							st.up(func(l *lead, _ *link) {
-								l.d.Event(l.c.now(), id, model.Event{Kind: model.Remembered, Machine: mid})
-								l.exchange()
-							})
-						}
-					})
-					k.peer = st
-					l.links[id] = k
-				})
-			})
-		})
-	}
-}
-
 func (c *ctl) onReport(r *model.Report, answer func(bool, uint64, []model.Command, string)) {
 	if !c.up {
 		return
@@ -752,7 +392,7 @@
 	keeper := ""
 	try := func() bool {
 		now := c.now()
-		if !c.up || c.life != life || c.seat == nil || !c.seat.s.Granted(now) || c.lead != nil && !c.lead.loaded {
+		if !c.up || c.life != life || c.seat == nil || !c.seat.s.Granted(now) {
 			return false
 		}
 		s := c.seat.s
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 )
 
@@ -48,7 +49,19 @@
 // restart: the worker loses everything and comes up anew with its next session.
 func (m *machine) restart() { m.nextSession() }
 
+// left notes that a task is on the machine no more.
+func (m *machine) left(k key) {
+	if u := m.w.users[k.t.Job]; u.ended == jobs.Cancelled {
+		m.w.longest = max(m.w.longest, m.w.now-u.endedAt)
+	}
+}
+
 func (m *machine) nextSession() {
+	for k, a := range m.cells {
+		if a.on {
+			m.left(k)
+		}
+	}
 	m.cells = map[key]*attempt{}
 	m.session++
 	m.leaseFrom = m.w.now
@@ -102,6 +115,9 @@
 }
 
 func (m *machine) exit(a *attempt, c model.Cause) {
+	if a.on {
+		m.left(key{a.Task, a.Attempt})
+	}
 	a.Stage, a.Cause, a.on = model.Exited, c, false
 	if m.awaiting == 0 {
 		m.nextAt = min(m.nextAt, max(m.w.now, m.sentAt+500*time.Millisecond))
--- a/internal/core/sim/meetings_test.go
+++ b/internal/core/sim/meetings_test.go
@@ -72,7 +72,8 @@
 	}
 	var ids []model.JobID
 	for id := range w.p.jobs {
-		if u := w.users[model.JobID(id)]; u != nil && u.accepted && u.ended == "" && !u.wants && u.spec.Estimate > w.p.cancel {
+		u := w.users[model.JobID(id)]
+		if u != nil && u.accepted && u.ended == "" && !u.wants && u.spec.Estimate > w.p.cancel {
 			ids = append(ids, u.spec.ID)
 		}
 	}
@@ -134,6 +135,13 @@
 	w.note("meeting: %s is refused alone, after %v all are, for %v", c.host, alone, out)
 	w.store.refuses[c.host] = w.now + alone + w.between(0, out)
 	w.cancelSome(6, alone)
+	for range w.rng.IntN(3) { // machines that are reached again in the outage only
+		m := w.workers[w.rng.IntN(len(w.workers))]
+		d := w.between(alone, alone+w.p.lease)
+		for _, o := range w.ctls {
+			w.cutFor(o.host, m.host, d)
+		}
+	}
 	w.after(alone, func() { w.store.out = true })
 	w.after(alone+out, func() { w.store.back() })
 	return alone + out
--- a/internal/core/sim/store_test.go
+++ b/internal/core/sim/store_test.go
@@ -49,8 +49,9 @@
 }
 
 func newStore(w *world) *store {
-	return &store{w: w, rev: 1, leases: map[uint64]time.Duration{}, open: map[model.JobID]openJob{}, done: map[model.JobID]map[int32]chunk{},
-		final: map[model.JobID]jobs.Stage{}, records: map[dealer.BlockID]record{}, plans: map[string]drain.Stored{}, refuses: map[string]time.Duration{}}
+	return &store{w: w, rev: 1, leases: map[uint64]time.Duration{}, open: map[model.JobID]openJob{},
+		done: map[model.JobID]map[int32]chunk{}, final: map[model.JobID]jobs.Stage{},
+		records: map[dealer.BlockID]record{}, plans: map[string]drain.Stored{}, refuses: map[string]time.Duration{}}
 }
 
 // back ends an outage: every lease has its full time again.
@@ -206,7 +207,8 @@
 		if s.done[wr.Job] == nil {
 			s.done[wr.Job] = map[int32]chunk{}
 		}
-		if v := s.done[wr.Job][wr.Chunk.No].version; (v != wr.Version || s.open[wr.Job].version != wr.Open) && !s.w.p.unguarded {
+		v := s.done[wr.Job][wr.Chunk.No].version
+		if (v != wr.Version || s.open[wr.Job].version != wr.Open) && !s.w.p.unguarded {
 			return written{rev: v, lost: true}
 		}
 		s.checkUndone(wr)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -90,6 +90,9 @@
 	slow    time.Duration // until when the store answers slowly
 	calm    time.Duration // the last trouble is over
 	log     []string
+	search  int // boundaries until the second trouble begins; 0: it has, or there is none
+	second  func()
+	longest time.Duration          // from when a user was told of a cancellation until a task of it was gone
 	holdsUp map[pair]time.Duration // what one sends to the other is held up, until then
 	plans   plans
 	moved   map[model.Task]bool // by plans, and not seen at work since
@@ -136,6 +139,14 @@
 // send carries a message between two hosts, in order where stream is true.
 // A cut holds it back until it heals, or drops it.
 func (w *world) send(from, to string, stream bool, f func()) {
+	if w.ctl(from) != nil || w.ctl(to) != nil {
+		w.boundary()
+		deliver := f
+		f = func() {
+			deliver()
+			w.boundary()
+		}
+	}
 	if c := w.ctl(from); c != nil {
 		if c.halt.span > 0 {
 			if c.halt.sends--; c.halt.sends < 0 {
--- a/internal/core/witness/witness.go
+++ b/internal/core/witness/witness.go
@@ -9,6 +9,7 @@
 package witness
 
 import (
+	"maps"
 	"time"
 
 	"honeylock/internal/core/model"
@@ -69,21 +70,55 @@
 	Since, Until time.Duration
 }
 
-// Picture is the moment up to which the leader knows of every cancellation that a user was
-// told of.
-type Picture struct{ at time.Duration }
+// Picture is a leader's of the open jobs. It knows of every cancellation that a user was told
+// of up to some moment; before the open jobs were read, of none.
+type Picture struct {
+	read bool
+	at   time.Duration
+	// over are the cancelled jobs that a controller told of, and when the leader heard it:
+	// what was asked for before may still show them as open.
+	over map[model.JobID]time.Duration
+}
 
-// At is that moment.
-func (p *Picture) At() time.Duration { return p.at }
+// Good is until when a leader may act on the picture, where it may be so old at most: never
+// (0) before the open jobs were read.
+func (p *Picture) Good(bound time.Duration) time.Duration {
+	if !p.read {
+		return 0
+	}
+	return p.at + bound
+}
 
 // Read takes that the open jobs were read, as of when they were asked for: nobody can have
 // been told of an end that was not stored by then.
-func (p *Picture) Read(asked time.Duration) { p.at = max(p.at, asked) }
+func (p *Picture) Read(asked time.Duration) {
+	p.read, p.at = true, max(p.at, asked)
+	maps.DeleteFunc(p.over, func(_ model.JobID, heard time.Duration) bool { return heard < asked })
+}
+
+// Told takes a controller's word that it told a user of a cancellation; anew is false if
+// that was heard before.
+func (p *Picture) Told(now time.Duration, job model.JobID) (anew bool) {
+	if p.over == nil {
+		p.over = map[model.JobID]time.Duration{}
+	}
+	_, known := p.over[job]
+	if !known {
+		p.over[job] = now
+	}
+	return !known
+}
+
+// Over tells whether a job that was asked for before it was heard of is cancelled.
+func (p *Picture) Over(job model.JobID) bool { _, over := p.over[job]; return over }
 
 // Heard takes the words of all other controllers, and the leader's own, which is always of
 // now. A word that begins later than the picture leaves a gap: its controller may have told
 // anything in an earlier life.
 func (p *Picture) Heard(now time.Duration, words []Word) {
+	if !p.read {
+		return
+	}
 	until := now
 	for _, w := range words {
 		if w.Since > p.at {
--- a/internal/core/witness/witness_test.go
+++ b/internal/core/witness/witness_test.go
@@ -25,22 +25,28 @@
 		var p Picture
 		p.Read(20 * s)
 		p.Heard(40*s, c.words)
-		if p.At() != c.want {
-			t.Errorf("%s: %v, want %v", name, p.At(), c.want)
+		if p.Good(0) != c.want {
+			t.Errorf("%s: %v, want %v", name, p.Good(0), c.want)
 		}
 	}
+	// Nobody acts on a picture that was never made.
+	var none Picture
+	none.Heard(40*s, nil)
+	if none.Good(30*s) != 0 {
+		t.Errorf("good until %v before anything was read", none.Good(30*s))
+	}
 	// What was known once stays known; a gap is closed by the state service alone.
 	var p Picture
 	p.Read(20 * s)
 	p.Heard(40*s, []Word{{0, 39 * s}})
 	p.Heard(50*s, []Word{{45 * s, 50 * s}})
-	if p.At() != 39*s {
-		t.Errorf("a word from after the gap made it %v", p.At())
+	if p.Good(0) != 39*s {
+		t.Errorf("a word from after the gap made it %v", p.Good(0))
 	}
 	p.Read(46 * s)
 	p.Heard(50*s, []Word{{45 * s, 50 * s}})
-	if p.At() != 50*s {
-		t.Errorf("%v once the gap is closed", p.At())
+	if p.Good(0) != 50*s {
+		t.Errorf("%v once the gap is closed", p.Good(0))
 	}
 }
 
@@ -64,3 +70,19 @@
 		t.Errorf("%v to one who asks for all, next %d", jobs, next)
 	}
 }
+
+func TestAnAnswerAskedForBeforeATellingShowsNothing(t *testing.T) {
+	var p Picture
+	p.Read(10 * s)
+	if !p.Told(20*s, 7) || p.Told(21*s, 7) || !p.Over(7) || p.Over(8) {
+		t.Error("a telling counts once, for its job")
+	}
+	p.Read(19 * s) // asked for before: it may have shown the job
+	if !p.Over(7) {
+		t.Error("forgotten too early")
+	}
+	p.Read(21 * s)
+	if p.Over(7) {
+		t.Error("kept for ever")
+	}
+}
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -25,15 +25,15 @@
 	// picture is up to when every cancellation that a user was told of is known: fresh, or
 	// later by what all controllers tell. Authority goes by it.
 	picture witness.Picture
-	// gone are the cancelled jobs that a controller told of, and when: what was asked for
-	// before may still show them as open.
-	gone    map[model.JobID]time.Duration
-	told    time.Duration // fresh when progress was last gathered
-	rev     uint64        // the open jobs were listed at
-	orphans []string      // keys of jobs that have ended
-	ticked  time.Duration
-	due     bool // to deal
-	dealt   time.Duration
+	// blindSince: since then the state service has answered all but questions about the open
+	// jobs; 0: it has not.
+	blindSince time.Duration
+	told       time.Duration // fresh when progress was last gathered
+	rev        uint64        // the open jobs were listed at
+	orphans    []string      // keys of jobs that have ended
+	ticked     time.Duration
+	due        bool // to deal
+	dealt      time.Duration
 	// dealCost is what dealing took the last time.
 	dealCost time.Duration
 	shown    time.Duration
--- a/internal/node/grants_test.go
+++ b/internal/node/grants_test.go
@@ -11,6 +11,7 @@
 	"honeylock/internal/config"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/standing"
 	"honeylock/internal/core/witness"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
@@ -57,7 +58,8 @@
 	n.lead = n.newLeadership(ctx, now)
 	l := n.lead
 	l.loaded = true
-	r := &rig{t: t, n: n, l: l, k: &link{out: peer.NewQueue(), codec: peer.NewCodec(n.names), sent: map[uint64]time.Duration{}}}
+	k := &link{out: peer.NewQueue(), codec: peer.NewCodec(n.names), sent: map[uint64]time.Duration{}}
+	r := &rig{t: t, n: n, l: l, k: k}
 	r.id = l.welcome(now, r.k, &peerpb.Hello{Host: "hive-1", Release: release})
 	r.sent(t)
 	return r
@@ -104,6 +106,29 @@
 	r.l.d.AddJob(r.n.now(), &model.Spec{ID: job, Tasks: 2, Zone: model.None}, 3, 0, false)
 }
 
+// A new leader gives no grant, and its own shard acts on none, before it has read what is open.
+func TestNoAuthorityBeforeThePicture(t *testing.T) {
+	r := newRig(t)
+	r.n.mu.Lock()
+	defer r.n.mu.Unlock()
+	now := r.n.now()
+	r.ask(now, &peerpb.Ask{})
+	for _, m := range r.sent(t) {
+		if g := m.GetGrant(); g.GetForUs() > 0 {
+			t.Errorf("a grant for %d us", g.GetForUs())
+		}
+	}
+	r.l.tick(now)
+	if r.n.seat.s.Granted(now) {
+		t.Error("its own shard acts")
+	}
+	r.l.deals.seen(now, now-time.Second)
+	r.l.tick(now)
+	if !r.n.seat.s.Granted(now) {
+		t.Error("its own shard does not act on a picture of a second ago")
+	}
+}
+
 // Authority never runs ahead of what it rests on: a member that has a grant of after a
 // cancellation, and loses its leader then, would else act on without having heard of it, from
 // a picture that was asked for well after users were told.
@@ -154,7 +179,7 @@
 	r.n.mu.Lock()
 	defer r.n.mu.Unlock()
 	now := r.n.now()
-	picture := func() time.Duration { return now - r.l.deals.picture.At() }
+	picture := func() time.Duration { return now - r.l.deals.picture.Good(0) }
 	r.asOf(now - 20*time.Second)
 	r.ask(now-3*time.Second, &peerpb.Ask{}) // grant 1
 	r.ask(now-2*time.Second, &peerpb.Ask{Promised: 1})
@@ -185,3 +210,34 @@
 		}
 	}
 }
+
+// A leader that the state service answers, but not about the open jobs, lets another one try,
+// however young its picture is by what controllers tell: it would never learn of a new job.
+func TestALeaderThatLearnsOfNoNewJobGivesWay(t *testing.T) {
+	r := newRig(t)
+	r.n.mu.Lock()
+	defer r.n.mu.Unlock()
+	now := r.n.now()
+	r.asOf(now)
+	for d := time.Duration(0); d < 2*time.Minute; d += time.Second {
+		if r.l.deals.blind(now + d) {
+			t.Fatalf("blind in an outage, after %v", d)
+		}
+	}
+	back := now + 2*time.Minute
+	for d := time.Duration(0); d < blindFor; d += time.Second {
+		r.n.pulse.note(back+d, standing.Served)
+		if r.l.deals.blind(back + d) {
+			t.Fatalf("blind %v after the outage", d)
+		}
+	}
+	r.n.pulse.note(back+blindFor+time.Second, standing.Served)
+	if !r.l.deals.blind(back + blindFor + time.Second) {
+		t.Error("goes on without news")
+	}
+	r.l.deals.seen(back+15*time.Second, back+14*time.Second)
+	r.n.pulse.note(back+15*time.Second, standing.Served)
+	if r.l.deals.blind(back + 15*time.Second) {
+		t.Error("gives way though it has news")
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -94,13 +94,11 @@
 	l.local = l.d.Join(now, n.cfg.HostName)
 	n.leaveSeat()
 	n.takeSeat(n.newSeat(l.d.Attempts(l.local)))
-	n.seat.s.Grant(n.el.Deadline())
 	n.seat.s.Tell(len(n.set.Budgets) > 0)
 	f := fleet.New(fleet.Params{Term: l.term, Began: now, ListLag: config.Seconds(c.Cloud.ListLagS),
 		IdleReturn: n.set.IdleReturn,
 		Horizon:    n.set.RentHorizon, Probe: rentProbe, Patience: 10 * n.set.RentHorizon})
-	l.deals = &dealing{l: l, d: l.d, fresh: now, gone: map[model.JobID]time.Duration{}}
-	l.deals.picture.Read(now)
+	l.deals = &dealing{l: l, d: l.d, fresh: now}
 	l.chains = &chaining{l: l, g: pipeline.New()}
 	l.rents = &renting{l: l, f: f}
 	l.drains = l.newDraining()
@@ -219,7 +217,7 @@
 
 // until is when this leader's authority ends unless it is renewed.
 func (l *leadership) until() time.Duration {
-	return min(l.n.el.Deadline(), l.deals.picture.At()+l.n.cfg.Cluster.Deaf())
+	return min(l.n.el.Deadline(), l.deals.picture.Good(l.n.cfg.Cluster.StalenessBound()))
 }
 
 // tick is called a few times a second.
@@ -227,7 +225,8 @@
 	if l.loaded {
 		l.deals.listen(now)
 	}
-	if now-l.deals.picture.At() > l.n.cfg.Cluster.Deaf() {
+	bound := l.n.cfg.Cluster.StalenessBound()
+	if now > max(l.deals.picture.Good(bound), l.began+bound) || l.deals.blind(now) {
 		l.n.log.Error("no news of open jobs: giving leadership up", "term", l.term)
 		l.n.el.Resign(now, time.Second)
 		return
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -105,7 +104,7 @@
 		}
 		told, _ := n.told.From(0) // some perhaps since that was asked
 		for _, id := range told {
-			p.gone[id] = now
+			p.picture.Told(now, id)
 		}
 		for _, st := range open {
 			p.add(now, st, -time.Hour) // users may have been told long ago
@@ -209,7 +208,7 @@
 func (p *dealing) add(now time.Duration, st stored, since time.Duration) {
 	waited := time.Duration(max(0, time.Now().UnixMilli()-st.sub.SubmittedMS)) * time.Millisecond
 	sp := st.sub.Spec(p.l.n.names)
-	if _, over := p.gone[sp.ID]; over {
+	if p.picture.Over(sp.ID) {
 		return
 	}
 	p.d.AddJob(now, sp, st.version, min(waited, time.Hour), st.version <= p.l.guard.Version)
@@ -283,16 +282,11 @@
 	p.exchange(now)
 	p.fresh = asked
 	p.picture.Read(asked)
-	maps.DeleteFunc(p.gone, func(_ model.JobID, at time.Duration) bool { return at < asked })
 }
 
 // cancelled takes a controller's word that it told a user of a cancellation.
 func (p *dealing) cancelled(now time.Duration, id model.JobID) {
-	if _, known := p.gone[id]; known {
-		return
-	}
-	p.gone[id] = now
-	if p.d.Version(id) == 0 {
+	if !p.picture.Told(now, id) || p.d.Version(id) == 0 {
 		return
 	}
 	p.d.Withdrawn(id)
@@ -301,6 +295,23 @@
 	p.l.n.soon()
 }
 
+// blindFor is how long the state service may serve a leader without news of the open jobs:
+// some questions, each of which takes seconds.
+const blindFor = 10 * time.Second
+
+// blind tells that the state service answers this leader, yet not what it asks about the
+// open jobs: another one may learn of what was submitted. In an outage nobody does.
+func (p *dealing) blind(now time.Duration) bool {
+	if now-p.fresh <= p.l.n.cfg.Cluster.StalenessBound() || p.l.n.pulse.missing(now) {
+		p.blindSince = 0
+		return false
+	}
+	if p.blindSince == 0 {
+		p.blindSince = now
+	}
+	return now-p.blindSince > blindFor
+}
+
 // listen brings the picture up to what all controllers have told, as this one knows it.
 func (p *dealing) listen(now time.Duration) {
 	var words []witness.Word
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -427,7 +427,7 @@
 // shard may act, but does not own the machine.
 func (n *Node) answer(r *model.Report) (a shard.Answer, keeper string, unowned bool) {
 	now := n.now()
-	if n.seat == nil || !n.seat.s.Granted(now) || n.lead != nil && !n.lead.loaded {
+	if n.seat == nil || !n.seat.s.Granted(now) {
 		return a, "", false
 	}
 	s := n.seat.s
