--- a/internal/core/shard/first.go
+++ b/internal/core/shard/first.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// placeFirstsOn gives the room that came free on a machine to such jobs before all others:
+// the first task of each.
+func (s *Shard) placeFirstsOn(now time.Duration, m *machine) {
+	if len(s.firsts) == 0 {
+		return
+	}
+	for _, g := range s.ranked {
+		if len(g.tasks) > 0 && s.first(now, g.job) && g.spec.Each.Fits(m.Cap.Sub(m.used)) && s.allows(now, g, m) {
+			s.putNext(m, g)
+			s.leave(g)
+		}
+	}
+}
+
 // press takes the dealer's word that a job should have begun.
 func (s *Shard) press(now time.Duration, job model.JobID) {
 	if s.firsts == nil {
--- a/internal/core/shard/first_test.go
+++ b/internal/core/shard/first_test.go
@@ -96,3 +96,40 @@
 		t.Errorf("it began after %v", d)
 	}
 }
+
+// A job that should have begun gets the first room that comes free on any machine, not only
+// on one that is kept for such jobs: where all are full of long tasks, a hundred jobs waited
+// for three machines.
+func TestRoomThatComesFreeGoesToAJobThatShouldHaveBegun(t *testing.T) {
+	r := newRig(t)
+	full := r.spec(1, model.Urgent, 4)
+	for id := range model.MachineID(2) {
+		r.own(id, 5, 8)
+		r.report(id, 5)
+	}
+	for no := range int32(12) { // four run, the others wait
+		r.give(full, no, 100)
+	}
+	cells := map[model.MachineID][]model.Cell{}
+	for id := range model.MachineID(2) {
+		for _, c := range r.report(id, 5) {
+			cells[id] = append(cells[id], model.Cell{Task: c.Task, Attempt: c.Attempt, Stage: model.Running})
+		}
+		r.report(id, 5, cells[id]...)
+	}
+	r.give(r.spec(2, model.Idle, 4), 0, 1)
+	r.s.Order(r.now, model.Order{Kind: model.First, Job: 2})
+	r.now += time.Second
+	r.s.Tick(r.now) // one machine is kept for it
+	free := model.MachineID(0)
+	if r.s.machines[0].keptFor == 2 {
+		free = 1
+	}
+	cells[free][0].Stage, cells[free][0].Cause = model.Exited, model.CauseDone
+	for _, c := range r.report(free, 5, cells[free]...) {
+		if c.Verb == model.Launch && c.Task.Job == 2 {
+			return
+		}
+	}
+	t.Error("the room went to another job")
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -84,6 +84,7 @@
 }
 
 func (s *Shard) placeOn(now time.Duration, m *machine) {
+	s.placeFirstsOn(now, m)
 	for _, g := range s.ranked {
 		if len(g.tasks) == 0 || !g.spec.Each.Fits(m.Cap.Sub(m.used)) || !s.allows(now, g, m) {
 			continue
