--- a/internal/core/sim/search_test.go
+++ b/internal/core/sim/search_test.go
@@ -141,6 +141,7 @@
 		for _, mixed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/mixed=%v", name, mixed), func(t *testing.T) {
 				t.Parallel()
+				p := p // the two run at once
 				p.mixed = mixed
 				var longest time.Duration
 				for seed := range seeds(3) {
