--- a/internal/core/sim/meetings_test.go
+++ b/internal/core/sim/meetings_test.go
@@ -298,6 +298,7 @@
 		"held up":            func(p *params) { p.anyToken = true },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := met(almatyLike(), meetings[name])
 			p.copies = name == "old reports"
 			breakIt(&p)
