--- a/internal/core/standing/standing_test.go
+++ b/internal/core/standing/standing_test.go
@@ -44,15 +44,17 @@
 // for all. It is asked every 100 ms, and each failure is known a while after it was sent.
 func TestALeaderYieldsOnlyToOneThatIsServed(t *testing.T) {
 	const cut, sec = 10 * time.Second, time.Second
+	justServed := func(now time.Duration) time.Duration { return now - 100*ms }
 	for name, c := range map[string]struct {
 		known   time.Duration                                // how long a failure takes
 		sibling func(now time.Duration) (sent time.Duration) // the newest that was served
 		back    time.Duration                                // served again from then on
 		from    time.Duration                                // yields within a second from then on, 0: never
 	}{
-		"a sibling is served":     {100 * ms, func(now time.Duration) time.Duration { return now - 100*ms }, time.Hour, cut + 3*sec},
-		"cut off, not refused":    {1500 * ms, func(now time.Duration) time.Duration { return now - 100*ms }, time.Hour, cut + 3*sec},
-		"its siblings ask seldom": {100 * ms, func(now time.Duration) time.Duration { return now.Truncate(2*sec) - sec }, time.Hour, cut + 6*sec},
+		"a sibling is served":  {100 * ms, justServed, time.Hour, cut + 3*sec},
+		"cut off, not refused": {1500 * ms, justServed, time.Hour, cut + 3*sec},
+		"its siblings ask seldom": {100 * ms, func(now time.Duration) time.Duration { return now.Truncate(2*sec) - sec },
+			time.Hour, cut + 6*sec},
 		"out for all soon after": {100 * ms, func(now time.Duration) time.Duration { return min(now-100*ms, cut+2*sec) },
 			time.Hour, 0},
 		"out for all, then back, and a sibling asks first": {100 * ms, func(now time.Duration) time.Duration {
