node: no answer leaves older than the end that this controller has told

Change: before an answer that is not final leaves, what this controller has told is looked at once more, for answers of siblings too.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -53,7 +53,7 @@
 	if r.Status == http.StatusOK && r.State != nil && jobs.Stage(r.State.Stage).Ended() {
 		n.keepFinal(id, jobs.Stage(r.State.Stage))
 	}
-	return r, true
+	return n.notOlder(id, r), true
 }
 
 // serveForwarded answers what a sibling passes on; it is not passed on again.
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -181,10 +181,22 @@
 		} else if !ans.Created && !n.maySayQueued(id) {
 			return n.inDoubt(id)
 		}
-		return n.stateReply(ans.Status, id, ans.Stage)
+		return n.notOlder(id, n.stateReply(ans.Status, id, ans.Stage))
 	}
 }
 
+// notOlder gives an answer that was found while this controller has told another user of the
+// job's end as that end: the two may leave in either order.
+func (n *Node) notOlder(id model.JobID, r Reply) Reply {
+	if r.State == nil || jobs.Stage(r.State.Stage).Ended() {
+		return r
+	}
+	if st, ok := n.final(id); ok {
+		return n.stateReply(http.StatusOK, id, st)
+	}
+	return r
+}
+
 // request begins a request. What a submission awaits was mostly seen a moment ago.
 func (n *Node) request(k jobs.Kind, id model.JobID, sub *wire.Submission) (*jobs.Request, jobs.Op) {
 	if k != jobs.Submit || len(sub.Awaits) == 0 {
