e2e: close looks at all controllers, machines that reach nobody, odd requests

The stand-ins learn two troubles: a transaction that is done at once and whose answer is lost, and a machine that reaches no controller while commands reach it. Every field of a submission is left out, of a wrong type or out of range, also under a known name.

--- /dev/null
+++ b/internal/e2e/looks_test.go
@@ -0,0 +1,221 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"honeylock/internal/dev"
+)
+
+// witness checks what users are told of jobs: an answer to a question that was asked after
+// somebody had been told of a job's acceptance or end is never older than that.
+type witness struct {
+	t    *testing.T
+	mu   sync.Mutex
+	told map[string]string // accepted, done or aborted
+	n    int               // answers that were compared with something
+}
+
+// ask asks a controller once, and compares its answer with what had been told before.
+func (w *witness) ask(c *dev.Controller, method, path, job string, body any) (status int, stage string) {
+	w.mu.Lock()
+	before := w.told[job]
+	w.mu.Unlock()
+	status, v := call(c, method, path, body)
+	stage, _ = v["Stage"].(string)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if before != "" && (status == http.StatusOK || status == http.StatusCreated || status == http.StatusNotFound) {
+		w.n++
+		ended := before == "done" || before == "aborted"
+		if status != http.StatusOK || ended && stage != before {
+			w.t.Errorf("%s %s: %d %q after %q", method, path, status, stage, before)
+		}
+	}
+	switch {
+	case stage == "done" || stage == "aborted":
+		w.told[job] = stage
+	case stage != "" && w.told[job] == "":
+		w.told[job] = "accepted"
+	}
+	return status, stage
+}
+
+// look asks all controllers at once, twice, and submits the job once more.
+func (w *witness) look(cl *dev.Cluster, job object) {
+	id := job["NameId"].(string)
+	var all sync.WaitGroup
+	for range 2 {
+		for _, c := range cl.Controllers {
+			all.Go(func() { w.ask(c, http.MethodGet, "/v1/jobs/"+id, id, nil) })
+		}
+	}
+	all.Go(func() { w.ask(cl.Controllers[len(id)%3], http.MethodPost, "/v1/jobs", id, job) })
+	all.Wait()
+}
+
+// insist repeats a request until it is answered, and looks closely then.
+func (w *witness) insist(cl *dev.Cluster, i int, path string, job object) {
+	id := job["NameId"].(string)
+	var body any
+	if path == "/v1/jobs" {
+		body = job
+	}
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		i++
+		if st, _ := w.ask(cl.Controllers[i%3], http.MethodPost, path, id, body); st == http.StatusOK || st == http.StatusCreated {
+			w.look(cl, job)
+			return
+		}
+	}
+	w.t.Errorf("%s: no answer", path)
+}
+
+// Users ask at all controllers within milliseconds of an answer, repeat submissions, cancel at
+// once or just as the last task ends, while one controller's transactions lose their answers.
+func TestCloseLooks(t *testing.T) {
+	cl := troubled(t, 6)
+	cl.Controllers[1].Front.Lose(4)
+	w := &witness{t: t, told: map[string]string{}}
+	var all sync.WaitGroup
+	for i := range 24 {
+		job := submission(fmt.Sprintf("job-%06d", 100+i), 1+i%3)
+		id := job["NameId"].(string)
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			w.insist(cl, i, "/v1/jobs", job)
+			switch i % 3 {
+			case 0: // at once
+			case 1: // about when its last task ends
+				time.Sleep(time.Duration(300+40*i) * time.Millisecond)
+			default:
+				for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+					if _, st := w.ask(cl.Controllers[i%2], http.MethodGet, "/v1/jobs/"+id, id, nil); st == "done" {
+						break
+					}
+				}
+				w.look(cl, job)
+			}
+			w.insist(cl, i+1, "/v1/jobs/"+id+"/withdraw", job)
+		})
+	}
+	all.Wait()
+	ends := map[string]int{}
+	for _, st := range w.told {
+		ends[st]++
+	}
+	if ends["done"] < 8 || ends["aborted"] == 0 || ends["accepted"] > 0 || w.n < 24*14 {
+		t.Errorf("%v after %d comparisons", ends, w.n)
+	}
+}
+
+// Machines reach no controller while commands reach them: they lose their leases, their tasks run
+// elsewhere, none twice at a time, and room comes back.
+func TestMachinesThatReachNobody(t *testing.T) {
+	cl := troubled(t, 6)
+	job := submission("job-000001", 28)
+	job["ForageS"] = 7.0
+	accept(t, cl.Controllers[0], job)
+	until(t, "tasks run", func() bool { return cl.Depot.Running("job-000001") > 20 })
+	mute := cl.Cloud.Workers()[:2]
+	for _, w := range mute {
+		w.Mute(12 * time.Second)
+	}
+	k := leader(t, cl)
+	k.Stop()
+	time.Sleep(200 * time.Millisecond)
+	if err := k.Start(); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the job", func() bool { return stage(k, "job-000001") == "done" })
+	killed := 0
+	for _, r := range cl.Depot.Runs() {
+		if r.Cause == "killed" && (r.Machine == mute[0].Name || r.Machine == mute[1].Name) {
+			killed++
+		}
+	}
+	if killed == 0 {
+		t.Error("no task was lost with its machine's lease: the test shows nothing")
+	}
+	last := submission("job-000002", 24)
+	last["ForageS"] = 2.0
+	accept(t, k, last)
+	until(t, "all machines work again", func() bool { return cl.Depot.Running("job-000002") >= 20 })
+}
+
+// What is no job, or can never run, is refused however it is asked, and is never accepted; a
+// known job's name does not make it one.
+func TestOddRequests(t *testing.T) {
+	cl := troubled(t, 2)
+	k := cl.Controllers[0]
+	accept(t, k, submission("job-000001", 1))
+	until(t, "the job", func() bool { return stage(k, "job-000001") == "done" })
+	odd := map[string]struct {
+		field string
+		value any // nil: left out
+		want  int
+	}{
+		"too large a task":       {"Cpus", 9, http.StatusUnprocessableEntity},
+		"too much memory":        {"MemGb", 33, http.StatusUnprocessableEntity},
+		"an accelerator":         {"Accelerators", 1, http.StatusUnprocessableEntity},
+		"unknown team":           {"Colony", "nobody", http.StatusUnprocessableEntity},
+		"unknown type":           {"Breeds", []string{"g9"}, http.StatusUnprocessableEntity},
+		"unknown zone":           {"Yard", "c", http.StatusUnprocessableEntity},
+		"above the team's limit": {"Cpus", 401, http.StatusUnprocessableEntity},
+		"no tasks":               {"Cells", 0, http.StatusBadRequest},
+		"too many tasks":         {"Cells", 100_001, http.StatusBadRequest},
+		"half a task":            {"Cells", 1.5, http.StatusBadRequest},
+		"less than nothing":      {"Cpus", -1, http.StatusBadRequest},
+		"no type at all":         {"Breeds", []string{}, http.StatusBadRequest},
+		"unknown rank":           {"Rank", "first", http.StatusBadRequest},
+		"unknown shape":          {"Shape", "round", http.StatusBadRequest},
+		"a deadline of nothing":  {"HarvestS", 0, http.StatusBadRequest},
+		"a name of another form": {"NameId", "job-1", http.StatusBadRequest},
+	}
+	for _, f := range []string{"NameId", "Comb", "Colony", "Shape", "Rank", "Cells", "Cpus", "Accelerators", "MemGb", "Wax",
+		"ImageGb", "Together", "Spread", "SwarmBoxes", "ForageS", "CapIntervalS", "CapS"} {
+		odd["without "+f] = struct {
+			field string
+			value any
+			want  int
+		}{f, nil, http.StatusBadRequest}
+		odd["a wrong type of "+f] = struct {
+			field string
+			value any
+			want  int
+		}{f, object{}, http.StatusBadRequest}
+	}
+	n := 0
+	for name, o := range odd {
+		n++
+		job := submission(fmt.Sprintf("job-%06d", 500+n), 2)
+		if o.value == nil {
+			delete(job, o.field)
+		} else {
+			job[o.field] = o.value
+		}
+		for i := range 2 {
+			if st, v := call(cl.Controllers[i], http.MethodPost, "/v1/jobs", job); st != o.want {
+				t.Errorf("%s: %d %v, want %d", name, st, v, o.want)
+			}
+		}
+		if id, ok := job["NameId"].(string); ok && id != "job-1" {
+			if st, _ := call(cl.Controllers[2], http.MethodGet, "/v1/jobs/"+id, nil); st != http.StatusNotFound {
+				t.Errorf("%s: a question about it got %d", name, st)
+			}
+			job["NameId"] = "job-000001"
+			if st, v := call(k, http.MethodPost, "/v1/jobs", job); st == http.StatusCreated || st == http.StatusOK && v["Stage"] != "done" {
+				t.Errorf("%s, under a known name: %d %v", name, st, v)
+			}
+		}
+	}
+	if st, v := call(k, http.MethodPost, "/v1/jobs/job-000001/withdraw", nil); st != http.StatusOK || v["Stage"] != "done" {
+		t.Errorf("a job that is done, cancelled: %d %v", st, v)
+	}
+	if b := cl.Find("job-000001"); b != nil {
+		t.Errorf("an open record of a job that is done: %s", b)
+	}
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -76,6 +77,8 @@
 	mu      sync.Mutex
 	refuses bool
 	slow    time.Duration
+	loses   int // of so many transactions one gets no answer; 0: none
+	txns    int
 }
 
 // Refuse lets the store answer this controller alone with 503, or no longer.
@@ -92,6 +95,22 @@
 	f.slow = d
 }
 
+// Lose has one of every n transactions of this controller carried out at once, and its answer
+// lost; 0: none.
+func (f *Front) Lose(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loses = n
+}
+
+// lost tells whether a transaction's answer is lost.
+func (f *Front) lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.txns++
+	return f.loses > 0 && f.txns%f.loses == 0
+}
+
 func (f *Front) fault() (bool, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,14 +119,21 @@
 
 // Front opens a way to the store.
 func (s *Store) Front() (*Front, error) {
+	f := &Front{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /store/{key...}", s.get)
 	mux.HandleFunc("GET /store", s.list)
-	mux.HandleFunc("POST /txn", s.txn)
+	mux.HandleFunc("POST /txn", func(w http.ResponseWriter, r *http.Request) {
+		if !f.lost() {
+			s.txn(w, r)
+			return
+		}
+		s.txn(httptest.NewRecorder(), r)
+		<-r.Context().Done() // until its asker has lost patience
+	})
 	mux.HandleFunc("POST /grants", s.grant)
 	mux.HandleFunc("POST /grants/{id}/extend", s.extend)
 	mux.HandleFunc("DELETE /grants/{id}", s.end)
-	f := &Front{}
 	watch := func(w http.ResponseWriter, r *http.Request) { s.watch(w, r, f) }
 	mux.HandleFunc("GET /watch", watch)
 	d, err := open(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -70,6 +70,7 @@
 	dead    bool
 	hung    time.Time // does not run until then
 	deaf    time.Time // nothing reaches it until then; what it sends arrives
+	mute    time.Time // it reaches no controller until then; commands reach it
 	copies  []time.Duration
 	session uint64
 	seq     uint64
@@ -134,6 +135,13 @@
 	w.deaf = time.Now().Add(d)
 }
 
+// Mute keeps the machine from reaching any controller for a while; commands reach it.
+func (w *Worker) Mute(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute = time.Now().Add(d)
+}
+
 // Copies has each report come again, at every controller, so much later each time.
 // Nobody hears the answers.
 func (w *Worker) Copies(after ...time.Duration) {
@@ -410,8 +418,15 @@
 		session := w.session
 		body, err := json.Marshal(w.report(sent))
 		host := w.hosts[w.target%len(w.hosts)]
-		copies := w.copies
+		copies, mute := w.copies, sent.Before(w.mute)
+		if mute {
+			w.target++
+		}
 		w.mu.Unlock()
+		if mute { // a connection that can't be opened
+			w.wait(ctx, time.Second)
+			continue
+		}
 		if err != nil {
 			return // a report of plain values always encodes
 		}
