--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -7,6 +7,7 @@
 
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/election"
+	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/shard"
@@ -33,6 +34,7 @@
 	doubt  map[model.JobID]bool // told by the leader: waiting jobs, and whether they are in doubt
 	stands standing.Standing    // with the state service
 	told   *witness.Log
+	last   map[model.JobID]asked // with the guard broken: what was asked lately
 }
 
 // halt is a process that stands still while its clocks run on: what is sent to
@@ -111,6 +113,11 @@
 	toldTo int
 }
 
+type asked struct {
+	res jobs.Result
+	at  time.Duration
+}
+
 func newCtl(w *world, i int) *ctl {
 	return &ctl{w: w, host: fmt.Sprintf("c%d", i), rate: 1 + (w.rng.Float64()-0.5)*0.001}
 }
@@ -119,6 +126,7 @@
 
 func (c *ctl) start() {
 	c.up = true
+	c.w.isBack()
 	c.life++
 	c.halt = halt{}
 	c.origin = c.w.now
@@ -135,6 +143,7 @@
 	}
 	c.up = false
 	c.life++
+	c.w.ends(c)
 	c.lead, c.seat = nil, nil
 	c.w.after(d, c.start)
 }
@@ -163,7 +172,15 @@
 		var v any
 		o := standing.Refused
 		if c.w.store.serves(c.host) {
+			c.w.store.touched = nil
 			v, o = op(), standing.Served
+			if txn && c.w.store.losesAnswer() {
+				c.w.saw("a transaction is done, its answer lost")
+				if id := c.w.store.touched; id != nil {
+					c.w.store.unread[*id] = c.host
+				}
+				return
+			}
 		}
 		if c.w.rng.IntN(300) > 0 {
 			c.w.send("store", c.host, false, func() { finish(v, o) })
@@ -223,12 +240,13 @@
 		hosts: map[string]bool{}, known: map[model.JobID]bool{}, fresh: now, began: now}
 	c.lead = l
 	c.w.note("%s leads term %d", c.host, l.term)
+	c.w.begins(c)
 	end := now + c.w.p.ttl + time.Second
 	if c.w.p.trustOldEnd {
 		end = now - time.Hour
 	}
 	l.d = dealer.New(dealer.Params{Term: l.term, Teams: []dealer.Team{{Limit: teamLimit}, {Limit: teamLimit}}, ChunkSize: 64, BlockSize: blockSize,
-		Progress: time.Second, Ahead: 4, Begin: 30 * time.Second, SureLease: c.sureLease(), Tell: c.w.p.budget > 0}, end)
+		Progress: time.Second, Ahead: 4, Begin: c.w.p.begin(), SureLease: c.sureLease(), Tell: c.w.p.budget > 0}, end)
 	l.d.SetTypes([]model.MachineType{theType})
 	l.local = l.d.Join(now, c.host)
 	l.drains = l.newDrains()
@@ -287,7 +305,11 @@
 		if c.w.p.copies {
 			c.w.repeatOf(func() { m.direct(d.Token, d.Session, d.Commands, func(*model.Report, bool) {}) })
 		}
+		sent := c.w.now
 		c.w.send(c.host, m.host, false, func() {
+			if c.w.now-sent > 4*time.Second {
+				c.w.saw("a command arrives seconds late")
+			}
 			m.direct(d.Token, d.Session, d.Commands, func(r *model.Report, ok bool) {
 				c.w.send(m.host, c.host, false, func() { finish(r, ok) })
 			})
--- a/internal/core/sim/join_test.go
+++ b/internal/core/sim/join_test.go
@@ -55,7 +55,10 @@
 						}
 						n := c.newSeat(attempts)
 						st.s, st.id, st.joined, st.heard = n.s, id, true, c.now()
-						st.s.Open(picture)
+						if !c.w.p.unvetted {
+							st.s.Open(picture)
+						}
+						c.w.changed = c.w.now
 						c.seat = st
 						for _, mid := range c.kept {
 							st.up(func(l *lead, _ *link) {
--- a/internal/core/sim/lead_test.go
+++ b/internal/core/sim/lead_test.go
@@ -110,7 +110,9 @@
 		l.chains.settle()
 		l.exchange()
 		l.picture.Read(asked)
-		c.seat.s.Open(l.open())
+		if !c.w.p.unvetted {
+			c.seat.s.Open(l.open())
+		}
 		l.pump()
 	})
 }
@@ -122,7 +124,9 @@
 	return open
 }
 
-func (l *lead) until() time.Duration { return min(l.c.el.Deadline(), l.picture.Good(l.c.w.p.deaf)) }
+func (l *lead) until() time.Duration {
+	return min(l.c.el.Deadline(), l.picture.Good(l.c.w.p.staleness))
+}
 
 // cancelled takes a controller's word that it told a user of a cancellation.
 func (l *lead) cancelled(now time.Duration, id model.JobID) {
@@ -165,7 +169,7 @@
 	c := l.c
 	now := c.now()
 	l.listen(now)
-	if now > max(l.picture.Good(c.w.p.deaf), l.began+c.w.p.deaf) {
+	if now > max(l.picture.Good(c.w.p.staleness), l.began+c.w.p.staleness) {
 		c.el.Resign(now, time.Second)
 		c.follow()
 		return
@@ -229,6 +233,7 @@
 	if l.c.w.p.freeOnLoss {
 		end = l.c.now() - time.Hour
 	}
+	l.c.w.changed = l.c.w.now
 	l.d.Lost(id, end)
 	l.pump()
 }
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -37,6 +37,7 @@
 	results             map[model.Task]bool
 	dead                bool          // given back
 	unheard             time.Duration // its reports get lost until then, its answers to commands don't
+	upAt                time.Duration // when it came up
 }
 
 func newMachine(w *world, id model.MachineID, zone int) *machine {
@@ -51,7 +52,9 @@
 
 // left notes that a task is on the machine no more.
 func (m *machine) left(k key) {
-	if u := m.w.users[k.t.Job]; u.ended == jobs.Cancelled {
+	u := m.w.users[k.t.Job]
+	u.movedAt = m.w.now
+	if u.ended == jobs.Cancelled {
 		m.w.longest = max(m.w.longest, m.w.now-u.endedAt)
 	}
 }
@@ -82,6 +85,7 @@
 	}
 	for _, k := range m.sorted() {
 		a := m.cells[k]
+		w.checkGone(m, k, a)
 		switch {
 		case a.Stage == model.Fetching && w.now >= a.readyAt:
 			if m.results[k.t] {
@@ -157,15 +161,9 @@
 	no, sent, c := m.reports, w.now, w.ctls[m.target]
 	m.awaiting, m.sentAt = no, sent
 	if w.p.copies {
-		w.copyOf(func(c *ctl) {
-			copied := *r
-			if w.p.believed {
-				m.seq++
-				copied.Session, copied.Seq, copied.Token = m.session, m.seq, m.token
-			}
-			c.onReport(&copied, func(bool, uint64, []model.Command, string) {})
-		})
+		w.copyOf(func(c *ctl) { m.sendCopy(c, r) })
 	}
+	w.keep(m, r)
 	if w.now < m.unheard {
 		return
 	}
@@ -176,6 +174,22 @@
 	})
 }
 
+// sendCopy has a copy of a report arrive; nobody hears what is answered.
+func (m *machine) sendCopy(c *ctl, r *model.Report) {
+	copied := *r
+	if r.Session < m.session {
+		m.w.saw("a copy of an earlier session")
+	}
+	if r.Seq < m.seq {
+		m.w.saw("a copy after a newer report")
+	}
+	if m.w.p.believed {
+		m.seq++
+		copied.Session, copied.Seq, copied.Token = m.session, m.seq, m.token
+	}
+	c.onReport(&copied, func(bool, uint64, []model.Command, string) {})
+}
+
 func (m *machine) answered(no uint64, sent time.Duration, session uint64, ok bool, token uint64, cmds []model.Command, keeper string) {
 	if m.dead {
 		return
@@ -234,6 +248,9 @@
 		return
 	}
 	m.token = max(m.token, token)
+	if w.now < m.unheard && len(cmds) > 0 {
+		w.saw("a command reaches a machine whose reports don't")
+	}
 	m.execute(cmds)
 	answer(m.report(), true)
 }
--- a/internal/core/sim/meetings_test.go
+++ b/internal/core/sim/meetings_test.go
@@ -142,7 +142,10 @@
 			w.cutFor(o.host, m.host, d)
 		}
 	}
-	w.after(alone, func() { w.store.out = true })
+	w.after(alone, func() {
+		w.saw("out for all after a refusal")
+		w.store.out = true
+	})
 	w.after(alone+out, func() { w.store.back() })
 	return alone + out
 }
@@ -226,6 +229,19 @@
 	return d + 2*w.p.lease
 }
 
+// sights are what the days of each kind must have seen.
+var sights = map[string][]string{
+	"leader cut off":     {"cancelled through another than the one cut off"},
+	"hand over and back": {"all controllers end", "one is back within a second"},
+	"the gap":            {"cancelled while another controller is refused alone", "out for all after a refusal"},
+	"slow store":         {"cancelled while the store is slow"},
+	"tasks far apart":    {"a leader begins between the ends of a job's tasks"},
+	"old reports":        {"a copy of an earlier session", "a copy after a newer report"},
+	"out of reach":       {"a leader begins while a machine with tasks can't be asked"},
+	"late writes":        {"a transaction is carried out late"},
+	"held up":            {"a command arrives seconds late"},
+}
+
 var meetings = map[string]meeting{
 	"leader cut off":     leaderCutOff,
 	"hand over and back": handOvers,
@@ -269,16 +285,24 @@
 // long ones; no rule may break, and each job is known and runs.
 func TestRulesHoldWhereTroublesMeet(t *testing.T) {
 	for name, m := range meetings {
-		for lease, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease()} {
-			p = met(p, m)
-			p.copies = name == "old reports"
-			for seed := range seeds(2) {
-				t.Run(fmt.Sprintf("%s/%s/%d", name, lease, seed), func(t *testing.T) {
-					t.Parallel()
-					play(t, 1000+seed, p)
-				})
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			seen := map[string]int{}
+			for _, p := range []params{almatyLike(), longLease()} {
+				p = met(p, m)
+				p.copies = name == "old reports"
+				for seed := range seeds(2) {
+					for what, n := range play(t, 1000+seed, p).seen {
+						seen[what] += n
+					}
+				}
 			}
-		}
+			for _, what := range sights[name] {
+				if seen[what] == 0 {
+					t.Errorf("never seen: %s, of %v", what, seen)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -27,6 +27,8 @@
 
 	acceptedAt time.Duration
 	answeredAt time.Duration // the last time that a question was
+	begun      bool          // a task of it has started
+	movedAt    time.Duration // when a task of it last started, ended or left a machine
 }
 
 func (w *world) submit(id model.JobID) {
@@ -62,9 +64,10 @@
 	if w.p.chains {
 		w.chain(u)
 	}
+	w.shape(u)
 	w.users[id] = u
 	w.ask(u, jobs.Submit)
-	if u.fails || r.IntN(5) == 0 {
+	if u.fails || r.IntN(5) == 0 || w.p.swarm && id%4 == 0 {
 		w.after(w.between(0, 30*time.Second), func() {
 			u.wants = true
 			w.ask(u, jobs.Withdraw)
@@ -80,8 +83,9 @@
 
 // ask sends a request through a random controller, again and again until it
 // has an answer.
-func (w *world) ask(u *user, k jobs.Kind) {
-	c := w.ctls[w.rng.IntN(len(w.ctls))]
+func (w *world) ask(u *user, k jobs.Kind) { w.askAt(w.ctls[w.rng.IntN(len(w.ctls))], u, k) }
+
+func (w *world) askAt(c *ctl, u *user, k jobs.Kind) {
 	before, asked := *u, w.now
 	answered := false
 	if c.up {
@@ -92,11 +96,12 @@
 			if op.Kind == jobs.Create || op.Kind == jobs.Cancel {
 				call = c.storeTxn
 			}
-			call(func() any { return w.store.job(u, op) }, func(res any) {
+			call(func() any { return w.store.job(c.host, u, op) }, func(res any) {
 				out := jobs.Result{Outcome: jobs.Failed}
 				if r, ok := res.(jobs.Result); ok {
 					out = r
 				}
+				out = c.shares(op, out)
 				if op.Kind == jobs.ReadOpen && op.Job == u.spec.ID && out.Outcome == jobs.OK {
 					u.version = out.Version
 				}
@@ -107,6 +112,7 @@
 				}
 				if !answered {
 					answered = true
+					w.settles(c, u, ans, asked)
 					if ans.Stage == jobs.Cancelled && !w.p.mum {
 						c.told.Told(c.now(), u.spec.ID)
 						if c.lead != nil && c.lead.loaded {
@@ -146,10 +152,14 @@
 		}
 		return
 	}
+	if before.accepted && a.Created {
+		w.fail("went_back", "job %d was accepted, and is taken as new", u.spec.ID)
+	}
 	w.checkAnswered(u)
 	u.answeredAt = w.now
 	if !u.accepted {
 		u.accepted, u.acceptedAt = true, w.now
+		w.lookClosely(u)
 	}
 	w.checkOrphan(u, asked, a.Stage)
 	if before.ended != "" && a.Stage != before.ended {
@@ -167,6 +177,7 @@
 	}
 	if a.Stage.Ended() && u.ended == "" {
 		u.ended, u.endedAt = a.Stage, w.now
+		w.lookClosely(u)
 		if a.Stage == jobs.Cancelled {
 			w.after(w.p.cancel, func() {
 				for _, m := range w.workers {
@@ -182,8 +193,12 @@
 }
 
 func (w *world) completed(t model.Task) {
-	w.users[t.Job].done[t.No] = true
+	u := w.users[t.Job]
+	u.done[t.No], u.movedAt = true, w.now
 	delete(w.moved, t)
+	if len(u.done) == int(u.spec.Tasks) {
+		w.meetsEnd(u)
+	}
 }
 
 // starts checks a task that has just started on a machine.
@@ -191,9 +206,11 @@
 	w.started++
 	delete(w.moved, t)
 	u := w.users[t.Job]
+	u.begun, u.movedAt = true, w.now
 	if u.ended == jobs.Cancelled && w.now > u.endedAt+w.p.cancel {
 		w.fail("ran_cancelled", "task %v starts on %s", t, m.host)
 	}
+	w.checkLateStart(u, t, m)
 	w.checkEarly(u, t)
 	at := m.Machine
 	if !u.spec.Allows(&at) {
--- a/internal/core/sim/search_test.go
+++ b/internal/core/sim/search_test.go
@@ -23,7 +23,8 @@
 // story is a meeting: what happens first, and what at a boundary after it.
 type story struct {
 	first, second func(w *world)
-	boundaries    int // within which the second may begin
+	boundaries    int           // within which the second may begin
+	day           func(*params) // what else such a day has
 }
 
 func outFor(extra time.Duration) func(w *world) {
@@ -66,17 +67,71 @@
 	w.cancelSome(4, 4*time.Second)
 }
 
+func lostForAWhile(w *world) {
+	w.note("answers to transactions are lost")
+	w.store.mute = w.now + 20*time.Second
+	w.cancelSome(4, 4*time.Second)
+}
+
+func memberGoes(w *world) {
+	for _, c := range w.ctls {
+		if c.lead == nil && c.up {
+			w.note("%s loses the others", c.host)
+			w.cutFromSiblings(c, 5*time.Second)
+			return
+		}
+	}
+}
+
+func cancelledNow(w *world) { w.cancelSome(6, 0) }
+
+func machinesCome(w *world) {
+	newMachinesUp(w, 2)
+	w.slow = w.now + 8*time.Second
+}
+
+// toldInTheGap is the gap with cancellations, and an outage longer than they may take.
+func toldInTheGap(w *world) {
+	refusedAlone(w)
+	w.after(1500*time.Millisecond, func() { outFor(20 * time.Second)(w) })
+}
+
+// tellerEnds: whoever last told a user ends, and is back at once with a clock that begins anew.
+func tellerEnds(w *world) {
+	if w.teller != nil {
+		w.note("%s ends, which told a user last", w.teller.host)
+		w.teller.crash(300 * time.Millisecond)
+	}
+}
+
+func leaderStands(w *world) { w.leading().haltIn(0, 8*time.Second) }
+
+func linksBreak(w *world) {
+	w.note("the links to the leader break")
+	w.cutFromSiblings(w.leading(), 4*time.Second)
+}
+
+func fiveControllers(p *params) { p.controllers = 5 }
+
 // The boundaries reach from the first trouble over the change of leader that follows it, with
 // the new leader's reading of the store, to some seconds after it.
 var stories = map[string]story{
-	"refused alone, then out for all":        {refusedAlone, outFor(20 * time.Second), 1500},
-	"refused alone, then the leader ends":    {refusedAlone, leaderEnds, 1500},
-	"cut off with its workers, then out":     {cutOffAlone, outFor(20 * time.Second), 1500},
-	"cut off with its workers, then all end": {cutOffAlone, allEnd, 1500},
-	"the leader ends, then out":              {leaderEnds, outFor(20 * time.Second), 1500},
-	"the leader ends, then the next one":     {leaderEnds, leaderEnds, 1500},
-	"late writes, then the leader ends":      {lateForAWhile, leaderEnds, 1500},
-	"out, then the leader ends":              {outFor(0), leaderEnds, 600},
+	"refused alone, then out for all":           {refusedAlone, outFor(20 * time.Second), 1500, nil},
+	"refused alone, then the leader ends":       {refusedAlone, leaderEnds, 1500, nil},
+	"cut off with its workers, then out":        {cutOffAlone, outFor(20 * time.Second), 1500, nil},
+	"cut off with its workers, then all end":    {cutOffAlone, allEnd, 1500, nil},
+	"the leader ends, then out":                 {leaderEnds, outFor(20 * time.Second), 1500, nil},
+	"the leader ends, then the next one":        {leaderEnds, leaderEnds, 1500, nil},
+	"late writes, then the leader ends":         {lateForAWhile, leaderEnds, 1500, nil},
+	"out, then the leader ends":                 {outFor(0), leaderEnds, 600, nil},
+	"work changes hands, then cancelled":        {memberGoes, cancelledNow, 1500, nil},
+	"new machines, then the leader ends":        {machinesCome, leaderEnds, 1000, func(p *params) { p.spare = 2 }},
+	"answers lost, then the leader ends":        {lostForAWhile, leaderEnds, 1500, nil},
+	"told in the gap, then the teller ends":     {toldInTheGap, tellerEnds, 1500, nil},
+	"told in the gap, then the leader ends":     {toldInTheGap, leaderEnds, 1500, fiveControllers},
+	"told in the gap, then the leader stands":   {toldInTheGap, leaderStands, 1500, nil},
+	"told in the gap, then links break":         {toldInTheGap, linksBreak, 1500, fiveControllers},
+	"told in the gap by two releases, then end": {toldInTheGap, tellerEnds, 1500, func(p *params) { p.mixed = true }},
 }
 
 func fewMachines() params {
@@ -111,8 +166,12 @@
 	for name, s := range stories {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			p := fewMachines()
+			if s.day != nil {
+				s.day(&p)
+			}
 			for n := 1; n <= s.boundaries; n += step {
-				playStory(t, s, 4000+uint64(n%7), fewMachines(), n)
+				playStory(t, s, 4000+uint64(n%7), p, n)
 			}
 		})
 	}
@@ -122,8 +181,8 @@
 func bounded(report, lease, cancel time.Duration) params {
 	p := met(almatyLike(), refusedThenOut)
 	p.report, p.lease, p.cancel = report, lease, cancel
-	p.deaf = max(100*time.Millisecond, (cancel-p.lease*1002/1000-1250*time.Millisecond)*9/10)
-	p.ttl = min(3*time.Second, p.deaf)
+	p.staleness = max(100*time.Millisecond, (cancel-p.lease*1002/1000-1250*time.Millisecond)*9/10)
+	p.ttl = min(3*time.Second, p.staleness)
 	p.rest = 10 * time.Minute
 	return p
 }
--- a/internal/core/sim/sim_test.go
+++ b/internal/core/sim/sim_test.go
@@ -9,12 +9,12 @@
 
 func almatyLike() params {
 	return params{controllers: 3, machines: 9, jobs: 60, report: time.Second, lease: 10 * time.Second, cancel: 40 * time.Second,
-		ttl: 4 * time.Second, deaf: 25 * time.Second, length: 4 * time.Minute, faults: true}
+		ttl: 4 * time.Second, staleness: 25 * time.Second, length: 4 * time.Minute, faults: true}
 }
 
 func longLease() params {
 	p := almatyLike()
-	p.report, p.lease, p.cancel, p.deaf, p.length = 3*time.Second, 42*time.Second, 67*time.Second, 21*time.Second, 6*time.Minute
+	p.report, p.lease, p.cancel, p.staleness, p.length = 3*time.Second, 42*time.Second, 67*time.Second, 21*time.Second, 6*time.Minute
 	return p
 }
 
--- a/internal/core/sim/store_test.go
+++ b/internal/core/sim/store_test.go
@@ -46,12 +46,16 @@
 	plans   map[string]drain.Stored
 	refuses map[string]time.Duration // controllers that it alone refuses, until then
 	late    time.Duration            // until when a part of the transactions is carried out late
+	mute    time.Duration            // until when a part of them is carried out at once, and gets no answer
+	unread  map[model.JobID]string   // jobs that such a transaction has changed, and whose it was
+	touched *model.JobID             // the job that the last operation changed
 }
 
 func newStore(w *world) *store {
 	return &store{w: w, rev: 1, leases: map[uint64]time.Duration{}, open: map[model.JobID]openJob{},
 		done: map[model.JobID]map[int32]chunk{}, final: map[model.JobID]jobs.Stage{},
-		records: map[dealer.BlockID]record{}, plans: map[string]drain.Stored{}, refuses: map[string]time.Duration{}}
+		records: map[dealer.BlockID]record{}, plans: map[string]drain.Stored{}, refuses: map[string]time.Duration{},
+		unread: map[model.JobID]string{}}
 }
 
 // back ends an outage: every lease has its full time again.
@@ -75,12 +79,28 @@
 	}
 	s.w.after(s.w.between(2*time.Second, 12*time.Second), func() {
 		if !s.out {
+			s.w.saw("a transaction is carried out late")
 			op()
 		}
 	})
 	return true
 }
 
+// losesAnswer tells whether a transaction's answer is lost.
+func (s *store) losesAnswer() bool { return s.w.now < s.mute && s.w.rng.Float64() < lateShare }
+
+// reads notes that a controller reads what another one's transaction did without an answer.
+func (s *store) reads(host string, op jobs.Op) {
+	whose, ok := s.unread[op.Job]
+	if !ok || op.Kind == jobs.Create || op.Kind == jobs.Cancel {
+		return
+	}
+	if whose != host {
+		s.w.saw("others read what was done without an answer")
+	}
+	delete(s.unread, op.Job)
+}
+
 func (s *store) expire() {
 	if s.out {
 		return
@@ -131,9 +151,10 @@
 	return res
 }
 
-func (s *store) job(u *user, op jobs.Op) any {
+func (s *store) job(host string, u *user, op jobs.Op) any {
 	s.expire()
 	id := op.Job
+	s.reads(host, op)
 	o, open := s.open[id]
 	st, final := s.final[id]
 	switch op.Kind {
@@ -167,6 +188,7 @@
 		} else {
 			s.open[id] = openJob{u.spec, u.awaits, s.rev}
 		}
+		s.touched = &id
 		return jobs.Result{}
 	case jobs.Cancel:
 		if (!open || o.version != op.Version) && !s.w.p.unguarded {
@@ -175,6 +197,7 @@
 		s.rev++
 		delete(s.open, id)
 		s.final[id] = jobs.Cancelled
+		s.touched = &id
 		return jobs.Result{}
 	}
 	return nil
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -11,37 +11,49 @@
 
 // params of a simulated deployment.
 type params struct {
-	controllers, machines, jobs      int
-	report, lease, cancel, ttl, deaf time.Duration
-	length, rest                     time.Duration // rest: played on for so long, with nothing new
-	faults                           bool
-	drains                           bool          // operators' drain plans
-	chains                           bool          // jobs that await others
-	goOnUnasked                      bool          // a broken guard: a job that is gone counts as done
-	vouchForEver                     bool          // a broken guard: what waits is called queued whatever is known
-	resize                           time.Duration // when leaders begin to write smaller blocks; 0: never
-	guests                           bool          // swarms of small tasks, and jobs that always fail
-	budget                           int           // tasks of a team that plans may have out of work at once; 0: no bound
-	forgetDraws                      bool          // a broken guard: a new leader takes what it does not know for at work
-	unpaid                           bool          // a broken guard: a task that was stopped counts as back
-	forgetRecords                    bool          // a broken guard: a new leader ignores the machines' records
-	trustOldEnd                      bool          // a broken guard: old grants are taken for over at once
-	oneWay                           bool          // machines that send, and that nothing reaches
-	copies                           bool          // copies of reports come late
-	slowDooms                        time.Duration // between cancellations of jobs that need a cancelled one; 0: as ever
-	oneForAll                        bool          // as 0.5.0: one tree that is behind leaves all waiting jobs unanswered
-	vouchInDoubt                     bool          // a broken guard: jobs in doubt are called queued
-	hastyCancel                      bool          // a broken guard: cancelled is said while others may say queued
-	hastyLease                       bool          // a broken guard: leases are taken for over too early
-	believed                         bool          // a broken guard: copies are taken for new
-	mixed                            bool          // some controllers are of release 0.5 as far as others can tell
-	blinks                           bool          // controllers are back within a fraction of a second
-	freeOnLoss                       bool          // a broken guard: a lost shard's machines count as accounted for
-	meets                            meeting       // troubles that meet, again and again; nil: none
-	mum                              bool          // a broken guard: nobody says of which cancellations users were told
-	unguarded                        bool          // a broken guard: writes bear no versions
-	anyToken                         bool          // a broken guard: machines take commands under old tokens
-	apart                            bool          // jobs of few tasks that end far apart, and long ones to cancel
+	controllers, machines, jobs int
+	report, lease, cancel, ttl  time.Duration
+	staleness                   time.Duration // how old a picture of the open jobs may be acted on
+	length, rest                time.Duration // rest: played on for so long, with nothing new
+	faults                      bool
+	drains                      bool          // operators' drain plans
+	chains                      bool          // jobs that await others
+	goOnUnasked                 bool          // a broken guard: a job that is gone counts as done
+	vouchForEver                bool          // a broken guard: what waits is called queued whatever is known
+	resize                      time.Duration // when leaders begin to write smaller blocks; 0: never
+	guests                      bool          // swarms of small tasks, and jobs that always fail
+	budget                      int           // tasks of a team that plans may have out of work at once; 0: no bound
+	forgetDraws                 bool          // a broken guard: a new leader takes what it does not know for at work
+	unpaid                      bool          // a broken guard: a task that was stopped counts as back
+	forgetRecords               bool          // a broken guard: a new leader ignores the machines' records
+	trustOldEnd                 bool          // a broken guard: old grants are taken for over at once
+	oneWay                      bool          // machines that send, and that nothing reaches
+	copies                      bool          // copies of reports come late
+	slowDooms                   time.Duration // between cancellations of jobs that need a cancelled one; 0: as ever
+	oneForAll                   bool          // as 0.5.0: one tree that is behind leaves all waiting jobs unanswered
+	vouchInDoubt                bool          // a broken guard: jobs in doubt are called queued
+	hastyCancel                 bool          // a broken guard: cancelled is said while others may say queued
+	hastyLease                  bool          // a broken guard: leases are taken for over too early
+	believed                    bool          // a broken guard: copies are taken for new
+	mixed                       bool          // some controllers are of release 0.5 as far as others can tell
+	blinks                      bool          // controllers are back within a fraction of a second
+	freeOnLoss                  bool          // a broken guard: a lost shard's machines count as accounted for
+	meets                       meeting       // troubles that meet, again and again; nil: none
+	mum                         bool          // a broken guard: nobody says of which cancellations users were told
+	unguarded                   bool          // a broken guard: writes bear no versions
+	anyToken                    bool          // a broken guard: machines take commands under old tokens
+	apart                       bool          // jobs of few tasks that end far apart, and long ones to cancel
+	heavy                       bool          // jobs that together ask for more than their teams' limits
+	zoned                       bool          // jobs bound to one zone, or whose tasks stay together
+	swarm                       bool          // one-task jobs, four a second, a quarter of them cancelled
+	looks                       bool          // all controllers are asked right after any answer that settles something
+	atEnd                       bool          // jobs are cancelled, asked about and submitted again as their last task ends
+	slowLinks                   time.Duration // that messages take longer; 0: as ever
+	beside                      bool          // no job may wait beside room, or for long to begin
+	spare                       int           // machines that come up during the day
+	sharedAnswers               bool          // a broken guard: answers of before a question are given to it
+	unvetted                    bool          // a broken guard: shards don't know which jobs are open
+	noFloor                     bool          // a broken guard: no job is sure to begin
 }
 
 type event struct {
@@ -94,6 +106,14 @@
 	second  func()
 	longest time.Duration          // from when a user was told of a cancellation until a task of it was gone
 	holdsUp map[pair]time.Duration // what one sends to the other is held up, until then
+	seen    map[string]int         // what meetings are about, and how often it did happen
+	kept    []*heldReport          // copies of reports, for the next leader
+	changed time.Duration          // when work last changed hands
+	ledAt   []time.Duration        // when leaders began
+	gone    time.Duration          // since when no controller is up; 0: one is
+	zoneCut *zoneCut
+	teller  *ctl                          // who last told a user of a cancellation
+	room    map[model.JobID]time.Duration // since when a job waits beside room
 	plans   plans
 	moved   map[model.Task]bool // by plans, and not seen at work since
 	// Of drain plans: tasks moved, machines given back.
@@ -103,7 +123,8 @@
 func newWorld(seed uint64, p params) *world {
 	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{},
 		users: map[model.JobID]*user{},
-		plans: plans{}, moved: map[model.Task]bool{}, holdsUp: map[pair]time.Duration{}}
+		plans: plans{}, moved: map[model.Task]bool{}, holdsUp: map[pair]time.Duration{},
+		seen: map[string]int{}, room: map[model.JobID]time.Duration{}}
 	w.store = newStore(w)
 	for i := range p.controllers {
 		w.ctls = append(w.ctls, newCtl(w, i))
@@ -173,7 +194,7 @@
 		}
 		return
 	}
-	at := w.now + w.between(time.Millisecond, 8*time.Millisecond)
+	at := w.now + w.between(time.Millisecond, 8*time.Millisecond) + w.p.slowLinks
 	if w.now < w.slow && to == "store" {
 		at += w.between(20*time.Millisecond, 2*time.Second)
 	}
@@ -310,7 +331,14 @@
 		w.after(w.between(0, time.Second), m.tick)
 	}
 	for i := range w.p.jobs {
-		w.after(w.between(0, w.p.length*2/3), func() { w.submit(model.JobID(i)) })
+		at := w.between(0, w.p.length*2/3)
+		if w.p.swarm {
+			at = 20*time.Second + time.Duration(i)*250*time.Millisecond
+		}
+		w.after(at, func() { w.submit(model.JobID(i)) })
+	}
+	if w.p.beside {
+		w.after(time.Second, w.checkBeside)
 	}
 	if w.p.faults {
 		w.after(10*time.Second, w.faults)
