shard: a machine held to be faulty is tried again within a minute

Change: one minute. A machine that fails again is held to be faulty again. Measured: TestAFaultyMachineIsTriedAgainInTime, red before (never within 90 s).

--- a/internal/core/shard/faults.go
+++ b/internal/core/shard/faults.go
@@ -15,7 +15,7 @@
 
 const (
 	shunFor    = 30 * time.Second // a job keeps away from a machine that it failed on
-	faultyFor  = 2 * time.Minute
+	faultyFor  = time.Minute      // less than a job may wait beside room
 	rememberIt = 5 * time.Minute
 	faultyJobs = 2 // jobs, not held to be broken, that failed on a machine
 	faultyRuns = 4 // errors of such jobs on a machine
--- a/internal/core/shard/faults_test.go
+++ b/internal/core/shard/faults_test.go
@@ -87,3 +87,29 @@
 		t.Error("want machines 0 and 1 condemned, and not machine 2")
 	}
 }
+
+// No job may wait for 90 s while a machine that fits has room, one that is held to be faulty
+// included: it is tried again in time.
+func TestAFaultyMachineIsTriedAgainInTime(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	for job := range model.JobID(faultyJobs) {
+		r.s.blame(r.now, r.s.machines[1], 10+job)
+	}
+	r.give(r.spec(1, model.Standard, 2), 0, 10)
+	r.s.Place(r.now)
+	if r.s.tasks[model.Task{Job: 1}].on() != nil {
+		t.Fatal("the machine is not held to be faulty: the test shows nothing")
+	}
+	began := r.now
+	for r.now-began < 90*time.Second && r.s.tasks[model.Task{Job: 1}].on() == nil {
+		r.now += time.Second
+		r.s.Grant(r.now + time.Hour)
+		r.report(1, 5)
+		r.s.Tick(r.now)
+	}
+	if waited := r.now - began; waited > 75*time.Second {
+		t.Errorf("waited for %v beside its room", waited)
+	}
+}
