standing, node: a leader gives way only once a sibling has just been served on its behalf

Cause: in the gap a leader that the state service refused alone gave way 0.4 s after the service went out for all, on what siblings had been served before; nobody could lead until the outage ended, and all that ran was lost with its leases. TestWorkGoesOnThroughTheGap, red before where the outage begins 2.6 or 2.7 s after the refusal.

--- a/internal/core/sim/lead_test.go
+++ b/internal/core/sim/lead_test.go
@@ -174,11 +174,13 @@
 		c.follow()
 		return
 	}
-	if c.stands.Yields(now, l.servedSibling()) {
+	if yes, ask := c.stands.GivesWay(now, l.servedSibling()); yes {
 		c.w.note("%s is refused alone", c.host)
 		c.el.Resign(now, 4*time.Second)
 		c.follow()
 		return
+	} else if ask {
+		l.confirm()
 	}
 	c.seat.s.Grant(l.until())
 	if !l.asking {
@@ -220,6 +222,32 @@
 	}
 }
 
+// confirm has the member that was served last ask the store.
+func (l *lead) confirm() {
+	var best *link
+	for id := model.ShardID(1); id <= l.newest; id++ {
+		if k := l.links[id]; k != nil && (best == nil || k.stateAt > best.stateAt) {
+			best = k
+		}
+	}
+	if best == nil {
+		return
+	}
+	m := best.peer.c
+	l.c.w.send(l.c.host, m.host, false, func() {
+		if !m.up {
+			return
+		}
+		m.storeCall(func() any { return true }, func(v any) {
+			l.c.w.send(m.host, l.c.host, false, func() {
+				if v != nil && l.c.lead == l && l.c.up {
+					l.c.stands.Confirmed(l.c.now())
+				}
+			})
+		})
+	})
+}
+
 // servedSibling is when the newest request of a member's was sent that the state service
 // has served.
 func (l *lead) servedSibling() (newest time.Duration) {
--- a/internal/core/sim/meetings_test.go
+++ b/internal/core/sim/meetings_test.go
@@ -336,14 +336,16 @@
 func TestWorkGoesOnThroughTheGap(t *testing.T) {
 	p := longLease()
 	p.faults, p.apart, p.jobs, p.length, p.rest = false, true, 30, 4*time.Minute, 8*time.Minute
-	for seed := range seeds(3) {
-		w := newWorld(3000+seed, p)
+	for seed := range 3 * seeds(3) {
+		// The outage begins at any moment before the leader's lease, 3 s and more, is over.
+		alone := time.Duration([]int{1500, 2600, 2700}[seed%3]) * time.Millisecond
+		w := newWorld(3000+seed/3, p)
 		w.after(70*time.Second, func() {
 			w.store.refuses[w.leading().host] = w.now + 14*time.Second
 			w.cancelSome(6, 1500*time.Millisecond)
 		})
-		w.after(71500*time.Millisecond, func() { w.store.out = true })
-		w.after(71500*time.Millisecond+p.cancel+p.lease, func() { w.store.back() })
+		w.after(70*time.Second+alone, func() { w.store.out = true })
+		w.after(70*time.Second+alone+p.cancel+p.lease, func() { w.store.back() })
 		w.run()
 		for _, b := range w.broken {
 			t.Errorf("seed %d: %s", seed, b)
--- a/internal/core/sim/page_test.go
+++ b/internal/core/sim/page_test.go
@@ -247,6 +247,9 @@
 	guard func(*params) // without it, some day breaks a rule
 }
 
+// heavy days offer more work than teams may have at work.
+func heavy(p *params) { p.heavy, p.jobs, p.rest = true, 26, 16*time.Minute }
+
 func hastyLease(p *params) { p.hastyLease = true }
 func forgets(p *params)    { p.forgetRecords = true }
 func unguarded(p *params)  { p.unguarded = true }
@@ -258,12 +261,15 @@
 		[]string{"asked within milliseconds of an answer"}, func(p *params) { p.sharedAnswers = true }},
 	"answer lost": {answersLost, func(p *params) { p.looks = true },
 		[]string{"a transaction is done, its answer lost", "others read what was done without an answer"}, unguarded},
-	"at limits": {atLimits, func(p *params) { p.heavy = true },
+	"at limits": {atLimits, heavy,
 		[]string{"cancelled with its team at its limit", "a leader begins while a machine with tasks can't be asked",
 			"... and its team is at its limit", "cancelled with a task on a machine that hangs",
 			"cancelled with a task out of reach"}, hastyLease},
 	"changes hands": {changesHands, nil, []string{"cancelled while work changes hands"}, early},
-	"new machines": {newMachines, func(p *params) { p.machines, p.spare, p.heavy = 4, 12, true },
+	"new machines": {newMachines, func(p *params) {
+		heavy(p)
+		p.machines, p.spare = 4, 12
+	},
 		[]string{"the leader ends just after a new machine got work"}, forgets},
 	"kept for the next leader": {keptForNext, nil, []string{"an old report as a leader begins",
 		"a report held back until a new leader has acted", "a report of an earlier session"}, believed},
@@ -275,11 +281,14 @@
 	"zone cut off": {zoneIsCut, nil, []string{"a zone is cut off for longer than the lease",
 		"cancelled outside, with a task in a zone that is cut off"}, early},
 	"all away": {allAway, nil, []string{"no controller for longer than the lease"}, forgets},
-	"cancelled and hung": {cancelledAndHung, func(p *params) { p.heavy = true },
+	"cancelled and hung": {cancelledAndHung, heavy,
 		[]string{"cancelled with a task on a machine that hangs"}, hastyLease},
 	"one zone loses machines": {zoneLoses, func(p *params) { p.zoned = true },
 		[]string{"a machine with tasks bound to a zone is lost"}, hastyLease},
-	"crowd": {crowd, func(p *params) { p.heavy, p.slowLinks = true, 150*time.Millisecond },
+	"crowd": {crowd, func(p *params) {
+		heavy(p)
+		p.jobs, p.slowLinks = 60, 150*time.Millisecond
+	},
 		[]string{"every team is at its limit"}, func(p *params) { p.noFloor = true }},
 }
 
@@ -289,9 +298,6 @@
 	if e.day != nil {
 		e.day(&p)
 	}
-	if p.heavy {
-		p.jobs, p.rest = 26, 16*time.Minute
-	}
 	return p
 }
 
--- a/internal/core/standing/standing.go
+++ b/internal/core/standing/standing.go
@@ -36,6 +36,8 @@
 	// A sibling was served just now, or (its requests take long, or are few) lately.
 	justNow = 500 * time.Millisecond
 	lately  = 3 * time.Second
+	// confirmedFor is how long a sibling's confirmation is good for that it is served.
+	confirmedFor = 400 * time.Millisecond
 	// givenUp: behind a cut it takes a renewal the whole lease to be given up.
 	givenUp = 4 * time.Second
 	// enough requests must have failed since: one may have been unlucky.
@@ -55,6 +57,8 @@
 	ahead   time.Duration // the newest such moment after which one has
 	excused time.Duration // this process was late then: silence before it proves nothing
 	known   bool          // any request was served
+
+	confirmed time.Duration // a sibling said so that was asked whether it is served
 }
 
 // Note takes what became of a request that was sent then.
@@ -121,3 +125,17 @@
 	return a.Alone(now, sibling) && a.ahead > a.reached && now-a.ahead <= givenUp &&
 		(silent >= yieldAfter && now-sibling <= justNow || silent >= 2*yieldAfter && now-sibling <= lately)
 }
+
+// GivesWay tells whether a leader that would yield lets another lead now: once a sibling that
+// asked the service on its behalf has just been served. What siblings were served earlier says
+// nothing of an outage that has begun since. ask tells that one is to be asked.
+func (a *Standing) GivesWay(now, sibling time.Duration) (yes, ask bool) {
+	if !a.Yields(now, sibling) {
+		return false, false
+	}
+	yes = a.confirmed > a.reached && now-a.confirmed <= confirmedFor
+	return yes, !yes
+}
+
+// Confirmed takes that a sibling was served that asked for this controller.
+func (a *Standing) Confirmed(now time.Duration) { a.confirmed = max(a.confirmed, now) }
--- a/internal/core/standing/standing_test.go
+++ b/internal/core/standing/standing_test.go
@@ -120,3 +120,37 @@
 		t.Errorf("served %v, %v", at, known)
 	}
 }
+
+// TestALeaderGivesWayOnceThatIsConfirmed: the service goes out for all as the leader's lease ends;
+// its siblings were served until just then.
+func TestALeaderGivesWayOnceThatIsConfirmed(t *testing.T) {
+	const cut, out = 10 * time.Second, 12900 * ms
+	for name, c := range map[string]struct {
+		out  time.Duration
+		want bool
+	}{"a sibling is served still": {time.Hour, true}, "out for all just now": {out, false}} {
+		t.Run(name, func(t *testing.T) {
+			var s Standing
+			script(&s, 0, cut, Served)
+			gave, asked, would := false, 0, false
+			for now := cut; now < cut+30*time.Second; now += 100 * ms {
+				if now%(300*ms) == 0 {
+					s.Note(now-100*ms, Refused)
+				}
+				sibling := min(now-100*ms, c.out)
+				would = would || s.Yields(now, sibling)
+				yes, ask := s.GivesWay(now, sibling)
+				gave = gave || yes
+				if ask && !gave {
+					asked++
+					if now < c.out {
+						s.Confirmed(now + 20*ms)
+					}
+				}
+			}
+			if gave != c.want || asked == 0 || asked > 10 || !would {
+				t.Errorf("gave way: %v, want %v; asked %d times, would yield: %v", gave, c.want, asked, would)
+			}
+		})
+	}
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"honeylock/internal/config"
 	"honeylock/internal/core/budget"
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/fleet"
+	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pace"
 	"honeylock/internal/core/pipeline"
+	"honeylock/internal/peer"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -23,6 +26,9 @@
 // rest is for users' jobs.
 const leadersPart = 0.8
 
+// nobodys is a job that no user can have named.
+const nobodys = model.JobID(1) << 62
+
 var errTermOver = errors.New("the term is over")
 
 // leadership is all that a controller keeps while it leads one term: its
@@ -50,6 +56,8 @@
 	parts    []part
 	budget   *budget.Budget
 	stored   time.Duration
+	// confirming: a sibling is being asked whether the state service serves it.
+	confirming bool
 }
 
 // followLeadership starts and drops the leader's part as the election says.
@@ -196,13 +204,38 @@
 	return len(l.n.cfg.Siblings) > 0 && len(l.links) == 0 && now-max(l.n.reported, l.began, l.lost) > patience && l.d.HasMachines()
 }
 
-// refused tells that the state service serves siblings, and refuses this leader.
+// refused tells that the state service serves siblings, and refuses this leader; one of them
+// has asked it just now.
 func (l *leadership) refused(now time.Duration) bool {
 	var newest time.Duration
+	var host string
 	for _, k := range l.links {
-		newest = max(newest, k.stateAt)
+		if k.stateAt > newest {
+			newest, host = k.stateAt, k.host
+		}
+	}
+	yes, ask := l.n.pulse.givesWay(now, newest)
+	if ask && !l.confirming {
+		l.confirming = true
+		go l.confirm(l.n.siblingAddr(host))
+	}
+	return yes
+}
+
+// confirm has a sibling ask the state service, as it does for a user whose request is passed on
+// to it. That there is no such job is an answer; a job that existed might be answered about
+// without asking.
+func (l *leadership) confirm(addr string) {
+	ctx, cancel := context.WithTimeout(l.ctx, time.Second)
+	defer cancel()
+	var r Reply
+	err := l.n.dialer.Forward(ctx, addr, peer.UserPath, forwarded{Kind: jobs.Poll, Job: nobodys}, &r)
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	l.confirming = false
+	if err == nil && (r.Status == http.StatusOK || r.Status == http.StatusNotFound) {
+		l.n.pulse.confirmed(l.n.now())
 	}
-	return l.n.pulse.yields(now, newest)
 }
 
 // linkTo is the link of a controller, nil if there is none.
--- a/internal/node/pulse.go
+++ b/internal/node/pulse.go
@@ -56,7 +56,7 @@
 	return p.strain.Lag(now)
 }
 
-// missing, alone and yields are the standing's.
+// missing, alone, givesWay and confirmed are the standing's.
 func (p *pulse) missing(now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -69,10 +69,16 @@
 	return p.standing.Alone(now, sibling)
 }
 
-func (p *pulse) yields(now, sibling time.Duration) bool {
+func (p *pulse) givesWay(now, sibling time.Duration) (yes, ask bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.standing.Yields(now, sibling)
+	return p.standing.GivesWay(now, sibling)
+}
+
+func (p *pulse) confirmed(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.standing.Confirmed(now)
 }
 
 // served is when the newest request was sent that the state service has served.
