shard, dealer: room that is kept for a late job is offered to nobody

Cause: a machine that is kept free for a job that should have begun told the dealer of its room as free. What was dealt on the strength of it could not be placed, the room stayed, and more was dealt each turn: 3,400 tasks waited at one shard beside 1,100 free CPUs of four others, charged to their team up to its limit. They were not taken back, for the shard had room for one. Change: a kept machine offers no room; a shard is relieved of all that it has no room for while others have some; a machine is kept no longer once the job has begun elsewhere in the shard.

--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -291,8 +291,9 @@
 	}
 }
 
-// rebalance takes waiting tasks back from a shard without room for them while
-// another has some.
+// rebalance takes waiting tasks back from a shard that has no room for so many of them while
+// another has some. What waits where nobody has room stays: it is placed as its shard's next
+// machine reports, which is sooner than the dealer could have it there.
 func (d *Dealer) rebalance(now time.Duration, jobs []*job, members []*member) {
 	if len(members) < 2 || now-d.balanced < time.Second {
 		return
@@ -301,18 +302,21 @@
 	d.open(jobs, members)
 	for _, j := range jobs {
 		for _, m := range members {
-			w := m.jobs[j.spec.ID].Waiting
-			if w == 0 || m.fits(j.spec, model.None, 1, false) > 0 {
+			w := int64(m.jobs[j.spec.ID].Waiting)
+			if w > 0 {
+				w -= m.fits(j.spec, model.None, w, false)
+			}
+			if w == 0 {
 				continue
 			}
 			var room int64
 			for _, o := range members {
 				if o != m {
-					room += o.fits(j.spec, model.None, int64(w), false)
+					room += o.fits(j.spec, model.None, w, false)
 				}
 			}
 			if room > 0 {
-				d.order(m.id, model.Order{Kind: model.RecallWaiting, Job: j.spec.ID, Count: int(min(room, int64(w)))})
+				d.order(m.id, model.Order{Kind: model.RecallWaiting, Job: j.spec.ID, Count: int(min(room, w))})
 			}
 		}
 	}
--- a/internal/core/shard/first.go
+++ b/internal/core/shard/first.go
@@ -64,11 +64,17 @@
 	s.replan = true
 }
 
-// pressed notes that a task of such a job is placed.
-func (s *Shard) pressed(m *machine, job model.JobID) {
+// pressed notes that a task of such a job is placed, or that it is over: no machine is kept
+// for it any more.
+func (s *Shard) pressed(job model.JobID) {
+	if _, ok := s.firsts[job]; !ok {
+		return
+	}
 	delete(s.firsts, job)
-	if m.keptFor == job {
-		m.keptUntil = 0
+	for _, m := range s.order {
+		if m.keptFor == job && m.keptUntil > 0 {
+			m.keptUntil, s.replan = 0, true
+		}
 	}
 }
 
--- a/internal/core/shard/first_test.go
+++ b/internal/core/shard/first_test.go
@@ -133,3 +133,69 @@
 	}
 	t.Error("the room went to another job")
 }
+
+// The room of a machine that is kept for one job is no room for others: told of it, the dealer
+// dealt thousands of tasks to the shard, which could place none, and charged their teams.
+func TestRoomThatIsKeptIsNotOffered(t *testing.T) {
+	r := newRig(t)
+	r.own(0, 5, 8)
+	r.report(0, 5)
+	full := r.spec(1, model.Urgent, 4)
+	for no := range int32(2) {
+		r.give(full, no, 100)
+	}
+	var cells []model.Cell
+	for _, c := range r.report(0, 5) {
+		cells = append(cells, model.Cell{Task: c.Task, Attempt: c.Attempt, Stage: model.Running})
+	}
+	r.report(0, 5, cells...)
+	r.give(r.spec(2, model.Idle, 8), 0, 1) // it needs the whole machine
+	r.s.Order(r.now, model.Order{Kind: model.First, Job: 2})
+	r.now += time.Second
+	r.s.Tick(r.now)
+	cells[0].Stage, cells[0].Cause = model.Exited, model.CauseDone
+	r.report(0, 5, cells...)
+	if m := r.s.machines[0]; !m.kept(r.now, 1) || m.Cap.CPU-m.used.CPU < 4000 {
+		t.Fatal("half of the machine is not free and kept: the test shows nothing")
+	}
+	for _, st := range r.s.Status(r.now) {
+		if st.Avail.CPU > 0 {
+			t.Errorf("it offers %+v", st.Avail)
+		}
+	}
+}
+
+// A machine is kept no longer once the job's first task has room on another.
+func TestAMachineIsKeptNoLongerThanItIsNeeded(t *testing.T) {
+	r := newRig(t)
+	full := r.spec(1, model.Urgent, 8)
+	cells := map[model.MachineID][]model.Cell{}
+	for id := range model.MachineID(2) {
+		r.own(id, 5, 8)
+		r.report(id, 5)
+		r.give(full, int32(id), 100)
+		for _, c := range r.report(id, 5) {
+			cells[id] = append(cells[id], model.Cell{Task: c.Task, Attempt: c.Attempt, Stage: model.Running})
+		}
+		r.report(id, 5, cells[id]...)
+	}
+	r.give(r.spec(2, model.Idle, 8), 0, 1)
+	r.s.Order(r.now, model.Order{Kind: model.First, Job: 2})
+	r.now += time.Second
+	r.s.Tick(r.now)
+	kept, other := model.MachineID(0), model.MachineID(1)
+	if r.s.machines[other].kept(r.now, 1) {
+		kept, other = other, kept
+	}
+	if !r.s.machines[kept].kept(r.now, 1) {
+		t.Fatal("none is kept: the test shows nothing")
+	}
+	cells[other][0].Stage, cells[other][0].Cause = model.Exited, model.CauseDone
+	r.report(other, 5, cells[other]...)
+	if on := r.s.tasks[model.Task{Job: 2}].on(); on == nil || on.ID != other {
+		t.Fatal("it has not begun on the other machine: the test shows nothing")
+	}
+	if r.s.machines[kept].kept(r.now, 1) {
+		t.Error("the machine is kept still")
+	}
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -435,6 +435,6 @@
 	m.wake = true
 	m.runs(t.Spec.Rank)
 	t.slot = sl
-	s.pressed(m, g.job)
+	s.pressed(g.job)
 	s.Stats.Placed++
 }
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -212,7 +212,7 @@
 	case model.EndJob:
 		delete(s.open, o.Job)
 		delete(s.records, o.Job)
-		delete(s.firsts, o.Job)
+		s.pressed(o.Job)
 		s.endJob(now, o.Job)
 	case model.Reprice:
 		s.reprice(o.Job, o.Price, o.Aim)
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -39,7 +39,11 @@
 		m.idleSince = now
 	}
 	m.inUse = n > 0
-	return brief{avail: m.Cap.Sub(m.used), ready: s.ready(now, m),
+	avail := m.Cap.Sub(m.used)
+	if now < m.keptUntil {
+		avail = model.Resources{} // it is promised: whatever is dealt on the strength of it would wait
+	}
+	return brief{avail: avail, ready: s.ready(now, m),
 		draining: m.noticeAt != 0 || m.dumb || s.mute(now, m), faulty: now < m.faultyUntil, slots: n, idleSince: m.idleSince}
 }
 
