config: memory that is too little to serve is refused, by field, figure and least

Need: smaller machines; a process that is killed over and over tells nobody why. Measured: TestTooLittleToServe, with absent, zero, negative and non-numeric limits of memory and sockets; red before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -107,6 +107,9 @@
 	return &p, nil
 }
 
+// leastMemMB is what the process takes before it serves anybody (some 19 MB), and a little.
+const leastMemMB = 24
+
 // Check returns all mistakes in the settings, joined.
 func (p *Platform) Check() error {
 	var errs []error
@@ -185,7 +188,9 @@
 	if !(c.Cloud.ListLagS >= 0) {
 		bad("cluster.cloud.list_lag_s", c.Cloud.ListLagS, "must not be negative")
 	}
-	positive("cluster.resources.mem_mb", c.Resources.MemMB)
+	if !(c.Resources.MemMB >= leastMemMB) {
+		bad("cluster.resources.mem_mb", c.Resources.MemMB, fmt.Sprintf("must be %d or more", leastMemMB))
+	}
 	if c.Resources.FDLimit < 64 {
 		bad("cluster.resources.fd_limit", c.Resources.FDLimit, "must be 64 or more")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -77,6 +77,30 @@
 	}
 }
 
+// A platform that gives too little to serve is refused at the start, by field, figure and the
+// least that would do; so is a limit that is no amount, or not there.
+func TestTooLittleToServe(t *testing.T) {
+	for _, c := range []struct{ was, is, want string }{
+		{"mem_mb = 98.0", "mem_mb = 12.0", "cluster.resources.mem_mb = 12: must be 24 or more"},
+		{"mem_mb = 98.0", "mem_mb = 0.0", "cluster.resources.mem_mb = 0: must be 24 or more"},
+		{"mem_mb = 98.0", "mem_mb = -98.0", "cluster.resources.mem_mb = -98: must be 24 or more"},
+		{"mem_mb = 98.0", "mem_mb = nan", "cluster.resources.mem_mb = NaN: must be 24 or more"},
+		{"mem_mb = 98.0", "", "cluster.resources.mem_mb = 0: must be 24 or more"},
+		{"mem_mb = 98.0", `mem_mb = "much"`, "mem_mb"},
+		{"fd_limit = 800", "fd_limit = 40", "cluster.resources.fd_limit = 40: must be 64 or more"},
+		{"fd_limit = 800", "fd_limit = -1", "cluster.resources.fd_limit = -1: must be 64 or more"},
+		{"fd_limit = 800", "", "cluster.resources.fd_limit = 0: must be 64 or more"},
+		{"fd_limit = 800", `fd_limit = "many"`, "fd_limit"},
+	} {
+		if _, err := load(t, strings.Replace(good, c.was, c.is, 1)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v does not tell %q", c.is, err, c.want)
+		}
+	}
+	if _, err := load(t, strings.Replace(good, "mem_mb = 98.0", "mem_mb = 24.0", 1)); err != nil {
+		t.Error(err)
+	}
+}
+
 // The cancellation rule: a leader deaf to cancellations, then a worker's lease.
 func TestDeafTimeKeepsTheCancellationRule(t *testing.T) {
 	for _, c := range [][2]float64{{10, 40}, {42, 67}, {5, 8}, {30, 300}, {10, 12}} {
