--- a/internal/node/looks_test.go
+++ b/internal/node/looks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"honeylock/internal/core/jobs"
@@ -30,3 +31,22 @@
 		}
 	}
 }
+
+// While the machine types are unknown nobody can tell whether a job can run: its user asks again.
+// What is no job at all is refused in any case.
+func TestNoJobIsAcceptedBeforeTheMachineTypesAreKnown(t *testing.T) {
+	r := newRig(t)
+	job := `{"NameId":"job-000008","Comb":"train","Colony":"vision","Shape":"batch","Rank":"standard","Cells":2,"Cpus":1,
+		"Accelerators":0,"MemGb":1,"Wax":"img","ImageGb":1,"Together":false,"Spread":false,"SwarmBoxes":false,"ForageS":1,
+		"CapIntervalS":0,"CapS":0}`
+	if got := r.n.Submit(t.Context(), []byte(job)); got.Status != http.StatusServiceUnavailable {
+		t.Errorf("%d %q", got.Status, got.Err)
+	}
+	if got := r.n.Submit(t.Context(), []byte(strings.Replace(job, `"Cells":2`, `"Cells":0`, 1))); got.Status != http.StatusBadRequest {
+		t.Errorf("%d %q of no tasks", got.Status, got.Err)
+	}
+	r.n.tellEnd(8, jobs.Done) // a known job stays known
+	if got := r.n.Submit(t.Context(), []byte(job)); got.Status != http.StatusOK || got.State.Stage != string(jobs.Done) {
+		t.Errorf("%d %+v of a job that is done", got.Status, got.State)
+	}
+}
