shard: a machine's lowest price and a group's worth are looked up once

Need: smaller processors. Of the processes' time 5% went to looking for victims, which looked at each attempt of each machine anew, and a tenth to ranking groups, which worked each one's score out at each comparison (perf, docs/scale.md). Change: the lowest price is kept until something on the machine changes; the score is worked out once a round. No decision changes. The rig's books compare the price that is kept with the one that is there at every report; with an invalidation taken out they are red, but for that of an attempt which is cut, where another one covers it.

--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -108,11 +108,12 @@
 	s.ranked = s.ranked[:0]
 	least := int64(math.MaxInt64)
 	for _, g := range s.queue {
+		g.worth = g.score(now)
 		s.ranked = append(s.ranked, g)
 		least = min(least, g.spec.Each.CPU)
 	}
 	slices.SortFunc(s.ranked, func(a, b *group) int {
-		return cmp.Or(cmp.Compare(b.score(now), a.score(now)), cmp.Compare(a.job, b.job), cmp.Compare(a.zone, b.zone))
+		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.job, b.job), cmp.Compare(a.zone, b.zone))
 	})
 	var open []*machine
 	s.Stats.Looked += uint64(len(s.order))
@@ -359,8 +360,16 @@
 	return best
 }
 
-// cheapest is the lowest price that runs on the machine.
+// cheapest is the lowest price that runs on the machine. Where all are full and much waits,
+// looking it up anew took half of a round of placing.
 func (m *machine) cheapest() float64 {
+	if !m.priced {
+		m.low, m.priced = m.lowestPrice(), true
+	}
+	return m.low
+}
+
+func (m *machine) lowestPrice() float64 {
 	low := math.Inf(1)
 	for _, sl := range m.slots {
 		if sl.t != nil && sl.state != exited && !sl.stop {
--- a/internal/core/shard/rehearse.go
+++ b/internal/core/shard/rehearse.go
@@ -120,6 +120,7 @@
 	}
 	delete(r.s.tasks, t)
 	x.slot.t = nil
+	x.slot.m.priced = false
 	r.s.drop(now, x.slot)
 	return true
 }
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -79,6 +79,7 @@
 		s.rehearsal.stopped = append(s.rehearsal.stopped, sl)
 	}
 	sl.stop, sl.grace = true, grace
+	sl.m.priced = false
 	sl.hardAt = now + grace + s.p.Report + 2*time.Second
 	sl.m.wake = true
 }
@@ -115,6 +116,7 @@
 		s.idled(now, sl, c)
 	}
 	sl.t = nil
+	sl.m.priced = false
 	if t.recalled || c == model.CauseError || c == model.CauseUnknown {
 		s.release(t, c) // it still tells where it was
 		return
@@ -317,6 +319,7 @@
 	}
 	s.free(sl)
 	sl.state = exited
+	m.priced = false
 	t := sl.t
 	switch c.Cause {
 	case model.CauseDone:
--- a/internal/core/shard/scale_test.go
+++ b/internal/core/shard/scale_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,7 +10,7 @@
 )
 
 // full returns a shard whose machines are all full, with groups that wait.
-func full(t *testing.T, machines, groups int) *rig {
+func full(t testing.TB, machines, groups int) *rig {
 	r := newRig(t)
 	for id := range model.MachineID(machines) {
 		r.own(id, 5, 4)
@@ -101,3 +102,62 @@
 	}
 	return low
 }
+
+// BenchmarkPlaceFull places once more where all machines are full of small tasks, and many jobs wait.
+func BenchmarkPlaceFull(b *testing.B) {
+	r := newRig(b)
+	const machines, groups = 545, 150
+	busy := r.spec(1, model.Prod, 1)
+	for id := range model.MachineID(machines) {
+		r.own(id, 5, 16)
+		r.report(id, 5)
+	}
+	for no := range int32(16 * machines) {
+		r.give(busy, no, 1000)
+	}
+	r.s.Place(r.now)
+	for id := range model.MachineID(machines) {
+		r.report(id, 5)
+	}
+	for i := range groups {
+		sp := r.spec(model.JobID(2+i), model.Idle, 1)
+		for no := range int32(4) {
+			r.give(sp, no, 1+float64(i%5))
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.now += time.Second
+		r.s.Grant(r.now + time.Hour)
+		r.s.replan = true
+		r.s.Place(r.now)
+	}
+}
+
+// A machine's lowest price is known without looking at what runs there, and follows all that
+// changes it.
+func TestALowestPriceIsNeverOfBefore(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	running := model.Cell{Task: model.Task{Job: 9, No: 3}, Attempt: 77, Stage: model.Running}
+	r.report(1, 5, running)
+	low := func(want float64, when string) {
+		t.Helper()
+		if got := r.s.machines[1].cheapest(); got != want {
+			t.Errorf("%v %s, want %v", got, when, want)
+		}
+		r.books()
+	}
+	low(math.Inf(1), "with nothing of its own")
+	adopted := r.spec(9, model.Idle, 2)
+	r.s.Order(r.now, model.Order{Kind: model.Give, Deal: model.Deal{Task: running.Task, Spec: adopted, Price: 7, Zone: model.None,
+		Machine: 1, Attempt: 77}})
+	low(7, "with one that was adopted")
+	r.s.Order(r.now, model.Order{Kind: model.Reprice, Job: 9, Price: 3})
+	low(3, "at its new price")
+	r.give(r.spec(10, model.Idle, 2), 0, 1)
+	r.s.Place(r.now)
+	low(1, "with a cheaper one that is placed")
+	r.s.Order(r.now, model.Order{Kind: model.EndJob, Job: 10})
+	low(3, "once that is taken back")
+}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -29,6 +29,8 @@
 	first          uint64 // the token whose showing fences the worker
 	fenced         bool
 	usable         bool
+	low            float64 // the lowest price that runs here
+	priced         bool    // low holds: nothing has changed since
 	session, seq   uint64
 	reported       uint64        // of session: the newest report, answers to direct commands left out
 	asked          time.Duration // the last answer to a direct command came
@@ -96,6 +98,7 @@
 	zone      model.Name
 	spec      *model.Spec
 	price     float64
+	worth     float64 // its score as groups were last ranked
 	since     time.Duration
 	tasks     []*task
 	nextEvict time.Duration
@@ -354,6 +357,7 @@
 		}
 		if sl := m.slots.get(key{d.Task, d.Attempt}); sl != nil && sl.state == live {
 			sl.t, t.slot, sl.alien = t, sl, false
+			m.priced = false
 			sl.adopted = true
 			if sl.stage == model.Running {
 				sl.runSince = now
@@ -460,6 +464,7 @@
 	for _, sl := range s.ofJob[job] {
 		if sl.t != nil {
 			sl.t.price, sl.t.Spec = price, spec(sl.t.Spec)
+			sl.m.priced = false
 		}
 	}
 }
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -13,13 +13,13 @@
 const lease = 10 * time.Second
 
 type rig struct {
-	t   *testing.T
+	t   testing.TB
 	s   *Shard
 	now time.Duration
 	seq uint64
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	r := &rig{t: t, now: time.Second}
 	r.s = New(Params{SureLease: lease, Report: time.Second, Sample: 2, PaybackLimit: time.Minute, DemoteStep: 2,
 		DoubtPause: time.Second}, 1000, rand.New(rand.NewPCG(1, 1)))
@@ -63,6 +63,10 @@
 			}
 			on++
 		}
+		if m.priced && m.low != m.lowestPrice() {
+			r.t.Fatalf("machine %d: its lowest price is %v, in the books %v", m.ID, m.lowestPrice(), m.low)
+		}
+		m.cheapest() // so that the next look finds what has not been noted
 		if used != m.used {
 			r.t.Fatalf("machine %d: %v used, its attempts take %v", m.ID, m.used, used)
 		}
--- a/internal/core/shard/slots.go
+++ b/internal/core/shard/slots.go
@@ -32,6 +32,7 @@
 func (s *Shard) put(m *machine, sl *slot) {
 	i, _ := m.slots.find(sl.key)
 	m.slots = slices.Insert(m.slots, i, sl)
+	m.priced = false
 	job := sl.task.Job
 	sl.m, sl.at = m, len(s.ofJob[job])
 	s.ofJob[job] = append(s.ofJob[job], sl)
@@ -44,6 +45,7 @@
 		return
 	}
 	sl.m.slots = slices.Delete(sl.m.slots, i, i+1)
+	sl.m.priced = false
 	s.unlist(sl)
 }
 
