--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -185,18 +185,6 @@
 	}
 }
 
-// notOlder gives an answer that was found while this controller has told another user of the
-// job's end as that end: the two may leave in either order.
-func (n *Node) notOlder(id model.JobID, r Reply) Reply {
-	if r.State == nil || jobs.Stage(r.State.Stage).Ended() {
-		return r
-	}
-	if st, ok := n.final(id); ok {
-		return n.stateReply(http.StatusOK, id, st)
-	}
-	return r
-}
-
 // request begins a request. What a submission awaits was mostly seen a moment ago.
 func (n *Node) request(k jobs.Kind, id model.JobID, sub *wire.Submission) (*jobs.Request, jobs.Op) {
 	if k != jobs.Submit || len(sub.Awaits) == 0 {
@@ -300,14 +288,6 @@
 	return jobs.Result{Outcome: jobs.Failed}
 }
 
-// final answers from the bounded cache of final states, which never change.
-func (n *Node) final(id model.JobID) (jobs.Stage, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	st, ok := n.finals[id]
-	return st, ok
-}
-
 // version is that of a job's open record, if it has been seen, else 0.
 func (n *Node) version(id model.JobID) uint64 {
 	n.mu.Lock()
@@ -334,35 +314,6 @@
 	awaits  bool
 }
 
-// tellEnd notes how a job is stored to have ended, before a user is told here.
-func (n *Node) tellEnd(id model.JobID, st jobs.Stage) {
-	if st == jobs.Cancelled {
-		n.mu.Lock()
-		now := n.now()
-		n.told.Told(now, id)
-		if n.lead != nil && n.lead.loaded {
-			n.lead.deals.cancelled(now, id)
-		}
-		n.mu.Unlock()
-	}
-	n.keepFinal(id, st)
-}
-
-func (n *Node) keepFinal(id model.JobID, st jobs.Stage) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.versions, id)
-	if _, ok := n.finals[id]; ok {
-		return
-	}
-	if len(n.order) >= maxFinals {
-		delete(n.finals, n.order[0])
-		n.order = n.order[1:]
-	}
-	n.finals[id] = st
-	n.order = append(n.order, id)
-}
-
 const (
 	seatSoon = 4 * time.Second // a controller without a shard mostly has one again within
 	seatWait = 900 * time.Millisecond
