standin: workers by events, many behind one listener; machines may run elsewhere

A worker looked for events 50 times a second in two goroutines, so that some hundred filled a process, and each had a listener of its own. Now a timer fires at the next event, reports sleep until there is news, and a group serves workers under loopback addresses of their own through one listener. Reports come plus or minus a quarter of their time, a higher token counts as a change once per half of a lease, a connection is closed when its worker turns away: as the protocol has it. Workers count reports, bytes, starts and leases that ran out; the depot counts teams' CPUs against their limits; the store and the cloud count requests.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -21,7 +21,8 @@
 	spot       bool
 	since      time.Time
 	up         time.Time // when it boots; zero: never
-	w          *Worker   // nil until then
+	w          *Worker   // nil until then, and where machines run elsewhere
+	addr       string    // "" until then
 	listedAt   time.Time // shows from then on
 	goneAt     time.Time // zero: it is there; the list shows it until then
 }
@@ -43,9 +44,20 @@
 	hires  map[string][]string
 	refuse bool
 	stuck  bool // machines rented from now on never come up
+	runs   Machines
+	calls  int
+	busy   int
 	door   *door
 }
 
+// Machines brings machines up and ends them.
+type Machines interface {
+	// Boot brings a machine up and returns its worker's address.
+	Boot(m MachineSpec) (addr string, err error)
+	// End ends a machine with all that is on it; the name may be unknown.
+	End(name string)
+}
+
 // CloudParams of a cloud.
 type CloudParams struct {
 	Kinds   []Kind
@@ -53,11 +65,12 @@
 	Dying   time.Duration // a machine that stopped is listed for so much longer
 	RPS     float64
 	Timing  Timing
+	Runs    Machines // where machines run; nil: in this process, each with its own listener
 }
 
 // NewCloud returns a cloud whose workers report to the hosts.
 func NewCloud(p CloudParams, d *Depot, hosts []Host, rng *rand.Rand) (*Cloud, error) {
-	c := &Cloud{kinds: p.Kinds, lag: p.ListLag, dying: p.Dying, timing: p.Timing, depot: d, hosts: hosts, rng: rng,
+	c := &Cloud{kinds: p.Kinds, lag: p.ListLag, dying: p.Dying, timing: p.Timing, depot: d, hosts: hosts, rng: rng, runs: p.Runs,
 		reqs: rate.NewLimiter(rate.Limit(p.RPS), max(1,
 			int(2*p.RPS))), all: map[string]*rented{}, hires: map[string][]string{}}
 	mux := http.NewServeMux()
@@ -70,7 +83,7 @@
 	mux.HandleFunc("POST /rentals/return", c.giveBack)
 	var err error
 	c.door, err = open(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !c.reqs.Allow() {
+		if !c.admits() {
 			answer(w, http.StatusTooManyRequests, object{})
 			return
 		}
@@ -82,6 +95,25 @@
 	return c, nil
 }
 
+// admits counts a call, and tells whether it is within the cloud's rate.
+func (c *Cloud) admits() bool {
+	allowed := c.reqs.Allow()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if !allowed {
+		c.busy++
+	}
+	return allowed
+}
+
+// Calls are the calls so far, and those of them that were refused for the rate.
+func (c *Cloud) Calls() (all, refused int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls, c.busy
+}
+
 // Addr is where controllers reach the cloud.
 func (c *Cloud) Addr() string { return c.door.addr }
 
@@ -130,14 +162,46 @@
 }
 
 func (c *Cloud) boot(m *rented) error {
-	w, err := StartWorker(m.name, m.yard, m.spot, m.kind, c.timing, c.depot, c.hosts, c.last)
+	spec := MachineSpec{Name: m.name, Yard: m.yard, Spot: m.spot, Kind: m.kind, First: c.last}
+	if c.runs != nil {
+		addr, err := c.runs.Boot(spec)
+		if err == nil {
+			m.addr, m.up = addr, time.Now()
+		}
+		return err
+	}
+	w, err := StartWorker(spec, c.timing, c.depot, c.hosts)
 	if err != nil {
 		return err
 	}
-	m.w, m.up = w, time.Now()
+	m.w, m.addr, m.up = w, w.Addr(), time.Now()
 	return nil
 }
 
+// end ends a machine's worker.
+func (c *Cloud) end(m *rented) {
+	switch {
+	case m.w != nil:
+		m.w.Kill()
+	case c.runs != nil && m.addr != "":
+		c.runs.End(m.name)
+	}
+}
+
+// Up are the names of the machines that are up, in order.
+func (c *Cloud) Up() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for name, m := range c.all {
+		if m.addr != "" && m.goneAt.IsZero() {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // Workers returns the machines that are up, by name.
 func (c *Cloud) Workers() []*Worker {
 	c.mu.Lock()
@@ -162,9 +226,7 @@
 	}
 	m.goneAt = time.Now().Add(c.dying + c.lag)
 	c.mu.Unlock()
-	if m.w != nil {
-		m.w.Kill()
-	}
+	c.end(m)
 }
 
 func (c *Cloud) rent(w http.ResponseWriter, r *http.Request) {
@@ -230,18 +292,16 @@
 		return
 	}
 	c.mu.Lock()
-	var dead []*Worker
+	var dead []*rented
 	for _, n := range b.Hives {
 		if m := c.all[n]; m != nil && m.goneAt.IsZero() {
 			m.goneAt = time.Now().Add(c.lag)
-			if m.w != nil {
-				dead = append(dead, m.w)
-			}
+			dead = append(dead, m)
 		}
 	}
 	c.mu.Unlock()
-	for _, d := range dead {
-		d.Kill()
+	for _, m := range dead {
+		c.end(m)
 	}
 	answer(w, http.StatusOK, object{})
 }
@@ -258,8 +318,8 @@
 		}
 		h := object{"NameId": n, "Addr": "", "Breed": m.kind.Label, "Yard": m.yard, "SwarmBoxes": m.spot, "Stage": "starting",
 			"HeldS": now.Add(-c.lag).Sub(m.since).Seconds()}
-		if m.w != nil {
-			h["Stage"], h["Addr"] = "running", m.w.Addr()
+		if m.addr != "" {
+			h["Stage"], h["Addr"] = "running", m.addr
 		}
 		hives = append(hives, h)
 	}
--- a/internal/standin/depot.go
+++ b/internal/standin/depot.go
@@ -14,6 +14,9 @@
 	Cells                                  int
 	Cpus, Accelerators, MemGb, ImageGb     float64
 	ForageS, CapIntervalS, CapS            float64
+	// AskedMs is when its user first tried to submit it, by the clock of a scale run; 0:
+	// not told.
+	AskedMs int64
 }
 
 // Run is one attempt of a task on a machine, for checkers and reports.
@@ -22,6 +25,7 @@
 	Attempt       uint64
 	Began, Ended  time.Time // Ended is zero while it runs
 	Cause         string
+	job           *Job
 }
 
 // Depot is what lives outside the machines: descriptions of jobs, results and
@@ -35,6 +39,12 @@
 	Factor func(task string) float64
 	// Fails tells whether an attempt of a task ends with an error; nil: never.
 	Fails func(task, machine string) bool
+	// Started hears of each task that comes onto a machine; nil: nobody asks.
+	Started func(j *Job, at time.Time)
+	// LimitCPUs are the teams' limits; a team without one has none.
+	LimitCPUs map[string]float64
+	// Brief: attempts that have ended are forgotten, for runs with very many.
+	Brief bool
 
 	mu     sync.Mutex
 	jobs   map[string]*Job
@@ -43,12 +53,13 @@
 	on     map[string]string // task -> machine
 	runs   []*Run
 	broken []string
+	used   map[string]float64 // CPUs on machines, by team
 }
 
 // NewDepot returns an empty depot.
 func NewDepot() *Depot {
 	return &Depot{jobs: map[string]*Job{}, done: map[string]bool{}, saved: map[string]time.Duration{},
-		on: map[string]string{}}
+		on: map[string]string{}, used: map[string]float64{}}
 }
 
 // job returns a job's description, nil if it has not been submitted.
@@ -80,15 +91,25 @@
 func (d *Depot) fails(task, machine string) bool { return d.Fails != nil && d.Fails(task, machine) }
 
 // begin notes that a task is on a machine, and returns what it had saved.
-func (d *Depot) begin(task, machine string, attempt uint64) (r *Run, saved time.Duration, done bool) {
+func (d *Depot) begin(j *Job, task, machine string, attempt uint64) (r *Run, saved time.Duration, done bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if other, ok := d.on[task]; ok && other != machine {
 		d.broken = append(d.broken, fmt.Sprintf("%s starts on %s while it is on %s", task, machine, other))
 	}
 	d.on[task] = machine
-	r = &Run{Task: task, Machine: machine, Attempt: attempt, Began: time.Now()}
-	d.runs = append(d.runs, r)
+	r = &Run{Task: task, Machine: machine, Attempt: attempt, Began: time.Now(), job: j}
+	if !d.Brief {
+		d.runs = append(d.runs, r)
+	}
+	d.used[j.Colony] += j.Cpus
+	if most := d.LimitCPUs[j.Colony]; most > 0 && d.used[j.Colony] > most+1e-6 {
+		d.broken = append(d.broken, fmt.Sprintf("%s uses %.1f CPUs with %s, more than %.1f", j.Colony, d.used[j.Colony], task,
+			most))
+	}
+	if d.Started != nil {
+		d.Started(j, r.Began)
+	}
 	return r, d.saved[task], d.done[task]
 }
 
@@ -97,6 +118,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.Ended, r.Cause = time.Now(), cause
+	d.used[r.job.Colony] -= r.job.Cpus
 	if d.on[r.Task] == r.Machine {
 		delete(d.on, r.Task)
 	}
--- /dev/null
+++ b/internal/standin/group.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// MachineSpec is a machine that is to come up.
+type MachineSpec struct {
+	Name, Yard string
+	Spot       bool
+	Kind       Kind
+	First      int // index of the controller that it reports to first
+}
+
+// addressesOfGroup is how many loopback addresses a group has: those of a /16 without the
+// first and the last of each /24.
+const addressesOfGroup = 256 * 254
+
+var errGroupFull = errors.New("the group has no address left")
+
+// WorkerGroup runs many workers in one process behind one listener: each has a loopback
+// address of its own, 127.NET.x.y, and all share the port.
+type WorkerGroup struct {
+	Meter  Meter
+	timing Timing
+	depot  *Depot
+	hosts  []Host
+	net    byte
+	port   int
+	srv    *http.Server
+
+	mu     sync.Mutex
+	last   int
+	byAddr map[string]http.Handler // by IP
+	byName map[string]*Worker
+}
+
+// NewWorkerGroup begins to listen. network is the second byte of its workers' addresses.
+func NewWorkerGroup(network byte, t Timing, d *Depot, hosts []Host) (*WorkerGroup, error) {
+	// One socket for the whole loopback range can only be had on the unspecified
+	// address; loopbackListener turns all other connections away.
+	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	if err != nil {
+		return nil, fmt.Errorf("worker group: %w", err)
+	}
+	g := &WorkerGroup{timing: t, depot: d, hosts: hosts, net: network, port: l.Addr().(*net.TCPAddr).Port,
+		byAddr: map[string]http.Handler{}, byName: map[string]*Worker{}}
+	g.srv = &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = g.srv.Serve(&loopbackListener{l, &g.Meter}) }() // it ends with Close
+	return g, nil
+}
+
+// loopbackListener takes connections to loopback addresses only, and counts their bytes.
+type loopbackListener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept returns the next connection to a loopback address.
+func (l *loopbackListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if a, ok := c.LocalAddr().(*net.TCPAddr); ok && a.IP.IsLoopback() {
+			return &meteredConn{c, l.meter}, nil
+		}
+		c.Close()
+	}
+}
+
+// serve passes a request on to the worker whose address it came to.
+func (g *WorkerGroup) serve(rw http.ResponseWriter, r *http.Request) {
+	a, _ := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+	var h http.Handler
+	if a != nil {
+		g.mu.Lock()
+		h = g.byAddr[a.IP.String()]
+		g.mu.Unlock()
+	}
+	if h == nil { // no machine has this address: whoever asks gets no answer
+		<-r.Context().Done()
+		return
+	}
+	h.ServeHTTP(rw, r)
+}
+
+// address is the group's nth loopback address.
+func (g *WorkerGroup) address(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", g.net, n/254, n%254+1)
+}
+
+// Boot brings a machine up and returns its address.
+func (g *WorkerGroup) Boot(m MachineSpec) (addr string, err error) {
+	w := newWorker(m, g.timing, g.depot, g.hosts, &g.Meter)
+	g.mu.Lock()
+	if g.last >= addressesOfGroup {
+		g.mu.Unlock()
+		return "", errGroupFull
+	}
+	ip := g.address(g.last)
+	g.last++
+	w.addr = fmt.Sprintf("%s:%d", ip, g.port)
+	w.unlisten = func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.byAddr, ip)
+		delete(g.byName, m.Name)
+	}
+	g.byAddr[ip], g.byName[m.Name] = w.handler(), w
+	g.mu.Unlock()
+	w.begin()
+	return w.addr, nil
+}
+
+// Worker returns a machine that is up, nil if there is none of that name.
+func (g *WorkerGroup) Worker(name string) *Worker {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.byName[name]
+}
+
+// End ends a machine with all that is on it.
+func (g *WorkerGroup) End(name string) {
+	if w := g.Worker(name); w != nil {
+		w.Kill()
+	}
+}
+
+// Size is how many machines are up.
+func (g *WorkerGroup) Size() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.byName)
+}
+
+// Close ends all machines and the listener.
+func (g *WorkerGroup) Close() {
+	g.mu.Lock()
+	all := make([]*Worker, 0, len(g.byName))
+	for _, w := range g.byName {
+		all = append(all, w)
+	}
+	g.mu.Unlock()
+	for _, w := range all {
+		w.Kill()
+	}
+	_ = g.srv.Close()
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -57,6 +57,7 @@
 	changed chan struct{}
 	out     bool
 	doors   []*door
+	counts  StoreCounts
 }
 
 // NewStore returns an empty store.
@@ -79,6 +80,31 @@
 	slow    time.Duration
 	loses   int // of so many transactions one gets no answer; 0: none
 	txns    int
+	counts  FrontCounts
+}
+
+// FrontCounts are one controller's requests so far.
+type FrontCounts struct {
+	Requests, Refused, Watches int
+}
+
+// Counts of this controller's requests; those refused for the rate are among them.
+func (f *Front) Counts() FrontCounts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+func (f *Front) count(r *http.Request, refused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Requests++
+	if refused {
+		f.counts.Refused++
+	}
+	if r.URL.Path == "/watch" {
+		f.counts.Watches++
+	}
 }
 
 // Refuse lets the store answer this controller alone with 503, or no longer.
@@ -139,10 +165,14 @@
 	d, err := open(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		refuses, slow := f.fault()
 		time.Sleep(slow)
-		switch {
-		case refuses || s.isOut():
+		if refuses || s.isOut() {
 			answer(w, http.StatusServiceUnavailable, object{})
-		case !s.reqs.Allow():
+			return
+		}
+		allowed := s.reqs.Allow()
+		f.count(r, !allowed)
+		switch {
+		case !allowed:
 			answer(w, http.StatusTooManyRequests, object{})
 		default:
 			mux.ServeHTTP(w, r)
@@ -158,6 +188,26 @@
 	return f, nil
 }
 
+// StoreCounts is what the store holds and has done so far.
+type StoreCounts struct {
+	Keys, Bytes    int
+	Changes        int // puts and deletes that were carried out
+	RefusedChanges int // ... that were refused for the rate
+}
+
+// Counts of the whole store.
+func (s *Store) Counts() StoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counts
+	c.Keys = s.keys.Len()
+	s.keys.Ascend(func(e entry) bool {
+		c.Bytes += len(e.key) + len(e.value)
+		return true
+	})
+	return c
+}
+
 // Close ends all fronts.
 func (s *Store) Close() {
 	s.mu.Lock()
@@ -259,10 +309,11 @@
 }
 
 func (s *Store) note(c change) {
+	s.counts.Changes++
 	s.changes = append(s.changes, c)
 	if n := len(s.changes) - keptChanges; n > 0 {
 		s.oldest = s.changes[n-1].frame
-		s.changes = append([]change(nil), s.changes[n:]...)
+		s.changes = s.changes[n:] // append moves the rest once the room behind is used up
 	}
 }
 
--- a/internal/standin/storehttp.go
+++ b/internal/standin/storehttp.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -94,6 +95,9 @@
 		return
 	}
 	if n := len(t.Then); n > 0 && !s.writes.AllowN(time.Now(), min(n, s.writes.Burst())) {
+		s.mu.Lock()
+		s.counts.RefusedChanges += n
+		s.mu.Unlock()
 		answer(w, http.StatusTooManyRequests, object{})
 		return
 	}
@@ -177,9 +181,10 @@
 	if from < s.oldest {
 		return nil, false
 	}
-	for _, c := range s.changes {
+	newer := sort.Search(len(s.changes), func(i int) bool { return s.changes[i].frame > from })
+	for _, c := range s.changes[newer:] {
 		switch {
-		case c.frame <= from || !strings.HasPrefix(c.key, prefix):
+		case !strings.HasPrefix(c.key, prefix):
 		case c.value == nil:
 			evs = append(evs, object{"Drop": c.key, "Frame": c.frame})
 		default:
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,15 +3,17 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/config"
 )
 
@@ -55,7 +57,9 @@
 	return c.base + min(now.Sub(c.began), c.need)
 }
 
-// Worker is a stand-in of one machine with its worker.
+// Worker is a stand-in of one machine with its worker. Nothing of it waits by looking
+// again and again: a timer fires at the next event of its tasks, and reporting sleeps
+// until there is news, so that thousands fit into one process.
 type Worker struct {
 	Name, Yard string
 	Spot       bool
@@ -63,31 +67,55 @@
 	timing     Timing
 	depot      *Depot
 	hosts      []Host
-	door       *door
+	addr       string
+	unlisten   func()
+	meter      *Meter
 	stop       context.CancelFunc
+	news       chan struct{} // holds one element while something may have changed
+
+	mu        sync.Mutex
+	dead      bool
+	hung      time.Time // does not run until then
+	deaf      time.Time // nothing reaches it until then; what it sends arrives
+	mute      time.Time // it reaches no controller until then; commands reach it
+	copies    []time.Duration
+	session   uint64
+	seq       uint64
+	token     uint64
+	tokenTold time.Time // a higher token last counted as a change
+	cells     map[string]*cell
+	images    map[string]bool
+	fetches   map[string]time.Time // when they are complete
+	target    int
+	renewed   time.Time // when the last answered report was sent
+	notice    time.Time // the cloud takes the machine then
+	changed   bool
+	timer     *time.Timer // the next event of its tasks
+}
+
+// newWorker returns a machine that is not up yet.
+func newWorker(m MachineSpec, t Timing, d *Depot, hosts []Host, meter *Meter) *Worker {
+	return &Worker{
+		Name: m.Name, Yard: m.Yard, Spot: m.Spot, kind: m.Kind, timing: t, depot: d, hosts: hosts, target: m.First, session: 1,
+		cells: map[string]*cell{}, images: map[string]bool{}, fetches: map[string]time.Time{}, renewed: time.Now(),
+		meter: meter, news: make(chan struct{}, 1),
+	}
+}
 
-	mu      sync.Mutex
-	dead    bool
-	hung    time.Time // does not run until then
-	deaf    time.Time // nothing reaches it until then; what it sends arrives
-	mute    time.Time // it reaches no controller until then; commands reach it
-	copies  []time.Duration
-	session uint64
-	seq     uint64
-	token   uint64
-	cells   map[string]*cell
-	images  map[string]bool
-	fetches map[string]time.Time // when they are complete
-	target  int
-	renewed time.Time // when the last answered report was sent
-	notice  time.Time // the cloud takes the machine then
-	changed bool
-}
-
-// StartWorker brings a machine up.
-func StartWorker(name, yard string, spot bool, k Kind, t Timing, d *Depot, hosts []Host, first int) (*Worker, error) {
-	w := &Worker{Name: name, Yard: yard, Spot: spot, kind: k, timing: t, depot: d, hosts: hosts, target: first, session: 1,
-		cells: map[string]*cell{}, images: map[string]bool{}, fetches: map[string]time.Time{}, renewed: time.Now()}
+// StartWorker brings a machine up, with a listener of its own.
+func StartWorker(m MachineSpec, t Timing, d *Depot, hosts []Host) (*Worker, error) {
+	w := newWorker(m, t, d, hosts, &Meter{})
+	door, err := open(w.handler())
+	if err != nil {
+		return nil, fmt.Errorf("stand-in worker %s: %w", m.Name, err)
+	}
+	w.addr, w.unlisten = door.addr, door.close
+	w.begin()
+	return w, nil
+}
+
+// handler serves what reaches the machine directly.
+func (w *Worker) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /commands", w.commands)
 	mux.HandleFunc("GET /inspect", func(rw http.ResponseWriter, _ *http.Request) {
@@ -95,26 +123,29 @@
 		defer w.mu.Unlock()
 		answer(rw, http.StatusOK, w.report(time.Now()))
 	})
-	var err error
-	if w.door, err = open(mux); err != nil {
-		return nil, fmt.Errorf("stand-in worker %s: %w", name, err)
-	}
+	return mux
+}
+
+// begin has the worker report and move its tasks on.
+func (w *Worker) begin() {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
-	go w.live(ctx)
+	w.mu.Lock()
+	w.timer = time.AfterFunc(w.timing.Lease, w.advance)
+	w.mu.Unlock()
 	go w.talk(ctx)
-	return w, nil
 }
 
 // Addr is where the worker takes commands.
-func (w *Worker) Addr() string { return w.door.addr }
+func (w *Worker) Addr() string { return w.addr }
 
 // Kill ends the machine with all that is on it.
 func (w *Worker) Kill() {
 	w.stop()
-	w.door.close()
+	w.unlisten()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.timer.Stop()
 	if !w.dead {
 		w.dead = true
 		w.forget(time.Now())
@@ -126,6 +157,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.hung = time.Now().Add(d)
+	w.timer.Reset(0)
 }
 
 // Deafen keeps answers and commands from the machine for a while; its reports arrive.
@@ -177,7 +209,8 @@
 func (w *Worker) Notice(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.notice, w.changed = time.Now().Add(d), true
+	w.notice = time.Now().Add(d)
+	w.change()
 }
 
 // forget kills all tasks.
@@ -204,32 +237,66 @@
 	w.depot.end(c.run, cause, kept)
 }
 
-// live moves the machine's tasks on.
-func (w *Worker) live(ctx context.Context) {
-	t := time.NewTicker(20 * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
+// change notes that the next report has something new to say.
+func (w *Worker) change() {
+	w.changed = true
+	select {
+	case w.news <- struct{}{}:
+	default:
+	}
+}
+
+// advance moves the machine's tasks on, and sets the timer for what comes next.
+func (w *Worker) advance() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return
+	}
+	now := time.Now()
+	if now.Before(w.hung) {
+		w.timer.Reset(w.hung.Sub(now))
+		return
+	}
+	w.step(now)
+	w.schedule(now)
+}
+
+// leastStep keeps events that are due at once from being looked for without a pause.
+const leastStep = time.Millisecond
+
+// schedule sets the timer for the next event of the machine's tasks.
+func (w *Worker) schedule(now time.Time) {
+	next := w.renewed.Add(w.timing.Lease)
+	sooner := func(at time.Time) {
+		if at.Before(next) {
+			next = at
 		}
-		w.mu.Lock()
-		if now := time.Now(); now.After(w.hung) && !w.dead {
-			w.step(now)
+	}
+	for _, end := range w.fetches {
+		sooner(end)
+	}
+	for _, c := range w.cells {
+		switch {
+		case c.stage == "running" && c.job.Shape != "daemon":
+			sooner(c.began.Add(c.need))
+		case c.stage == "saving":
+			sooner(c.saveEnd)
 		}
-		w.mu.Unlock()
 	}
+	w.timer.Reset(max(leastStep, next.Sub(now)))
 }
 
 func (w *Worker) step(now time.Time) {
 	if now.Sub(w.renewed) > w.timing.Lease {
 		w.forget(now)
 		w.session++
-		w.renewed, w.changed = now, true
+		w.renewed = now
+		w.meter.Expired.Add(1)
+		w.change()
 	}
 	for img, end := range w.fetches {
-		if now.After(end) {
+		if !now.Before(end) {
 			w.images[img] = true
 			delete(w.fetches, img)
 		}
@@ -247,7 +314,7 @@
 				w.exit(now, c, cause)
 			}
 		case "saving":
-			if now.After(c.saveEnd) {
+			if !now.Before(c.saveEnd) {
 				c.saved = true
 				w.exit(now, c, "stopped")
 			}
@@ -262,13 +329,14 @@
 		}
 		return
 	}
-	r, base, done := w.depot.begin(c.task, w.Name, c.attempt)
+	r, base, done := w.depot.begin(c.job, c.task, w.Name, c.attempt)
+	w.meter.Starts.Add(1)
 	c.run, c.base, c.began, c.stage = r, base, now, "running"
 	c.need = config.Seconds(c.job.ForageS*w.depot.factor(c.task)) - base
 	if c.fails = w.depot.fails(c.task, w.Name); c.fails {
 		c.need /= 4
 	}
-	w.changed = true
+	w.change()
 	if done {
 		w.exit(now, c, "done")
 	}
@@ -277,7 +345,7 @@
 func (w *Worker) exit(now time.Time, c *cell, cause string) {
 	w.leave(c, now, cause)
 	c.stage, c.cause = "exited", cause
-	w.changed = true
+	w.change()
 }
 
 type command struct {
@@ -293,15 +361,16 @@
 		switch {
 		case d.Dance == "launch" && c == nil:
 			w.cells[key] = w.launch(d)
-			w.changed = true
+			w.change()
 		case d.Dance == "kill" && c != nil && c.stage != "exited":
 			w.kill(now, c, d.SettleS)
 		case d.Dance == "clear" && c != nil && c.stage == "exited":
 			delete(w.cells, key)
-			w.changed = true
+			w.change()
 		}
 	}
 	w.step(now)
+	w.schedule(now)
 }
 
 func (w *Worker) launch(d command) *cell {
@@ -342,20 +411,39 @@
 		return
 	}
 	c.stage, c.saveEnd = "saving", now.Add(config.Seconds(c.job.CapS))
-	w.changed = true
+	w.change()
+}
+
+// reportBody is a worker's report.
+type reportBody struct {
+	Hive, Addr, Breed, Yard string
+	SwarmBoxes              bool
+	Flight, Buzz, QueenMark uint64
+	SmokeS                  *float64
+	Cells                   []reportCell
+}
+
+// reportCell is a task in a report.
+type reportCell struct {
+	Cell  string
+	Brood uint64
+	Stage string
+	Cause string `json:",omitempty"`
+	Saved bool   `json:",omitempty"`
 }
 
-func (w *Worker) report(now time.Time) object {
+func (w *Worker) report(now time.Time) *reportBody {
 	w.seq++
-	cells := []object{}
+	r := &reportBody{
+		Hive: w.Name, Addr: w.addr, Breed: w.kind.Label, Yard: w.Yard, SwarmBoxes: w.Spot,
+		Flight: w.session, Buzz: w.seq, QueenMark: w.token, Cells: make([]reportCell, 0, len(w.cells)),
+	}
 	for _, c := range w.cells {
-		cells = append(cells, object{"Cell": c.task, "Brood": c.attempt, "Stage": c.stage, "Cause": c.cause,
-			"Saved": c.saved})
+		r.Cells = append(r.Cells, reportCell{Cell: c.task, Brood: c.attempt, Stage: c.stage, Cause: c.cause, Saved: c.saved})
 	}
-	r := object{"Hive": w.Name, "Addr": w.door.addr, "Breed": w.kind.Label, "Yard": w.Yard, "SwarmBoxes": w.Spot,
-		"Flight": w.session, "Buzz": w.seq, "QueenMark": w.token, "SmokeS": nil, "Cells": cells}
 	if !w.notice.IsZero() {
-		r["SmokeS"] = max(0, w.notice.Sub(now).Seconds())
+		left := max(0, w.notice.Sub(now).Seconds())
+		r.SmokeS = &left
 	}
 	return r
 }
@@ -382,14 +470,21 @@
 		answer(rw, http.StatusConflict, w.report(now))
 		return
 	}
-	w.see(*b.QueenMark)
+	w.meter.Commands.Add(1)
+	w.see(now, *b.QueenMark)
 	w.execute(now, b.Dances)
 	answer(rw, http.StatusOK, w.report(now))
 }
 
-func (w *Worker) see(token uint64) {
-	if token > w.token {
-		w.token, w.changed = token, true
+// see takes a token. A higher one counts as a change once per half of the lease.
+func (w *Worker) see(now time.Time, token uint64) {
+	if token <= w.token {
+		return
+	}
+	w.token = token
+	if now.Sub(w.tokenTold) >= w.timing.Lease/2 {
+		w.tokenTold = now
+		w.change()
 	}
 }
 
@@ -408,7 +503,7 @@
 
 // talk reports to one controller at a time.
 func (w *Worker) talk(ctx context.Context) {
-	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := w.meter.client(answerPatience)
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		w.awake(ctx)
@@ -431,17 +526,25 @@
 			return // a report of plain values always encodes
 		}
 		w.again(copies, body)
-		pause := w.exchange(ctx, client, host, session, sent, body)
+		w.meter.Reports.Add(1)
+		pause, stays := w.exchange(ctx, client, host, session, sent, body)
+		if !stays {
+			client.CloseIdleConnections()
+		}
 		w.wait(ctx, pause)
 	}
 }
 
-// exchange sends a report and takes its answer; it returns when to report next.
+// answerPatience is how long a worker waits for the answer to a report.
+const answerPatience = 4 * time.Second
+
+// exchange sends a report and takes its answer; it returns when to report next, and
+// whether to the same controller.
 func (w *Worker) exchange(ctx context.Context, c *http.Client, h Host, session uint64, sent time.Time,
-	body []byte) time.Duration {
+	body []byte) (pause time.Duration, stays bool) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Addr+"/agent/beat", bytes.NewReader(body))
 	if err != nil {
-		return time.Second
+		return time.Second, false
 	}
 	var ans struct {
 		QueenMark uint64
@@ -459,7 +562,7 @@
 	if !w.hears() {
 		select { // its patience for an answer
 		case <-ctx.Done():
-		case <-time.After(max(0, 4*time.Second-time.Since(sent))):
+		case <-time.After(max(0, answerPatience-time.Since(sent))):
 		}
 		status = 0
 	}
@@ -470,31 +573,58 @@
 	case w.dead:
 	case status == http.StatusOK:
 		if ans.QueenMark >= w.token && session == w.session {
+			now := time.Now()
 			w.renewed = sent
-			w.see(ans.QueenMark)
-			w.execute(time.Now(), ans.Dances)
+			w.see(now, ans.QueenMark)
+			w.execute(now, ans.Dances)
+		} else {
+			w.meter.Dropped.Add(1)
 		}
-		return w.timing.Report
+		return w.spread(w.timing.Report), true
 	case status == http.StatusMisdirectedRequest && ans.Keeper != "" && ans.Keeper != h.Name:
 		if i := slices.IndexFunc(w.hosts, func(o Host) bool { return o.Name == ans.Keeper }); i >= 0 {
 			w.target = i
-			return 50 * time.Millisecond
+			w.meter.Redirected.Add(1)
+			return 50 * time.Millisecond, false
 		}
 	}
+	w.meter.Unanswered.Add(1)
 	w.target++
-	return time.Second
+	return time.Second, false
+}
+
+// spread is a duration plus or minus a quarter.
+func (w *Worker) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*rand.Float64()))
 }
 
+// leastPause is how long a worker waits at least before it reports a change.
+const leastPause = 500 * time.Millisecond
+
 // wait lets a pause go by, or less if something changes meanwhile.
 func (w *Worker) wait(ctx context.Context, pause time.Duration) {
-	began := time.Now()
-	for ctx.Err() == nil && time.Since(began) < pause {
-		time.Sleep(20 * time.Millisecond)
-		w.mu.Lock()
-		early := w.changed && time.Since(began) >= min(pause, 500*time.Millisecond)
-		w.mu.Unlock()
-		if early {
+	end := time.NewTimer(pause)
+	defer end.Stop()
+	soonest := time.NewTimer(min(pause, leastPause))
+	defer soonest.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-soonest.C:
+	}
+	for !w.hasChanged() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-end.C:
 			return
+		case <-w.news:
 		}
 	}
 }
+
+func (w *Worker) hasChanged() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
