scale: honeylock scale run, real controllers beside hollow workers

What a controller costs at the operators' size could only be guessed from simulated machines. A run starts each region's controllers as they are deployed, one process each, with one process of hollow workers and one of users, state service and cloud; reads processor time, memory, sockets and bytes from /proc; counts starts, waits, bytes, tasks on two machines and teams over their limits on the workers' and users' side; and then ends a leader, a controller, a rack or all controllers. It refuses what will not fit into half of the memory.

Cut: zone and region cuts as faults, changes of configuration as load.

--- a/cmd/honeylock/main.go
+++ b/cmd/honeylock/main.go
@@ -53,6 +53,6 @@
 	root := &cobra.Command{Use: "honeylock", Short: "A cluster scheduler: batch jobs and services on rented machines",
 		SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), devCommand(), jobCommand(), drainCommand(),
-		teamCommand(), memberCommand(), auditCommand())
+		teamCommand(), memberCommand(), auditCommand(), scaleCommand())
 	return root
 }
--- a/internal/dev/trial.go
+++ b/internal/dev/trial.go
@@ -52,7 +52,7 @@
 		n := (workers + 3 - i) / 4
 		o.Seeds = append(o.Seeds, Seed{Zone: trialZones[i%2], Spot: i >= 2, N: n})
 	}
-	o.Depot.Factor = func(task string) float64 { return Wrong(task, seed) }
+	o.Depot.Factor = func(_ *standin.Job, task string) float64 { return Wrong(task, seed) }
 	return o
 }
 
--- /dev/null
+++ b/internal/scale/region.go
@@ -0,0 +1,88 @@
+package scale
+
+import (
+	"fmt"
+	"time"
+)
+
+// Host is a controller of a region.
+type Host struct {
+	Name, Zone, Bind, Peer string
+}
+
+// RegionSpec is what the processes of a region are told.
+type RegionSpec struct {
+	Index          int
+	Name           string
+	Zones          []string
+	Hosts          []Host
+	Workers        int
+	Teams          []TeamSpec
+	TasksPerWorker int
+	MeanTask       time.Duration
+	TasksPerJob    int
+	Limits         Limits
+	Timing         WorkerTiming
+	Seed           uint64
+	HollowAddr     string // control address of the hollow process
+}
+
+// TeamSpec is a team with its guarantee and limit.
+type TeamSpec struct {
+	Name          string
+	CPUs, CPUsMax float64
+}
+
+// What a task takes, and how much more room a worker has than its tasks need on average.
+const (
+	taskCPUs  = 4.0
+	taskMemGB = 4.0
+	headroom  = 1.25
+)
+
+// workerCPUs is the room of a worker.
+func (s *RegionSpec) workerCPUs() float64 {
+	return float64(int(float64(s.TasksPerWorker)*headroom)) * taskCPUs
+}
+
+// startsPerSecond is the region's part of the starts.
+func (s *RegionSpec) startsPerSecond() float64 {
+	return float64(s.Workers*s.TasksPerWorker) / s.MeanTask.Seconds()
+}
+
+// part is the ith of n nearly equal parts of a whole.
+func part(whole, n, i int) int { return whole*(i+1)/n - whole*i/n }
+
+// regions divides the fleet. Controllers and zones are dealt out as evenly as can be, the
+// first regions having one more.
+func (o *Options) regions() []RegionSpec {
+	out := make([]RegionSpec, o.Regions)
+	for i := range out {
+		s := RegionSpec{
+			Index: i, Name: fmt.Sprintf("region-%d", i), Workers: part(o.Workers, o.Regions, i),
+			TasksPerWorker: o.TasksPerWorker, MeanTask: o.MeanTask(), TasksPerJob: o.TasksPerJob,
+			Limits: o.Limits, Timing: o.Timing, Seed: o.Seed + uint64(i)*1000,
+		}
+		for z := range part(o.Zones, o.Regions, o.Regions-1-i) {
+			s.Zones = append(s.Zones, fmt.Sprintf("zone-%d%c", i, 'a'+z))
+		}
+		for h := range part(o.Controllers, o.Regions, o.Regions-1-i) {
+			s.Hosts = append(s.Hosts, Host{Name: fmt.Sprintf("controller-%d-%d", i, h), Zone: s.Zones[h%len(s.Zones)]})
+		}
+		s.Teams = s.teams(o.Teams)
+		out[i] = s
+	}
+	return out
+}
+
+// teams share the region's room as guarantees; each may use three times its part, and two
+// arrays at once.
+func (s *RegionSpec) teams(n int) []TeamSpec {
+	mean := float64(s.Workers) * s.workerCPUs() / float64(n)
+	most := max(3*mean, 2*taskCPUs*float64(2*s.TasksPerJob))
+	out := make([]TeamSpec, n)
+	for i := range out {
+		out[i] = TeamSpec{Name: fmt.Sprintf("team-%03d", i), CPUs: mean, CPUsMax: most}
+	}
+	return out
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -188,13 +188,13 @@
 	}
 }
 
-// Up are the names of the machines that are up, in order.
-func (c *Cloud) Up() []string {
+// InZone are the names of the machines of a zone that are up, in order; "": of all zones.
+func (c *Cloud) InZone(zone string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
 	for name, m := range c.all {
-		if m.addr != "" && m.goneAt.IsZero() {
+		if m.addr != "" && m.goneAt.IsZero() && (zone == "" || m.yard == zone) {
 			out = append(out, name)
 		}
 	}
--- a/internal/standin/depot.go
+++ b/internal/standin/depot.go
@@ -17,6 +17,8 @@
 	// AskedMs is when its user first tried to submit it, by the clock of a scale run; 0:
 	// not told.
 	AskedMs int64
+	// Residual: its tasks are taken to have run for a while when they start.
+	Residual bool
 }
 
 // Run is one attempt of a task on a machine, for checkers and reports.
@@ -36,7 +38,7 @@
 	// is none.
 	Look func(name string) []byte
 	// Factor is how much longer than estimated a task runs; nil: 1.
-	Factor func(task string) float64
+	Factor func(j *Job, task string) float64
 	// Fails tells whether an attempt of a task ends with an error; nil: never.
 	Fails func(task, machine string) bool
 	// Started hears of each task that comes onto a machine; nil: nobody asks.
@@ -81,11 +83,11 @@
 	return &j
 }
 
-func (d *Depot) factor(task string) float64 {
+func (d *Depot) factor(j *Job, task string) float64 {
 	if d.Factor == nil {
 		return 1
 	}
-	return d.Factor(task)
+	return d.Factor(j, task)
 }
 
 func (d *Depot) fails(task, machine string) bool { return d.Fails != nil && d.Fails(task, machine) }
@@ -135,6 +137,13 @@
 	return append([]string(nil), d.broken...)
 }
 
+// OnMachines counts the tasks that are on machines now.
+func (d *Depot) OnMachines() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.on)
+}
+
 // Runs returns all attempts so far, the earliest first.
 func (d *Depot) Runs() []Run {
 	d.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -332,7 +332,7 @@
 	r, base, done := w.depot.begin(c.job, c.task, w.Name, c.attempt)
 	w.meter.Starts.Add(1)
 	c.run, c.base, c.began, c.stage = r, base, now, "running"
-	c.need = config.Seconds(c.job.ForageS*w.depot.factor(c.task)) - base
+	c.need = config.Seconds(c.job.ForageS*w.depot.factor(c.job, c.task)) - base
 	if c.fails = w.depot.fails(c.task, w.Name); c.fails {
 		c.need /= 4
 	}
