--- a/internal/core/pace/pace.go
+++ b/internal/core/ratelimit/ratelimit.go
@@ -1,4 +1,4 @@
-// Package pace decides when a controller's requests go to the state service, whose
+// Package ratelimit decides when a controller's requests go to the state service, whose
 // rate all controllers share without asking each other. It is a state machine
 // without input or output; times are the steady clock's.
 //
@@ -8,7 +8,7 @@
 // then waits for longer. What could not go in time is refused at once, for its
 // asker has given up by then and asks again: queues of dead requests are how an
 // overload keeps itself alive.
-package pace
+package ratelimit
 
 import (
 	"slices"
@@ -31,7 +31,7 @@
 // overdraft is the part of a second's share that a class may go below zero.
 var overdraft = [classes]float64{Leader: 1, Changes: 0.5}
 
-// Params of a pacer.
+// Params of a limiter.
 type Params struct {
 	Requests, Writes float64 // a second that the service allows to all
 	// NextWrites is what it will allow from some moment on, without notice; 0: as now.
@@ -89,8 +89,8 @@
 // debt is how far a class may overdraw.
 func (b *bucket) debt(c Class, share float64) float64 { return overdraft[c] * max(2, b.rate*share) }
 
-// Pacer is the state machine.
-type Pacer struct {
+// Limiter is the state machine.
+type Limiter struct {
 	p        Params
 	share    float64 // of the service's rate
 	at       time.Duration
@@ -104,23 +104,23 @@
 	Busy uint64
 }
 
-// New returns a pacer with an equal share.
-func New(p Params) *Pacer {
+// New returns a limiter with an equal share.
+func New(p Params) *Limiter {
 	p.Controllers = max(1, p.Controllers)
-	q := &Pacer{p: p, share: equal / float64(p.Controllers),
+	q := &Limiter{p: p, share: equal / float64(p.Controllers),
 		requests: bucket{rate: p.Requests}, writes: bucket{rate: p.Writes}}
 	q.requests.tokens, q.writes.tokens = q.requests.burst(q.share), q.writes.burst(q.share)
 	return q
 }
 
 // Share is the part of the service's rate that this controller uses at most.
-func (q *Pacer) Share() float64 { return q.share }
+func (q *Limiter) Share() float64 { return q.share }
 
 // Writes is the service's rate of changes as far as is known, and whether that is the
 // one that was announced.
-func (q *Pacer) Writes() (perSecond float64, lowered bool) { return q.writes.rate, q.lowered }
+func (q *Limiter) Writes() (perSecond float64, lowered bool) { return q.writes.rate, q.lowered }
 
-func (q *Pacer) fill(now time.Duration) {
+func (q *Limiter) fill(now time.Duration) {
 	s := (now - q.at).Seconds()
 	if s <= 0 {
 		return
@@ -132,7 +132,7 @@
 }
 
 // Refused takes the news that the service refused a request for its rate.
-func (q *Pacer) Refused(now time.Duration) {
+func (q *Limiter) Refused(now time.Duration) {
 	q.fill(now)
 	q.Busy++
 	if q.shrunk != 0 && now-q.shrunk < pause {
@@ -151,7 +151,7 @@
 
 // Ask asks for one request with so many changes to go, by until at the latest. The
 // ticket's channel is closed at once where it may go now, or could not in time.
-func (q *Pacer) Ask(now time.Duration, c Class, writes int, until time.Duration) *Ticket {
+func (q *Limiter) Ask(now time.Duration, c Class, writes int, until time.Duration) *Ticket {
 	q.fill(now)
 	t := &Ticket{class: c, writes: float64(writes), until: until, Go: make(chan struct{})}
 	if len(q.queue[c]) == 0 && q.passes(t) {
@@ -168,7 +168,7 @@
 }
 
 // passes: the bucket of each allows it, and nothing more urgent waits.
-func (q *Pacer) passes(t *Ticket) bool {
+func (q *Limiter) passes(t *Ticket) bool {
 	for c := range t.class {
 		if len(q.queue[c]) > 0 && c != Authority {
 			return false
@@ -177,12 +177,12 @@
 	return q.requests.allows(t.class, 1, q.share) && q.writes.allows(t.class, t.writes, q.share)
 }
 
-func (q *Pacer) spend(t *Ticket) {
+func (q *Limiter) spend(t *Ticket) {
 	q.requests.tokens--
 	q.writes.tokens -= t.writes
 }
 
-func (q *Pacer) refuse(t *Ticket) {
+func (q *Limiter) refuse(t *Ticket) {
 	t.Refused = true
 	q.Shed[t.class]++
 	close(t.Go)
@@ -190,7 +190,7 @@
 
 // estimate is how long a ticket would wait behind those of its class and of more
 // urgent ones.
-func (q *Pacer) estimate(t *Ticket) time.Duration {
+func (q *Limiter) estimate(t *Ticket) time.Duration {
 	requests, writes := 1.0, t.writes
 	for c := range t.class + 1 {
 		for _, o := range q.queue[c] {
@@ -204,7 +204,7 @@
 
 // Step lets go what may go now, and refuses what has waited too long. next is when
 // to call again; 0 where nothing waits.
-func (q *Pacer) Step(now time.Duration) (next time.Duration) {
+func (q *Limiter) Step(now time.Duration) (next time.Duration) {
 	q.fill(now)
 	for c := range classes {
 		q.queue[c] = slices.DeleteFunc(q.queue[c], func(t *Ticket) bool {
@@ -231,7 +231,7 @@
 
 // wake is the earlier of next, unless it is 0, and of when the first of a class may
 // go or is to be refused.
-func (q *Pacer) wake(now, next time.Duration, c Class) time.Duration {
+func (q *Limiter) wake(now, next time.Duration, c Class) time.Duration {
 	t := q.queue[c][0]
 	n := min(t.writes, q.writes.burst(q.share))
 	s := max(q.requests.lacks(c, 1, q.share), q.writes.lacks(c, n, q.share))
@@ -243,6 +243,6 @@
 }
 
 // Drop gives a ticket up that nobody waits for any more.
-func (q *Pacer) Drop(t *Ticket) {
+func (q *Limiter) Drop(t *Ticket) {
 	q.queue[t.class] = slices.DeleteFunc(q.queue[t.class], func(o *Ticket) bool { return o == t })
 }
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/ratelimit/ratelimit_test.go
@@ -1,4 +1,4 @@
-package pace
+package ratelimit
 
 import (
 	"math/rand/v2"
@@ -39,7 +39,7 @@
 }
 
 // storm has controllers ask for much more than the service allows, for a time.
-func storm(s *service, qs []*Pacer, want []float64, length time.Duration, rng *rand.Rand) []int {
+func storm(s *service, qs []*Limiter, want []float64, length time.Duration, rng *rand.Rand) []int {
 	got := make([]int, len(qs))
 	waiting := make([][]*Ticket, len(qs))
 	for now := time.Second; now < length; now += 5 * ms {
@@ -70,7 +70,7 @@
 // equal part, hardly anything is refused for the rate. Then one alone gets most.
 func TestSharesFollowNeed(t *testing.T) {
 	s := &service{rate: 70, tokens: 70}
-	var qs []*Pacer
+	var qs []*Limiter
 	for range 3 {
 		qs = append(qs, New(Params{Requests: 70, Writes: 25, Controllers: 3}))
 	}
@@ -89,7 +89,7 @@
 	}
 	lone := &service{rate: 70, tokens: 70, at: time.Second}
 	one := New(Params{Requests: 70, Writes: 25, Controllers: 3})
-	if n := storm(lone, []*Pacer{one}, []float64{90}, 61*time.Second, rng)[0]; n < 70*60*7/10 {
+	if n := storm(lone, []*Limiter{one}, []float64{90}, 61*time.Second, rng)[0]; n < 70*60*7/10 {
 		t.Errorf("alone it got %d of %d", n, 70*60)
 	}
 }
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -11,7 +11,7 @@
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/shard"
-	"honeylock/internal/core/standing"
+	"honeylock/internal/core/storehealth"
 	"honeylock/internal/core/witness"
 )
 
@@ -32,7 +32,7 @@
 	old    bool // says and hears only what release 0.5 does
 	vouch  *pipeline.Voucher
 	doubt  map[model.JobID]bool // told by the leader: waiting jobs, and whether they are in doubt
-	stands standing.Standing    // with the state service
+	stands storehealth.Health   // with the state service
 	told   *witness.Log
 	last   map[model.JobID]asked // with the guard broken: what was asked lately
 }
@@ -131,7 +131,7 @@
 	c.halt = halt{}
 	c.origin = c.w.now
 	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond), promise, 0)
-	c.lead, c.seat, c.stands, c.told = nil, nil, standing.Standing{}, witness.NewLog(0)
+	c.lead, c.seat, c.stands, c.told = nil, nil, storehealth.Health{}, witness.NewLog(0)
 	c.old = c.w.p.mixed && c.w.rng.IntN(2) == 0
 	c.vouch, c.doubt = pipeline.NewVoucher(c.w.p.vouched()), nil
 	c.tick(c.life)
@@ -158,7 +158,7 @@
 
 func (c *ctl) call(txn bool, op func() any, done func(any)) {
 	life, answered, sent := c.life, false, c.now()
-	finish := func(v any, o standing.Outcome) {
+	finish := func(v any, o storehealth.Outcome) {
 		if !answered && c.up && c.life == life {
 			answered = true
 			c.stands.Note(sent, o)
@@ -170,10 +170,10 @@
 			return
 		}
 		var v any
-		o := standing.Refused
+		o := storehealth.Refused
 		if c.w.store.serves(c.host) {
 			c.w.store.touched = nil
-			v, o = op(), standing.Served
+			v, o = op(), storehealth.Served
 			if txn && c.w.store.losesAnswer() {
 				c.w.saw("a transaction is done, its answer lost")
 				if id := c.w.store.touched; id != nil {
@@ -186,7 +186,7 @@
 			c.w.send("store", c.host, false, func() { finish(v, o) })
 		}
 	})
-	c.timer(1500*time.Millisecond, func() { finish(nil, standing.Silent) })
+	c.timer(1500*time.Millisecond, func() { finish(nil, storehealth.Silent) })
 }
 
 func (c *ctl) runElection(ops []election.Op) {
--- a/internal/core/sim/overload_test.go
+++ b/internal/core/sim/overload_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"honeylock/internal/core/election"
-	"honeylock/internal/core/pace"
-	"honeylock/internal/core/standing"
+	"honeylock/internal/core/ratelimit"
+	"honeylock/internal/core/storehealth"
 )
 
 // A storm at the state service: controllers that have just lost their caches, a
@@ -26,8 +26,8 @@
 	host     string
 	el       *election.Election
 	renewed  time.Duration // the last renewal that succeeded was sent
-	st       standing.Standing
-	q        *pace.Pacer
+	st       storehealth.Health
+	q        *ratelimit.Limiter
 	sent     []*sending
 	term     uint64
 	reads    int // left of the leader's reading
@@ -36,7 +36,7 @@
 }
 
 type sending struct {
-	t    *pace.Ticket
+	t    *ratelimit.Ticket
 	sent time.Duration
 	done func(ok bool)
 }
@@ -57,7 +57,7 @@
 	s := &storm{naive: naive, store: w.store, tokens: stormRate}
 	for i := range 3 {
 		o := &office{host: fmt.Sprintf("c%d", i),
-			q: pace.New(pace.Params{Requests: stormRate, Writes: 25, Controllers: 3})}
+			q: ratelimit.New(ratelimit.Params{Requests: stormRate, Writes: 25, Controllers: 3})}
 		o.el = election.New(o.host, w.p.ttl, time.Duration(i)*150*time.Millisecond, promise, 0)
 		s.offices = append(s.offices, o)
 	}
@@ -65,14 +65,14 @@
 }
 
 // ask has an office send a request; done hears whether it was executed.
-func (s *storm) ask(o *office, c pace.Class, done func(ok bool)) {
-	if s.naive && c != pace.Reads {
-		c = pace.Authority
+func (s *storm) ask(o *office, c ratelimit.Class, done func(ok bool)) {
+	if s.naive && c != ratelimit.Reads {
+		c = ratelimit.Authority
 	}
 	o.sent = append(o.sent, &sending{t: o.q.Ask(s.now, c, 0, s.now+1500*time.Millisecond), done: done})
 }
 
-// deliver lets the service answer what the pacer has let go.
+// deliver lets the service answer what the limiter has let go.
 func (s *storm) deliver(o *office) {
 	o.q.Step(s.now)
 	var keep []*sending
@@ -90,11 +90,11 @@
 			m.done(false)
 		case s.tokens >= 1:
 			s.tokens--
-			o.st.Note(s.now, standing.Served)
+			o.st.Note(s.now, storehealth.Served)
 			m.done(true)
 		default:
 			s.busy++
-			o.st.Note(s.now, standing.Busy)
+			o.st.Note(s.now, storehealth.Busy)
 			if !s.naive {
 				o.q.Refused(s.now)
 			}
@@ -106,7 +106,7 @@
 
 func (s *storm) elect(o *office, ops []election.Op) {
 	for _, op := range ops {
-		s.ask(o, pace.Authority, func(ok bool) {
+		s.ask(o, ratelimit.Authority, func(ok bool) {
 			res := election.Result{Op: op}
 			if ok {
 				s.store.w.now = s.now
@@ -132,7 +132,7 @@
 	if o.reads > 0 && !o.reading {
 		o.reading = true
 		term := o.term
-		s.ask(o, pace.Leader, func(ok bool) {
+		s.ask(o, ratelimit.Leader, func(ok bool) {
 			if o.term != term {
 				return
 			}
@@ -176,10 +176,10 @@
 // and there are submissions, which 0.4 let go at once, as it did comparisons of polls.
 func (s *storm) poll(o *office) {
 	if s.now%(stormStep*5) == 0 {
-		s.ask(o, pace.Changes, func(bool) {})
+		s.ask(o, ratelimit.Changes, func(bool) {})
 	}
 	for range stormPolls / 100 {
-		s.ask(o, pace.Reads, func(bool) {})
+		s.ask(o, ratelimit.Reads, func(bool) {})
 	}
 }
 
--- a/internal/core/standing/standing.go
+++ b/internal/core/storehealth/storehealth.go
@@ -1,4 +1,4 @@
-// Package standing judges how this controller stands with the state service, from
+// Package storehealth judges the state service as this controller sees it, from
 // what became of its own requests and from what its siblings say of theirs. It is a
 // state machine without input or output; times are the steady clock's.
 //
@@ -7,7 +7,7 @@
 // everybody together) asks for more than it can have. Only the second is a reason to
 // let another lead. Taken for it, the third feeds itself: the next leader reads the
 // store anew, which is yet more to ask for.
-package standing
+package storehealth
 
 import "time"
 
@@ -47,8 +47,8 @@
 	lateBy = 400 * time.Millisecond
 )
 
-// Standing is the state machine.
-type Standing struct {
+// Health is the state machine.
+type Health struct {
 	served  time.Duration // the newest request that was served was sent
 	reached time.Duration // ... that was served, or refused for the rate alone
 	failed  int           // requests sent since reached that were refused or not answered
@@ -62,80 +62,80 @@
 }
 
 // Note takes what became of a request that was sent then.
-func (a *Standing) Note(sent time.Duration, o Outcome) {
+func (h *Health) Note(sent time.Duration, o Outcome) {
 	switch o {
 	case Served:
-		a.served, a.known = max(a.served, sent), true
-		a.reach(sent)
+		h.served, h.known = max(h.served, sent), true
+		h.reach(sent)
 	case Busy:
-		a.reach(sent)
+		h.reach(sent)
 	case Silent:
-		if sent < a.excused {
+		if sent < h.excused {
 			return
 		}
 		fallthrough
 	case Refused:
-		if sent > a.reached {
-			a.failed++
-			a.vain = max(a.vain, sent)
+		if sent > h.reached {
+			h.failed++
+			h.vain = max(h.vain, sent)
 		}
 	}
 }
 
-func (a *Standing) reach(sent time.Duration) {
-	if sent > a.reached {
-		a.reached, a.failed = sent, 0
+func (h *Health) reach(sent time.Duration) {
+	if sent > h.reached {
+		h.reached, h.failed = sent, 0
 	}
 }
 
 // Late takes how late this process's timer fired: what was not answered meanwhile
 // may have been answered in time.
-func (a *Standing) Late(now, by time.Duration) {
+func (h *Health) Late(now, by time.Duration) {
 	if by >= lateBy {
-		a.excused, a.failed = now, 0
+		h.excused, h.failed = now, 0
 	}
 }
 
 // Served is when the newest request that was served was sent; known is false if
 // there was none.
-func (a *Standing) Served() (at time.Duration, known bool) { return a.served, a.known }
+func (h *Health) Served() (at time.Duration, known bool) { return h.served, h.known }
 
 // Missing tells that no request has got through for a while: users' requests are
 // better passed on to a sibling.
-func (a *Standing) Missing(now time.Duration) bool { return now-a.reached > Missed }
+func (h *Health) Missing(now time.Duration) bool { return now-h.reached > Missed }
 
 // Alone tells that the service refuses this controller while it serves a sibling,
 // whose newest served request was sent then by this clock.
-func (a *Standing) Alone(now, sibling time.Duration) bool {
-	return now-a.reached >= aloneAfter && a.failed >= enough && sibling > a.reached+siblingAhead
+func (h *Health) Alone(now, sibling time.Duration) bool {
+	return now-h.reached >= aloneAfter && h.failed >= enough && sibling > h.reached+siblingAhead
 }
 
 // Yields tells that a leader that is refused alone should let another lead, as long as that
 // one is served, and this controller was refused after it. For if the service is out for all
 // by now, nobody can lead until it is back, and all that runs would be lost with its leases;
 // and when it is back for all, a sibling may only have asked first.
-func (a *Standing) Yields(now, sibling time.Duration) bool {
-	if a.next <= a.reached {
-		a.next = sibling
+func (h *Health) Yields(now, sibling time.Duration) bool {
+	if h.next <= h.reached {
+		h.next = sibling
 	}
-	if a.vain >= a.next {
-		a.ahead, a.next = a.next, sibling
+	if h.vain >= h.next {
+		h.ahead, h.next = h.next, sibling
 	}
-	silent := now - a.reached
-	return a.Alone(now, sibling) && a.ahead > a.reached && now-a.ahead <= givenUp &&
+	silent := now - h.reached
+	return h.Alone(now, sibling) && h.ahead > h.reached && now-h.ahead <= givenUp &&
 		(silent >= yieldAfter && now-sibling <= justNow || silent >= 2*yieldAfter && now-sibling <= lately)
 }
 
 // GivesWay tells whether a leader that would yield lets another lead now: once a sibling that
 // asked the service on its behalf has just been served. What siblings were served earlier says
 // nothing of an outage that has begun since. ask tells that one is to be asked.
-func (a *Standing) GivesWay(now, sibling time.Duration) (yes, ask bool) {
-	if !a.Yields(now, sibling) {
+func (h *Health) GivesWay(now, sibling time.Duration) (yes, ask bool) {
+	if !h.Yields(now, sibling) {
 		return false, false
 	}
-	yes = a.confirmed > a.reached && now-a.confirmed <= confirmedFor
+	yes = h.confirmed > h.reached && now-h.confirmed <= confirmedFor
 	return yes, !yes
 }
 
 // Confirmed takes that a sibling was served that asked for this controller.
-func (a *Standing) Confirmed(now time.Duration) { a.confirmed = max(a.confirmed, now) }
+func (h *Health) Confirmed(now time.Duration) { h.confirmed = max(h.confirmed, now) }
--- a/internal/core/standing/standing_test.go
+++ b/internal/core/storehealth/storehealth_test.go
@@ -1,4 +1,4 @@
-package standing
+package storehealth
 
 import (
 	"testing"
@@ -8,7 +8,7 @@
 const ms = time.Millisecond
 
 // script notes one outcome every 300 ms from one time to another.
-func script(s *Standing, from, to time.Duration, o Outcome) {
+func script(s *Health, from, to time.Duration, o Outcome) {
 	for at := from; at < to; at += 300 * ms {
 		s.Note(at, o)
 	}
@@ -27,7 +27,7 @@
 		"served while a sibling is served":        {Served, 12 * time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var s Standing
+			var s Health
 			script(&s, 0, 10*time.Second, Served)
 			script(&s, 10*time.Second, 13*time.Second, c.outcome)
 			if got := s.Alone(13*time.Second, c.sibling); got != c.want {
@@ -65,7 +65,7 @@
 		}, 90 * sec, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var s Standing
+			var s Health
 			var first time.Duration
 			for now := time.Duration(0); now < 2*time.Minute && first == 0; now += 100 * ms {
 				if sent := now - c.known; now%(300*ms) == 0 && sent >= 0 {
@@ -89,7 +89,7 @@
 // TestOwnSlownessIsNoRefusal: a process that hardly runs reads answers too late, and
 // would give up leadership for that.
 func TestOwnSlownessIsNoRefusal(t *testing.T) {
-	var s Standing
+	var s Health
 	script(&s, 0, 10*time.Second, Served)
 	script(&s, 10*time.Second, 13*time.Second, Silent)
 	s.Late(13*time.Second, lateBy)
@@ -105,7 +105,7 @@
 // TestLateAnswersDoNotCount: an answer to a question from before the cut says
 // nothing about now, and one failure alone proves nothing.
 func TestLateAnswersDoNotCount(t *testing.T) {
-	var s Standing
+	var s Health
 	s.Note(10*time.Second, Served)
 	s.Note(12*time.Second, Silent)
 	if s.Alone(13*time.Second, 13*time.Second) {
@@ -130,7 +130,7 @@
 		want bool
 	}{"a sibling is served still": {time.Hour, true}, "out for all just now": {out, false}} {
 		t.Run(name, func(t *testing.T) {
-			var s Standing
+			var s Health
 			script(&s, 0, cut, Served)
 			gave, asked, would := false, 0, false
 			for now := cut; now < cut+30*time.Second; now += 100 * ms {
--- a/internal/node/chaining.go
+++ b/internal/node/chaining.go
@@ -10,8 +10,8 @@
 	"honeylock/internal/core/budget"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/pace"
 	"honeylock/internal/core/pipeline"
+	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -98,7 +98,7 @@
 
 // readEnd reads how a job has ended, and when by the time of day.
 func (p *chaining) readEnd(id model.JobID) (pipeline.End, int64) {
-	it, err := p.l.n.state.Get(state.As(p.l.ctx, pace.Leader), finalKeys+wire.JobName(id))
+	it, err := p.l.n.state.Get(state.As(p.l.ctx, ratelimit.Leader), finalKeys+wire.JobName(id))
 	if errors.Is(err, state.ErrNotFound) {
 		p.l.n.log.Debug("a job that is awaited has not ended and is not known to be open", "job", wire.JobName(id))
 		return pipeline.Absent, 0
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -9,7 +9,7 @@
 
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/standing"
+	"honeylock/internal/core/storehealth"
 	"honeylock/internal/peer"
 	"honeylock/internal/wire"
 )
@@ -34,11 +34,11 @@
 	first = n.pulse.missing(now)
 	if n.lead != nil {
 		for _, k := range n.lead.links {
-			if now-k.stateAt < standing.Missed {
+			if now-k.stateAt < storehealth.Missed {
 				return n.siblingAddr(k.host), first
 			}
 		}
-	} else if n.leader != "" && now-n.leaderStateAt < standing.Missed {
+	} else if n.leader != "" && now-n.leaderStateAt < storehealth.Missed {
 		return n.siblingAddr(n.leader), first
 	}
 	return "", first
--- a/internal/node/grants_test.go
+++ b/internal/node/grants_test.go
@@ -11,7 +11,7 @@
 	"honeylock/internal/config"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/standing"
+	"honeylock/internal/core/storehealth"
 	"honeylock/internal/core/witness"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
@@ -226,17 +226,17 @@
 	}
 	back := now + 2*time.Minute
 	for d := time.Duration(0); d < blindFor; d += time.Second {
-		r.n.pulse.note(back+d, standing.Served)
+		r.n.pulse.note(back+d, storehealth.Served)
 		if r.l.deals.blind(back + d) {
 			t.Fatalf("blind %v after the outage", d)
 		}
 	}
-	r.n.pulse.note(back+blindFor+time.Second, standing.Served)
+	r.n.pulse.note(back+blindFor+time.Second, storehealth.Served)
 	if !r.l.deals.blind(back + blindFor + time.Second) {
 		t.Error("goes on without news")
 	}
 	r.l.deals.seen(back+15*time.Second, back+14*time.Second)
-	r.n.pulse.note(back+15*time.Second, standing.Served)
+	r.n.pulse.note(back+15*time.Second, storehealth.Served)
 	if r.l.deals.blind(back + 15*time.Second) {
 		t.Error("gives way though it has news")
 	}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -12,8 +12,8 @@
 	"honeylock/internal/core/fleet"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/pace"
 	"honeylock/internal/core/pipeline"
+	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/peer"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -172,7 +172,7 @@
 func (l *leadership) read() error {
 	var takes []func(time.Duration) error
 	for _, p := range l.parts {
-		take, err := p.read(state.As(l.ctx, pace.Leader))
+		take, err := p.read(state.As(l.ctx, ratelimit.Leader))
 		if err != nil {
 			return err
 		}
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -14,8 +14,8 @@
 
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/pace"
 	"honeylock/internal/core/pipeline"
+	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/core/witness"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -29,7 +29,7 @@
 // readOpen lists the open jobs.
 func (p *dealing) readOpen() (map[model.JobID]stored, uint64, error) {
 	open := map[model.JobID]stored{}
-	rev, err := p.l.n.state.List(state.As(p.l.ctx, pace.Leader), openKeys, func(it *wire.Item) error {
+	rev, err := p.l.n.state.List(state.As(p.l.ctx, ratelimit.Leader), openKeys, func(it *wire.Item) error {
 		id, sub, err := openRecord(it.Key, it.Value)
 		if err != nil {
 			return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,9 +18,9 @@
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/pace"
 	"honeylock/internal/core/pipeline"
-	"honeylock/internal/core/standing"
+	"honeylock/internal/core/ratelimit"
+	"honeylock/internal/core/storehealth"
 	"honeylock/internal/core/strain"
 	"honeylock/internal/core/witness"
 	"honeylock/internal/peer"
@@ -127,7 +127,7 @@
 		sibling:  -time.Hour,
 		waits:    map[model.MachineID][]chan struct{}{},
 	}
-	n.state = state.New(cfg.Services.State, pace.Params{Requests: cfg.Cluster.State.RPS,
+	n.state = state.New(cfg.Services.State, ratelimit.Params{Requests: cfg.Cluster.State.RPS,
 		Writes: cfg.Cluster.State.WriteRPS, NextWrites: cfg.Cluster.State.Next.WriteRPS,
 		Controllers: 1 + len(cfg.Siblings)}, 1500*time.Millisecond, n.noted)
 	n.names.Aimed, n.names.Guaranteed = map[model.Name]bool{}, map[model.Name]bool{}
@@ -151,7 +151,7 @@
 }
 
 // noted takes what became of a request to the state service.
-func (n *Node) noted(sent time.Time, o standing.Outcome) { n.pulse.note(sent.Sub(n.start), o) }
+func (n *Node) noted(sent time.Time, o storehealth.Outcome) { n.pulse.note(sent.Sub(n.start), o) }
 
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
@@ -192,7 +192,7 @@
 	ops := n.el.Step(now)
 	n.mu.Unlock()
 	for _, op := range ops {
-		n.electionOp(state.As(ctx, pace.Authority), op)
+		n.electionOp(state.As(ctx, ratelimit.Authority), op)
 	}
 }
 
@@ -226,7 +226,7 @@
 func (n *Node) runElection(ctx context.Context, ops []election.Op) {
 	for _, op := range ops {
 		go func() {
-			res := n.electionOp(state.As(ctx, pace.Authority), op)
+			res := n.electionOp(state.As(ctx, ratelimit.Authority), op)
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			now := n.now()
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"honeylock/internal/core/budget"
-	"honeylock/internal/core/pace"
+	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -86,14 +86,14 @@
 	flush()
 }
 
-// paceOf is how urgent a write is among this controller's requests: progress once
+// classOf is how urgent a write is among this controller's requests: progress once
 // went as finals do, and where changes were scarce 170 jobs that had ended waited
 // behind it.
-func paceOf(c budget.Class) pace.Class {
+func classOf(c budget.Class) ratelimit.Class {
 	if c == budget.Finals {
-		return pace.Leader
+		return ratelimit.Leader
 	}
-	return pace.Upkeep
+	return ratelimit.Upkeep
 }
 
 // foundAt reads at which version a key is whose guard may have failed; 0: absent. Ours is
@@ -113,7 +113,7 @@
 		t.Guards = append(t.Guards, w.guards...)
 		t.Then = append(t.Then, w.ops...)
 	}
-	ctx := state.As(l.ctx, paceOf(c))
+	ctx := state.As(l.ctx, classOf(c))
 	rev, err := n.state.Txn(ctx, t)
 	if err != nil {
 		n.log.Debug("not stored", "writes", len(batch), "err", err)
--- a/internal/node/pulse.go
+++ b/internal/node/pulse.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"honeylock/internal/core/standing"
+	"honeylock/internal/core/storehealth"
 	"honeylock/internal/core/strain"
 )
 
@@ -13,10 +13,10 @@
 // the state service. It has a lock of its own: neither a door nor an answer of the
 // state service should wait for a long turn to be told, or to tell.
 type pulse struct {
-	mu       sync.Mutex
-	strain   strain.Strain
-	standing standing.Standing
-	spread   *rand.Rand // sets askers apart
+	mu     sync.Mutex
+	strain strain.Strain
+	health storehealth.Health
+	spread *rand.Rand // sets askers apart
 }
 
 // late takes how late a tick came.
@@ -24,14 +24,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.strain.Late(now, max(0, by))
-	p.standing.Late(now, by)
+	p.health.Late(now, by)
 }
 
 // note takes what became of a request to the state service.
-func (p *pulse) note(sent time.Duration, o standing.Outcome) {
+func (p *pulse) note(sent time.Duration, o storehealth.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.standing.Note(sent, o)
+	p.health.Note(sent, o)
 }
 
 // takes tells whether a user's request should be begun at all, or when its user
@@ -56,36 +56,36 @@
 	return p.strain.Lag(now)
 }
 
-// missing, alone, givesWay and confirmed are the standing's.
+// missing, alone, givesWay and confirmed are the store health's.
 func (p *pulse) missing(now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.standing.Missing(now)
+	return p.health.Missing(now)
 }
 
 func (p *pulse) alone(now, sibling time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.standing.Alone(now, sibling)
+	return p.health.Alone(now, sibling)
 }
 
 func (p *pulse) givesWay(now, sibling time.Duration) (yes, ask bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.standing.GivesWay(now, sibling)
+	return p.health.GivesWay(now, sibling)
 }
 
 func (p *pulse) confirmed(now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.standing.Confirmed(now)
+	p.health.Confirmed(now)
 }
 
 // served is when the newest request was sent that the state service has served.
 func (p *pulse) served() (at time.Duration, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.standing.Served()
+	return p.health.Served()
 }
 
 // servedAgo is how long ago that was; long ago if there was none.
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -12,7 +12,7 @@
 	"honeylock/internal/cloud"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/pace"
+	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/core/shard"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -275,7 +275,7 @@
 		t.Guards = []wire.Guard{{Key: openKey, Version: op.Version}}
 		t.Then = finalOps(id, jobs.Cancelled)
 	}
-	rev, err := n.state.Txn(state.As(ctx, pace.Changes), t)
+	rev, err := n.state.Txn(state.As(ctx, ratelimit.Changes), t)
 	switch {
 	case err == nil:
 		if op.Kind == jobs.Create && op.Stage == "" {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,8 +13,8 @@
 
 	"github.com/segmentio/encoding/json"
 
-	"honeylock/internal/core/pace"
-	"honeylock/internal/core/standing"
+	"honeylock/internal/core/ratelimit"
+	"honeylock/internal/core/storehealth"
 	"honeylock/internal/jsonhttp"
 	"honeylock/internal/wire"
 )
@@ -42,20 +42,20 @@
 	watches *jsonhttp.Client
 	timeout time.Duration
 	start   time.Time
-	noted   func(sent time.Time, o standing.Outcome)
+	noted   func(sent time.Time, o storehealth.Outcome)
 
 	mu      sync.Mutex
 	invalid uint64 // requests taken for invalid
-	pacer   *pace.Pacer
-	due     time.Duration // the pacer is to be stepped then; 0: nothing waits
+	limiter *ratelimit.Limiter
+	due     time.Duration // the limiter is to be stepped then; 0: nothing waits
 }
 
 // New returns a client. noted hears what became of every request.
-func New(addr string, p pace.Params, timeout time.Duration, noted func(sent time.Time, o standing.Outcome)) *Client {
+func New(addr string, p ratelimit.Params, timeout time.Duration, noted func(sent time.Time, o storehealth.Outcome)) *Client {
 	return &Client{
 		base: "http://" + addr, http: jsonhttp.New(24, 0, 2*time.Second), first: jsonhttp.New(4, 0, 2*time.Second),
 		watches: jsonhttp.New(4, 0, 2*time.Second), timeout: timeout, start: time.Now(), noted: noted,
-		pacer: pace.New(p),
+		limiter: ratelimit.New(p),
 	}
 }
 
@@ -64,10 +64,10 @@
 func (c *Client) Stats() (share float64, shed, busy uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, n := range c.pacer.Shed {
+	for _, n := range c.limiter.Shed {
 		shed += n
 	}
-	return c.pacer.Share(), shed, c.pacer.Busy
+	return c.limiter.Share(), shed, c.limiter.Busy
 }
 
 // Writes is the service's rate of changes as far as is known, and whether that is the
@@ -75,7 +75,7 @@
 func (c *Client) Writes() (perSecond float64, lowered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pacer.Writes()
+	return c.limiter.Writes()
 }
 
 // Invalid counts the requests that the service took for invalid.
@@ -96,15 +96,15 @@
 type classKey struct{}
 
 // As marks a context whose requests are of a class; without it they are Reads.
-func As(ctx context.Context, c pace.Class) context.Context {
+func As(ctx context.Context, c ratelimit.Class) context.Context {
 	return context.WithValue(ctx, classKey{}, c)
 }
 
-func classOf(ctx context.Context) pace.Class {
-	if c, ok := ctx.Value(classKey{}).(pace.Class); ok {
+func classOf(ctx context.Context) ratelimit.Class {
+	if c, ok := ctx.Value(classKey{}).(ratelimit.Class); ok {
 		return c
 	}
-	return pace.Reads
+	return ratelimit.Reads
 }
 
 // admit waits until a request may go.
@@ -115,14 +115,14 @@
 	if d, ok := ctx.Deadline(); ok {
 		until = min(until, d.Sub(c.start))
 	}
-	t := c.pacer.Ask(now, classOf(ctx), writes, until)
+	t := c.limiter.Ask(now, classOf(ctx), writes, until)
 	c.step(now)
 	c.mu.Unlock()
 	select {
 	case <-t.Go:
 	case <-ctx.Done():
 		c.mu.Lock()
-		c.pacer.Drop(t)
+		c.limiter.Drop(t)
 		c.mu.Unlock()
 		return fmt.Errorf("%w: rate: %w", ErrRefused, ctx.Err())
 	}
@@ -132,9 +132,9 @@
 	return nil
 }
 
-// step steps the pacer, and once more when that is due.
+// step steps the limiter, and once more when that is due.
 func (c *Client) step(now time.Duration) {
-	next := c.pacer.Step(now)
+	next := c.limiter.Step(now)
 	if next == 0 || c.due != 0 && c.due <= next && c.due > now {
 		return
 	}
@@ -157,7 +157,7 @@
 		return 0, nil, err
 	}
 	conns, timeout := c.http, c.timeout
-	if classOf(parent) == pace.Authority {
+	if classOf(parent) == ratelimit.Authority {
 		conns = c.first
 	}
 	if d, ok := parent.Value(patienceKey{}).(time.Duration); ok {
@@ -176,21 +176,21 @@
 func (c *Client) note(sent time.Time, status int, err error) {
 	switch {
 	case err != nil:
-		c.noted(sent, standing.Silent)
+		c.noted(sent, storehealth.Silent)
 	case status == http.StatusBadRequest:
 		c.mu.Lock()
 		c.invalid++
 		c.mu.Unlock()
-		c.noted(sent, standing.Served)
+		c.noted(sent, storehealth.Served)
 	case status == http.StatusTooManyRequests:
 		c.mu.Lock()
-		c.pacer.Refused(time.Since(c.start))
+		c.limiter.Refused(time.Since(c.start))
 		c.mu.Unlock()
-		c.noted(sent, standing.Busy)
+		c.noted(sent, storehealth.Busy)
 	case status >= 500:
-		c.noted(sent, standing.Refused)
+		c.noted(sent, storehealth.Refused)
 	default:
-		c.noted(sent, standing.Served)
+		c.noted(sent, storehealth.Served)
 	}
 }
 
@@ -325,7 +325,7 @@
 func (c *Client) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Events, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
-	if err := c.admit(As(ctx, pace.Authority), 0); err != nil {
+	if err := c.admit(As(ctx, ratelimit.Authority), 0); err != nil {
 		return nil, err
 	}
 	q := url.Values{"Starts": {prefix}, "From": {strconv.FormatUint(from, 10)}, "WaitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
