--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -240,8 +240,10 @@
 	}
 	r.ticks(10)
 	r.want(t, Patching, Waiting)
-	if r.e.Patched(r.now, "p", 1, "m-1") != nil || r.e.Patched(r.now, "p", 1, "m-1") != nil {
-		t.Error("not taken, or not twice")
+	for range 2 {
+		if err := r.e.Patched(r.now, "p", 1, "m-1"); err != nil {
+			t.Error("not taken, or not twice:", err)
+		}
 	}
 	r.ticks(1)
 	r.ticks(10)
@@ -264,13 +266,17 @@
 	}
 	r.ticks(10)
 	r.want(t, Waiting, Waiting)
-	if r.e.Resume("p") != nil || r.e.Resume("p") != nil {
-		t.Error("not resumed")
+	for range 2 {
+		if err := r.e.Resume("p"); err != nil {
+			t.Error("not resumed:", err)
+		}
 	}
 	r.ticks(3)
 	r.want(t, Draining, Waiting)
-	if r.e.Cancel(r.now, "p") != nil || r.e.Cancel(r.now, "p") != nil {
-		t.Error("not cancelled")
+	for range 2 {
+		if err := r.e.Cancel(r.now, "p"); err != nil {
+			t.Error("not cancelled:", err)
+		}
 	}
 	r.ticks(4)
 	if r.want(t, Left, Left); r.ms[1].barred || r.e.Resume("p") == nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -49,6 +49,11 @@
 	maxName   = 200
 )
 
+// FieldError is a mistake in one field of a submission. Its text is for the user.
+type FieldError struct{ Field, Why string }
+
+func (e *FieldError) Error() string { return e.Field + " " + e.Why }
+
 // ParseSubmission reads and checks a submission. Its error is for the user.
 func ParseSubmission(body []byte) (*Submission, error) {
 	trimmed := bytes.TrimLeft(body, " \t\r\n")
@@ -100,30 +105,30 @@
 		}
 	}
 	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > maxTasks {
-		return errors.New("Cells is missing or out of range")
+		return &FieldError{"Cells", "is missing or out of range"}
 	}
 	if _, err := ParseJob(*s.NameID); err != nil {
 		return fmt.Errorf("NameId: %w", err)
 	}
 	if *s.Shape != "batch" && *s.Shape != "daemon" {
-		return fmt.Errorf("Shape %q is unknown", *s.Shape)
+		return &FieldError{"Shape", fmt.Sprintf("%q is unknown", *s.Shape)}
 	}
 	if _, ok := ranks[*s.Rank]; !ok {
-		return fmt.Errorf("Rank %q is unknown", *s.Rank)
+		return &FieldError{"Rank", fmt.Sprintf("%q is unknown", *s.Rank)}
 	}
 	if s.Types != nil && len(s.Types) == 0 {
-		return errors.New("Breeds is empty")
+		return &FieldError{"Breeds", "is empty"}
 	}
 	for _, t := range s.Types {
 		if t == "" || len(t) > maxName {
-			return errors.New("Breeds holds an invalid name")
+			return &FieldError{"Breeds", "holds an invalid name"}
 		}
 	}
 	if err := s.checkAwaits(); err != nil {
 		return err
 	}
 	if s.Zone != nil && (*s.Zone == "" || len(*s.Zone) > maxName) {
-		return errors.New("Yard is invalid")
+		return &FieldError{"Yard", "is invalid"}
 	}
 	return nil
 }
@@ -134,10 +139,10 @@
 	seen := map[string]bool{}
 	for i, name := range s.Awaits {
 		if _, err := ParseJob(name); err != nil {
-			return fmt.Errorf("Awaits[%d]: %w", i, err)
+			return &FieldError{fmt.Sprintf("Awaits[%d]:", i), err.Error()}
 		}
 		if name == *s.NameID {
-			return fmt.Errorf("Awaits[%d]: %s can't await itself", i, name)
+			return &FieldError{fmt.Sprintf("Awaits[%d]:", i), name + " can't await itself"}
 		}
 		seen[name] = true
 	}
