--- a/cmd/honeylock/scale.go
+++ b/cmd/honeylock/scale.go
@@ -17,7 +17,7 @@
 
 func scaleCommand() *cobra.Command {
 	c := &cobra.Command{Use: "scale", Short: "Measure what a fleet of a given size costs, on this machine"}
-	c.AddCommand(scaleRunCommand(),
+	c.AddCommand(scaleRunCommand(), scaleSlopesCommand(),
 		scaleChildCommand("hollow", "Hollow workers of a region", scale.ServeHollow),
 		scaleChildCommand("world", "Users, state service and cloud of a region", scale.ServeWorld))
 	return c
@@ -156,6 +156,70 @@
 	}
 }
 
+func scaleSlopesCommand() *cobra.Command {
+	var predict string
+	c := &cobra.Command{Use: "slopes REPORT...", Args: cobra.MinimumNArgs(1),
+		Short: "Fit what each role costs to the reports of runs",
+		Long: `Fits the figures of each role to the steady windows of the reports of "scale run", by
+least squares, and prints what each costs with nothing, for one more of each variable,
+and how far the measured figures are from that. With --predict it tells what the slopes
+say of a run that they do not rest on, beside what was measured there.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			var reports []*scale.Report
+			for _, path := range args {
+				r, err := scale.ReadReport(path)
+				if err != nil {
+					return err
+				}
+				reports = append(reports, r)
+			}
+			slopes, err := scale.Slopes(reports)
+			if err != nil {
+				return failed(err)
+			}
+			printSlopes(c.OutOrStdout(), slopes)
+			if predict == "" {
+				return nil
+			}
+			run, err := scale.ReadReport(predict)
+			if err != nil {
+				return fmt.Errorf("--predict: %w", err)
+			}
+			predictions, err := scale.Predict(slopes, run)
+			if err != nil {
+				return failed(err)
+			}
+			printPredictions(c.OutOrStdout(), predictions)
+			return nil
+		}}
+	c.Flags().StringVar(&predict, "predict", "", "a report that is predicted")
+	return c
+}
+
+// printSlopes prints a table in Markdown.
+func printSlopes(out io.Writer, slopes []scale.Slope) {
+	fmt.Fprintln(out, "| role | figure | base | for one more of | | residual: rms, worst | R² | rows |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, s := range slopes {
+		for i, by := range s.By {
+			if i == 0 {
+				fmt.Fprintf(out, "| %s | %s | %.4g | %s | %.4g | %.3g, %.3g | %.3f | %d |\n", s.Role, s.Unit, s.Base, by, s.Each[i],
+					s.RMS, s.Worst, s.R2, s.Rows)
+				continue
+			}
+			fmt.Fprintf(out, "| | | | %s | %.4g | | | |\n", by, s.Each[i])
+		}
+	}
+}
+
+func printPredictions(out io.Writer, predictions []scale.Prediction) {
+	fmt.Fprintln(out, "\n| role | figure | predicted | measured | error |\n| --- | --- | --- | --- | --- |")
+	for _, p := range predictions {
+		fmt.Fprintf(out, "| %s | %s | %.4g | %.4g | %+.0f%% |\n", p.Role, p.Unit, p.Predicted, p.Measured,
+			100*(p.Predicted-p.Measured)/p.Measured)
+	}
+}
+
 // scaleChildCommand is a process of a run; only `scale run` starts it.
 func scaleChildCommand(verb, short string,
 	serve func(context.Context, scale.RegionSpec, io.Reader, io.Writer) error) *cobra.Command {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -71,6 +71,9 @@
 	meters map[string]*meter
 }
 
+// steadyWindow is the window without a fault.
+const steadyWindow = "steady"
+
 const (
 	sampleEvery   = time.Second
 	progressEvery = 5 * time.Second
@@ -149,7 +152,7 @@
 	if err := sleep(ctx, r.o.Ramp); err != nil {
 		return err
 	}
-	if err := r.measure(ctx, "steady", r.o.Duration, nil); err != nil {
+	if err := r.measure(ctx, steadyWindow, r.o.Duration, nil); err != nil {
 		return err
 	}
 	for _, f := range r.o.Faults {
--- /dev/null
+++ b/internal/scale/slopes_test.go
@@ -0,0 +1,68 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"testing"
+)
+
+// linear is a report of a region of so many workers whose costs are known linear functions.
+func linear(workers, controllers int, starts float64) *Report {
+	const seconds = 10
+	w := Window{Name: steadyWindow, Seconds: seconds}
+	own := float64(workers) / float64(controllers)
+	for i := range controllers {
+		u := Usage{Role: RoleController, Leader: i == 0, Cores: 0.01 + 0.0001*own + 0.0002*starts/float64(controllers),
+			ResidentMB: 30 + 0.1*own}
+		if u.Leader {
+			u.Cores, u.ResidentMB = 0.02+0.00005*float64(workers)+0.0001*starts, 40+0.02*float64(workers)+0.1*own
+		}
+		w.Processes = append(w.Processes, u)
+	}
+	w.Processes = append(w.Processes, Usage{Role: RoleHollow, Cores: 0.0001 * float64(workers), ResidentMB: 20 + 0.2*float64(workers)})
+	w.Regions = []RegionWindow{{
+		Workers: WorkersStats{Up: workers, Running: 16 * workers, Starts: int64(starts * seconds), Reports: int64(3*workers) + int64(starts),
+			BytesIn: int64(workers) * 100, BytesOut: int64(workers) * 900},
+		World: WorldStats{Open: 10 + workers/7, Accepted: 5 + workers%13, Done: 5 + controllers,
+			State: []FrontStats{{Requests: (20 + controllers) * seconds}}, StateChanges: 10 * seconds},
+	}}
+	return &Report{Schema: SchemaVersion, Windows: []Window{w}}
+}
+
+// Costs that are linear are found as such, and a size that the slopes do not rest on is
+// predicted; too few runs are told.
+func TestSlopes(t *testing.T) {
+	var reports []*Report
+	for i, workers := range []int{100, 217, 450, 800, 1300, 1900} {
+		reports = append(reports, linear(workers, 3+i*2, float64(10+(i*i*37)%101)))
+	}
+	slopes, err := Slopes(reports)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := false
+	for _, s := range slopes {
+		if s.Role != "controller that does not lead" || s.Unit != "cores" {
+			continue
+		}
+		found = true
+		if math.Abs(s.Base-0.01) > 1e-6 || math.Abs(s.Each[0]-0.0001) > 1e-7 || math.Abs(s.Each[1]-0.0002) > 1e-6 || s.R2 < 0.999 {
+			t.Errorf("%+v", s)
+		}
+	}
+	if !found {
+		t.Error("no slope of the controllers")
+	}
+	predictions, err := Predict(slopes, linear(9400, 20, 3300))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range predictions {
+		if p.Unit == "MB" && math.Abs(p.Predicted-p.Measured) > 0.01*p.Measured {
+			t.Errorf("%+v", p)
+		}
+	}
+	if _, err := Slopes(reports[:2]); !errors.Is(err, errTooFew) {
+		t.Errorf("%v of two runs", err)
+	}
+}
