readbatch, rateshare: what users ask costs the same whatever the number of controllers

Each controller compared its users' questions by itself, up to 10 times a second, and followers read the leader's key and the term once a second: seven controllers used the whole rate of 70 requests, and ends of jobs waited.

Now the leader compares for all over the links that exist (a member by itself if it does not answer), answers of ends that it stored without a comparison, and tells each controller its part of the rate with its grants, by need and its own first; refusals lead where nobody does. Reads no longer wait behind changes that found no rate (they starved on the leader). Followers together read the leader's key twice a second, and the catalog as often as two. A release before knows neither message and goes on as it did.

--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -54,6 +54,7 @@
 	ttl     time.Duration
 	margin  time.Duration
 	stagger time.Duration
+	idle    time.Duration // between a follower's readings of the leader's key
 
 	busy     bool
 	next     time.Duration
@@ -80,7 +81,19 @@
 // controllers that find the key free at the same moment; promise is the length
 // of promises, now is the start of the process.
 func New(host string, ttl, stagger, promise, now time.Duration) *Election {
-	return &Election{host: host, ttl: ttl, margin: ttl/500 + 150*time.Millisecond, stagger: stagger, promised: now + promise}
+	return &Election{host: host, ttl: ttl, idle: leastIdle, margin: ttl/500 + 150*time.Millisecond, stagger: stagger, promised: now + promise}
+}
+
+// SetSiblings says how many other controllers there are. All followers together then read
+// the leader's key about twice a second, whatever their number: a watch tells them sooner
+// that it is gone, and a link that breaks has them look at once.
+func (e *Election) SetSiblings(n int) { e.idle = max(leastIdle, time.Duration(n)*leastIdle/2) }
+
+// Doubt has a follower look at the leader's key soon: its link to the leader is gone.
+func (e *Election) Doubt(now time.Duration) {
+	if !e.leading {
+		e.next = min(e.next, now+retry)
+	}
 }
 
 // Promise keeps this controller from taking leadership before until.
@@ -184,8 +197,8 @@
 }
 
 const (
-	retry = 250 * time.Millisecond
-	idle  = time.Second
+	retry     = 250 * time.Millisecond
+	leastIdle = time.Second
 )
 
 // Done takes an operation's result and returns what follows at once.
@@ -217,7 +230,7 @@
 					e.promised = now
 				}
 			} else {
-				e.next = now + idle
+				e.next = now + e.idle
 			}
 			break
 		}
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -69,13 +69,14 @@
 	Missing          // read: no such key
 	Conflict         // transaction or comparison: a guard failed
 	Failed           // refused, or in doubt
+	Busy             // not asked: the state service is over its rate
 )
 
 // Result of an operation.
 type Result struct {
 	Outcome Outcome
 	Version uint64
-	Stage   Stage
+	Stage   Stage // ReadFinal; StillOpen that found a conflict: its stored end, if it is known
 }
 
 // Answer to the user.
@@ -85,6 +86,9 @@
 	Created bool // the job has been accepted by this request
 	// Unknown is a job that is awaited and was never accepted; it comes with a 422.
 	Unknown model.JobID
+	// OverRate: nothing is wrong but that the state service is asked for too much; it comes
+	// with a 503.
+	OverRate bool
 }
 
 // Kind of request.
@@ -97,6 +101,19 @@
 	Withdraw
 )
 
+// String is the request's name in logs.
+func (k Kind) String() string {
+	switch k {
+	case Submit:
+		return "submission"
+	case Poll:
+		return "question"
+	case Withdraw:
+		return "cancellation"
+	}
+	return "unknown"
+}
+
 // Request is the state machine of one request.
 type Request struct {
 	kind   Kind
@@ -123,12 +140,18 @@
 	return r, Op{Kind: ReadOpen, Job: job}
 }
 
-var unavailable = &Answer{Status: http.StatusServiceUnavailable}
+var (
+	unavailable = &Answer{Status: http.StatusServiceUnavailable}
+	overRate    = &Answer{Status: http.StatusServiceUnavailable, OverRate: true}
+)
 
 // Next takes the result of an operation and returns the next one or the answer.
 func (r *Request) Next(op Op, res Result) (Op, *Answer) {
-	if res.Outcome == Failed {
+	switch res.Outcome {
+	case Failed:
 		return Op{}, unavailable
+	case Busy:
+		return Op{}, overRate
 	}
 	if op.Job != r.job {
 		return r.look(op, res), nil
@@ -147,6 +170,9 @@
 		if res.Outcome == OK {
 			return Op{}, &Answer{Status: http.StatusOK, Stage: Queued}
 		}
+		if res.Stage.Ended() { // whoever compared knows of its end
+			return Op{}, &Answer{Status: http.StatusOK, Stage: res.Stage}
+		}
 		r.seen = true // it was open, so it has ended
 		return Op{Kind: ReadFinal, Job: r.job}, nil
 	case ReadOpen:
--- a/internal/core/ratelimit/ratelimit_test.go
+++ b/internal/core/ratelimit/ratelimit_test.go
@@ -210,3 +210,78 @@
 		t.Fatalf("%v after two in succession", rate)
 	}
 }
+
+// A part that a leader has told is kept to at once, shrinks for a while after a refusal, and
+// when nobody tells one any more an equal part is where the controller begins again.
+func TestPartIsKeptTo(t *testing.T) {
+	q := New(Params{Requests: 100, Writes: 50, Controllers: 20})
+	q.SetPart(0, Part{Requests: 0.4, Writes: 0.2}, 2*time.Second)
+	if q.Share() != 0.4 {
+		t.Errorf("share %v", q.Share())
+	}
+	s := &service{rate: 100, tokens: 100}
+	got := 0
+	for now := 5 * ms; now < 20*time.Second; now += 5 * ms {
+		q.SetPart(now, Part{Requests: 0.4, Writes: 0.2}, now+2*time.Second)
+		if k := q.Ask(now, Reads, 0, now); went(k) && s.ask(now) {
+			got++
+		}
+		q.Step(now)
+	}
+	if got < 20*40*9/10 || got > 20*40*11/10 {
+		t.Errorf("%d of 800 went in 20 s", got)
+	}
+	q.Refused(20 * time.Second)
+	if q.Share() >= 0.4 {
+		t.Errorf("share %v after a refusal", q.Share())
+	}
+	q.Step(22*time.Second + ms) // the part is over
+	if want := equal/20 + growth; q.Share() > want+1e-9 {
+		t.Errorf("share %v without a part, want at most %v", q.Share(), want)
+	}
+}
+
+// Needs count what was asked for, whether or not it went.
+func TestNeedsAreWhatWasAskedFor(t *testing.T) {
+	q := New(Params{Requests: 100, Writes: 10, Controllers: 20})
+	for i := range 30 {
+		q.Ask(time.Second+time.Duration(i)*ms, Reads, 1, 0)
+	}
+	if got := q.Needs(1900 * ms); got.Requests != 0.3 || got.Writes != 3 {
+		t.Errorf("%+v", got)
+	}
+	if got := q.Needs(4 * time.Second); got != (Part{}) {
+		t.Errorf("%+v after a quiet second", got)
+	}
+}
+
+// What only reads waits for nobody's changes: behind a leader's queue of progress that found
+// no rate of changes, questions were once refused for as long as that lasted.
+func TestReadsDoNotWaitForChanges(t *testing.T) {
+	q := New(Params{Requests: 100, Writes: 5, Controllers: 1})
+	for range 400 {
+		q.Ask(0, Upkeep, 2, time.Hour)
+	}
+	late := 0
+	for now := 10 * ms; now < 5*time.Second; now += 100 * ms {
+		k := q.Ask(now, Reads, 0, now+time.Second)
+		q.Step(now)
+		if !went(k) {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d of 50 reads waited or were refused, beside 50 requests a second that nobody used", late)
+	}
+	// Nor are they refused at once for it where a moment's wait is enough.
+	for range 60 {
+		q.Ask(5*time.Second, Leader, 0, 6*time.Second)
+	}
+	k := q.Ask(5*time.Second, Reads, 0, 6500*ms)
+	for now := 5 * time.Second; now < 6500*ms; now += 10 * ms {
+		q.Step(now)
+	}
+	if !went(k) {
+		t.Error("a read was refused, though it could have gone within a second")
+	}
+}
--- /dev/null
+++ b/internal/core/rateshare/rateshare.go
@@ -0,0 +1,72 @@
+// Package rateshare divides the state service's rate among the controllers of a region. The
+// leader does so and tells each member its part with its grants; it is a pure function of
+// what all have asked for lately.
+//
+// The leader's own part comes first: what it needs to keep its authority and to end jobs is
+// never behind what users ask of its siblings. The rest is divided by need, max-min fair: no
+// member gets less than an equal part unless it needs less.
+package rateshare
+
+import (
+	"slices"
+	"time"
+)
+
+// Parts of the service's rate.
+const (
+	// All is what all controllers together use at most. The rest is for those that know no
+	// parts, and for bursts.
+	All = 0.9
+	// leaderLeast is what the leader keeps at least, needed or not: a change of leader, or
+	// many jobs that end at once, must find it free.
+	leaderLeast = 0.3
+	// membersLeast is what the members keep together at least, so that submissions go on
+	// beside a leader that is far behind.
+	membersLeast = 0.25
+	// slack is how much more than it asked for lately a controller gets, where there is
+	// enough.
+	slack = 1.5
+)
+
+// ToldFor is how long a part is good for that a member was told. A leader tells it with each
+// grant; who hears of no leader any more goes by what the service refuses.
+const ToldFor = 2 * time.Second
+
+// Divide divides the rate, of which the leader and the members asked for the given parts
+// lately. The parts add up to All.
+func Divide(leader float64, members []float64) (leaderPart float64, parts []float64) {
+	if len(members) == 0 {
+		return All, nil
+	}
+	leaderPart = max(leaderLeast, min(slack*leader, All-membersLeast))
+	return leaderPart, fair(All-leaderPart, members)
+}
+
+// fair divides a total by need: those that need less than an equal part get that and a
+// little more, the others share the rest equally. What nobody needs is shared equally.
+func fair(total float64, needs []float64) []float64 {
+	order := make([]int, len(needs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case needs[a] < needs[b]:
+			return -1
+		case needs[a] > needs[b]:
+			return 1
+		}
+		return a - b
+	})
+	out := make([]float64, len(needs))
+	left := total
+	for n, i := range order {
+		equal := left / float64(len(order)-n)
+		out[i] = min(slack*needs[i], equal)
+		left -= out[i]
+	}
+	for i := range out {
+		out[i] += left / float64(len(out))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/rateshare/rateshare_test.go
@@ -0,0 +1,47 @@
+package rateshare
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is needed: the parts add up to what all may use, the leader keeps its least, and
+// no member gets less than an equal part of the rest unless it needs less.
+func TestPartsAreFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		need := rapid.Float64Range(0, 2)
+		leader := need.Draw(t, "leader")
+		members := rapid.SliceOfN(need, 0, 30).Draw(t, "members")
+		part, parts := Divide(leader, members)
+		sum := part
+		for _, p := range parts {
+			sum += p
+		}
+		if math.Abs(sum-All) > 1e-9 {
+			t.Fatalf("the parts add up to %v", sum)
+		}
+		if part < leaderLeast {
+			t.Fatalf("the leader has %v", part)
+		}
+		rest := All - part
+		if len(members) > 0 && rest < membersLeast-1e-9 {
+			t.Fatalf("%v is left to the members", rest)
+		}
+		for i, p := range parts {
+			if equal := rest / float64(len(parts)); p < min(equal, slack*members[i])-1e-9 {
+				t.Fatalf("member %d needs %v and has %v of %v", i, members[i], p, rest)
+			}
+		}
+	})
+}
+
+// One busy member among nineteen idle ones gets nearly all that the leader does not need.
+func TestABusyMemberGetsWhatOthersLeave(t *testing.T) {
+	members := make([]float64, 19)
+	members[7] = 0.3
+	if _, parts := Divide(0.1, members); parts[7] < 0.45 {
+		t.Errorf("%v", parts)
+	}
+}
--- /dev/null
+++ b/internal/core/readbatch/route.go
@@ -0,0 +1,23 @@
+package readbatch
+
+import "time"
+
+// shunFor is for how long a leader is not asked again that left a question unanswered.
+const shunFor = 2 * time.Second
+
+// Route decides who compares a question: the leader for all controllers, or this controller
+// by itself.
+type Route struct {
+	leads bool // there is a leader that compares for others
+	shun  time.Duration
+}
+
+// Follow tells that there is a leader that compares for others, or none any more.
+func (r *Route) Follow(yes bool) { r.leads, r.shun = yes, 0 }
+
+// ByLeader tells whether the leader is to be asked now.
+func (r *Route) ByLeader(now time.Duration) bool { return r.leads && now >= r.shun }
+
+// Silent tells that the leader left a question unanswered, or could not ask the state
+// service: it may be cut off from it alone.
+func (r *Route) Silent(now time.Duration) { r.shun = now + shunFor }
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -45,8 +45,6 @@
 		Machine: model.Machine{ID: id, Addr: fmt.Sprintf("m%d", id), Type: 0, Zone: model.Name(zone), Spot: id%4 == 3}, results: map[model.Task]bool{}}
 }
 
-func (m *machine) typ() model.MachineType { return theType }
-
 // restart: the worker loses everything and comes up anew with its next session.
 func (m *machine) restart() { m.nextSession() }
 
--- a/internal/core/sim/overload_test.go
+++ b/internal/core/sim/overload_test.go
@@ -37,7 +37,6 @@
 
 type sending struct {
 	t    *ratelimit.Ticket
-	sent time.Duration
 	done func(ok bool)
 }
 
--- a/internal/core/storehealth/storehealth.go
+++ b/internal/core/storehealth/storehealth.go
@@ -100,9 +100,12 @@
 // there was none.
 func (h *Health) Served() (at time.Duration, known bool) { return h.served, h.known }
 
-// Missing tells that no request has got through for a while: users' requests are
-// better passed on to a sibling.
-func (h *Health) Missing(now time.Duration) bool { return now-h.reached > Missed }
+// Missing tells that no request has got through for a while, though one was sent: users'
+// requests are better passed on to a sibling. Where many controllers share the work, one may
+// have nothing to ask for longer than that.
+func (h *Health) Missing(now time.Duration) bool {
+	return now-h.reached > Missed && (h.vain > h.reached || !h.known)
+}
 
 // Alone tells that the service refuses this controller while it serves a sibling,
 // whose newest served request was sent then by this clock.
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -175,6 +175,7 @@
 		case block && errors.Is(o.err, state.ErrInvalid):
 			p.l.tooLarge(w.Block)
 		case w.Kind == dealer.Finish && o.err == nil:
+			p.l.n.cacheFinal(w.Job, jobs.Done)
 			p.l.chains.ended(now, w.Job, pipeline.Done)
 		case w.Kind == dealer.Finish && lost:
 			p.l.chains.ended(now, w.Job, pipeline.Unknown)
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -32,6 +32,11 @@
 func (n *Node) keepFinal(id model.JobID, st jobs.Stage) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.cacheFinal(id, st)
+}
+
+// cacheFinal keeps a final state. Called under the lock.
+func (n *Node) cacheFinal(id model.JobID, st jobs.Stage) {
 	delete(n.versions, id)
 	if _, ok := n.finals[id]; ok {
 		return
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -56,6 +56,7 @@
 	parts    []part
 	budget   *budget.Budget
 	stored   time.Duration
+	divided  time.Duration // the state service's rate
 	// confirming: a sibling is being asked whether the state service serves it.
 	confirming bool
 }
@@ -67,6 +68,7 @@
 		n.log.Info("leadership over", "term", n.lead.term)
 		n.lead.cancel()
 		n.lead = nil
+		n.questions.lead(false)
 		n.leaveSeat()
 	}
 	if leading && n.lead == nil {
@@ -78,6 +80,7 @@
 		}
 		n.led = n.el.Term()
 		n.lead = n.newLeadership(ctx, now)
+		n.questions.lead(true)
 		go n.lead.load()
 	}
 }
@@ -115,6 +118,8 @@
 	}
 	l.parts = []part{l.chains, l.deals, l.rents, l.drains}
 	l.setTypes(n.types)
+	l.divided = -divideEvery
+	l.divideRate(now) // the store is read with the leader's part
 	n.log.Info("leading", "term", l.term, "until", n.el.Deadline()-now)
 	return l
 }
@@ -275,6 +280,7 @@
 		return
 	}
 	l.n.seat.s.Grant(l.until())
+	l.divideRate(now)
 	if !l.loaded {
 		return
 	}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -10,6 +10,7 @@
 
 	"honeylock/internal/config"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/core/witness"
 	"honeylock/internal/httpserve"
 	"honeylock/internal/peer"
@@ -30,6 +31,8 @@
 	tells   bool                     // the member says of which cancellations it told users
 	word    witness.Word             // how far that is known
 	told    time.Duration            // the picture that its last progress was of was made
+	needs   ratelimit.Part           // what it asked of the state service lately; none: not told
+	part    ratelimit.Part           // of the state service's rate, which it is told with each grant
 }
 
 // ServePeers serves the other controllers until the context ends.
@@ -148,7 +151,7 @@
 	id := l.d.Join(now, host)
 	l.links[id] = k
 	k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Welcome{Welcome: &peerpb.Welcome{Term: l.term, Attempts: l.d.Attempts(id),
-		Tell: l.drains.book.On()}}})
+		Tell: l.drains.book.On(), Compares: true}}})
 	k.out.Send(l.deals.progress())
 	k.told = l.deals.told
 	l.n.log.Info("member joined", "host", host, "shard", id, "release", hello.GetRelease())
@@ -193,6 +196,7 @@
 				}
 			}
 		}
+		k.needs = ratelimit.Part{Requests: msg.Ask.GetRequestsNeeded(), Writes: msg.Ask.GetWritesNeeded()}
 		l.back()
 		l.deals.listen(now)
 		k.until = max(k.until, l.until())
@@ -200,8 +204,11 @@
 		k.sent[k.number] = now
 		k.out.Send(&peerpb.Down{Msg: &peerpb.Down_Grant{Grant: &peerpb.Grant{Seq: msg.Ask.GetSeq(),
 			ForUs: max(0, l.until()-now).Microseconds(), Number: k.number,
-			SettledAgeUs: max(1, (now - l.chains.settled(now)).Microseconds()),
-			ToldAgeUs:    max(1, (now - k.told).Microseconds())}}})
+			SettledAgeUs:  max(1, (now - l.chains.settled(now)).Microseconds()),
+			ToldAgeUs:     max(1, (now - k.told).Microseconds()),
+			RequestsShare: k.part.Requests, WritesShare: k.part.Writes}}})
+	case *peerpb.Up_Questions:
+		l.heardQuestions(k, msg.Questions.GetQuestions())
 	case *peerpb.Up_Event:
 		l.hear(now, id, k.codec.FromEvent(msg.Event))
 		l.n.soon()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,7 @@
 	told          *witness.Log      // cancellations that users were told of here
 	vouch         *pipeline.Voucher // as the leader that this controller is linked to has told
 	sibling       time.Duration     // a sibling was last heard
-	polls         *polls
+	questions     *questions
 	order         []model.JobID // of finals, oldest first
 	stats         Stats
 	kept          map[model.MachineID]map[model.Name]bool // machines of this controller's last shard, with their images
@@ -139,7 +139,7 @@
 			n.names.Aimed[n.names.Classes.ID(o.Class)] = true
 		}
 	}
-	n.polls = newPolls(n.state, cfg.Cluster.TxnOps())
+	n.questions = newQuestions(n.state, cfg.Cluster.TxnOps(), 1+len(cfg.Siblings))
 	index := 0
 	for _, s := range cfg.Siblings {
 		if s.HostName < cfg.HostName {
@@ -147,6 +147,7 @@
 		}
 	}
 	n.el = election.New(cfg.HostName, n.ttl, time.Duration(index)*150*time.Millisecond, config.Promise, 0)
+	n.el.SetSiblings(len(cfg.Siblings))
 	return n
 }
 
@@ -246,6 +247,10 @@
 			return res
 		}
 		res.Leader = rec
+		if rec.Present { // the term matters to whoever takes the key
+			res.OK = true
+			return res
+		}
 		it, err := n.state.Get(ctx, keyTerm)
 		if err != nil && !errors.Is(err, state.ErrNotFound) {
 			return res
@@ -301,11 +306,19 @@
 	return election.Record{Present: true, Host: l.Host, Term: l.Term, Lease: l.Lease, Version: version}, nil
 }
 
+// How long a watch of the leader's key waits: the longer the more controllers there are, for
+// each is a request.
+const (
+	leastWatch   = 10 * time.Second
+	longestWatch = time.Minute
+)
+
 // watchLeader learns quickly when the leader's key goes or changes.
 func (n *Node) watchLeader(ctx context.Context) {
 	var rev uint64
+	wait := min(longestWatch, max(leastWatch, time.Duration(len(n.cfg.Siblings))*leastWatch/2))
 	for ctx.Err() == nil {
-		ev, err := n.state.Watch(ctx, keyLeader, rev, 10*time.Second)
+		ev, err := n.state.Watch(ctx, keyLeader, rev, wait)
 		if errors.Is(err, state.ErrCompacted) || rev == 0 && err == nil {
 			// Start from now; the election's own reading covers what was before.
 			it, gerr := n.state.List(ctx, keyTerm, func(*wire.Item) error { return nil })
@@ -340,7 +353,7 @@
 // judged, and keeps the prices fresh.
 func (n *Node) fetchCatalog(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := time.Minute
+		pause := n.catalogPause()
 		cat, err := n.cloud.Catalog(ctx)
 		fresh := err == nil
 		n.complaints.note("catalog not read", err)
@@ -372,6 +385,18 @@
 	}
 }
 
+// catalogPause is until the machine types are read again: a leader needs the prices, the
+// others together read no more often than two of them, and not at the same moment.
+func (n *Node) catalogPause() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	pause := time.Minute
+	if n.lead == nil {
+		pause *= time.Duration(max(1, len(n.cfg.Siblings)/2))
+	}
+	return time.Duration(float64(pause) * (0.75 + 0.5*n.rng.Float64()))
+}
+
 func (n *Node) storedCatalog(ctx context.Context) (*wire.Catalog, error) {
 	it, err := n.state.Get(ctx, keyCatalog)
 	if err != nil {
--- /dev/null
+++ b/internal/node/rates.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"time"
+
+	"honeylock/internal/core/ratelimit"
+	"honeylock/internal/core/rateshare"
+)
+
+// divideEvery is how often the leader divides the state service's rate anew.
+const divideEvery = 400 * time.Millisecond
+
+// divideRate divides the state service's rate among all controllers by what they asked for
+// lately. A sibling that says nothing of its needs (it is not linked, or of a release before
+// 0.9) uses up to an equal part by itself, which is left to it.
+func (l *leadership) divideRate(now time.Duration) {
+	if now-l.divided < divideEvery {
+		return
+	}
+	l.divided = now
+	n := l.n
+	siblings := n.cfg.Siblings
+	equal := rateshare.All / float64(1+len(siblings))
+	requests, writes := make([]float64, len(siblings)), make([]float64, len(siblings))
+	for i, s := range siblings {
+		requests[i], writes[i] = equal, equal
+		if k := l.linkTo(s.HostName); k != nil && k.needs.Requests > 0 {
+			requests[i], writes[i] = k.needs.Requests, k.needs.Writes
+		}
+	}
+	own := n.state.Needs()
+	var part ratelimit.Part
+	part.Requests, requests = rateshare.Divide(own.Requests, requests)
+	part.Writes, writes = rateshare.Divide(own.Writes, writes)
+	n.state.SetPart(part, rateshare.ToldFor)
+	for i, s := range siblings {
+		if k := l.linkTo(s.HostName); k != nil {
+			k.part = ratelimit.Part{Requests: requests[i], Writes: writes[i]}
+		}
+	}
+}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -8,6 +8,8 @@
 
 	"honeylock/internal/config"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/ratelimit"
+	"honeylock/internal/core/rateshare"
 	"honeylock/internal/core/shard"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
@@ -162,7 +164,8 @@
 		st.seq++
 		st.asked[st.seq] = now
 		st.askAt = now
-		ask := &peerpb.Ask{Seq: st.seq, Promised: st.number, StateAgeUs: n.pulse.servedAgo(now).Microseconds(),
+		needs := n.state.Needs()
+		ask := &peerpb.Ask{RequestsNeeded: needs.Requests, WritesNeeded: needs.Writes, Seq: st.seq, Promised: st.number, StateAgeUs: n.pulse.servedAgo(now).Microseconds(),
 			ToldForUs: max(1, (now - n.told.Since()).Microseconds())}
 		var told []model.JobID
 		told, st.toldTo = n.told.From(st.toldTo)
@@ -310,6 +313,8 @@
 	defer func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		n.questions.follow(nil)
+		n.el.Doubt(n.now())
 		if st != nil {
 			st.out = nil
 		}
@@ -341,12 +346,16 @@
 			st.s.Tell(msg.Welcome.GetTell())
 			n.leader = host
 			n.takeSeat(st)
+			if msg.Welcome.GetCompares() {
+				n.questions.follow(out)
+			}
 			n.log.Info("joined", "leader", host, "term", msg.Welcome.GetTerm(), "remembered", len(n.kept))
 			for id := range n.kept {
 				out.Send(st.codec.Event(&model.Event{Kind: model.Remembered, Machine: id}))
 			}
 		case *peerpb.Down_Progress:
 			n.leaderStateAt = now - time.Duration(msg.Progress.GetStateAgeUs())*time.Microsecond
+			before := n.progress
 			n.progress = make(map[model.JobID]progress, len(msg.Progress.GetJobs()))
 			open := make(map[model.JobID]bool, len(msg.Progress.GetJobs()))
 			if st != nil {
@@ -357,10 +366,16 @@
 				n.progress[model.JobID(j.GetJob())] = progress{int(j.GetDone()), int(j.GetRunning()), j.GetVersion(),
 					j.GetWaits(), j.GetDoubt()}
 			}
+			n.keepVersions(before)
+		case *peerpb.Down_Answers:
+			n.questions.answered(msg.Answers.GetAnswers())
 		case *peerpb.Down_Grant:
 			if st == nil {
 				break
 			}
+			if share := msg.Grant.GetRequestsShare(); share > 0 {
+				n.state.SetPart(ratelimit.Part{Requests: share, Writes: msg.Grant.GetWritesShare()}, rateshare.ToldFor)
+			}
 			if at, ok := st.asked[msg.Grant.GetSeq()]; ok {
 				delete(st.asked, msg.Grant.GetSeq())
 				st.number = msg.Grant.GetNumber()
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -151,6 +151,7 @@
 			return f
 		}
 	}
+	n.log.Debug("not answered", "job", wire.JobName(id), "request", k, "why", r.Err)
 	return r
 }
 
@@ -169,6 +170,8 @@
 			continue
 		}
 		switch {
+		case ans.OverRate:
+			return unavailable("the state service is asked for more than it serves")
 		case ans.Status == http.StatusServiceUnavailable:
 			return unavailable("the state service does not answer")
 		case ans.Status == http.StatusUnprocessableEntity:
@@ -231,17 +234,19 @@
 	openKey, finalKey := openKeys+name, finalKeys+name
 	switch op.Kind {
 	case jobs.StillOpen:
-		return jobs.Result{Outcome: n.polls.stillOpen(ctx, id, op.Version), Version: op.Version}
+		return n.questions.stillOpen(ctx, jobs.Guard{Job: id, Version: op.Version})
 	case jobs.ReadOpen, jobs.ReadFinal:
 		key := openKey
 		if op.Kind == jobs.ReadFinal {
 			key = finalKey
 		}
 		it, err := n.state.Get(ctx, key)
-		if errors.Is(err, state.ErrNotFound) {
+		switch {
+		case errors.Is(err, state.ErrNotFound):
 			return jobs.Result{Outcome: jobs.Missing}
-		}
-		if err != nil {
+		case errors.Is(err, state.ErrBusy):
+			return jobs.Result{Outcome: jobs.Busy}
+		case err != nil:
 			return jobs.Result{Outcome: jobs.Failed}
 		}
 		res := jobs.Result{Version: it.Version}
@@ -284,6 +289,8 @@
 		return jobs.Result{}
 	case errors.Is(err, state.ErrConflict):
 		return jobs.Result{Outcome: jobs.Conflict}
+	case errors.Is(err, state.ErrBusy):
+		return jobs.Result{Outcome: jobs.Busy}
 	}
 	return jobs.Result{Outcome: jobs.Failed}
 }
@@ -307,6 +314,20 @@
 	n.versions[id] = openSeen{version, awaits}
 }
 
+// keepVersions keeps those of jobs that the leader no longer tells of: their users will ask
+// once more, and a leader that has ended one answers without asking the state service.
+// Called under the lock.
+func (n *Node) keepVersions(before map[model.JobID]progress) {
+	for id, p := range before {
+		if _, open := n.progress[id]; open || p.version == 0 {
+			continue
+		}
+		if _, ended := n.finals[id]; !ended && len(n.versions) < maxFinals {
+			n.versions[id] = openSeen{p.version, p.waits}
+		}
+	}
+}
+
 // openSeen is what was seen of an open record: its version, and whether its job awaits
 // others.
 type openSeen struct {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -23,6 +23,8 @@
 var (
 	// ErrRefused: surely not executed (429, 503).
 	ErrRefused = errors.New("state service refused")
+	// ErrBusy: not executed, for the service's rate or this controller's part of it.
+	ErrBusy = fmt.Errorf("%w: over its rate", ErrRefused)
 	// ErrConflict: a guard of the transaction failed.
 	ErrConflict = errors.New("a guard failed")
 	// ErrNotFound: no such key or lease.
@@ -78,6 +80,22 @@
 	return c.limiter.Writes()
 }
 
+// SetPart takes this controller's part of the service's rate, good for a while.
+func (c *Client) SetPart(p ratelimit.Part, good time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Since(c.start)
+	c.limiter.SetPart(now, p, now+good)
+	c.step(now)
+}
+
+// Needs are what was asked for lately, as parts of the service's rate.
+func (c *Client) Needs() ratelimit.Part {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limiter.Needs(time.Since(c.start))
+}
+
 // Invalid counts the requests that the service took for invalid.
 func (c *Client) Invalid() uint64 {
 	c.mu.Lock()
@@ -124,10 +142,10 @@
 		c.mu.Lock()
 		c.limiter.Drop(t)
 		c.mu.Unlock()
-		return fmt.Errorf("%w: rate: %w", ErrRefused, ctx.Err())
+		return fmt.Errorf("%w: %w", ErrBusy, ctx.Err())
 	}
 	if t.Refused {
-		return fmt.Errorf("%w: this controller's share of its rate is used up", ErrRefused)
+		return fmt.Errorf("%w: this controller's share is used up", ErrBusy)
 	}
 	return nil
 }
@@ -208,7 +226,9 @@
 		return fmt.Errorf("%w: %.200s", ErrInvalid, body)
 	case status == http.StatusGone:
 		return ErrCompacted
-	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+	case status == http.StatusTooManyRequests:
+		return ErrBusy
+	case status == http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", ErrRefused, status)
 	}
 	return fmt.Errorf("state service: status %d: %.200s", status, body)
