--- a/internal/core/witness/witness.go
+++ b/internal/core/cancellog/cancellog.go
@@ -1,12 +1,12 @@
-// Package witness keeps a leader's picture of the open jobs young while the state service
+// Package cancellog keeps a leader's picture of the open jobs young while the state service
 // answers nobody: controllers tell the leader of which jobs they told users that they are
 // cancelled. Once all have, whatever users were told before that is known, so the picture is
-// as young as the oldest of their words. It is a state machine without input or output;
+// as young as the oldest of their acknowledgements. It is a state machine without input or output;
 // times are the steady clock's.
 //
 // Only what users were told counts for the rule. A job that is stored as cancelled, and of
 // which nobody was told, may run on until somebody is.
-package witness
+package cancellog
 
 import (
 	"maps"
@@ -16,13 +16,13 @@
 )
 
 const (
-	// keptFor is how long a telling is kept for a leader to come: one who lived through a
+	// keptFor is how long an acknowledgement is kept for a leader to come: one who lived through a
 	// longer outage than that goes by the state service again.
 	keptFor = 10 * time.Minute
 	most    = 20_000
 )
 
-type telling struct {
+type acknowledged struct {
 	job model.JobID
 	at  time.Duration
 }
@@ -30,8 +30,8 @@
 // Log is what one controller has told users in this life.
 type Log struct {
 	since   time.Duration // it is complete from then on
-	dropped int           // tellings that are kept no longer
-	kept    []telling
+	dropped int           // entries that are kept no longer
+	kept    []acknowledged
 	told    map[model.JobID]bool // of kept
 }
 
@@ -42,7 +42,7 @@
 func (l *Log) Told(now time.Duration, job model.JobID) {
 	if !l.told[job] {
 		l.told[job] = true
-		l.kept = append(l.kept, telling{job, now})
+		l.kept = append(l.kept, acknowledged{job, now})
 	}
 	drop := 0
 	for drop < len(l.kept) && (now-l.kept[drop].at > keptFor || len(l.kept)-drop > most) {
@@ -57,7 +57,7 @@
 // Since is the moment from which on nothing is missing.
 func (l *Log) Since() time.Duration { return l.since }
 
-// From returns the jobs told from the n-th telling on, and what to ask from next time.
+// From returns the jobs told from the n-th entry on, and what to ask from next time.
 func (l *Log) From(n int) (jobs []model.JobID, next int) {
 	for _, t := range l.kept[max(0, n-l.dropped):] {
 		jobs = append(jobs, t.job)
@@ -65,8 +65,8 @@
 	return jobs, l.dropped + len(l.kept)
 }
 
-// Word is how far one controller's tellings are known: all that it told users in between.
-type Word struct {
+// Acknowledgement is how far one controller's acknowledgements are known: all that it told users in between.
+type Acknowledgement struct {
 	Since, Until time.Duration
 }
 
@@ -115,7 +115,7 @@
 // Heard takes the words of all other controllers, and the leader's own, which is always of
 // now. A word that begins later than the picture leaves a gap: its controller may have told
 // anything in an earlier life.
-func (p *Picture) Heard(now time.Duration, words []Word) {
+func (p *Picture) Heard(now time.Duration, words []Acknowledgement) {
 	if !p.read {
 		return
 	}
--- a/internal/core/witness/witness_test.go
+++ b/internal/core/cancellog/cancellog_test.go
@@ -1,4 +1,4 @@
-package witness
+package cancellog
 
 import (
 	"slices"
@@ -12,15 +12,15 @@
 
 func TestAPictureIsAsYoungAsTheOldestWord(t *testing.T) {
 	for name, c := range map[string]struct {
-		words []Word
+		words []Acknowledgement
 		want  time.Duration
 	}{
-		"all have told":                      {[]Word{{0, 30 * s}, {5 * s, 28 * s}}, 28 * s},
+		"all have told":                      {[]Acknowledgement{{0, 30 * s}, {5 * s, 28 * s}}, 28 * s},
 		"alone":                              {nil, 40 * s},
-		"one has not told since":             {[]Word{{0, 30 * s}, {0, 12 * s}}, 20 * s},
-		"one began after the picture":        {[]Word{{0, 30 * s}, {21 * s, 30 * s}}, 20 * s},
-		"one began just with it":             {[]Word{{20 * s, 30 * s}}, 30 * s},
-		"one has said nothing at all so far": {[]Word{{}, {0, 30 * s}}, 20 * s},
+		"one has not told since":             {[]Acknowledgement{{0, 30 * s}, {0, 12 * s}}, 20 * s},
+		"one began after the picture":        {[]Acknowledgement{{0, 30 * s}, {21 * s, 30 * s}}, 20 * s},
+		"one began just with it":             {[]Acknowledgement{{20 * s, 30 * s}}, 30 * s},
+		"one has said nothing at all so far": {[]Acknowledgement{{}, {0, 30 * s}}, 20 * s},
 	} {
 		var p Picture
 		p.Read(20 * s)
@@ -38,13 +38,13 @@
 	// What was known once stays known; a gap is closed by the state service alone.
 	var p Picture
 	p.Read(20 * s)
-	p.Heard(40*s, []Word{{0, 39 * s}})
-	p.Heard(50*s, []Word{{45 * s, 50 * s}})
+	p.Heard(40*s, []Acknowledgement{{0, 39 * s}})
+	p.Heard(50*s, []Acknowledgement{{45 * s, 50 * s}})
 	if p.Good(0) != 39*s {
 		t.Errorf("a word from after the gap made it %v", p.Good(0))
 	}
 	p.Read(46 * s)
-	p.Heard(50*s, []Word{{45 * s, 50 * s}})
+	p.Heard(50*s, []Acknowledgement{{45 * s, 50 * s}})
 	if p.Good(0) != 50*s {
 		t.Errorf("%v once the gap is closed", p.Good(0))
 	}
--- a/internal/core/strain/strain.go
+++ b/internal/core/overload/overload.go
@@ -1,4 +1,4 @@
-// Package strain judges from a timer's lateness how far this process is behind what
+// Package overload judges from a timer's lateness how far this process is behind what
 // is asked of it, and what it should leave for that. It is a state machine without
 // input or output; times are the steady clock's.
 //
@@ -7,7 +7,7 @@
 // workers' reports, whose senders give up and ask another controller, which is as far
 // behind. So what can wait is turned away the earlier the further behind it is, and
 // what the controller does of its own accord is done less at a time.
-package strain
+package overload
 
 import (
 	"math"
@@ -34,26 +34,26 @@
 	mostLate  = 3 * time.Second
 )
 
-// Strain is the state machine.
-type Strain struct {
+// Detector is the state machine.
+type Detector struct {
 	lag time.Duration // decaying peak of the lateness
 	at  time.Duration
 }
 
 // Late takes how late a timer fired, now.
-func (s *Strain) Late(now, by time.Duration) {
+func (s *Detector) Late(now, by time.Duration) {
 	s.lag = min(mostLate, max(by, s.Lag(now)))
 	s.at = now
 }
 
 // Lag is how far behind this process is.
-func (s *Strain) Lag(now time.Duration) time.Duration {
+func (s *Detector) Lag(now time.Duration) time.Duration {
 	return time.Duration(float64(s.lag) * math.Exp2(-float64(max(0, now-s.at))/float64(half)))
 }
 
 // Takes tells whether a request of a kind is worth starting: it would be answered
 // before its asker has given up.
-func (s *Strain) Takes(now time.Duration, k Kind) bool {
+func (s *Detector) Takes(now time.Duration, k Kind) bool {
 	if k == Poll {
 		return s.Lag(now) < pollsAt
 	}
@@ -62,14 +62,14 @@
 
 // Again is after how long somebody who was turned away should ask again: the longer,
 // the further behind this process is. spread, from 0 to 1, sets askers apart.
-func (s *Strain) Again(now time.Duration, spread float64) time.Duration {
+func (s *Detector) Again(now time.Duration, spread float64) time.Duration {
 	lag := s.Lag(now)
 	return time.Second + time.Duration(float64(3*lag)*(0.5+spread))
 }
 
 // Scale is how much of up to most things at a time this process should do of its own
 // accord: all while it is not behind, then in proportion less, but always some.
-func (s *Strain) Scale(now time.Duration, most int) int {
+func (s *Detector) Scale(now time.Duration, most int) int {
 	lag := s.Lag(now)
 	if lag <= eased {
 		return most
--- a/internal/core/strain/strain_test.go
+++ b/internal/core/overload/overload_test.go
@@ -1,4 +1,4 @@
-package strain
+package overload
 
 import (
 	"testing"
@@ -22,7 +22,7 @@
 		{time.Second, false, false, 4, 4},
 		{time.Hour, false, false, 4, 4},
 	} {
-		var s Strain
+		var s Detector
 		s.Late(time.Second, c.lag)
 		if got := s.Takes(time.Second, Poll); got != c.polls {
 			t.Errorf("lag %v: polls taken: %v", c.lag, got)
@@ -39,7 +39,7 @@
 // TestItRecovers: once nothing is late any more everything is taken again within a
 // few seconds, however long the process stood still.
 func TestItRecovers(t *testing.T) {
-	var s Strain
+	var s Detector
 	s.Late(time.Second, time.Minute)
 	for now := time.Second; now < 4*time.Second; now += 50 * ms {
 		s.Late(now, 2*ms)
@@ -51,7 +51,7 @@
 
 // TestAskersAreSpread: they would all come back at the same moment.
 func TestAskersAreSpread(t *testing.T) {
-	var s Strain
+	var s Detector
 	s.Late(0, time.Second)
 	if lo, hi := s.Again(0, 0), s.Again(0, 1); lo < time.Second || hi-lo < 2*time.Second {
 		t.Errorf("back after %v to %v", lo, hi)
--- a/internal/core/sim/ctl_test.go
+++ b/internal/core/sim/ctl_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"honeylock/internal/core/cancellog"
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/jobs"
@@ -12,7 +13,6 @@
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/shard"
 	"honeylock/internal/core/storehealth"
-	"honeylock/internal/core/witness"
 )
 
 // ctl is a controller: the cores wired as the node wires them.
@@ -33,7 +33,7 @@
 	vouch  *pipeline.Voucher
 	doubt  map[model.JobID]bool // told by the leader: waiting jobs, and whether they are in doubt
 	stands storehealth.Health   // with the state service
-	told   *witness.Log
+	told   *cancellog.Log
 	last   map[model.JobID]asked // with the guard broken: what was asked lately
 }
 
@@ -95,7 +95,7 @@
 	until   time.Duration
 	heard   time.Duration
 	stateAt time.Duration // the state service last served the member
-	word    witness.Word
+	word    cancellog.Acknowledgement
 	tells   bool
 	dead    bool
 }
@@ -131,7 +131,7 @@
 	c.halt = halt{}
 	c.origin = c.w.now
 	c.el = election.New(c.host, c.w.p.ttl, c.w.between(0, 300*time.Millisecond), promise, 0)
-	c.lead, c.seat, c.stands, c.told = nil, nil, storehealth.Health{}, witness.NewLog(0)
+	c.lead, c.seat, c.stands, c.told = nil, nil, storehealth.Health{}, cancellog.NewLog(0)
 	c.old = c.w.p.mixed && c.w.rng.IntN(2) == 0
 	c.vouch, c.doubt = pipeline.NewVoucher(c.w.p.vouched()), nil
 	c.tick(c.life)
--- a/internal/core/sim/lead_test.go
+++ b/internal/core/sim/lead_test.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
+	"honeylock/internal/core/cancellog"
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
-	"honeylock/internal/core/witness"
 )
 
 type lead struct {
@@ -25,7 +25,7 @@
 	loaded  bool
 	fresh   time.Duration
 	began   time.Duration
-	picture witness.Picture
+	picture cancellog.Picture
 	asking  bool
 	drains  *drains
 	chains  *chains
@@ -138,7 +138,7 @@
 
 // listen brings the picture up to what all controllers have told.
 func (l *lead) listen(now time.Duration) {
-	words := map[string]witness.Word{}
+	words := map[string]cancellog.Acknowledgement{}
 	for _, k := range l.links {
 		if k.tells {
 			words[k.host] = k.word
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"honeylock/internal/core/budget"
+	"honeylock/internal/core/cancellog"
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
-	"honeylock/internal/core/witness"
 	"honeylock/internal/peer/peerpb"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -24,7 +24,7 @@
 	fresh time.Duration
 	// picture is up to when every cancellation that a user was told of is known: fresh, or
 	// later by what all controllers tell. Authority goes by it.
-	picture witness.Picture
+	picture cancellog.Picture
 	// blindSince: since then the state service has answered all but questions about the open
 	// jobs; 0: it has not.
 	blindSince time.Duration
@@ -130,7 +130,7 @@
 func (p *dealing) progress() *peerpb.Down {
 	p.l.n.progress = map[model.JobID]progress{}
 	open := map[model.JobID]bool{}
-	m := &peerpb.Progress{StateAgeUs: p.l.n.pulse.servedAgo(p.l.n.now()).Microseconds()}
+	m := &peerpb.Progress{StateAgeUs: p.l.n.health.servedAgo(p.l.n.now()).Microseconds()}
 	p.told = p.fresh
 	p.l.n.vouch.Told(p.told)
 	doubted := p.l.chains.doubts.Take(p.l.n.now(), p.l.chains.g)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -31,7 +31,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	first = n.pulse.missing(now)
+	first = n.health.missing(now)
 	if n.lead != nil {
 		for _, k := range n.lead.links {
 			if now-k.stateAt < storehealth.Missed {
--- a/internal/node/grants_test.go
+++ b/internal/node/grants_test.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"honeylock/internal/config"
+	"honeylock/internal/core/cancellog"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/storehealth"
-	"honeylock/internal/core/witness"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
 	"honeylock/internal/wire"
@@ -86,7 +86,7 @@
 
 // asOf sets back what is known of the open jobs.
 func (r *rig) asOf(at time.Duration) {
-	r.l.deals.fresh, r.l.deals.picture = at, witness.Picture{}
+	r.l.deals.fresh, r.l.deals.picture = at, cancellog.Picture{}
 	r.l.deals.picture.Read(at)
 	r.sent(r.t)
 }
@@ -226,17 +226,17 @@
 	}
 	back := now + 2*time.Minute
 	for d := time.Duration(0); d < blindFor; d += time.Second {
-		r.n.pulse.note(back+d, storehealth.Served)
+		r.n.health.note(back+d, storehealth.Served)
 		if r.l.deals.blind(back + d) {
 			t.Fatalf("blind %v after the outage", d)
 		}
 	}
-	r.n.pulse.note(back+blindFor+time.Second, storehealth.Served)
+	r.n.health.note(back+blindFor+time.Second, storehealth.Served)
 	if !r.l.deals.blind(back + blindFor + time.Second) {
 		t.Error("goes on without news")
 	}
 	r.l.deals.seen(back+15*time.Second, back+14*time.Second)
-	r.n.pulse.note(back+15*time.Second, storehealth.Served)
+	r.n.health.note(back+15*time.Second, storehealth.Served)
 	if r.l.deals.blind(back + 15*time.Second) {
 		t.Error("gives way though it has news")
 	}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -219,7 +219,7 @@
 			newest, host = k.stateAt, k.host
 		}
 	}
-	yes, ask := l.n.pulse.givesWay(now, newest)
+	yes, ask := l.n.health.givesWay(now, newest)
 	if ask && !l.confirming {
 		l.confirming = true
 		go l.confirm(l.n.siblingAddr(host))
@@ -239,7 +239,7 @@
 	defer l.n.mu.Unlock()
 	l.confirming = false
 	if err == nil && (r.Status == http.StatusOK || r.Status == http.StatusNotFound) {
-		l.n.pulse.confirmed(l.n.now())
+		l.n.health.confirmed(l.n.now())
 	}
 }
 
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"honeylock/internal/config"
+	"honeylock/internal/core/cancellog"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/ratelimit"
-	"honeylock/internal/core/witness"
 	"honeylock/internal/httpserve"
 	"honeylock/internal/peer"
 	"honeylock/internal/peer/peerpb"
@@ -25,14 +25,14 @@
 	until time.Duration // of the longest grant given
 
 	number  uint64
-	sent    map[uint64]time.Duration // grants, by number
-	promise time.Duration            // the member does not take over before
-	stateAt time.Duration            // the state service last answered it
-	tells   bool                     // the member says of which cancellations it told users
-	word    witness.Word             // how far that is known
-	told    time.Duration            // the picture that its last progress was of was made
-	needs   ratelimit.Part           // what it asked of the state service lately; none: not told
-	part    ratelimit.Part           // of the state service's rate, which it is told with each grant
+	sent    map[uint64]time.Duration  // grants, by number
+	promise time.Duration             // the member does not take over before
+	stateAt time.Duration             // the state service last answered it
+	tells   bool                      // the member says of which cancellations it told users
+	word    cancellog.Acknowledgement // how far that is known
+	told    time.Duration             // the picture that its last progress was of was made
+	needs   ratelimit.Part            // what it asked of the state service lately; none: not told
+	part    ratelimit.Part            // of the state service's rate, which it is told with each grant
 }
 
 // ServePeers serves the other controllers until the context ends.
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -12,11 +12,11 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"honeylock/internal/core/cancellog"
 	"honeylock/internal/core/dealer"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/ratelimit"
-	"honeylock/internal/core/witness"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -302,7 +302,7 @@
 // blind tells that the state service answers this leader, yet not what it asks about the
 // open jobs: another one may learn of what was submitted. In an outage nobody does.
 func (p *dealing) blind(now time.Duration) bool {
-	if now-p.fresh <= p.l.n.cfg.Cluster.StalenessBound() || p.l.n.pulse.missing(now) {
+	if now-p.fresh <= p.l.n.cfg.Cluster.StalenessBound() || p.l.n.health.missing(now) {
 		p.blindSince = 0
 		return false
 	}
@@ -314,7 +314,7 @@
 
 // listen brings the picture up to what all controllers have told, as this one knows it.
 func (p *dealing) listen(now time.Duration) {
-	var words []witness.Word
+	var words []cancellog.Acknowledgement
 	for _, s := range p.l.n.cfg.Siblings {
 		k := p.l.linkTo(s.HostName)
 		if k == nil || !k.tells {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -25,7 +25,7 @@
 		owned[st]++
 	}
 	out := []MemberReply{{Host: l.n.cfg.HostName, Leads: true, Here: true, Release: release, Machines: owned[l.local],
-		StateS: l.n.pulse.servedAgo(now).Seconds()}}
+		StateS: l.n.health.servedAgo(now).Seconds()}}
 	for _, s := range l.n.cfg.Siblings {
 		r := MemberReply{Host: s.HostName, Release: l.hosts[s.HostName], StateS: -1}
 		for id, k := range l.links {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -37,7 +37,7 @@
 	})
 	counter("halts", "Times that this controller stood still for more than a second.", func() uint64 { return n.stats.Halts })
 	gauge("lag_seconds", "How far behind this process is, by its timers.", func() float64 {
-		return n.pulse.lag(n.now()).Seconds()
+		return n.health.lag(n.now()).Seconds()
 	})
 	gauge("state_share", "The part of the state service's rate that this controller uses at most.", func() float64 {
 		share, _, _ := n.state.Stats()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,14 +15,14 @@
 
 	"honeylock/internal/cloud"
 	"honeylock/internal/config"
+	"honeylock/internal/core/cancellog"
 	"honeylock/internal/core/election"
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/overload"
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/core/storehealth"
-	"honeylock/internal/core/strain"
-	"honeylock/internal/core/witness"
 	"honeylock/internal/peer"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -55,7 +55,7 @@
 	start      time.Time
 	ttl        time.Duration
 
-	pulse pulse
+	health processHealth
 
 	mu            sync.Mutex
 	names         *wire.Names
@@ -74,7 +74,7 @@
 	types         []model.MachineType
 	finals        map[model.JobID]jobs.Stage
 	versions      map[model.JobID]openSeen
-	told          *witness.Log      // cancellations that users were told of here
+	told          *cancellog.Log    // cancellations that users were told of here
 	vouch         *pipeline.Voucher // as the leader that this controller is linked to has told
 	sibling       time.Duration     // a sibling was last heard
 	questions     *questions
@@ -113,16 +113,16 @@
 	}
 	n := &Node{
 		cfg: cfg, set: set, log: log, rng: rng, start: time.Now(), ttl: cfg.Cluster.LeaderTTL(),
-		pulse: pulse{spread: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))},
-		cloud: cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.7, 5*time.Second),
-		work:  worker.New(directTimeout, idleDirects(cfg.Cluster.Resources.FDLimit)), dialer: peer.NewDialer(),
+		health: processHealth{spread: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))},
+		cloud:  cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.RPS*0.7, 5*time.Second),
+		work:   worker.New(directTimeout, idleDirects(cfg.Cluster.Resources.FDLimit)), dialer: peer.NewDialer(),
 		complaints: newComplaints(log),
 		names: &wire.Names{Teams: wire.NewTable(teams...), Types: wire.NewTable(), Zones: wire.NewTable(cfg.Cluster.Zones...),
 			Images: wire.NewTable(), Classes: wire.NewTable()},
 		seated:   make(chan struct{}),
 		finals:   map[model.JobID]jobs.Stage{},
 		versions: map[model.JobID]openSeen{},
-		told:     witness.NewLog(0),
+		told:     cancellog.NewLog(0),
 		vouch:    pipeline.NewVoucher(cfg.Cluster.Vouched()),
 		sibling:  -time.Hour,
 		waits:    map[model.MachineID][]chan struct{}{},
@@ -152,7 +152,7 @@
 }
 
 // noted takes what became of a request to the state service.
-func (n *Node) noted(sent time.Time, o storehealth.Outcome) { n.pulse.note(sent.Sub(n.start), o) }
+func (n *Node) noted(sent time.Time, o storehealth.Outcome) { n.health.note(sent.Sub(n.start), o) }
 
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
@@ -199,7 +199,9 @@
 
 // Takes tells whether a user's request should be begun at all, or when its user
 // should ask again.
-func (n *Node) Takes(k strain.Kind) (ok bool, again time.Duration) { return n.pulse.takes(n.now(), k) }
+func (n *Node) Takes(k overload.Kind) (ok bool, again time.Duration) {
+	return n.health.takes(n.now(), k)
+}
 
 func (n *Node) tick(ctx context.Context) {
 	n.mu.Lock()
@@ -207,7 +209,7 @@
 	now := n.now()
 	if n.ticked != 0 {
 		since := now - n.ticked
-		n.pulse.late(now, since-tickEvery)
+		n.health.late(now, since-tickEvery)
 		if since > haltedFor {
 			n.stats.Halts++
 			n.log.Info("this controller stood still", "for", since, "leading", n.lead != nil)
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -114,7 +114,7 @@
 
 func (n *Node) flush(now time.Duration) {
 	st := n.seat
-	st.s.Flush(now, n.pulse.atOnce(now, maxDirect))
+	st.s.Flush(now, n.health.atOnce(now, maxDirect))
 	for _, d := range st.s.Directs() {
 		go n.direct(st, d)
 	}
@@ -165,7 +165,7 @@
 		st.asked[st.seq] = now
 		st.askAt = now
 		needs := n.state.Needs()
-		ask := &peerpb.Ask{RequestsNeeded: needs.Requests, WritesNeeded: needs.Writes, Seq: st.seq, Promised: st.number, StateAgeUs: n.pulse.servedAgo(now).Microseconds(),
+		ask := &peerpb.Ask{RequestsNeeded: needs.Requests, WritesNeeded: needs.Writes, Seq: st.seq, Promised: st.number, StateAgeUs: n.health.servedAgo(now).Microseconds(),
 			ToldForUs: max(1, (now - n.told.Since()).Microseconds())}
 		var told []model.JobID
 		told, st.toldTo = n.told.From(st.toldTo)
@@ -243,7 +243,7 @@
 		n.mu.Lock()
 		host := n.el.Holder()
 		leading := n.lead != nil
-		missed := n.pulse.missing(n.now())
+		missed := n.health.missing(n.now())
 		n.mu.Unlock()
 		if missed && !leading {
 			host = n.findLeader(ctx, dialer)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -437,8 +437,8 @@
 	defer n.mu.Unlock()
 	// Refused by the state service while it answers the leader, this node can
 	// take nothing; in an outage all are alike, and none should be shunned.
-	served, _ := n.pulse.served()
-	refused := n.pulse.alone(n.now(), n.leaderStateAt) && n.leaderStateAt > served+2500*time.Millisecond
+	served, _ := n.health.served()
+	refused := n.health.alone(n.now(), n.leaderStateAt) && n.leaderStateAt > served+2500*time.Millisecond
 	// Without the machine types it still answers polls and cancellations, which
 	// is better than no node at all.
 	return (len(n.types) > 0 || n.now() > 10*time.Second) && !refused && !n.cutFrom(n.now())
@@ -449,7 +449,7 @@
 // served under the grant. In an outage siblings are heard, and in a quarrel of
 // controllers the state service is. Called under the lock.
 func (n *Node) cutFrom(now time.Duration) bool {
-	return len(n.cfg.Siblings) > 0 && n.pulse.missing(now) && now-n.sibling > linkTimeout
+	return len(n.cfg.Siblings) > 0 && n.health.missing(now) && now-n.sibling > linkTimeout
 }
 
 func (n *Node) cutOff() bool {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,7 +18,7 @@
 	"golang.org/x/net/netutil"
 
 	"honeylock/internal/core/model"
-	"honeylock/internal/core/strain"
+	"honeylock/internal/core/overload"
 	"honeylock/internal/httpserve"
 	"honeylock/internal/node"
 	"honeylock/internal/wire"
@@ -40,13 +40,13 @@
 	// Apart, so that a storm of polls leaves room for what changes jobs.
 	polls, changes gate
 	shed           *prometheus.CounterVec
-	takes          func(strain.Kind) (ok bool, again time.Duration)
+	takes          func(overload.Kind) (ok bool, again time.Duration)
 }
 
 // gate bounds how many calls of a kind are served at once.
 type gate struct {
 	kind string
-	what strain.Kind
+	what overload.Kind
 	most int32
 	now  atomic.Int32
 }
@@ -62,8 +62,8 @@
 func New(n *node.Node, fdLimit int, log *slog.Logger, reg *prometheus.Registry) *Server {
 	limit := fdLimit - own(fdLimit, node.Directs(fdLimit))
 	s := &Server{node: n, limit: limit, conns: newConns(limit), takes: n.Takes,
-		polls:   gate{kind: "poll", what: strain.Poll, most: maxPolls},
-		changes: gate{kind: "change", what: strain.Change, most: maxChanges},
+		polls:   gate{kind: "poll", what: overload.Poll, most: maxPolls},
+		changes: gate{kind: "change", what: overload.Change, most: maxChanges},
 		shed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "honeylock_requests_shed_total",
 			Help: "Users' requests refused for overload."}, []string{"kind"})}
 	reg.MustRegister(s.shed)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -10,7 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"honeylock/internal/core/strain"
+	"honeylock/internal/core/overload"
 	"honeylock/internal/node"
 )
 
@@ -18,7 +18,7 @@
 // cancellations were refused with them.
 func TestPollsLeaveRoomForSubmissions(t *testing.T) {
 	s := New(&node.Node{}, 400, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
-	s.takes = func(strain.Kind) (bool, time.Duration) { return true, time.Second }
+	s.takes = func(overload.Kind) (bool, time.Duration) { return true, time.Second }
 	hold, held := make(chan struct{}), make(chan struct{}, maxPolls)
 	slow := s.user(&s.polls, func(c echo.Context) error {
 		held <- struct{}{}
