--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -1,9 +1,7 @@
 package scale
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,17 +9,11 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"runtime"
-	"strconv"
 	"sync"
 	"time"
 
-	toml "github.com/pelletier/go-toml/v2"
 	"github.com/prometheus/procfs"
-
-	"honeylock/internal/config"
-	"honeylock/internal/dev"
 )
 
 // Environment of a run.
@@ -178,228 +170,6 @@
 	fmt.Fprintf(r.env.Progress, format+"\n", args...)
 }
 
-// startRegion starts a region's processes.
-func (r *run) startRegion(ctx context.Context, spec RegionSpec) error {
-	g := &region{spec: spec}
-	r.mu.Lock()
-	r.regions = append(r.regions, g)
-	r.mu.Unlock()
-	for i := range g.spec.Hosts {
-		for _, a := range []*string{&g.spec.Hosts[i].Bind, &g.spec.Hosts[i].Peer} {
-			var err error
-			if *a, err = dev.FreeAddr(); err != nil {
-				return err
-			}
-		}
-	}
-	var err error
-	var ready Ready
-	if g.hollow, ready, err = r.startChild(RoleHollow, g, "hollow"); err != nil {
-		return err
-	}
-	g.hollowAddr, g.spec.HollowAddr = ready.Control, ready.Control
-	if g.world, ready, err = r.startChild(RoleWorld, g, "world"); err != nil {
-		return err
-	}
-	g.worldAddr = ready.Control
-	for i := range g.spec.Hosts {
-		path, err := r.configure(g, i, &ready)
-		if err != nil {
-			return err
-		}
-		g.configs = append(g.configs, path)
-		g.controllers = append(g.controllers, nil)
-		if err := r.startController(g, i); err != nil {
-			return err
-		}
-	}
-	return ctx.Err()
-}
-
-// startChild starts a process of hollow workers or of a region's world.
-func (r *run) startChild(role Role, g *region, verb string) (*process, Ready, error) {
-	path := filepath.Join(r.dir, g.spec.Name+"-"+verb+".json")
-	b, err := json.Marshal(g.spec)
-	if err != nil {
-		return nil, Ready{}, fmt.Errorf("%s: %w", path, err)
-	}
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		return nil, Ready{}, fmt.Errorf("%s: %w", path, err)
-	}
-	p, err := r.start.start(role, g.spec.Index, g.spec.Name+"-"+verb, r.env.Binary, []string{"scale", verb, "--spec", path},
-		os.Environ())
-	if err != nil {
-		return nil, Ready{}, err
-	}
-	r.keep(p)
-	ready, err := p.ready()
-	return p, ready, err
-}
-
-// configure writes a controller's settings file.
-func (r *run) configure(g *region, i int, world *Ready) (string, error) {
-	s, o := &g.spec, &r.o
-	h := s.Hosts[i]
-	p := config.Platform{HostName: h.Name, Zone: h.Zone, Bind: h.Bind, PeerListen: h.Peer}
-	for j, other := range s.Hosts {
-		if j != i {
-			p.Siblings = append(p.Siblings, config.Sibling{HostName: other.Name, Zone: other.Zone, Address: other.Peer})
-		}
-	}
-	p.Services.Cloud, p.Services.State = world.Cloud, world.State[i]
-	c := &p.Cluster
-	c.Zones, c.SkewMS = s.Zones, 100
-	for _, t := range s.Teams {
-		c.Teams = append(c.Teams, config.Team{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax})
-	}
-	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.CancelS = o.Timing.Report.Seconds(), o.Timing.Lease.Seconds(),
-		o.Timing.Cancel.Seconds()
-	c.State.RPS, c.State.WriteRPS, c.State.ValueKB, c.State.TxnOps = o.Limits.StateRPS, o.Limits.StateWriteRPS,
-		o.Limits.StateValueKB, o.Limits.StateTxnOps
-	c.Cloud.RPS, c.Cloud.ListLagS = o.Limits.CloudRPS, o.Limits.CloudListLag.Seconds()
-	c.Resources.CPU, c.Resources.MemMB, c.Resources.FDLimit = o.ControllerLimit.CPU, o.ControllerLimit.MemMB,
-		o.ControllerLimit.FDs
-	b, err := toml.Marshal(p)
-	if err != nil {
-		return "", fmt.Errorf("settings of %s: %w", h.Name, err)
-	}
-	path := filepath.Join(r.dir, h.Name+".toml")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		return "", fmt.Errorf("settings of %s: %w", h.Name, err)
-	}
-	return path, nil
-}
-
-// startController starts a controller as it is deployed, or starts it again.
-func (r *run) startController(g *region, i int) error {
-	p, err := r.start.start(RoleController, g.spec.Index, g.spec.Hosts[i].Name, r.env.Binary,
-		[]string{"serve", "--config", g.configs[i]}, os.Environ())
-	if err != nil {
-		return err
-	}
-	go func() { _, _ = io.Copy(io.Discard, p.stdout) }()
-	r.mu.Lock()
-	g.controllers[i] = p
-	if m := r.meters[p.name]; m != nil {
-		m.restarted()
-	}
-	r.mu.Unlock()
-	r.keep(p)
-	return nil
-}
-
-func (r *run) keep(p *process) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.meters[p.name] == nil {
-		r.meters[p.name] = &meter{}
-	}
-}
-
-// processes are all that run.
-func (r *run) processes() []*process {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []*process
-	for _, g := range r.regions {
-		for _, p := range append([]*process{g.hollow, g.world}, g.controllers...) {
-			if p != nil {
-				out = append(out, p)
-			}
-		}
-	}
-	return out
-}
-
-// end ends all processes that were started. The run's context has ended.
-func (r *run) end() {
-	r.restarts.Wait()
-	var all sync.WaitGroup
-	for _, p := range r.processes() {
-		all.Go(func() {
-			if p.role == RoleController {
-				p.kill()
-			} else {
-				p.stop()
-			}
-		})
-	}
-	all.Wait()
-}
-
-// await waits until a region has a leader and all its controllers are healthy.
-func (r *run) await(ctx context.Context, g *region) error {
-	end := time.Now().Add(startPatience)
-	for time.Now().Before(end) {
-		healthy := 0
-		for _, h := range g.spec.Hosts {
-			if get(ctx, h.Bind, "/healthz") == nil {
-				healthy++
-			}
-		}
-		if healthy == len(g.spec.Hosts) && r.leader(ctx, g) >= 0 {
-			return nil
-		}
-		if err := sleep(ctx, 200*time.Millisecond); err != nil {
-			return err
-		}
-	}
-	return fmt.Errorf("%s: not all controllers are healthy with a leader after %v", g.spec.Name, startPatience)
-}
-
-var probe = &http.Client{Timeout: 2 * time.Second}
-
-// get reads a page of a controller.
-func get(ctx context.Context, addr, path string) error {
-	_, err := page(ctx, addr, path)
-	return err
-}
-
-func page(ctx context.Context, addr, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	res, err := probe.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(res.Body)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	if res.StatusCode/100 != 2 {
-		return nil, fmt.Errorf("%s: status %d", path, res.StatusCode)
-	}
-	return b, nil
-}
-
-// metric reads a number from a controller's metrics page; ok is false if it is not there.
-func metric(ctx context.Context, addr, name string) (v float64, ok bool) {
-	b, err := page(ctx, addr, "/metrics")
-	if err != nil {
-		return 0, false
-	}
-	for line := range bytes.Lines(b) {
-		if rest, found := bytes.CutPrefix(line, []byte(name+" ")); found {
-			v, err := strconv.ParseFloat(string(bytes.TrimSpace(rest)), 64)
-			return v, err == nil
-		}
-	}
-	return 0, false
-}
-
-// leader is the index of a region's leader, -1 if there is none.
-func (r *run) leader(ctx context.Context, g *region) int {
-	for i, h := range g.spec.Hosts {
-		if v, ok := metric(ctx, h.Bind, "honeylock_leading"); ok && v == 1 {
-			return i
-		}
-	}
-	return -1
-}
-
 // watch samples all processes, and stops the run if one ends by itself or if they take
 // more than half of the machine's memory.
 func (r *run) watch(ctx context.Context, cancel context.CancelCauseFunc) {
