--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -52,6 +52,12 @@
 		_, _, busy := n.state.Stats()
 		return busy
 	})
+	counter("questions_compared", "Users' questions about open jobs that this controller compared, its siblings' included.",
+		func() uint64 { return n.questions.stats().compared })
+	counter("comparisons", "Comparisons with the state service that answered them.",
+		func() uint64 { return n.questions.stats().comparisons })
+	counter("questions_passed", "Users' questions about open jobs that this controller passed to the leader.",
+		func() uint64 { return n.questions.stats().passed })
 	counter("state_invalid", "Requests that the state service took for invalid, most likely for their size.",
 		func() uint64 { return n.state.Invalid() })
 	gauge("state_writes_per_second", "The state service's rate of changes as far as is known.", func() float64 {
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -68,6 +68,15 @@
 
 func (q *questions) now() time.Duration { return time.Since(q.start) }
 
+// questionStats are counts since the start.
+type questionStats struct{ compared, comparisons, passed uint64 }
+
+func (q *questions) stats() questionStats {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return questionStats{compared: q.batcher.Asked, comparisons: q.batcher.Compared, passed: q.number}
+}
+
 // lead tells whether this controller leads, and so compares for all.
 func (q *questions) lead(yes bool) {
 	q.mu.Lock()
