rateshare: the leader has half of what nobody asked for

Users who submit at the leader waited up to 1.5 s behind its own writes while members held twice what they needed.

--- a/internal/core/rateshare/rateshare.go
+++ b/internal/core/rateshare/rateshare.go
@@ -39,6 +39,13 @@
 		return All, nil
 	}
 	leaderPart = max(leaderLeast, min(slack*leader, All-membersLeast))
+	wanted := 0.0
+	for _, need := range members {
+		wanted += slack * need
+	}
+	// Half of what nobody asked for: users of the leader submit jobs too, behind its own writes.
+	spare := max(0, All-leaderPart-wanted) / 2
+	leaderPart = min(leaderPart+spare, max(leaderPart, All-membersLeast))
 	return leaderPart, fair(All-leaderPart, members)
 }
 
