node: a question that found no rate is not passed on

The leader had compared it already, or refused to: passed on over HTTP once more, a storm of questions cost the leader twice. Submissions still are: the leader's part is the largest.

--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -18,6 +18,8 @@
 	Status int
 	State  *wire.JobState
 	Err    string
+	// OverRate: a 503 for want of the state service's rate alone.
+	OverRate bool `json:",omitempty"`
 }
 
 func unavailable(why string) Reply { return Reply{Status: http.StatusServiceUnavailable, Err: why} }
@@ -135,8 +137,8 @@
 		}
 	}
 	r := n.ask(ctx, k, id, sub)
-	if r.Status != http.StatusServiceUnavailable {
-		return r
+	if r.Status != http.StatusServiceUnavailable || k == jobs.Poll && r.OverRate {
+		return r // a question that found no rate here would find none there
 	}
 	if helper == "" || first {
 		helper = n.knower(id) // it has been asked, or there is none
@@ -166,7 +168,8 @@
 		}
 		switch {
 		case ans.OverRate:
-			return unavailable("the state service is asked for more than it serves")
+			return Reply{Status: http.StatusServiceUnavailable, OverRate: true,
+				Err: "the state service is asked for more than it serves"}
 		case ans.Status == http.StatusServiceUnavailable:
 			return unavailable("the state service does not answer")
 		case ans.Status == http.StatusUnprocessableEntity:
