--- a/internal/core/election/election_test.go
+++ b/internal/core/election/election_test.go
@@ -143,3 +143,26 @@
 		t.Fatalf("ops %v, want the term's lease ended", ops)
 	}
 }
+
+// All followers together read the leader's key about twice a second, however many there are;
+// one whose link to the leader is gone looks soon.
+func TestFollowersReadTogether(t *testing.T) {
+	for _, siblings := range []int{2, 6, 19} {
+		e := New("b", 3*time.Second, 0, 0, 0)
+		e.SetSiblings(siblings)
+		reads := 0
+		for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+			for _, op := range e.Step(now) {
+				reads++
+				e.Done(now, Result{Op: op, OK: true, Leader: Record{Present: true, Host: "a", Version: 5}})
+			}
+		}
+		if perSecond := float64(reads*siblings) / 60; perSecond < 1.8 || perSecond > 2.6 {
+			t.Errorf("%d followers read %.1f times a second", siblings, perSecond)
+		}
+		e.Doubt(time.Minute)
+		if ops := e.Step(time.Minute + 300*time.Millisecond); len(ops) != 1 || ops[0].Verb != Read {
+			t.Errorf("%d followers: %v after the link broke", siblings, ops)
+		}
+	}
+}
--- a/internal/core/storehealth/storehealth_test.go
+++ b/internal/core/storehealth/storehealth_test.go
@@ -154,3 +154,24 @@
 		})
 	}
 }
+
+// A controller that has nothing to ask for a while is not cut off: only a request that was
+// sent and failed shows that.
+func TestSilenceOfItsOwnIsNotMissing(t *testing.T) {
+	var h Health
+	if !h.Missing(3 * time.Second) {
+		t.Error("never served, and not missing")
+	}
+	h.Note(4*time.Second, Served)
+	if h.Missing(20 * time.Second) {
+		t.Error("missing though nothing was asked")
+	}
+	h.Note(20*time.Second, Silent)
+	if !h.Missing(20 * time.Second) {
+		t.Error("not missing after a request that was not answered")
+	}
+	h.Note(21*time.Second, Busy)
+	if h.Missing(22 * time.Second) {
+		t.Error("missing though the service said that it is busy")
+	}
+}
