--- a/internal/core/rateshare/rateshare.go
+++ b/internal/core/rateshare/rateshare.go
@@ -20,32 +20,43 @@
 	// leaderLeast is what the leader keeps at least, needed or not: a change of leader, or
 	// many jobs that end at once, must find it free.
 	leaderLeast = 0.3
-	// membersLeast is what the members keep together at least, so that submissions go on
-	// beside a leader that is far behind.
-	membersLeast = 0.25
 	// slack is how much more than it asked for lately a controller gets, where there is
 	// enough.
 	slack = 1.5
 )
 
+// Rate is one of the state service's two.
+type Rate uint8
+
+// Rates.
+const (
+	Requests Rate = iota
+	Changes
+)
+
+// membersLeast is what the members keep together at least, so that submissions go on beside a
+// leader that is far behind. Of requests they need few: the leader compares for them. Of
+// changes each submission is one, and an end three.
+var membersLeast = [...]float64{Requests: 0.25, Changes: 0.4}
+
 // ToldFor is how long a part is good for that a member was told. A leader tells it with each
 // grant; who hears of no leader any more goes by what the service refuses.
 const ToldFor = 2 * time.Second
 
 // Divide divides the rate, of which the leader and the members asked for the given parts
 // lately. The parts add up to All.
-func Divide(leader float64, members []float64) (leaderPart float64, parts []float64) {
+func Divide(r Rate, leader float64, members []float64) (leaderPart float64, parts []float64) {
 	if len(members) == 0 {
 		return All, nil
 	}
-	leaderPart = max(leaderLeast, min(slack*leader, All-membersLeast))
+	leaderPart = max(leaderLeast, min(slack*leader, All-membersLeast[r]))
 	wanted := 0.0
 	for _, need := range members {
 		wanted += slack * need
 	}
 	// Half of what nobody asked for: users of the leader submit jobs too, behind its own writes.
 	spare := max(0, All-leaderPart-wanted) / 2
-	leaderPart = min(leaderPart+spare, max(leaderPart, All-membersLeast))
+	leaderPart = min(leaderPart+spare, max(leaderPart, All-membersLeast[r]))
 	return leaderPart, fair(All-leaderPart, members)
 }
 
--- a/internal/core/rateshare/rateshare_test.go
+++ b/internal/core/rateshare/rateshare_test.go
@@ -14,7 +14,8 @@
 		need := rapid.Float64Range(0, 2)
 		leader := need.Draw(t, "leader")
 		members := rapid.SliceOfN(need, 0, 30).Draw(t, "members")
-		part, parts := Divide(leader, members)
+		rate := rapid.SampledFrom([]Rate{Requests, Changes}).Draw(t, "rate")
+		part, parts := Divide(rate, leader, members)
 		sum := part
 		for _, p := range parts {
 			sum += p
@@ -26,7 +27,7 @@
 			t.Fatalf("the leader has %v", part)
 		}
 		rest := All - part
-		if len(members) > 0 && rest < membersLeast-1e-9 {
+		if len(members) > 0 && rest < membersLeast[rate]-1e-9 {
 			t.Fatalf("%v is left to the members", rest)
 		}
 		for i, p := range parts {
@@ -41,7 +42,7 @@
 func TestABusyMemberGetsWhatOthersLeave(t *testing.T) {
 	members := make([]float64, 19)
 	members[7] = 0.3
-	if _, parts := Divide(0.1, members); parts[7] < 0.45 {
+	if _, parts := Divide(Requests, 0.1, members); parts[7] < 0.45 {
 		t.Errorf("%v", parts)
 	}
 }
--- a/internal/core/readbatch/cluster_test.go
+++ b/internal/core/readbatch/cluster_test.go
@@ -192,8 +192,8 @@
 		requests, writes = append(requests, need.Requests), append(writes, need.Writes)
 	}
 	own := leader.limiter.Needs(c.now)
-	r, rs := rateshare.Divide(own.Requests, requests)
-	w, ws := rateshare.Divide(own.Writes, writes)
+	r, rs := rateshare.Divide(rateshare.Requests, own.Requests, requests)
+	w, ws := rateshare.Divide(rateshare.Changes, own.Writes, writes)
 	until := c.now + rateshare.ToldFor
 	leader.limiter.SetPart(c.now, ratelimit.Part{Requests: r, Writes: w}, until)
 	for i, m := range others {
--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -30,8 +30,8 @@
 	}
 	own := n.state.Needs()
 	var part ratelimit.Part
-	part.Requests, requests = rateshare.Divide(own.Requests, requests)
-	part.Writes, writes = rateshare.Divide(own.Writes, writes)
+	part.Requests, requests = rateshare.Divide(rateshare.Requests, own.Requests, requests)
+	part.Writes, writes = rateshare.Divide(rateshare.Changes, own.Writes, writes)
 	n.state.SetPart(part, rateshare.ToldFor)
 	for i, s := range siblings {
 		if k := l.linkTo(s.HostName); k != nil {
