--- a/internal/core/ratelimit/ratelimit.go
+++ b/internal/core/ratelimit/ratelimit.go
@@ -155,6 +155,7 @@
 	part     Part
 	told     time.Duration // the part is good until then
 	health   float64       // of the part: below 1 after refusals
+	spare    float64       // of the rate of changes: what may be used while nobody is refused
 	at       time.Duration
 	shrunk   time.Duration
 	lowered  bool // the announced limit holds
@@ -204,7 +205,9 @@
 
 func (q *Limiter) setShares(now time.Duration) {
 	if q.hasPart(now) {
-		q.requests.share, q.writes.share = q.part.Requests*q.health, q.part.Writes*q.health
+		// Changes may go beyond the part as long as nothing is refused: submissions waited for
+		// what others were told and did not use.
+		q.requests.share, q.writes.share = q.part.Requests*q.health, max(q.part.Writes*q.health, q.spare)
 		return
 	}
 	q.requests.share, q.writes.share = q.share, q.share
@@ -225,6 +228,7 @@
 	q.at = now
 	if q.hasPart(now) {
 		q.health = min(1, q.health+recovery*s)
+		q.spare = min(q.spare+growth*min(s, 1), most)
 		q.share = equal / float64(q.p.Controllers) // where it begins once no part is told any more
 	} else {
 		q.share = min(q.share+growth*min(s, 1), most)
@@ -249,6 +253,7 @@
 	q.shrunk = now
 	if q.hasPart(now) {
 		q.health = max(q.health*shrink, least)
+		q.spare *= shrink
 	} else {
 		q.share = max(q.share*shrink, least/float64(q.p.Controllers))
 	}
