--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -198,7 +198,7 @@
 			open[need] = v
 		}
 	}
-	return jobs.NewAwaiting(id, needs, open, 4*n.cfg.Cluster.TxnOps()-2)
+	return jobs.NewAwaiting(id, needs, open, guardsPerOp*n.cfg.Cluster.TxnOps()-2)
 }
 
 // maySayQueued tells whether users may be told that an open job is queued.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -224,9 +224,7 @@
 	}
 	r.mu.Lock()
 	for _, m := range r.meters {
-		if n := len(m.samples); n > 0 {
-			mb += float64(m.samples[n-1].rss) / (1 << 20)
-		}
+		mb += float64(m.last.rss) / (1 << 20)
 	}
 	r.mu.Unlock()
 	r.say("%4.0f s  %d workers up, %d tasks running, %d started, %.0f MB", since.Seconds(), up, running, starts, mb)
--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/prometheus/procfs"
@@ -57,7 +56,7 @@
 
 // meter follows a process through its restarts.
 type meter struct {
-	samples []sample // since its last start
+	last    sample // since its last start; its time is zero before the first
 	usage   Usage
 	begun   sample
 	cpu     float64 // of earlier lives in this window
@@ -68,45 +67,35 @@
 
 // open begins a window.
 func (m *meter) open(now time.Time) {
-	var last sample
-	if n := len(m.samples); n > 0 {
-		last = m.samples[n-1]
-	}
-	*m = meter{samples: slices.Clone(m.samples[max(0, len(m.samples)-1):]), begun: last, since: now}
+	*m = meter{last: m.last, begun: m.last, since: now}
 }
 
 // restarted begins another life.
 func (m *meter) restarted() {
-	if n := len(m.samples); n > 0 {
-		m.add(m.samples[n-1])
-	}
-	m.samples, m.begun = nil, sample{}
+	m.addLife()
+	m.last, m.begun = sample{}, sample{}
 	m.usage.Restarts++
 }
 
-func (m *meter) add(last sample) {
-	m.cpu += last.cpu - m.begun.cpu
-	m.read += last.read - m.begun.read
-	m.written += last.written - m.begun.written
+// addLife adds what the present life has used in this window.
+func (m *meter) addLife() {
+	m.cpu += m.last.cpu - m.begun.cpu
+	m.read += m.last.read - m.begun.read
+	m.written += m.last.written - m.begun.written
 }
 
 func (m *meter) take(s sample) {
-	if n := len(m.samples); n > 0 {
-		last := m.samples[n-1]
-		if d := s.at.Sub(last.at).Seconds(); d > 0 {
-			m.usage.PeakCores = max(m.usage.PeakCores, (s.cpu-last.cpu)/d)
-		}
+	if d := s.at.Sub(m.last.at).Seconds(); d > 0 && !m.last.at.IsZero() {
+		m.usage.PeakCores = max(m.usage.PeakCores, (s.cpu-m.last.cpu)/d)
 	}
-	m.samples = append(m.samples[:0], s)
+	m.last = s
 	m.usage.ResidentMB = max(m.usage.ResidentMB, float64(s.rss)/(1<<20))
 	m.usage.Sockets = max(m.usage.Sockets, s.sockets)
 }
 
 // close ends a window.
 func (m *meter) close(now time.Time) Usage {
-	if n := len(m.samples); n > 0 {
-		m.add(m.samples[n-1])
-	}
+	m.addLife()
 	u := m.usage
 	if d := now.Sub(m.since).Seconds(); d > 0 {
 		u.Cores = m.cpu / d
