scale: one goroutine at a time writes progress, none after the run's end

A child's announcement that came after its patience was decoded into a result already returned. Change: a mutex around progress, a wait for what goes on in the background, the announcement by a channel. Measured: TestProgressLinesAreWhole red before (3,660 of 4,800 bytes), green after; TestScaleRun with the race detector: 1 of 3 failed before, 3 of 3 passed after.

--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -159,21 +159,27 @@
 }
 
 // ready waits for a child's announcement.
-func (p *process) ready() (r Ready, err error) {
-	line := make(chan error, 1)
+func (p *process) ready() (Ready, error) {
+	type announcement struct {
+		ready Ready
+		err   error
+	}
+	announced := make(chan announcement, 1)
 	go func() {
-		line <- json.NewDecoder(p.stdout).Decode(&r)
+		var a announcement
+		a.err = json.NewDecoder(p.stdout).Decode(&a.ready)
+		announced <- a
 	}()
 	select {
-	case err = <-line:
+	case a := <-announced:
+		if a.err != nil {
+			<-p.ended
+			return Ready{}, errors.Join(fmt.Errorf("%s did not begin: %w", p.name, a.err), p.crashed())
+		}
+		return a.ready, nil
 	case <-time.After(readyPatience):
 		return Ready{}, fmt.Errorf("%s does not serve after %v", p.name, readyPatience)
 	}
-	if err != nil {
-		<-p.ended
-		return Ready{}, errors.Join(fmt.Errorf("%s did not begin: %w", p.name, err), p.crashed())
-	}
-	return r, nil
 }
 
 // readyPatience is how long a child may take to serve.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -57,7 +57,10 @@
 	regions []*region
 	report  *Report
 
-	restarts sync.WaitGroup // controllers that are to be started again
+	restarts   sync.WaitGroup // controllers that are to be started again
+	background sync.WaitGroup // what goes on beside the measuring until the run's context ends
+
+	telling sync.Mutex // of Progress, which need not be safe for several goroutines
 
 	mu     sync.Mutex // of regions' processes and of meters: sampling goes on beside the rest
 	meters map[string]*meter
@@ -123,7 +126,7 @@
 			return err
 		}
 	}
-	go r.watch(ctx, cancel)
+	r.background.Go(func() { r.watch(ctx, cancel) })
 	r.say("%d processes started", len(r.processes()))
 	if err := r.each(func(g *region) error { return r.await(ctx, g) }); err != nil {
 		return err
@@ -139,7 +142,7 @@
 	}); err != nil {
 		return err
 	}
-	go r.replace(ctx)
+	r.background.Go(func() { r.replace(ctx) })
 	r.say("%d workers are up, users begin", r.o.Workers)
 	if err := sleep(ctx, r.o.Ramp); err != nil {
 		return err
@@ -166,7 +169,10 @@
 	return errors.Join(errs...)
 }
 
+// say writes a line of progress.
 func (r *run) say(format string, args ...any) {
+	r.telling.Lock()
+	defer r.telling.Unlock()
 	fmt.Fprintf(r.env.Progress, format+"\n", args...)
 }
 
--- a/internal/scale/start.go
+++ b/internal/scale/start.go
@@ -150,6 +150,7 @@
 
 // end ends all processes that were started. The run's context has ended.
 func (r *run) end() {
+	r.background.Wait() // nothing is told or asked once the run has returned
 	r.restarts.Wait()
 	var all sync.WaitGroup
 	for _, p := range r.processes() {
