jobs, rateshare: an ended job is told by one read; members' needs before the leader's slack

Cause: after a restart no controller knows which jobs have ended. And the leader kept half again as much of the rate as it asked for, unused, while the one controller that the load balancer let users reach asked for 1.3 times the whole rate. The leader's slack comes out of what members leave. The simulation begins with such a belief, right or wrong, in one second of four.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -116,11 +116,13 @@
 
 // Request is the state machine of one request.
 type Request struct {
-	kind   Kind
-	job    model.JobID
-	tries  int
-	seen   bool // the open record
-	awaits awaited
+	kind  Kind
+	job   model.JobID
+	tries int
+	seen  bool // the open record
+	// believedEnded: the final record is read first, and says nothing if it is missing.
+	believedEnded bool
+	awaits        awaited
 	// unknown: a job that is awaited has neither record; it is still to be seen whether
 	// this is an accepted submission once more.
 	unknown bool
@@ -140,6 +142,13 @@
 	return r, Op{Kind: ReadOpen, Job: job}
 }
 
+// NewEnded starts a poll or a cancellation of a job that is believed to have ended. One read
+// then answers: with two, of which the second is refused where the state service's rate is
+// scarce, each attempt would begin with the first again and none would come to an end.
+func NewEnded(k Kind, job model.JobID) (*Request, Op) {
+	return &Request{kind: k, job: job, believedEnded: true}, Op{Kind: ReadFinal, Job: job}
+}
+
 var (
 	unavailable = &Answer{Status: http.StatusServiceUnavailable}
 	overRate    = &Answer{Status: http.StatusServiceUnavailable, OverRate: true}
@@ -187,6 +196,12 @@
 		if res.Outcome == OK {
 			return Op{}, &Answer{Status: http.StatusOK, Stage: res.Stage}
 		}
+		if r.believedEnded {
+			// Not so, or it ends just now: then its open record is missing, and the final
+			// one is read once more.
+			r.believedEnded = false
+			return Op{Kind: ReadOpen, Job: r.job}, nil
+		}
 		if r.unknown {
 			return Op{}, &Answer{Status: http.StatusUnprocessableEntity, Unknown: r.awaits.unknown}
 		}
--- a/internal/core/jobs/jobs_test.go
+++ b/internal/core/jobs/jobs_test.go
@@ -9,6 +9,12 @@
 func script(t *testing.T, k Kind, steps ...Result) (Answer, []OpKind) {
 	t.Helper()
 	req, op := New(k, 1, 0)
+	return play(t, req, op, steps)
+}
+
+// play gives a request its operations' results, one after the other.
+func play(t *testing.T, req *Request, op Op, steps []Result) (Answer, []OpKind) {
+	t.Helper()
 	var ops []OpKind
 	for _, s := range steps {
 		ops = append(ops, op.Kind)
@@ -82,3 +88,43 @@
 		t.Fatalf("%+v without the store", a)
 	}
 }
+
+// Where the state service serves one read of each attempt and refuses the next, the user of a
+// job that has ended is answered all the same, if the job is believed to have ended.
+func TestEndedJobIsToldByOneRead(t *testing.T) {
+	for _, kind := range []Kind{Poll, Withdraw} {
+		req, op := NewEnded(kind, 1)
+		if op.Kind != ReadFinal {
+			t.Fatalf("%v reads %+v first", kind, op)
+		}
+		if _, a := req.Next(op, Result{Stage: Done}); a == nil || a.Stage != Done {
+			t.Errorf("%v: %+v after the final record was read", kind, a)
+		}
+	}
+}
+
+// A job that was wrongly believed to have ended: nothing is told but what its records say.
+func TestBeliefInAnEndIsChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   Kind
+		steps  []Result // after the final record, which is missing
+		status int
+		stage  Stage
+	}{
+		"open":                    {Poll, []Result{{Version: 3}}, http.StatusOK, Queued},
+		"ends in between":         {Poll, []Result{{Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
+		"never accepted":          {Poll, []Result{{Outcome: Missing}, {Outcome: Missing}}, http.StatusNotFound, ""},
+		"no rate for the next":    {Poll, []Result{{Outcome: Busy}}, http.StatusServiceUnavailable, ""},
+		"cancelled while open":    {Withdraw, []Result{{Version: 3}, {}}, http.StatusOK, Cancelled},
+		"ends when cancelled":     {Withdraw, []Result{{Version: 3}, {Outcome: Conflict}, {Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
+		"cancellation of nothing": {Withdraw, []Result{{Outcome: Missing}, {Outcome: Missing}}, http.StatusNotFound, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req, op := NewEnded(c.kind, 1)
+			a, ops := play(t, req, op, append([]Result{{Outcome: Missing}}, c.steps...))
+			if a.Status != c.status || a.Stage != c.stage {
+				t.Errorf("answer %+v after %v, want %d %q", a, ops, c.status, c.stage)
+			}
+		})
+	}
+}
--- a/internal/core/rateshare/rateshare.go
+++ b/internal/core/rateshare/rateshare.go
@@ -2,8 +2,8 @@
 // leader does so and tells each member its part with its grants; it is a pure function of
 // what all have asked for lately.
 //
-// The leader's own part comes first: what it needs to keep its authority and to end jobs is
-// never behind what users ask of its siblings. The rest is divided by need, max-min fair: no
+// The leader's own part comes first: what it asked for lately, to keep its authority and to end
+// jobs, is never behind what users ask of its siblings; only its slack is. The rest is divided by need, max-min fair: no
 // member gets less than an equal part unless it needs less.
 package rateshare
 
@@ -20,8 +20,7 @@
 	// leaderLeast is what the leader keeps at least, needed or not: a change of leader, or
 	// many jobs that end at once, must find it free.
 	leaderLeast = 0.3
-	// slack is how much more than it asked for lately a controller gets, where there is
-	// enough.
+	// slack is how much more than it asked for lately a member gets, where there is enough.
 	slack = 1.5
 )
 
@@ -49,14 +48,16 @@
 	if len(members) == 0 {
 		return All, nil
 	}
-	leaderPart = max(leaderLeast, min(slack*leader, All-membersLeast[r]))
+	leaderMost := All - membersLeast[r]
+	leaderPart = max(leaderLeast, min(leader, leaderMost))
 	wanted := 0.0
 	for _, need := range members {
 		wanted += slack * need
 	}
-	// Half of what nobody asked for: users of the leader submit jobs too, behind its own writes.
+	// The leader's slack is half of what nobody asked for: users of the leader submit jobs too,
+	// behind its own writes. What members ask for goes before it.
 	spare := max(0, All-leaderPart-wanted) / 2
-	leaderPart = min(leaderPart+spare, max(leaderPart, All-membersLeast[r]))
+	leaderPart = min(leaderPart+spare, max(leaderPart, leaderMost))
 	return leaderPart, fair(All-leaderPart, members)
 }
 
--- a/internal/core/rateshare/rateshare_test.go
+++ b/internal/core/rateshare/rateshare_test.go
@@ -46,3 +46,15 @@
 		t.Errorf("%v", parts)
 	}
 }
+
+// Members that are short of requests get what the leader did not ask for.
+func TestMembersInNeedGoBeforeTheLeadersSlack(t *testing.T) {
+	const leader = 0.5
+	part, parts := Divide(Requests, leader, []float64{1.3, 0})
+	if part < leader {
+		t.Errorf("the leader needs %v and has %v", leader, part)
+	}
+	if wanted := All - leader; math.Abs(parts[0]-wanted) > 1e-9 {
+		t.Errorf("the busy member has %v of the %v that the leader leaves", parts[0], wanted)
+	}
+}
--- a/internal/core/sim/chains_test.go
+++ b/internal/core/sim/chains_test.go
@@ -168,6 +168,9 @@
 		}
 		return jobs.NewAwaiting(u.spec.ID, u.awaits, open, 18)
 	}
+	if k != jobs.Submit && c.now()/time.Second%4 == 0 { // rightly or wrongly
+		return jobs.NewEnded(k, u.spec.ID)
+	}
 	return jobs.New(k, u.spec.ID, u.version)
 }
 
