--- a/cmd/honeylock/drain.go
+++ b/cmd/honeylock/drain.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"honeylock/internal/client"
-	"honeylock/internal/core/ledger"
+	"honeylock/internal/core/audit"
 	"honeylock/internal/node"
 	"honeylock/internal/planfile"
 )
@@ -257,7 +257,7 @@
 	return c
 }
 
-func showAudit(w io.Writer, es *[]ledger.Entry) error {
+func showAudit(w io.Writer, es *[]audit.Entry) error {
 	var rows [][]string
 	for _, e := range *es {
 		rows = append(rows, []string{time.UnixMilli(e.AtMS).Format(time.RFC3339), e.Who, e.What, e.Name,
--- a/internal/core/audit/audit.go
+++ b/internal/core/audit/audit.go
@@ -1,7 +1,7 @@
-// Package ledger keeps what operators changed: who, when, what and with what
+// Package audit keeps what operators changed: who, when, what and with what
 // outcome, in bounded space, so that a change repeated under its request's id is
 // answered and not made again. It is a state machine of the leader's.
-package ledger
+package audit
 
 import (
 	"cmp"
@@ -27,22 +27,22 @@
 // Version of stored entries.
 const Version = 1
 
-// Ledger is the state machine.
-type Ledger struct {
+// Log is the state machine.
+type Log struct {
 	slots   uint64
 	next    uint64
 	entries []*Entry // oldest first, at most slots
 	by      map[string]*Entry
 }
 
-// New returns a ledger of so many entries.
-func New(slots int) *Ledger {
-	return &Ledger{slots: uint64(slots), next: 1, by: map[string]*Entry{}}
+// New returns a log of so many entries.
+func New(slots int) *Log {
+	return &Log{slots: uint64(slots), next: 1, by: map[string]*Entry{}}
 }
 
 // Load takes a stored entry. What a newer release wrote is kept as far as it is
 // understood.
-func (l *Ledger) Load(e Entry) {
+func (l *Log) Load(e Entry) {
 	if e.Seq == 0 {
 		return
 	}
@@ -58,7 +58,7 @@
 }
 
 // trim forgets the oldest entries; their slots are written anew.
-func (l *Ledger) trim() {
+func (l *Log) trim() {
 	for len(l.entries) > 0 && l.next-l.entries[0].Seq > l.slots {
 		old := l.entries[0]
 		l.entries = l.entries[1:]
@@ -69,10 +69,10 @@
 }
 
 // Known returns the entry of a request, nil if it is not known.
-func (l *Ledger) Known(request string) *Entry { return l.by[request] }
+func (l *Log) Known(request string) *Entry { return l.by[request] }
 
 // Add takes a new entry, to be stored.
-func (l *Ledger) Add(e Entry) *Entry {
+func (l *Log) Add(e Entry) *Entry {
 	e.V, e.Seq, e.stored = Version, l.next, false
 	l.next++
 	l.entries = append(l.entries, &e)
@@ -82,11 +82,11 @@
 }
 
 // Slot is where an entry is stored.
-func (l *Ledger) Slot(e *Entry) uint64 { return e.Seq % l.slots }
+func (l *Log) Slot(e *Entry) uint64 { return e.Seq % l.slots }
 
 // Unstored returns at most n entries about a name that are not known to be
 // stored, the oldest first.
-func (l *Ledger) Unstored(n int, about func(name string) bool) []*Entry {
+func (l *Log) Unstored(n int, about func(name string) bool) []*Entry {
 	var out []*Entry
 	for _, e := range l.entries {
 		if len(out) >= n {
@@ -100,13 +100,13 @@
 }
 
 // Stored tells that an entry is surely stored.
-func (l *Ledger) Stored(e *Entry) { e.stored = true }
+func (l *Log) Stored(e *Entry) { e.stored = true }
 
 // IsStored tells whether an entry is surely stored.
-func (l *Ledger) IsStored(e *Entry) bool { return e.stored }
+func (l *Log) IsStored(e *Entry) bool { return e.stored }
 
 // List returns the newest entries, at most n, the newest first.
-func (l *Ledger) List(n int) []Entry {
+func (l *Log) List(n int) []Entry {
 	var out []Entry
 	for i := len(l.entries) - 1; i >= 0 && len(out) < n; i-- {
 		out = append(out, *l.entries[i])
--- a/internal/core/audit/audit_test.go
+++ b/internal/core/audit/audit_test.go
@@ -1,4 +1,4 @@
-package ledger
+package audit
 
 import "testing"
 
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -9,8 +9,8 @@
 	"slices"
 	"time"
 
-	"honeylock/internal/core/floor"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/starvation"
 )
 
 // Team is what a team is guaranteed and limited to; a zero amount means none.
@@ -48,36 +48,36 @@
 
 // Dealer is the state machine.
 type Dealer struct {
-	p         Params
-	now       time.Duration // of the last input that tells it
-	owned     uint64
-	jobs      map[model.JobID]*job
-	inOrder   []*job // of jobs, as sortJobs orders them
-	machines  map[model.MachineID]*machine
-	byID      []*machine // of machines
-	blocks    map[BlockID]*block
-	layout    uint64 // size of the blocks that are written, 0: p.BlockSize
-	suspects  map[model.MachineID]bool
-	aliens    map[uint64]alien
-	members   map[model.ShardID]*member
-	lastID    model.ShardID
-	oldEnd    time.Duration // no authority of an earlier term lasts beyond
-	usage     []model.Resources
-	orders    []model.Order
-	heldBack  map[model.MachineID][]model.Event // told by shards that are to let go
-	types     map[model.Name]model.MachineType
-	broken    []model.JobID // newly held to be broken
-	freedNow  []model.Task  // of lost shards, surely nowhere now
-	repriced  time.Duration
-	balanced  time.Duration
-	spreadAt  time.Duration
-	turn      int                     // whose turn it is to get a machine without an owner
-	shunned   map[reach]time.Duration // controllers that a zone's workers did not reach
-	barred    map[model.MachineID]bool
-	owns      map[model.ShardID]int // machines of each shard when they were last counted
-	countedAt time.Duration
-	floors    *floor.Book
-	watched   time.Duration
+	p          Params
+	now        time.Duration // of the last input that tells it
+	owned      uint64
+	jobs       map[model.JobID]*job
+	inOrder    []*job // of jobs, as sortJobs orders them
+	machines   map[model.MachineID]*machine
+	byID       []*machine // of machines
+	blocks     map[BlockID]*block
+	layout     uint64 // size of the blocks that are written, 0: p.BlockSize
+	suspects   map[model.MachineID]bool
+	aliens     map[uint64]alien
+	members    map[model.ShardID]*member
+	lastID     model.ShardID
+	oldEnd     time.Duration // no authority of an earlier term lasts beyond
+	usage      []model.Resources
+	orders     []model.Order
+	heldBack   map[model.MachineID][]model.Event // told by shards that are to let go
+	types      map[model.Name]model.MachineType
+	broken     []model.JobID // newly held to be broken
+	freedNow   []model.Task  // of lost shards, surely nowhere now
+	repriced   time.Duration
+	balanced   time.Duration
+	spreadAt   time.Duration
+	turn       int                     // whose turn it is to get a machine without an owner
+	shunned    map[reach]time.Duration // controllers that a zone's workers did not reach
+	barred     map[model.MachineID]bool
+	owns       map[model.ShardID]int // machines of each shard when they were last counted
+	countedAt  time.Duration
+	starvation *starvation.Detector
+	watched    time.Duration
 }
 
 // New returns a dealer for a term that begins now. No shard of an earlier term
--- a/internal/core/dealer/starvation.go
+++ b/internal/core/dealer/starvation.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"honeylock/internal/core/floor"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/starvation"
 )
 
 // The exception to price times wait, for nobody may be starved: a job of which no task
@@ -26,21 +26,21 @@
 		return
 	}
 	d.watched = now
-	if d.floors == nil {
-		d.floors = floor.New(d.p.Begin)
+	if d.starvation == nil {
+		d.starvation = starvation.New(d.p.Begin)
 	}
-	sight := make([]floor.Job, 0, len(jobs))
+	open := make([]starvation.Job, 0, len(jobs))
 	for _, j := range jobs {
 		j.late = false
 		if j.ended || j.waits || j.trouble.broken {
 			continue
 		}
 		j.begun = j.begun || j.nDone > 0 || len(j.held) > 0 && d.Count(j.spec.ID).Running > 0
-		sight = append(sight, floor.Job{ID: j.spec.ID, Class: j.spec.Class, Team: j.spec.Team, Tasks: j.spec.Tasks,
+		open = append(open, starvation.Job{ID: j.spec.ID, Class: j.spec.Class, Team: j.spec.Team, Tasks: j.spec.Tasks,
 			Since: j.since, Begun: j.begun})
 	}
-	d.floors.See(now, sight)
-	for _, id := range d.floors.Late() {
+	d.starvation.See(now, open)
+	for _, id := range d.starvation.Late() {
 		j := d.jobs[id]
 		j.late = true
 		if j.pressed == 0 || now-j.pressed >= pressEvery {
@@ -50,12 +50,12 @@
 	}
 }
 
-// Floors tells what part of each class, team and size has begun.
-func (d *Dealer) Floors(now time.Duration) []floor.Share {
-	if d.floors == nil {
+// Starvation tells what part of each class, team and size has begun.
+func (d *Dealer) Starvation(now time.Duration) []starvation.Share {
+	if d.starvation == nil {
 		return nil
 	}
-	return d.floors.Shares(now)
+	return d.starvation.Shares(now)
 }
 
 // ranked puts the jobs to deal in order: those that should have begun, by their wait,
--- a/internal/core/starvation/starvation.go
+++ b/internal/core/starvation/starvation.go
@@ -1,8 +1,8 @@
-// Package floor watches that nobody is starved: that every job's first task begins in
+// Package starvation detects jobs and groups of jobs that are starved. It watches that every job's first task begins in
 // time, and which part of each class, of each team, and of each class's largest jobs has
 // begun. The paper's order accepts that low priorities starve; the users' rules don't.
 // It is a state machine without input or output; times are the steady clock's.
-package floor
+package starvation
 
 import (
 	"cmp"
@@ -24,7 +24,7 @@
 	Begun bool          // a task of it has run, or runs
 }
 
-// Kind of a floor.
+// Kind of a group of jobs.
 type Kind uint8
 
 // Kinds.
@@ -34,15 +34,15 @@
 	Largest // of a class: the tenth with most tasks
 )
 
-// Of names what a floor is about.
-type Of struct {
+// Group names jobs that have something in common.
+type Group struct {
 	Kind Kind
 	Name model.Name
 }
 
-// Share is how a floor stands: of the jobs that have begun, or should have, how many have.
+// Share tells how many jobs of a group have begun, of those that have or should have.
 type Share struct {
-	Of
+	Group
 	Begun, Late int
 	Longest     time.Duration // wait to begin, of those that wait included
 }
@@ -56,41 +56,41 @@
 }
 
 const (
-	// InDanger is below which part a floor is told; the rules ask for one half.
+	// InDanger is below which part a group is reported; the rules ask for one half.
 	InDanger = 0.7
 	enough   = 4 // jobs that are due, for a part to say something
 	largest  = 90
 	mostSize = 100_000 // tasks of a job, by the protocol
 )
 
-// Book is what one leader has seen.
-type Book struct {
+// Detector is the state machine; a leader has one.
+type Detector struct {
 	within time.Duration
 	jobs   map[model.JobID]Job
-	begun  map[Of]*Share
+	begun  map[Group]*Share
 	sizes  map[model.Name]*hdrhistogram.Histogram
 	late   []model.JobID
 }
 
-// New returns a book for jobs that should begin within so long.
-func New(within time.Duration) *Book {
-	return &Book{within: within, jobs: map[model.JobID]Job{}, begun: map[Of]*Share{},
+// New returns a detector for jobs that should begin within so long.
+func New(within time.Duration) *Detector {
+	return &Detector{within: within, jobs: map[model.JobID]Job{}, begun: map[Group]*Share{},
 		sizes: map[model.Name]*hdrhistogram.Histogram{}}
 }
 
 // See takes all open jobs that may begin. What is no longer among them has ended: one
 // that had not begun was cancelled, or done before this leader saw it run.
-func (b *Book) See(now time.Duration, jobs []Job) {
+func (d *Detector) See(now time.Duration, jobs []Job) {
 	seen := make(map[model.JobID]Job, len(jobs))
-	b.late = b.late[:0]
+	d.late = d.late[:0]
 	for _, j := range jobs {
-		was, known := b.jobs[j.ID]
+		was, known := d.jobs[j.ID]
 		if !known {
-			_ = b.size(j.Class).RecordValue(int64(max(1, j.Tasks))) // it is in range
+			_ = d.size(j.Class).RecordValue(int64(max(1, j.Tasks))) // it is in range
 		}
 		if j.Begun && !was.Begun {
-			for _, of := range b.floors(&j) {
-				s := b.share(of)
+			for _, group := range d.groups(&j) {
+				s := d.share(group)
 				s.Begun++
 				if known {
 					s.Longest = max(s.Longest, now-j.Since)
@@ -98,61 +98,61 @@
 			}
 		}
 		j.Begun = j.Begun || was.Begun
-		if !j.Begun && now-j.Since > b.within {
-			b.late = append(b.late, j.ID)
+		if !j.Begun && now-j.Since > d.within {
+			d.late = append(d.late, j.ID)
 		}
 		seen[j.ID] = j
 	}
-	b.jobs = seen
-	slices.SortFunc(b.late, func(x, y model.JobID) int {
+	d.jobs = seen
+	slices.SortFunc(d.late, func(x, y model.JobID) int {
 		return cmp.Or(cmp.Compare(seen[x].Since, seen[y].Since), cmp.Compare(x, y))
 	})
 }
 
 // Late are the jobs that should have begun, the longest wait first.
-func (b *Book) Late() []model.JobID { return b.late }
+func (d *Detector) Late() []model.JobID { return d.late }
 
-func (b *Book) size(class model.Name) *hdrhistogram.Histogram {
-	h := b.sizes[class]
+func (d *Detector) size(class model.Name) *hdrhistogram.Histogram {
+	h := d.sizes[class]
 	if h == nil {
 		h = hdrhistogram.New(1, mostSize, 2)
-		b.sizes[class] = h
+		d.sizes[class] = h
 	}
 	return h
 }
 
-func (b *Book) share(of Of) *Share {
-	s := b.begun[of]
+func (d *Detector) share(group Group) *Share {
+	s := d.begun[group]
 	if s == nil {
-		s = &Share{Of: of}
-		b.begun[of] = s
+		s = &Share{Group: group}
+		d.begun[group] = s
 	}
 	return s
 }
 
-// floors are those that a job counts for.
-func (b *Book) floors(j *Job) []Of {
-	out := []Of{{Class, j.Class}, {Team, j.Team}}
-	if int64(j.Tasks) > b.size(j.Class).ValueAtPercentile(largest) {
-		out = append(out, Of{Largest, j.Class})
+// groups are those that a job counts for.
+func (d *Detector) groups(j *Job) []Group {
+	out := []Group{{Class, j.Class}, {Team, j.Team}}
+	if int64(j.Tasks) > d.size(j.Class).ValueAtPercentile(largest) {
+		out = append(out, Group{Largest, j.Class})
 	}
 	return out
 }
 
-// Shares are all floors, with the jobs that are late now.
-func (b *Book) Shares(now time.Duration) []Share {
-	all := make(map[Of]Share, len(b.begun))
-	for of, s := range b.begun {
-		all[of] = *s
+// Shares are those of all groups, with the jobs that are late now.
+func (d *Detector) Shares(now time.Duration) []Share {
+	all := make(map[Group]Share, len(d.begun))
+	for group, s := range d.begun {
+		all[group] = *s
 	}
-	for _, id := range b.late {
-		j := b.jobs[id]
-		for _, of := range b.floors(&j) {
-			s := all[of]
-			s.Of = of
+	for _, id := range d.late {
+		j := d.jobs[id]
+		for _, group := range d.groups(&j) {
+			s := all[group]
+			s.Group = group
 			s.Late++
 			s.Longest = max(s.Longest, now-j.Since)
-			all[of] = s
+			all[group] = s
 		}
 	}
 	out := make([]Share, 0, len(all))
@@ -165,7 +165,7 @@
 	return out
 }
 
-// Danger are the floors of which too little has begun.
+// Danger are the groups of which too little has begun.
 func Danger(shares []Share) []Share {
 	var out []Share
 	for _, s := range shares {
--- a/internal/core/starvation/starvation_test.go
+++ b/internal/core/starvation/starvation_test.go
@@ -1,4 +1,4 @@
-package floor
+package starvation
 
 import (
 	"testing"
@@ -9,9 +9,9 @@
 
 const s = time.Second
 
-// Jobs that wait too long are late until they begin or are cancelled, and each floor
+// Jobs that wait too long are late until they begin or are cancelled, and each group
 // counts those that begin and those that should have.
-func TestFloorsCountWhatBeginsAndWhatShouldHave(t *testing.T) {
+func TestGroupsCountWhatBeginsAndWhatShouldHave(t *testing.T) {
 	b := New(60 * s)
 	var jobs []Job
 	for i := range 20 { // the last two are wide
@@ -33,18 +33,18 @@
 	if len(late) != 11 || late[0] != 1 {
 		t.Fatalf("late %v, want the ten of class 1 and the wide one of class 0, the oldest first", late)
 	}
-	got := map[Of]Share{}
+	got := map[Group]Share{}
 	for _, x := range b.Shares(61 * s) {
-		got[x.Of] = x
+		got[x.Group] = x
 	}
-	if x := got[Of{Class, 0}]; x.Begun != 9 || x.Late != 1 || x.Part() != 0.9 {
+	if x := got[Group{Class, 0}]; x.Begun != 9 || x.Late != 1 || x.Part() != 0.9 {
 		t.Errorf("class 0: %+v", x)
 	}
-	if x := got[Of{Largest, 0}]; x.Begun != 0 || x.Late != 1 || x.Longest != 61*s {
+	if x := got[Group{Largest, 0}]; x.Begun != 0 || x.Late != 1 || x.Longest != 61*s {
 		t.Errorf("largest of class 0: %+v", x)
 	}
 	danger := Danger(b.Shares(61 * s))
-	if len(danger) != 2 || danger[0].Of != (Of{Class, 1}) || danger[1].Of != (Of{Team, 7}) {
+	if len(danger) != 2 || danger[0].Group != (Group{Class, 1}) || danger[1].Group != (Group{Team, 7}) {
 		t.Errorf("in danger: %+v, want class 1 and the team", danger)
 	}
 	b.See(70*s, jobs[:1]) // all but one were cancelled, or are done
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -13,7 +13,7 @@
 
 	"honeylock/internal/client"
 	"honeylock/internal/config"
-	"honeylock/internal/core/ledger"
+	"honeylock/internal/core/audit"
 	"honeylock/internal/dev"
 	"honeylock/internal/node"
 	"honeylock/internal/standin"
@@ -181,7 +181,7 @@
 	for _, id := range []string{"job-000002", "job-000003"} {
 		until(t, id, func() bool { return stage(c.Controllers[0], id) == "done" || stage(c.Controllers[1], id) == "done" })
 	}
-	var log []ledger.Entry
+	var log []audit.Entry
 	if err := ops.Get(t.Context(), "audit", &log); err != nil || len(log) != 1 || log[0].Who != "dev" ||
 		log[0].What != "drain apply" {
 		t.Errorf("%+v %v", log, err)
@@ -252,7 +252,7 @@
 			t.Errorf("%s %s %s: %d %q, want %d %q", x.method, x.path, x.body, st, why, x.want, x.why)
 		}
 	}
-	var log []ledger.Entry
+	var log []audit.Entry
 	if err := ops.Get(t.Context(), "audit", &log); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -10,11 +10,11 @@
 	"github.com/segmentio/encoding/json"
 
 	"honeylock/internal/config"
+	"honeylock/internal/core/audit"
 	"honeylock/internal/core/budget"
 	"honeylock/internal/core/disruption"
 	"honeylock/internal/core/drain"
 	"honeylock/internal/core/fleet"
-	"honeylock/internal/core/ledger"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/quota"
 	"honeylock/internal/core/rollout"
@@ -41,7 +41,7 @@
 type draining struct {
 	l      *leadership
 	e      *drain.Engine
-	led    *ledger.Ledger
+	audit  *audit.Log
 	learnt *runtimes.Book
 	book   *disruption.Book // of budgets of disruption, nil: there are none
 	teams  *quota.Book      // what operators changed about teams
@@ -58,7 +58,7 @@
 	if c.ValueKB() < c.State.ValueKB {
 		value = int(c.ValueKB() * 1024)
 	}
-	return &draining{l: l, led: ledger.New(auditSlots), learnt: runtimes.New(), book: l.n.newBook(),
+	return &draining{l: l, audit: audit.New(auditSlots), learnt: runtimes.New(), book: l.n.newBook(),
 		teams: quota.New(l.n.teams()), e: drain.New(drain.Params{
 			Term: l.term, Report: config.Seconds(c.Workers.ReportS), Probe: rentProbe, Most: max(1, most), Value: value})}
 }
@@ -67,7 +67,7 @@
 // door: without one there are none.
 func (p *draining) read(ctx context.Context) (func(time.Duration) error, error) {
 	var plans []drain.Stored
-	var entries []ledger.Entry
+	var entries []audit.Entry
 	var teams []storedTeam
 	if p.l.n.set.Operator != nil {
 		if _, err := p.l.n.state.List(ctx, planKeys, func(it *wire.Item) error {
@@ -77,7 +77,7 @@
 			return nil, err
 		}
 		if _, err := p.l.n.state.List(ctx, auditKeys, func(it *wire.Item) error {
-			var e ledger.Entry
+			var e audit.Entry
 			if err := json.Unmarshal(it.Value, &e); err != nil {
 				p.l.n.log.Error("audit record unreadable", "key", it.Key, "err", err)
 				return nil
@@ -97,7 +97,7 @@
 			p.e.Load(now, s, p.resolve)
 		}
 		for _, e := range entries {
-			p.led.Load(e)
+			p.audit.Load(e)
 		}
 		for _, t := range teams {
 			p.teams.Load(t.team, t.value, t.version)
@@ -278,14 +278,14 @@
 	busy := map[string]bool{}
 	for _, w := range p.e.Writes(n) {
 		busy[w.Name] = true
-		out = append(out, p.planWrite(w, p.led.Unstored(most, func(name string) bool { return name == w.Name })))
+		out = append(out, p.planWrite(w, p.audit.Unstored(most, func(name string) bool { return name == w.Name })))
 	}
 	for _, w := range p.teams.Writes(n - len(out)) {
 		about := teamEntry(p.l.n.names.Teams.Name(w.Team))
 		busy[about] = true
-		out = append(out, p.teamWrite(w, p.led.Unstored(most, func(name string) bool { return name == about })))
+		out = append(out, p.teamWrite(w, p.audit.Unstored(most, func(name string) bool { return name == about })))
 	}
-	alone := p.led.Unstored(most, func(name string) bool { return !busy[name] && p.synced(name) })
+	alone := p.audit.Unstored(most, func(name string) bool { return !busy[name] && p.synced(name) })
 	if len(alone) > 0 && len(out) < n {
 		out = append(out, p.auditWrite(alone))
 	}
@@ -294,10 +294,10 @@
 
 // pending tells whether something is to be stored.
 func (p *draining) pending() bool {
-	return !p.e.AllSynced() || p.teams.Unsynced() || len(p.led.Unstored(1, func(string) bool { return true })) > 0
+	return !p.e.AllSynced() || p.teams.Unsynced() || len(p.audit.Unstored(1, func(string) bool { return true })) > 0
 }
 
-func (p *draining) planWrite(w drain.Write, about []*ledger.Entry) write {
+func (p *draining) planWrite(w drain.Write, about []*audit.Entry) write {
 	return p.recordWrite(planKeys+w.Name, w.Value, w.Version, about, func(o outcome) {
 		p.e.Wrote(w, o.rev, o.err == nil, o.conflict, o.at)
 	})
@@ -305,7 +305,7 @@
 
 // recordWrite stores a record of operators' (nil: it goes) over that of a version, with
 // the audit entries about it.
-func (p *draining) recordWrite(key string, value []byte, version uint64, about []*ledger.Entry,
+func (p *draining) recordWrite(key string, value []byte, version uint64, about []*audit.Entry,
 	wrote func(outcome)) write {
 	op := wire.Op{Put: key, Value: value}
 	if value == nil {
@@ -334,16 +334,16 @@
 
 // auditWrite stores entries. One that is applied late can do no more harm than
 // show an entry older than the newest 256 again.
-func (p *draining) auditWrite(es []*ledger.Entry) write {
+func (p *draining) auditWrite(es []*audit.Entry) write {
 	w := write{done: func(_ time.Duration, o outcome) {
 		if o.err == nil {
 			for _, e := range es {
-				p.led.Stored(e)
+				p.audit.Stored(e)
 			}
 		}
 	}}
 	for _, e := range es {
-		w.ops = append(w.ops, wire.Op{Put: fmt.Sprintf("%s%03d", auditKeys, p.led.Slot(e)), Value: encode(e)})
+		w.ops = append(w.ops, wire.Op{Put: fmt.Sprintf("%s%03d", auditKeys, p.audit.Slot(e)), Value: encode(e)})
 	}
 	return w
 }
@@ -351,8 +351,8 @@
 var errRequest = errors.New("this request's id was used for something else")
 
 // known is what became of a request that was made before, nil if it was not.
-func (p *draining) known(c *Call) (*ledger.Entry, error) {
-	e := p.led.Known(c.Request)
+func (p *draining) known(c *Call) (*audit.Entry, error) {
+	e := p.audit.Known(c.Request)
 	if e != nil && e.Digest != c.digest() {
 		return nil, errRequest
 	}
--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"honeylock/internal/config"
+	"honeylock/internal/core/audit"
 	"honeylock/internal/core/dealer"
-	"honeylock/internal/core/ledger"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/quota"
 	"honeylock/internal/wire"
@@ -58,7 +58,7 @@
 }
 
 // teamWrite stores a change of a team with the audit entries about it.
-func (p *draining) teamWrite(w quota.Write, about []*ledger.Entry) write {
+func (p *draining) teamWrite(w quota.Write, about []*audit.Entry) write {
 	return p.recordWrite(teamKey(p.l.n.names.Teams.Name(w.Team)), w.Value, w.Version, about, func(o outcome) {
 		p.teams.Wrote(w, o.rev, o.err == nil, o.conflict, o.at)
 		p.limit()
--- a/internal/node/loadlog.go
+++ b/internal/node/loadlog.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"honeylock/internal/core/floor"
 	"honeylock/internal/core/model"
+	"honeylock/internal/core/starvation"
 )
 
 // loadEvery is how often the leader's log tells what is open and what there is
@@ -58,8 +58,8 @@
 	p.l.n.log.Info("load", "awaiting", awaiting, "unknown", unknown, "doomed", doomed,
 		"machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "unheard", p.d.Unheard(), "cpus", cpus/1000,
 		"free", free/1000)
-	for _, s := range floor.Danger(p.d.Floors(p.l.n.now())) {
-		p.l.n.log.Warn("jobs wait for too long to begin", "of", p.l.n.floorName(s.Of), "begun", s.Begun, "late", s.Late,
+	for _, s := range starvation.Danger(p.d.Starvation(p.l.n.now())) {
+		p.l.n.log.Warn("jobs wait for too long to begin", "of", p.l.n.groupName(s.Group), "begun", s.Begun, "late", s.Late,
 			"longest", s.Longest)
 	}
 	for _, name := range slices.Sorted(maps.Keys(classes)) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -120,7 +120,7 @@
 			return l.budget.Waiting(n.now(), budget.Records).Seconds()
 		}))
 	reg.MustRegister(newDisruptionMetrics(n))
-	reg.MustRegister(newFloorMetrics(n))
+	reg.MustRegister(newStarvationMetrics(n))
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
 	stat := func(f func() uint64) func() uint64 {
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -13,8 +13,8 @@
 	"github.com/segmentio/encoding/json"
 
 	"honeylock/internal/config"
+	"honeylock/internal/core/audit"
 	"honeylock/internal/core/drain"
-	"honeylock/internal/core/ledger"
 	"honeylock/internal/core/model"
 	"honeylock/internal/peer"
 	"honeylock/internal/planfile"
@@ -194,8 +194,8 @@
 
 // settle answers a change once it is surely stored: before, a new leader might
 // not know of it.
-func (l *leadership) settle(ctx context.Context, e *ledger.Entry) CallReply {
-	for !l.drains.led.IsStored(e) || !l.drains.synced(e.Name) && e.Status == http.StatusOK {
+func (l *leadership) settle(ctx context.Context, e *audit.Entry) CallReply {
+	for !l.drains.audit.IsStored(e) || !l.drains.synced(e.Name) && e.Status == http.StatusOK {
 		l.n.mu.Unlock()
 		sleep(ctx, 20*time.Millisecond)
 		l.n.mu.Lock()
@@ -216,8 +216,8 @@
 }
 
 // change makes a change, or refuses it; the entry tells.
-func (p *draining) change(now time.Duration, c *Call) *ledger.Entry {
-	e := ledger.Entry{AtMS: time.Now().UnixMilli(), Who: c.Who, Request: c.Request, Digest: c.digest(),
+func (p *draining) change(now time.Duration, c *Call) *audit.Entry {
+	e := audit.Entry{AtMS: time.Now().UnixMilli(), Who: c.Who, Request: c.Request, Digest: c.digest(),
 		What: string(c.Verb), Name: c.Name,
 		Status: http.StatusOK}
 	outcome, err := p.make(now, c)
@@ -230,7 +230,7 @@
 	}
 	const most = 1024 // an entry must fit into a value
 	e.Outcome = outcome[:min(len(outcome), most)]
-	return p.led.Add(e)
+	return p.audit.Add(e)
 }
 
 // make makes a change.
@@ -325,7 +325,7 @@
 func (p *draining) ask(now time.Duration, c *Call) CallReply {
 	switch c.Verb {
 	case AuditList:
-		return body(p.led.List(auditSlots))
+		return body(p.audit.List(auditSlots))
 	case DrainList:
 		out := []PlanStatus{}
 		for _, s := range p.e.List(now) {
