--- a/internal/core/sim/budgets_test.go
+++ b/internal/core/sim/budgets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,16 +90,18 @@
 // TestBudgetsHold plays random days of drain plans with every kind of failure: plans never
 // have more of a team's tasks out of work than its budget, across changes of leader too.
 func TestBudgetsHold(t *testing.T) {
-	moved := 0
+	t.Parallel()
+	var moved atomic.Int64
 	t.Cleanup(func() {
-		if !t.Failed() && moved < 60 {
-			t.Errorf("%d tasks moved: these days test nothing", moved)
+		if !t.Failed() && moved.Load() < 60 {
+			t.Errorf("%d tasks moved: these days test nothing", moved.Load())
 		}
 	})
 	for name, p := range map[string]params{"short lease": budgeted(almatyLike()), "long lease": budgeted(longLease())} {
 		for seed := range uint64(15) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				moved += play(t, seed+500, p).recalled
+				t.Parallel()
+				moved.Add(int64(play(t, seed+500, p).recalled))
 			})
 		}
 	}
@@ -106,11 +109,13 @@
 
 // TestChecksCatchBrokenBudgets proves the observer.
 func TestChecksCatchBrokenBudgets(t *testing.T) {
+	t.Parallel()
 	for name, breakIt := range map[string]func(*params){
 		"a task that was stopped counts as back":      func(p *params) { p.unpaid = true },
 		"a new leader takes what was out for at work": func(p *params) { p.forgetDraws = true },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := budgeted(almatyLike())
 			p.budget = 1
 			breakIt(&p)
--- a/internal/core/sim/chains_test.go
+++ b/internal/core/sim/chains_test.go
@@ -272,6 +272,7 @@
 // TestRulesHoldForChains plays random days of jobs that await each other, with every kind
 // of failure, while the blocks of machines' records change their size half way.
 func TestRulesHoldForChains(t *testing.T) {
+	t.Parallel()
 	long := longLease()
 	long.chains, long.jobs, long.resize = true, 120, 3*time.Minute
 	for name, p := range map[string]params{"short lease": chained(), "long lease": long} {
@@ -286,6 +287,7 @@
 
 // TestChainsComplete: without failures every chain ends, done or cancelled.
 func TestChainsComplete(t *testing.T) {
+	t.Parallel()
 	p := chained()
 	p.faults = false
 	p.rest = 3 * time.Minute
@@ -315,6 +317,7 @@
 
 // TestChecksCatchBrokenChains proves the checks.
 func TestChecksCatchBrokenChains(t *testing.T) {
+	t.Parallel()
 	for name, breakIt := range map[string]func(*params){
 		"a job that is gone counts as done": func(p *params) { p.goOnUnasked = true },
 		// Leaders that are refused alone give up at once here as they do in the node, so only
@@ -322,6 +325,7 @@
 		"what waits is called queued in any event": func(p *params) { p.vouchForEver, p.slowDooms = true, 6*time.Second },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := chained()
 			breakIt(&p)
 			breaks(t, 60, 0, p)
@@ -339,6 +343,7 @@
 // TestATreeThatIsBehindHidesNoJob: one cancelled tree whose records could not be ended in
 // time had every poll of a waiting job answered with 503, for longer than 75 s.
 func TestATreeThatIsBehindHidesNoJob(t *testing.T) {
+	t.Parallel()
 	for seed := range seeds(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -351,6 +356,7 @@
 		"cancelled is said while others vouch": func(p *params) { p.hastyCancel = true },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := bushy()
 			breakIt(&p)
 			breaks(t, 60, 0, p)
--- a/internal/core/sim/drains_test.go
+++ b/internal/core/sim/drains_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,18 +197,21 @@
 // TestRulesHoldWhileMachinesAreDrained plays random days of plans with every kind
 // of failure: a moved task must not run twice, nor count double.
 func TestRulesHoldWhileMachinesAreDrained(t *testing.T) {
-	moved, given := 0, 0
+	t.Parallel()
+	var moved, given atomic.Int64
 	t.Cleanup(func() {
-		if !t.Failed() && (moved < 100 || given < 10) {
-			t.Errorf("%d tasks moved, %d machines given back: these days test nothing", moved, given)
+		if !t.Failed() && (moved.Load() < 100 || given.Load() < 10) {
+			t.Errorf("%d tasks moved, %d machines given back: these days test nothing", moved.Load(), given.Load())
 		}
 	})
 	for name, p := range map[string]params{"short lease": drained(almatyLike()), "long lease": drained(longLease())} {
 		for seed := range uint64(20) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
 				w := newWorld(seed+500, p)
 				w.run()
-				moved, given = moved+w.recalled, given+w.given
+				moved.Add(int64(w.recalled))
+				given.Add(int64(w.given))
 				if len(w.broken) > 0 {
 					t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
 				}
@@ -219,6 +223,7 @@
 // TestQuietDrainsLoseNothing: without failures no task is on a machine that is
 // given back, all plans settle, and all jobs end.
 func TestQuietDrainsLoseNothing(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		p := drained(almatyLike())
 		p.faults = false
--- a/internal/core/sim/meetings_test.go
+++ b/internal/core/sim/meetings_test.go
@@ -269,6 +269,7 @@
 // TestRulesHoldWhereMeetingsMeet plays days on which the kinds of meeting overlap, beside
 // all random troubles.
 func TestRulesHoldWhereMeetingsMeet(t *testing.T) {
+	t.Parallel()
 	for lease, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease()} {
 		p = met(p, twoAtOnce)
 		p.copies, p.faults, p.rest = true, true, 8*time.Minute
@@ -284,6 +285,7 @@
 // TestRulesHoldWhereTroublesMeet plays days of each kind of meeting with short leases and
 // long ones; no rule may break, and each job is known and runs.
 func TestRulesHoldWhereTroublesMeet(t *testing.T) {
+	t.Parallel()
 	for name, m := range meetings {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -309,6 +311,7 @@
 // TestMeetingsAreSeen proves the checks: with the guard broken that a meeting tries, some
 // day must break a rule.
 func TestMeetingsAreSeen(t *testing.T) {
+	t.Parallel()
 	old := func(p *params) { p.trustOldEnd, p.freeOnLoss = true, true }
 	for name, breakIt := range map[string]func(*params){
 		"leader cut off":     old,
@@ -334,6 +337,7 @@
 // TestWorkGoesOnThroughTheGap: while all controllers live and hear each other, what runs goes
 // on through an outage of any length, and what is cancelled goes.
 func TestWorkGoesOnThroughTheGap(t *testing.T) {
+	t.Parallel()
 	p := longLease()
 	p.faults, p.apart, p.jobs, p.length, p.rest = false, true, 30, 4*time.Minute, 8*time.Minute
 	for seed := range 3 * seeds(3) {
--- a/internal/core/sim/overload_test.go
+++ b/internal/core/sim/overload_test.go
@@ -204,6 +204,7 @@
 // a few seconds, for its renewals were refused for the rate: fourteen terms, five of
 // them given up by mistake.
 func TestAStormTakesNobodysLeadership(t *testing.T) {
+	t.Parallel()
 	s := newStorm(false)
 	if terms, resigned := s.run(time.Minute); terms > 1 || resigned > 0 {
 		t.Errorf("%d terms, %d given up", terms, resigned)
--- a/internal/core/sim/page_test.go
+++ b/internal/core/sim/page_test.go
@@ -309,6 +309,7 @@
 // TestRulesHoldInLaterMeetings plays days of each of these kinds with short leases and long
 // ones, and wants each to have happened.
 func TestRulesHoldInLaterMeetings(t *testing.T) {
+	t.Parallel()
 	for name, e := range later {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -337,6 +338,7 @@
 
 // TestLaterMeetingsAreSeen proves the checks: with a guard broken, some day breaks a rule.
 func TestLaterMeetingsAreSeen(t *testing.T) {
+	t.Parallel()
 	for name, e := range later {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/sim/search_test.go
+++ b/internal/core/sim/search_test.go
@@ -159,6 +159,7 @@
 // TestASecondTroubleAtEachBoundary plays every so manieth boundary in CI; outside it, with
 // HONEYLOCK_SEEDS set, each.
 func TestASecondTroubleAtEachBoundary(t *testing.T) {
+	t.Parallel()
 	step := 97
 	if seeds(0) > 0 {
 		step = 1
@@ -192,6 +193,7 @@
 // and for a cancel_s barely above the lease; with a leader of the release before as well,
 // which knows nothing of what members told.
 func TestFromToldToGone(t *testing.T) {
+	t.Parallel()
 	for name, p := range map[string]params{
 		"short":  bounded(3*time.Second, 17500*time.Millisecond, 47500*time.Millisecond),
 		"long":   bounded(8*time.Second, 42*time.Second, 67*time.Second),
--- a/internal/core/sim/sim_test.go
+++ b/internal/core/sim/sim_test.go
@@ -65,6 +65,7 @@
 
 // TestRulesHold plays random days with every kind of failure; no rule may break.
 func TestRulesHold(t *testing.T) {
+	t.Parallel()
 	for name, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease(), "grown": grown(), "visited": visited()} {
 		seeds := uint64(25)
 		if name == "grown" || name == "visited" {
@@ -82,8 +83,10 @@
 // TestQuietDayCompletes: without failures all jobs end, each task is started
 // hardly more than once, and nobody waits for ever.
 func TestQuietDayCompletes(t *testing.T) {
+	t.Parallel()
 	for name, p := range map[string]params{"short lease": almatyLike(), "visited": visited()} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p.faults = false
 			p.rest = time.Minute // the last tasks may have begun late
 			w := newWorld(1, p)
@@ -103,11 +106,13 @@
 // TestChecksCatchBrokenGuards proves the checks: with a guard broken, some day
 // must break a rule.
 func TestChecksCatchBrokenGuards(t *testing.T) {
+	t.Parallel()
 	for name, breakIt := range map[string]func(*params){
 		"a new leader ignores the records of machines": func(p *params) { p.forgetRecords = true },
 		"a lost shard's authority is taken for over":   func(p *params) { p.freeOnLoss = true; p.trustOldEnd = true },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := almatyLike()
 			breakIt(&p)
 			breaks(t, 60, 0, p)
--- a/internal/core/sim/troubles_test.go
+++ b/internal/core/sim/troubles_test.go
@@ -190,6 +190,7 @@
 // TestRulesHoldThroughTheNewTroubles plays days with all kinds of failure; no rule may
 // break, each job stays known, and each that nobody cancelled runs.
 func TestRulesHoldThroughTheNewTroubles(t *testing.T) {
+	t.Parallel()
 	long := longLease()
 	long.oneWay, long.copies, long.blinks, long.rest = true, true, true, 8*time.Minute
 	mixed, chains := troubled(), bushy()
@@ -237,6 +238,7 @@
 // TestJobsRunBesideMachinesThatHearNothing: what was on such a machine waited for ever,
 // and so did all jobs of before a change of leader.
 func TestJobsRunBesideMachinesThatHearNothing(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := playDeaf(seed, deafToTheEnd())
 		for _, b := range w.broken {
@@ -253,11 +255,13 @@
 // TestTheNewTroublesAreSeen proves the checks once more: with a guard broken, some day
 // must break a rule.
 func TestTheNewTroublesAreSeen(t *testing.T) {
+	t.Parallel()
 	for name, breakIt := range map[string]func(*params){
 		"copies of reports are taken for new": func(p *params) { p.believed = true },
 		"leases are taken for over too early": func(p *params) { p.hastyLease = true },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := troubled()
 			breakIt(&p)
 			breaks(t, 40, 100, p)
