scale: cancellations, changes of limits and a zone lost for good

Users cancel a part of their arrays, and look for their tasks cancel_s after the answer, by the workers' word. Teams' limits are changed through the operators' API, and another controller is asked for each afterwards. A zone ends with its workers and controllers for good. Users turn to the next controller when one refuses the connection, as their load balancer does.

--- a/cmd/honeylock/scale.go
+++ b/cmd/honeylock/scale.go
@@ -65,11 +65,14 @@
 	flags.IntVar(&o.TasksPerJob, "tasks-per-job", o.TasksPerJob, "mean number of tasks of an array, 1 to 20000")
 	flags.Float64Var(&o.ReplacedPerDay, "replaced-per-day", o.ReplacedPerDay, "workers that stop a day; the cloud has others")
 	flags.Float64Var(&o.ReplacedFaster, "replaced-faster", o.ReplacedFaster, "they stop so many times as often, 0 to 1000")
+	flags.Float64Var(&o.CancelledShare, "cancelled-share", o.CancelledShare, "part of the arrays that users cancel, 0 to 1")
+	flags.Float64Var(&o.LimitChangesPerDay, "limit-changes-per-day", o.LimitChangesPerDay,
+		"changes of teams' limits a day, all of which each region applies; 0: none")
 	flags.DurationVar(&o.Ramp, "ramp", o.Ramp, "load before anything is measured, 1s to 1h")
 	flags.DurationVar(&o.Duration, "for", o.Duration, "measured for so long, 1s to 24h")
 	flags.StringArrayVar(&f.faults, "fault", nil,
 		"a fault that strikes the first region afterwards, again for more: leader-ends, controller-restarts, rack-gone "+
-			"(40 workers), all-controllers-end")
+			"(40 workers), zone-lost (with its controllers, for good), all-controllers-end")
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "of all that is random")
 	flags.StringVar(&o.Report, "report", "", "file for the raw report (JSON)")
 	flags.StringVar(&f.settings, "settings", "",
--- a/cmd/honeylock/scale_test.go
+++ b/cmd/honeylock/scale_test.go
@@ -43,7 +43,7 @@
 	path := filepath.Join(t.TempDir(), "report.json")
 	out, err := runScale(t, "--workers", "60", "--controllers", "6", "--regions", "2", "--zones", "4", "--teams", "5",
 		"--tasks-per-worker", "4", "--tasks-per-job", "10", "--task-time", "5s", "--ramp", "8s", "--for", "10s",
-		"--fault", "leader-ends", "--report", path)
+		"--cancelled-share", "0.1", "--limit-changes-per-day", "50000", "--fault", "leader-ends", "--report", path)
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
@@ -67,6 +67,16 @@
 			t.Errorf("region %d: %+v", i, reg.World)
 		}
 	}
+	for i := range 2 {
+		var cancelled, changed int
+		for _, w := range r.Windows {
+			cancelled += w.Regions[i].World.Cancels.Answered
+			changed += w.Regions[i].World.LimitChanges.Made
+		}
+		if cancelled == 0 || changed == 0 {
+			t.Errorf("region %d: %d jobs cancelled, %d limits changed", i, cancelled, changed)
+		}
+	}
 	roles := map[scale.Role]int{}
 	restarts, leaders := 0, 0
 	for _, p := range r.Windows[1].Processes {
--- /dev/null
+++ b/internal/scale/changes.go
@@ -0,0 +1,114 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"honeylock/internal/client"
+	"honeylock/internal/config/settingspb"
+	"honeylock/internal/node"
+)
+
+const (
+	// leastLimit is the smallest part of its platform limit that a team's limit is changed to.
+	leastLimit = 0.8
+	// changePatience is how long a change may take, repeated calls included.
+	changePatience = time.Minute
+)
+
+// limitChanges changes teams' limits through the operators' API, as often as is wanted.
+type limitChanges struct {
+	spec   RegionSpec
+	change *client.Operators // by way of one controller after the other
+	check  *client.Operators // ... beginning with another
+	rng    *rand.Rand
+	took   *histogram // from the first call to the answer: stored, and in force
+
+	mu                  sync.Mutex
+	made, failed, stale int
+}
+
+func newLimitChanges(spec RegionSpec) (*limitChanges, error) {
+	addrs := make([]string, len(spec.Hosts))
+	for i, h := range spec.Hosts {
+		addrs[i] = h.Operators
+	}
+	change, err := client.NewOperators(addrs, spec.OperatorToken, "")
+	if err != nil {
+		return nil, fmt.Errorf("changes of limits: %w", err)
+	}
+	check, err := client.NewOperators(append(addrs[1:len(addrs):len(addrs)], addrs[0]), spec.OperatorToken, "")
+	if err != nil {
+		return nil, fmt.Errorf("changes of limits: %w", err)
+	}
+	return &limitChanges{spec: spec, change: change, check: check, rng: rand.New(rand.NewPCG(spec.Seed, 14)),
+		took: newHistogram()}, nil
+}
+
+// run makes changes until the context ends.
+func (l *limitChanges) run(ctx context.Context) {
+	perSecond := l.spec.LimitChangesPerDay / (24 * time.Hour).Seconds()
+	if perSecond <= 0 {
+		return
+	}
+	for sleep(ctx, time.Duration(l.rng.ExpFloat64()/perSecond*float64(time.Second))) == nil {
+		team := l.spec.Teams[l.rng.IntN(len(l.spec.Teams))]
+		limit := math.Round(team.CPUsMax * (leastLimit + (1-leastLimit)*l.rng.Float64()))
+		l.one(ctx, team.Name, limit)
+	}
+}
+
+// one changes a team's limit, and asks another controller for it once that is answered.
+func (l *limitChanges) one(ctx context.Context, team string, limit float64) {
+	ctx, cancel := context.WithTimeout(ctx, changePatience)
+	defer cancel()
+	body, err := prototext.Marshal(&settingspb.TeamChange{LimitCpus: &limit})
+	if err != nil {
+		panic(fmt.Sprintf("encode a change: %v", err)) // plain values always encode
+	}
+	began := time.Now()
+	err = l.change.Change(ctx, "teams/"+team, body, nil, nil)
+	took := time.Since(began)
+	var now node.TeamReply
+	if err == nil {
+		l.took.record(took)
+		err = l.check.Get(ctx, "teams/"+team, &now)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		l.failed++
+	case math.Abs(now.Limit-limit) > 0.5:
+		l.stale++
+	default:
+		l.made++
+	}
+}
+
+func (l *limitChanges) stats(reset bool) LimitChangeStats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LimitChangeStats{Made: l.made, Failed: l.failed, Stale: l.stale, Took: l.took.take(reset)}
+}
+
+// LimitChangeStats count changes of teams' limits.
+type LimitChangeStats struct {
+	Made   int // answered, and told by another controller afterwards
+	Failed int // not answered within a minute
+	Stale  int // answered, but another controller told an older limit afterwards
+	Took   Quantiles
+}
+
+func (s LimitChangeStats) since(before LimitChangeStats) LimitChangeStats {
+	s.Made -= before.Made
+	s.Failed -= before.Failed
+	s.Stale -= before.Stale
+	return s
+}
--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -13,14 +13,15 @@
 
 // Paths of the control servers of a run's own processes.
 const (
-	pathAttach = "/attach" // hollow: where users' jobs are described
-	pathBoot   = "/boot"   // hollow: a machine comes up
-	pathEnd    = "/end"    // hollow: a machine ends
-	pathStats  = "/stats"  // both; ?reset=1 begins the quantiles anew
-	pathJob    = "/job/"   // world: a job's description
-	pathSeed   = "/seed"   // world: the machines that are up from the beginning
-	pathLoad   = "/load"   // world: users begin
-	pathLose   = "/lose"   // world: machines stop
+	pathAttach  = "/attach"  // hollow: where users' jobs are described
+	pathBoot    = "/boot"    // hollow: a machine comes up
+	pathEnd     = "/end"     // hollow: a machine ends
+	pathRunning = "/running" // hollow: how many tasks of a job are on machines
+	pathStats   = "/stats"   // both; ?reset=1 begins the quantiles anew
+	pathJob     = "/job/"    // world: a job's description
+	pathSeed    = "/seed"    // world: the machines that are up from the beginning
+	pathLoad    = "/load"    // world: users begin
+	pathLose    = "/lose"    // world: machines stop
 )
 
 // Ready is what a child says on its standard output once it serves.
@@ -36,12 +37,16 @@
 // Named is a machine's name.
 type Named struct{ Name string }
 
-// Lose has machines stop: Count of a zone, or of all zones.
+// Lose has machines stop: Count of a zone, or of all zones. For good: the zone has no others.
 type Lose struct {
-	Count int
-	Zone  string
+	Count   int
+	Zone    string
+	ForGood bool
 }
 
+// Running is how many tasks of a job are on machines.
+type Running struct{ Tasks int }
+
 // Booted is a machine's address.
 type Booted struct{ Addr string }
 
--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -15,11 +15,12 @@
 	LeaderEnds        FaultKind = "leader-ends"         // a region's leader is killed, and started again
 	ControllerRestart FaultKind = "controller-restarts" // another controller is killed, and started again
 	RackGone          FaultKind = "rack-gone"           // some workers of one zone stop at once
+	ZoneLost          FaultKind = "zone-lost"           // a zone's workers and controllers end at once, for good
 	AllEnd            FaultKind = "all-controllers-end" // all controllers of a region are killed at once
 )
 
 // FaultKinds are all kinds.
-var FaultKinds = []FaultKind{LeaderEnds, ControllerRestart, RackGone, AllEnd}
+var FaultKinds = []FaultKind{LeaderEnds, ControllerRestart, RackGone, ZoneLost, AllEnd}
 
 const (
 	restartAfter = 3 * time.Second // a killed controller is started again
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -67,6 +67,9 @@
 		h.group.End(n.Name)
 		return struct{}{}, nil
 	}))
+	mux.HandleFunc("POST "+pathRunning, handle(func(job Named) (Running, error) {
+		return Running{h.depot.Running(job.Name)}, nil
+	}))
 	mux.HandleFunc("GET "+pathStats, func(w http.ResponseWriter, r *http.Request) {
 		reset := r.URL.Query().Has("reset")
 		handle(func(struct{}) (WorkersStats, error) { return h.stats(reset), nil })(w, r)
--- a/internal/scale/options.go
+++ b/internal/scale/options.go
@@ -42,19 +42,22 @@
 type Options struct {
 	Workers, Controllers, Regions, Zones, Teams int
 
-	Profile         Profile
-	TasksPerWorker  int           // that run on a worker, on average
-	TaskTime        time.Duration // mean run time; 0: the profile's
-	TasksPerJob     int           // mean of an array
-	ReplacedPerDay  float64       // workers lost and replaced
-	ReplacedFaster  float64       // than in life
-	Ramp, Duration  time.Duration // before anything is measured, and while it is
-	Faults          []Fault
-	Limits          Limits
-	Timing          WorkerTiming
-	Seed            uint64
-	Report          string // file; "" none
-	ControllerLimit ControllerLimit
+	Profile        Profile
+	TasksPerWorker int           // that run on a worker, on average
+	TaskTime       time.Duration // mean run time; 0: the profile's
+	TasksPerJob    int           // mean of an array
+	ReplacedPerDay float64       // workers lost and replaced
+	ReplacedFaster float64       // than in life
+	CancelledShare float64       // of arrays
+	// LimitChangesPerDay are changes of teams' limits, all of which each region applies.
+	LimitChangesPerDay float64
+	Ramp, Duration     time.Duration // before anything is measured, and while it is
+	Faults             []Fault
+	Limits             Limits
+	Timing             WorkerTiming
+	Seed               uint64
+	Report             string // file; "" none
+	ControllerLimit    ControllerLimit
 }
 
 // ControllerLimit is what a controller is told that it may use.
@@ -70,7 +73,7 @@
 	return Options{
 		Workers: 392, Controllers: 7, Regions: 1, Zones: 2, Teams: 170,
 		Profile: Peak, TasksPerWorker: 16, TasksPerJob: 1000,
-		ReplacedPerDay: 930, ReplacedFaster: 1,
+		ReplacedPerDay: 930, ReplacedFaster: 1, CancelledShare: 0.02, LimitChangesPerDay: 14_000,
 		Ramp: 30 * time.Second, Duration: time.Minute,
 		Limits: Limits{StateRPS: 70, StateWriteRPS: 25, StateValueKB: 32, StateTxnOps: 20,
 			StateLatency: 2 * time.Millisecond, CloudRPS: 4, CloudListLag: 10 * time.Second},
@@ -129,6 +132,8 @@
 	}
 	amount("replaced-per-day", o.ReplacedPerDay, 0, 1e6)
 	amount("replaced-faster", o.ReplacedFaster, 0, 1000)
+	amount("cancelled-share", o.CancelledShare, 0, 1)
+	amount("limit-changes-per-day", o.LimitChangesPerDay, 0, 1e6)
 	span("ramp", o.Ramp, time.Second, time.Hour)
 	span("for", o.Duration, time.Second, 24*time.Hour)
 	amount("limits.state_rps", o.Limits.StateRPS, 1, 1e6)
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -7,7 +7,7 @@
 
 // Host is a controller of a region.
 type Host struct {
-	Name, Zone, Bind, Peer string
+	Name, Zone, Bind, Peer, Operators string
 }
 
 // RegionSpec is what the processes of a region are told.
@@ -25,6 +25,10 @@
 	Timing         WorkerTiming
 	Seed           uint64
 	HollowAddr     string // control address of the hollow process
+	// CancelledShare is the part of arrays that their users cancel.
+	CancelledShare     float64
+	LimitChangesPerDay float64
+	OperatorToken      string
 }
 
 // TeamSpec is a team with its guarantee and limit.
@@ -62,6 +66,7 @@
 			Index: i, Name: fmt.Sprintf("region-%d", i), Workers: part(o.Workers, o.Regions, i),
 			TasksPerWorker: o.TasksPerWorker, MeanTask: o.MeanTask(), TasksPerJob: o.TasksPerJob,
 			Limits: o.Limits, Timing: o.Timing, Seed: o.Seed + uint64(i)*1000,
+			CancelledShare: o.CancelledShare, LimitChangesPerDay: o.LimitChangesPerDay,
 		}
 		for z := range part(o.Zones, o.Regions, o.Regions-1-i) {
 			s.Zones = append(s.Zones, fmt.Sprintf("zone-%d%c", i, 'a'+z))
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -73,6 +73,8 @@
 	w.StateChangesRefused -= before.StateChangesRefused
 	w.CloudCalls -= before.CloudCalls
 	w.CloudRefused -= before.CloudRefused
+	w.Cancels = w.Cancels.since(before.Cancels)
+	w.LimitChanges = w.LimitChanges.since(before.LimitChanges)
 	w.State = append([]FrontStats(nil), w.State...)
 	for i := range w.State {
 		if i < len(before.State) {
@@ -108,6 +110,14 @@
 				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s, region %d: %d jobs lost: %v", w.Name, i, reg.World.Lost,
 					reg.World.Losses))
 			}
+			if n := reg.World.Cancels.StillRun; n > 0 {
+				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s, region %d: %d cancelled jobs have tasks on machines after cancel_s",
+					w.Name, i, n))
+			}
+			if n := reg.World.LimitChanges.Stale; n > 0 {
+				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s, region %d: %d limits were told that had been changed before",
+					w.Name, i, n))
+			}
 		}
 		for _, u := range w.Processes {
 			if u.Role == RoleWorld && u.Cores > standInBound {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -42,7 +42,8 @@
 	hollowAddr  string
 	worldAddr   string
 	controllers []*process
-	configs     []string // settings files
+	configs     []files
+	lost        map[int]bool // controllers that ended for good
 }
 
 // run is a run under way.
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -62,6 +62,8 @@
 		setWhole(&o.TasksPerJob, l.TasksPerJob)
 		set(&o.ReplacedPerDay, l.ReplacedPerDay)
 		set(&o.ReplacedFaster, l.ReplacedFaster)
+		set(&o.CancelledShare, l.CancelledShare)
+		set(&o.LimitChangesPerDay, l.LimitChangesPerDay)
 	}
 	if l := p.GetLimits(); l != nil {
 		set(&o.Limits.StateRPS, l.StateRps)
--- a/internal/scale/start.go
+++ b/internal/scale/start.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -10,25 +14,29 @@
 	"sync"
 
 	toml "github.com/pelletier/go-toml/v2"
+	"google.golang.org/protobuf/encoding/prototext"
 
 	"honeylock/internal/config"
+	"honeylock/internal/config/settingspb"
 	"honeylock/internal/dev"
 )
 
 // startRegion starts a region's processes.
 func (r *run) startRegion(ctx context.Context, spec RegionSpec) error {
-	g := &region{spec: spec}
+	g := &region{spec: spec, lost: map[int]bool{}}
 	r.mu.Lock()
 	r.regions = append(r.regions, g)
 	r.mu.Unlock()
 	for i := range g.spec.Hosts {
-		for _, a := range []*string{&g.spec.Hosts[i].Bind, &g.spec.Hosts[i].Peer} {
+		h := &g.spec.Hosts[i]
+		for _, a := range []*string{&h.Bind, &h.Peer, &h.Operators} {
 			var err error
 			if *a, err = dev.FreeAddr(); err != nil {
 				return err
 			}
 		}
 	}
+	g.spec.OperatorToken = rand.Text()
 	var err error
 	var ready Ready
 	if g.hollow, ready, err = r.startChild(RoleHollow, g, "hollow"); err != nil {
@@ -40,11 +48,11 @@
 	}
 	g.worldAddr = ready.Control
 	for i := range g.spec.Hosts {
-		path, err := r.configure(g, i, &ready)
+		files, err := r.configure(g, i, &ready)
 		if err != nil {
 			return err
 		}
-		g.configs = append(g.configs, path)
+		g.configs = append(g.configs, files)
 		g.controllers = append(g.controllers, nil)
 		if err := r.startController(g, i); err != nil {
 			return err
@@ -73,8 +81,14 @@
 	return p, ready, err
 }
 
-// configure writes a controller's settings file.
-func (r *run) configure(g *region, i int, world *Ready) (string, error) {
+// files configure a controller.
+type files struct {
+	platform string // what the platform tells it
+	settings string // its operators' settings
+}
+
+// configure writes a controller's files.
+func (r *run) configure(g *region, i int, world *Ready) (files, error) {
 	s, o := &g.spec, &r.o
 	h := s.Hosts[i]
 	p := config.Platform{HostName: h.Name, Zone: h.Zone, Bind: h.Bind, PeerListen: h.Peer}
@@ -98,19 +112,29 @@
 		o.ControllerLimit.FDs
 	b, err := toml.Marshal(p)
 	if err != nil {
-		return "", fmt.Errorf("settings of %s: %w", h.Name, err)
+		return files{}, fmt.Errorf("settings of %s: %w", h.Name, err)
 	}
-	path := filepath.Join(r.dir, h.Name+".toml")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		return "", fmt.Errorf("settings of %s: %w", h.Name, err)
+	settings, err := prototext.Marshal(&settingspb.Settings{Operator: &settingspb.Operator{Listen: h.Operators,
+		Access: []*settingspb.Access{{Name: "scale", Role: "operate", TokenSha256: tokenHash(s.OperatorToken)}}}})
+	if err != nil {
+		return files{}, fmt.Errorf("settings of %s: %w", h.Name, err)
 	}
-	return path, nil
+	f := files{platform: filepath.Join(r.dir, h.Name+".toml"), settings: filepath.Join(r.dir, h.Name+".textproto")}
+	if err := errors.Join(os.WriteFile(f.platform, b, 0o600), os.WriteFile(f.settings, settings, 0o600)); err != nil {
+		return files{}, fmt.Errorf("settings of %s: %w", h.Name, err)
+	}
+	return f, nil
+}
+
+func tokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
 }
 
 // startController starts a controller as it is deployed, or starts it again.
 func (r *run) startController(g *region, i int) error {
 	p, err := r.start.start(RoleController, g.spec.Index, g.spec.Hosts[i].Name, r.env.Binary,
-		[]string{"serve", "--config", g.configs[i]}, os.Environ())
+		[]string{"serve", "--config", g.configs[i].platform, "--settings", g.configs[i].settings}, os.Environ())
 	if err != nil {
 		return err
 	}
--- a/internal/scale/stats.go
+++ b/internal/scale/stats.go
@@ -69,6 +69,8 @@
 	StateChanges, StateChangesRefused              int
 	CloudCalls, CloudRefused                       int
 	Losses                                         []string
+	Cancels                                        CancelStats
+	LimitChanges                                   LimitChangeStats
 }
 
 // FrontStats are one controller's requests to the state service.
--- a/internal/scale/users.go
+++ b/internal/scale/users.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"honeylock/internal/wire"
@@ -34,6 +36,7 @@
 	askAgain     = time.Second
 	longestAgain = 30 * time.Second
 	giveUpAfter  = time.Minute
+	maxTurns     = 3 // controllers that the load balancer tries for one connection
 )
 
 // users submit a region's jobs and poll them.
@@ -45,6 +48,7 @@
 	finish *histogram
 
 	polls, unanswered atomic.Int64
+	cancels           *cancellations
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -57,12 +61,14 @@
 }
 
 func newUsers(spec RegionSpec) *users {
-	return &users{
+	u := &users{
 		spec: spec, rng: rand.New(rand.NewPCG(spec.Seed, 11)), jobs: map[string][]byte{}, open: map[string]time.Time{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true,
 			IdleConnTimeout: 30 * time.Second}},
 		submit: newHistogram(), poll: newHistogram(), finish: newHistogram(),
 	}
+	u.cancels = &cancellations{users: u, answer: newHistogram()}
+	return u
 }
 
 // run submits jobs until the context ends: as many tasks at once as are to run on average,
@@ -163,6 +169,9 @@
 	if !u.accepted(ctx, j) {
 		return
 	}
+	if j.shape == "batch" && u.chance(u.spec.CancelledShare) {
+		go u.cancels.cancel(ctx, j.name, time.Duration(u.exponential()*float64(u.spec.MeanTask)))
+	}
 	answered := time.Now()
 	u.note(func() { u.open[j.name] = answered })
 	for {
@@ -255,21 +264,12 @@
 	return st, status
 }
 
-// call makes one request, at the next controller in turn as a load balancer has it; again
-// is when to try once more.
+// call makes one request by way of a load balancer; again is when to try once more.
 func (u *users) call(ctx context.Context, patience time.Duration, method, path string, body []byte) (status int,
 	again time.Duration, answer []byte) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	u.mu.Lock()
-	u.next++
-	addr := u.spec.Hosts[u.next%len(u.spec.Hosts)].Bind
-	u.mu.Unlock()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, askAgain, nil
-	}
-	res, err := u.http.Do(req)
+	res, err := u.balanced(ctx, method, path, body)
 	if err != nil {
 		return 0, askAgain, nil
 	}
@@ -285,6 +285,25 @@
 	return res.StatusCode, again, answer
 }
 
+// balanced makes a request at the next controller in turn; one that refuses the connection is
+// passed over for the next, for up to maxTurns in all.
+func (u *users) balanced(ctx context.Context, method, path string, body []byte) (res *http.Response, err error) {
+	for range maxTurns {
+		u.mu.Lock()
+		u.next++
+		addr := u.spec.Hosts[u.next%len(u.spec.Hosts)].Bind
+		u.mu.Unlock()
+		var req *http.Request
+		if req, err = http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body)); err != nil {
+			return nil, err
+		}
+		if res, err = u.http.Do(req); !errors.Is(err, syscall.ECONNREFUSED) {
+			return res, err
+		}
+	}
+	return nil, err
+}
+
 func (u *users) stats(reset bool) WorldStats {
 	u.mu.Lock()
 	s := u.counts
@@ -299,6 +318,7 @@
 	u.mu.Unlock()
 	s.LongestUnanswered = longest.Seconds()
 	s.Polls, s.PollsUnanswered = u.polls.Load(), u.unanswered.Load()
+	s.Cancels = u.cancels.take(reset)
 	s.Submit, s.Poll, s.Finish = u.submit.take(reset), u.poll.take(reset), u.finish.take(reset)
 	return s
 }
--- a/internal/scale/window.go
+++ b/internal/scale/window.go
@@ -83,28 +83,63 @@
 	switch k {
 	case RackGone:
 		return control(ctx, http.MethodPost, g.worldAddr, pathLose, Lose{Count: rackSize, Zone: g.spec.Zones[0]}, nil)
+	case ZoneLost:
+		return r.loseZone(ctx, g)
 	case AllEnd:
 		for i := range g.controllers {
-			r.killController(ctx, g, i)
+			if !g.lost[i] {
+				r.killController(ctx, g, i)
+			}
 		}
 		return nil
 	}
 	if leader < 0 {
 		return fmt.Errorf("%s: %s has no leader", k, g.spec.Name)
 	}
+	struck := leader
 	if k == ControllerRestart {
-		leader = (leader + 1) % len(g.controllers)
+		struck = g.after(leader)
 	}
-	r.killController(ctx, g, leader)
+	r.killController(ctx, g, struck)
 	return nil
 }
 
-// killController kills a controller, and starts it again after a while.
-func (r *run) killController(ctx context.Context, g *region, i int) {
+// loseZone ends all that is in a region's first zone: its workers, for which the cloud has no
+// others there, and its controllers, which don't come back within the run.
+func (r *run) loseZone(ctx context.Context, g *region) error {
+	zone := g.spec.Zones[0]
+	for i, h := range g.spec.Hosts {
+		if h.Zone == zone {
+			g.lost[i] = true
+			r.endController(g, i)
+		}
+	}
+	return control(ctx, http.MethodPost, g.worldAddr, pathLose, Lose{Count: g.spec.Workers, Zone: zone, ForGood: true}, nil)
+}
+
+// after is the next controller that has not ended for good; the same one if there is no other.
+func (g *region) after(i int) int {
+	for range g.controllers {
+		i = (i + 1) % len(g.controllers)
+		if !g.lost[i] {
+			break
+		}
+	}
+	return i
+}
+
+// endController kills a controller.
+func (r *run) endController(g *region, i int) *process {
 	r.mu.Lock()
 	p := g.controllers[i]
 	r.mu.Unlock()
 	p.kill()
+	return p
+}
+
+// killController kills a controller, and starts it again after a while.
+func (r *run) killController(ctx context.Context, g *region, i int) {
+	p := r.endController(g, i)
 	r.restarts.Go(func() {
 		if sleep(ctx, restartAfter) != nil {
 			return
--- a/internal/scale/world.go
+++ b/internal/scale/world.go
@@ -18,6 +18,7 @@
 	fronts []*standin.Front
 	cloud  *standin.Cloud
 	users  *users
+	limits *limitChanges
 	kind   standin.Kind
 
 	mu  sync.Mutex
@@ -51,6 +52,15 @@
 // parent ends.
 func ServeWorld(ctx context.Context, spec RegionSpec, in io.Reader, out io.Writer) error {
 	w := &world{spec: spec, users: newUsers(spec), rng: rand.New(rand.NewPCG(spec.Seed, 12))}
+	w.users.cancels.running = func(ctx context.Context, job string) (int, error) {
+		var r Running
+		err := control(ctx, http.MethodPost, spec.HollowAddr, pathRunning, Named{job}, &r)
+		return r.Tasks, err
+	}
+	var err error
+	if w.limits, err = newLimitChanges(spec); err != nil {
+		return err
+	}
 	l := spec.Limits
 	w.store = standin.NewStore(standin.StoreLimits{RPS: l.StateRPS, WriteRPS: l.StateWriteRPS, ValueKB: l.StateValueKB,
 		TxnOps: l.StateTxnOps})
@@ -73,7 +83,6 @@
 	for _, h := range spec.Hosts {
 		hosts = append(hosts, standin.Host{Name: h.Name, Addr: h.Bind})
 	}
-	var err error
 	w.cloud, err = standin.NewCloud(standin.CloudParams{Kinds: []standin.Kind{w.kind}, ListLag: l.CloudListLag,
 		Dying: l.CloudListLag, RPS: l.CloudRPS,
 		Timing: standin.Timing{Report: spec.Timing.Report, Lease: spec.Timing.Lease},
@@ -105,7 +114,10 @@
 	mux.HandleFunc("POST "+pathSeed, handle(func(struct{}) (struct{}, error) { return struct{}{}, w.seed() }))
 	var once sync.Once
 	mux.HandleFunc("POST "+pathLoad, handle(func(struct{}) (struct{}, error) {
-		once.Do(func() { go w.users.run(ctx) })
+		once.Do(func() {
+			go w.users.run(ctx)
+			go w.limits.run(ctx)
+		})
 		return struct{}{}, nil
 	}))
 	mux.HandleFunc("POST "+pathLose, handle(w.lose))
@@ -133,6 +145,9 @@
 	w.rng.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
 	w.mu.Unlock()
 	names = up[:min(l.Count, len(up))]
+	if l.ForGood {
+		w.cloud.Shut(l.Zone)
+	}
 	for _, n := range names {
 		w.cloud.Lose(n)
 	}
@@ -141,6 +156,7 @@
 
 func (w *world) stats(reset bool) WorldStats {
 	s := w.users.stats(reset)
+	s.LimitChanges = w.limits.stats(reset)
 	for i, f := range w.fronts {
 		c := f.Counts()
 		s.State = append(s.State, FrontStats{Host: w.spec.Hosts[i].Name, Requests: c.Requests, Refused: c.Refused,
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -43,7 +43,8 @@
 	all    map[string]*rented
 	hires  map[string][]string
 	refuse bool
-	stuck  bool // machines rented from now on never come up
+	shut   map[string]bool // zones without machines to rent
+	stuck  bool            // machines rented from now on never come up
 	runs   Machines
 	calls  int
 	busy   int
@@ -72,7 +73,7 @@
 func NewCloud(p CloudParams, d *Depot, hosts []Host, rng *rand.Rand) (*Cloud, error) {
 	c := &Cloud{kinds: p.Kinds, lag: p.ListLag, dying: p.Dying, timing: p.Timing, depot: d, hosts: hosts, rng: rng, runs: p.Runs,
 		reqs: rate.NewLimiter(rate.Limit(p.RPS), max(1,
-			int(2*p.RPS))), all: map[string]*rented{}, hires: map[string][]string{}}
+			int(2*p.RPS))), all: map[string]*rented{}, hires: map[string][]string{}, shut: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter,
 		_ *http.Request) {
@@ -132,6 +133,13 @@
 	c.refuse = on
 }
 
+// Shut lets a zone have no capacity any more.
+func (c *Cloud) Shut(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shut[zone] = true
+}
+
 // Stick lets machines rented from now on never come up, or come up again.
 func (c *Cloud) Stick(on bool) {
 	c.mu.Lock()
@@ -247,7 +255,7 @@
 	}
 	var names []string
 	for _, k := range c.kinds {
-		if k.Label != b.Breed || c.refuse {
+		if k.Label != b.Breed || c.refuse || c.shut[b.Yard] {
 			continue
 		}
 		have := 0
