e2e: four more tests side by side

Four tests of 15 to 20 s, most of it waiting for leases, join those that run side by side already. Nothing that they check was changed.

--- a/internal/e2e/gap_test.go
+++ b/internal/e2e/gap_test.go
@@ -11,6 +11,7 @@
 // cancellation, then the service is out for all, for longer than a cancellation may take, while
 // workers report to the old leader. The cancelled tasks are gone in time, all others go on.
 func TestTheGap(t *testing.T) {
+	t.Parallel()
 	o := options()
 	o.Lease, o.Cancel = 3*time.Second, 10*time.Second
 	o.Teams[0].CPUsMax = 400
--- a/internal/e2e/looks_test.go
+++ b/internal/e2e/looks_test.go
@@ -116,6 +116,7 @@
 // Machines reach no controller while commands reach them: they lose their leases, their tasks run
 // elsewhere, none twice at a time, and room comes back.
 func TestMachinesThatReachNobody(t *testing.T) {
+	t.Parallel()
 	cl := troubled(t, 6)
 	job := submission("job-000001", 28)
 	job["ForageS"] = 7.0
--- a/internal/e2e/troubles_test.go
+++ b/internal/e2e/troubles_test.go
@@ -40,6 +40,7 @@
 // Nothing reaches two of ten machines, from before the leader ends to the end; what they
 // held, and all that was accepted before, runs elsewhere.
 func TestAJobEndsBesideMachinesThatNothingReaches(t *testing.T) {
+	t.Parallel()
 	cl := troubled(t, 10)
 	accept(t, cl.Controllers[0], submission("job-000001", 120))
 	until(t, "tasks run", func() bool { return cl.Depot.Running("job-000001") > 20 })
@@ -73,6 +74,7 @@
 // A machine ends, and copies of its reports go on at every controller for longer than its
 // lease: its tasks run elsewhere once that is over.
 func TestCopiesKeepNoMachineAlive(t *testing.T) {
+	t.Parallel()
 	cl := troubled(t, 4)
 	var after []time.Duration
 	for d := time.Second; d < 30*time.Second; d += 1300 * time.Millisecond {
