--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -128,10 +128,6 @@
 // follows from them.
 const reportsPerCPU = 2000
 
-// reportsPerPeriod is about how often a worker with much work reports in the time of one
-// regular report: each change of its tasks brings one.
-const reportsPerPeriod = 2.5
-
 // crowd is how many machines take about a third of a controller's processor with
 // their reports: fewer are sent nowhere else. Without a stated processor it has a core.
 func crowd(c *config.Cluster) int {
@@ -139,7 +135,7 @@
 	if cpu <= 0 {
 		cpu = 1
 	}
-	return int(0.3 * reportsPerCPU * cpu * c.Workers.ReportS / reportsPerPeriod)
+	return int(0.3 * reportsPerCPU * cpu * c.Workers.ReportS)
 }
 
 // chunkSize is how many tasks' bits fit into a value, as base64 in JSON.
