budget: progress leaves some changes to an operator's record

At the whole fleet's peak a change of a team's limit took 14 to 47 s, or was not answered within a minute (nothing of 7 in the 60 s window): what a leader has to store of progress takes all changes that are left, before operators' records have their turn, and those went to the state service behind it once more. Change: records that have waited for 2 s (10 before) have progress leave four changes; they go as users' changes do, for somebody waits for the answer.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -20,8 +20,14 @@
 	classes
 )
 
-// patience is how long operators' records give way to everything else.
-const patience = 10 * time.Second
+const (
+	// patience is how long operators' records give way to everything else. Somebody waits for
+	// the answer to a change, which is to be in force within seconds.
+	patience = 2 * time.Second
+	// recordsLeast is what progress leaves to records that have waited for so long: a record
+	// with its audit entries. Progress takes whatever comes in else, for it has always more.
+	recordsLeast = 4
+)
 
 // Budget is the state machine. Its times are the steady clock's.
 type Budget struct {
@@ -45,11 +51,15 @@
 func at(now time.Duration) time.Time { return time.Unix(1, 0).Add(now) }
 
 // Left is how many changes of a class may be made now. Records leave half of the
-// burst to the others, until they have waited for long.
+// burst to the others, until they have waited for long; then progress leaves some to them.
 func (b *Budget) Left(now time.Duration, c Class) int {
 	left := b.l.TokensAt(at(now))
-	if since := b.waiting[c]; c == Records && (since == 0 || now-since < patience) {
+	overdue := b.Waiting(now, Records) >= patience
+	switch {
+	case c == Records && !overdue:
 		left -= b.burst / 2
+	case c == Progress && overdue:
+		left -= recordsLeast
 	}
 	return max(0, int(left))
 }
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -47,3 +47,20 @@
 		t.Errorf("%d left a second later, want 4 less the 2 overdrawn", n)
 	}
 }
+
+// A leader that always has progress to store leaves some of its changes to an operator's
+// record all the same: at the peak of a fleet a team's limit took 40 s and more to change.
+func TestRecordsAreStoredBesideProgress(t *testing.T) {
+	const tick = 100 * time.Millisecond
+	b := New(12, 12)
+	for now := tick; now < patience+time.Second; now += tick {
+		if n := b.Left(now, Progress); n > 0 {
+			b.Spend(now, Progress, n)
+		}
+		if b.Left(now, Records) > 0 {
+			return
+		}
+		b.Refused(now, Records)
+	}
+	t.Errorf("nothing was left to records for %v", patience+time.Second)
+}
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -88,12 +88,16 @@
 
 // classOf is how urgent a write is among this controller's requests: progress once
 // went as finals do, and where changes were scarce 170 jobs that had ended waited
-// behind it.
+// behind it. For an operator's change somebody waits, as for a user's.
 func classOf(c budget.Class) ratelimit.Class {
-	if c == budget.Finals {
+	switch c {
+	case budget.Finals:
 		return ratelimit.Leader
+	case budget.Records:
+		return ratelimit.Changes
+	default:
+		return ratelimit.Upkeep
 	}
-	return ratelimit.Upkeep
 }
 
 // foundAt reads at which version a key is whose guard may have failed; 0: absent. Ours is
