--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -51,7 +51,6 @@
 	p          Params
 	now        time.Duration // of the last input that tells it
 	owned      uint64
-	local      model.ShardID // the leader's own, the first that joined
 	jobs       map[model.JobID]*job
 	inOrder    []*job // of jobs, as sortJobs orders them
 	machines   map[model.MachineID]*machine
@@ -124,9 +123,6 @@
 // Join takes a new shard and returns its id.
 func (d *Dealer) Join(now time.Duration, host string) model.ShardID {
 	d.lastID++
-	if d.local == 0 {
-		d.local = d.lastID
-	}
 	d.members[d.lastID] = &member{id: d.lastID, host: host, joined: now, dealtOn: map[*machine]bool{}}
 	return d.lastID
 }
--- a/internal/core/dealer/door.go
+++ b/internal/core/dealer/door.go
@@ -11,12 +11,9 @@
 // them come all the fences, reports and placing that were meant for several: it falls
 // behind, its workers ask elsewhere and come back, and it may lose leadership over
 // that. So a shard that has far more than its part gets no more machines while
-// another has room for them: their workers are told to go there. The leader's own shard
-// has fewer than the others, for its controller leads as well: behind with its workers it
-// lost leadership, and whose grants ended with that sent their workers to it.
+// another has room for them: their workers are told to go there.
 const (
-	crowdedTimes = 1.2  // of an equal part, and more than Params.Crowd
-	leaderTimes  = 0.75 // of what is much for another shard
+	crowdedTimes = 1.2 // of an equal part, and more than Params.Crowd
 	// A shard of which no worker was heard for so long is cut off from them.
 	heardLately = 10 * time.Second
 	recount     = 100 * time.Millisecond
@@ -43,14 +40,15 @@
 		return false
 	}
 	loads := d.loads(now)
-	if d.fullness(from, loads) < 1 {
+	part := float64(len(d.byID)) / float64(len(d.members))
+	if float64(loads[from]) < max(part*crowdedTimes, float64(d.p.Crowd)) {
 		return false
 	}
 	to := d.members[m.owner]
 	if to == nil {
 		to = d.emptiest(now, m, loads)
 	}
-	if to == nil || to.id == from || d.fullness(to.id, loads) >= d.fullness(from, loads) || !d.reaches(now, to, m) {
+	if to == nil || to.id == from || loads[to.id] >= loads[from] || !d.reaches(now, to, m) {
 		return false
 	}
 	if m.owner != to.id {
@@ -61,21 +59,10 @@
 	return true
 }
 
-// fullness of a shard is 1 where it has so many machines that it is crowded.
-func (d *Dealer) fullness(id model.ShardID, loads map[model.ShardID]int) float64 {
-	part := float64(len(d.byID)) / float64(len(d.members))
-	crowded := max(part*crowdedTimes, float64(d.p.Crowd))
-	if id == d.local {
-		crowded *= leaderTimes
-	}
-	return float64(loads[id]) / crowded
-}
-
-// emptiest is the shard with the least part of what is much for it that the machine's zone
-// can reach.
+// emptiest is the shard with the fewest machines that the machine's zone can reach.
 func (d *Dealer) emptiest(now time.Duration, m *machine, loads map[model.ShardID]int) (best *member) {
 	for _, s := range d.sortedMembers() {
-		if d.reaches(now, s, m) && (best == nil || d.fullness(s.id, loads) < d.fullness(best.id, loads)) {
+		if d.reaches(now, s, m) && (best == nil || loads[s.id] < loads[best.id]) {
 			best = s
 		}
 	}
