node, scale: one loop repeats a user's call, one lookup of a job's open record

Pauses of users go through sleep as the rest of the package's. strike asked all controllers who leads for faults that do not need to know. A cancellation under way when a scale run ends is no longer counted as unanswered.

--- a/cmd/honeylock/scale.go
+++ b/cmd/honeylock/scale.go
@@ -63,9 +63,11 @@
 	flags.IntVar(&o.TasksPerWorker, "tasks-per-worker", o.TasksPerWorker, "tasks that run on a worker on average, 1 to 64")
 	flags.DurationVar(&o.TaskTime, "task-time", 0, "mean run time of a task, 1s to 1h; 0: the profile's")
 	flags.IntVar(&o.TasksPerJob, "tasks-per-job", o.TasksPerJob, "mean number of tasks of an array, 1 to 20000")
-	flags.Float64Var(&o.ReplacedPerDay, "replaced-per-day", o.ReplacedPerDay, "workers that stop a day; the cloud has others")
+	flags.Float64Var(&o.ReplacedPerDay, "replaced-per-day", o.ReplacedPerDay,
+		"workers that stop a day; the cloud has others")
 	flags.Float64Var(&o.ReplacedFaster, "replaced-faster", o.ReplacedFaster, "they stop so many times as often, 0 to 1000")
-	flags.Float64Var(&o.CancelledShare, "cancelled-share", o.CancelledShare, "part of the arrays that users cancel, 0 to 1")
+	flags.Float64Var(&o.CancelledShare, "cancelled-share", o.CancelledShare,
+		"part of the arrays that users cancel, 0 to 1")
 	flags.Float64Var(&o.LimitChangesPerDay, "limit-changes-per-day", o.LimitChangesPerDay,
 		"changes of teams' limits a day, all of which each region applies; 0: none")
 	flags.DurationVar(&o.Ramp, "ramp", o.Ramp, "load before anything is measured, 1s to 1h")
@@ -142,7 +144,8 @@
 func printWindows(out io.Writer, r *scale.Report) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer w.Flush()
-	fmt.Fprintln(w, "window\tregion\tworkers\trunning\tstarts/s\turgent p50\tp99 ms\tbusiest controller\tMB\tstate requests/s\trefused\t")
+	fmt.Fprintln(w, "window\tregion\tworkers\trunning\tstarts/s\turgent p50\tp99 ms\t"+
+		"busiest controller\tMB\tstate requests/s\trefused\t")
 	for _, win := range r.Windows {
 		for i, reg := range win.Regions {
 			cores, mb := 0.0, 0.0
@@ -152,8 +155,9 @@
 				}
 			}
 			requests, refused := reg.World.StateRequests()
-			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.0f\t%d\t%d\t%.2f cores\t%.0f\t%.1f\t%d\t\n", win.Name, i, reg.Workers.Up,
-				reg.Workers.Running, float64(reg.Workers.Starts)/win.Seconds, reg.Workers.UrgentWait.P50, reg.Workers.UrgentWait.P99,
+			workers := reg.Workers
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.0f\t%d\t%d\t%.2f cores\t%.0f\t%.1f\t%d\t\n", win.Name, i, workers.Up,
+				workers.Running, float64(workers.Starts)/win.Seconds, workers.UrgentWait.P50, workers.UrgentWait.P99,
 				cores, mb, float64(requests)/win.Seconds, refused)
 		}
 	}
--- a/cmd/honeylock/scale_test.go
+++ b/cmd/honeylock/scale_test.go
@@ -89,7 +89,8 @@
 			t.Errorf("%+v", p)
 		}
 	}
-	if roles[scale.RoleController] != 6 || roles[scale.RoleHollow] != 2 || roles[scale.RoleWorld] != 2 || restarts != 1 || leaders != 2 {
+	if roles[scale.RoleController] != 6 || roles[scale.RoleHollow] != 2 || roles[scale.RoleWorld] != 2 ||
+		restarts != 1 || leaders != 2 {
 		t.Errorf("%v, %d restarted, %d leaders", roles, restarts, leaders)
 	}
 }
@@ -121,7 +122,8 @@
 // A settings file says what flags say, and more; what it leaves out stays.
 func TestScaleSettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "run.textproto")
-	text := `size { workers: 70 } load { profile: "ordinary" } limits { state_rps: 99 } workers { lease_s: 20 cancel_s: 21 } faults: "rack-gone"`
+	text := `size { workers: 70 } load { profile: "ordinary" } limits { state_rps: 99 } workers { lease_s: 20 cancel_s: 21 }
+		faults: "rack-gone"`
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/election/election.go
+++ b/internal/core/election/election.go
@@ -81,7 +81,14 @@
 // controllers that find the key free at the same moment; promise is the length
 // of promises, now is the start of the process.
 func New(host string, ttl, stagger, promise, now time.Duration) *Election {
-	return &Election{host: host, ttl: ttl, idle: leastIdle, margin: ttl/500 + 150*time.Millisecond, stagger: stagger, promised: now + promise}
+	return &Election{
+		host:     host,
+		ttl:      ttl,
+		idle:     leastIdle,
+		margin:   ttl/500 + 150*time.Millisecond,
+		stagger:  stagger,
+		promised: now + promise,
+	}
 }
 
 // SetSiblings says how many other controllers there are. All followers together then read
--- a/internal/core/jobs/jobs_test.go
+++ b/internal/core/jobs/jobs_test.go
@@ -111,12 +111,13 @@
 		status int
 		stage  Stage
 	}{
-		"open":                    {Poll, []Result{{Version: 3}}, http.StatusOK, Queued},
-		"ends in between":         {Poll, []Result{{Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
-		"never accepted":          {Poll, []Result{{Outcome: Missing}, {Outcome: Missing}}, http.StatusNotFound, ""},
-		"no rate for the next":    {Poll, []Result{{Outcome: Busy}}, http.StatusServiceUnavailable, ""},
-		"cancelled while open":    {Withdraw, []Result{{Version: 3}, {}}, http.StatusOK, Cancelled},
-		"ends when cancelled":     {Withdraw, []Result{{Version: 3}, {Outcome: Conflict}, {Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
+		"open":                 {Poll, []Result{{Version: 3}}, http.StatusOK, Queued},
+		"ends in between":      {Poll, []Result{{Outcome: Missing}, {Stage: Done}}, http.StatusOK, Done},
+		"never accepted":       {Poll, []Result{{Outcome: Missing}, {Outcome: Missing}}, http.StatusNotFound, ""},
+		"no rate for the next": {Poll, []Result{{Outcome: Busy}}, http.StatusServiceUnavailable, ""},
+		"cancelled while open": {Withdraw, []Result{{Version: 3}, {}}, http.StatusOK, Cancelled},
+		"ends when cancelled": {Withdraw, []Result{{Version: 3}, {Outcome: Conflict}, {Outcome: Missing}, {Stage: Done}},
+			http.StatusOK, Done},
 		"cancellation of nothing": {Withdraw, []Result{{Outcome: Missing}, {Outcome: Missing}}, http.StatusNotFound, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/ratelimit/ratelimit.go
+++ b/internal/core/ratelimit/ratelimit.go
@@ -23,9 +23,9 @@
 const (
 	Authority Class = iota // leases, the leader's key, watches: never wait
 	Leader                 // what a leader reads, ends of jobs, and records that placing waits for
-	Changes                // submissions and cancellations
+	Changes                // submissions, cancellations and operators' changes
 	Answers                // comparisons, each of which answers many users' questions
-	Upkeep                 // a leader's progress and plans: nobody is told of them
+	Upkeep                 // a leader's progress: nobody is told of it
 	Reads                  // polls, and whatever else nobody is held up by
 	classes
 )
--- a/internal/core/rateshare/rateshare.go
+++ b/internal/core/rateshare/rateshare.go
@@ -3,8 +3,8 @@
 // what all have asked for lately.
 //
 // The leader's own part comes first: what it asked for lately, to keep its authority and to end
-// jobs, is never behind what users ask of its siblings; only its slack is. The rest is divided by need, max-min fair: no
-// member gets less than an equal part unless it needs less.
+// jobs, is never behind what users ask of its siblings; only its slack is. The rest is divided
+// by need, max-min fair: no member gets less than an equal part unless it needs less.
 package rateshare
 
 import (
--- a/internal/core/readbatch/cluster_test.go
+++ b/internal/core/readbatch/cluster_test.go
@@ -329,7 +329,8 @@
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			for _, n := range []int{3, 7, 20} {
-				c := &cluster{t: t, n: n, central: true, rate: 70, writes: 25, asked: 90, open: 450, jobs: 3.3, old: min(s.old, n-1),
+				c := &cluster{t: t, n: n, central: true, rate: 70, writes: 25, asked: 90, open: 450,
+					jobs: 3.3, old: min(s.old, n-1),
 					trouble: s.trouble}
 				c.run(2 * time.Minute)
 				t.Log(c)
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -28,7 +28,9 @@
 	o.Teams = []config.Team{{Name: "vision", CPUs: 200, CPUsMax: 400}}
 	o.Seeds = []dev.Seed{{Zone: "a", N: n}}
 	o.Depot = standin.NewDepot()
-	o.Depot.Factor = func(_ *standin.Job, task string) float64 { return 0.9 + (dev.Wrong(task, seed)-0.6)/4.5 } // 0.9 to 1.1
+	o.Depot.Factor = func(_ *standin.Job, task string) float64 {
+		return 0.9 + (dev.Wrong(task, seed)-0.6)/4.5 // 0.9 to 1.1
+	}
 	o.Settings = func(string) (*config.Settings, error) { return dev.Operated(token) }
 	return opened(t, o)
 }
--- a/internal/node/jobops.go
+++ b/internal/node/jobops.go
@@ -13,44 +13,61 @@
 	"honeylock/internal/wire"
 )
 
+// jobOp carries out an operation of a user's request.
 func (n *Node) jobOp(ctx context.Context, op jobs.Op, sub *wire.Submission) jobs.Result {
-	id := op.Job
-	name := wire.JobName(id)
-	openKey, finalKey := openKeys+name, finalKeys+name
 	switch op.Kind {
 	case jobs.StillOpen:
-		return n.questions.stillOpen(ctx, jobs.Guard{Job: id, Version: op.Version})
-	case jobs.ReadOpen, jobs.ReadFinal:
-		key := openKey
-		if op.Kind == jobs.ReadFinal {
-			key = finalKey
-		}
-		it, err := n.state.Get(ctx, key)
-		switch {
-		case errors.Is(err, state.ErrNotFound):
-			return jobs.Result{Outcome: jobs.Missing}
-		case errors.Is(err, state.ErrBusy):
-			return jobs.Result{Outcome: jobs.Busy}
-		case err != nil:
-			return jobs.Result{Outcome: jobs.Failed}
-		}
-		res := jobs.Result{Version: it.Version}
-		if op.Kind == jobs.ReadOpen {
-			var rec struct{ Awaits []string }
-			if json.Unmarshal(it.Value, &rec) != nil {
-				return jobs.Result{Outcome: jobs.Failed}
-			}
-			n.keepVersion(id, it.Version, len(rec.Awaits) > 0)
-		}
-		if op.Kind == jobs.ReadFinal {
-			var f wire.Final
-			if json.Unmarshal(it.Value, &f) != nil || !jobs.Stage(f.Stage).Ended() {
-				return jobs.Result{Outcome: jobs.Failed}
-			}
-			res.Stage = jobs.Stage(f.Stage)
-		}
-		return res
+		return n.questions.stillOpen(ctx, jobs.Guard{Job: op.Job, Version: op.Version})
+	case jobs.ReadOpen:
+		return n.readOpen(ctx, op.Job)
+	case jobs.ReadFinal:
+		return n.readFinal(ctx, op.Job)
+	default:
+		return n.changeJob(ctx, op, sub)
 	}
+}
+
+func (n *Node) readOpen(ctx context.Context, id model.JobID) jobs.Result {
+	it, err := n.state.Get(ctx, openKeys+wire.JobName(id))
+	if err != nil {
+		return jobs.Result{Outcome: readOutcome(err)}
+	}
+	var rec struct{ Awaits []string }
+	if json.Unmarshal(it.Value, &rec) != nil {
+		return jobs.Result{Outcome: jobs.Failed}
+	}
+	n.keepVersion(id, it.Version, len(rec.Awaits) > 0)
+	return jobs.Result{Version: it.Version}
+}
+
+func (n *Node) readFinal(ctx context.Context, id model.JobID) jobs.Result {
+	it, err := n.state.Get(ctx, finalKeys+wire.JobName(id))
+	if err != nil {
+		return jobs.Result{Outcome: readOutcome(err)}
+	}
+	var f wire.Final
+	if json.Unmarshal(it.Value, &f) != nil || !jobs.Stage(f.Stage).Ended() {
+		return jobs.Result{Outcome: jobs.Failed}
+	}
+	return jobs.Result{Version: it.Version, Stage: jobs.Stage(f.Stage)}
+}
+
+// readOutcome is what an error of a read means to a request.
+func readOutcome(err error) jobs.Outcome {
+	switch {
+	case errors.Is(err, state.ErrNotFound):
+		return jobs.Missing
+	case errors.Is(err, state.ErrBusy):
+		return jobs.Busy
+	}
+	return jobs.Failed
+}
+
+// changeJob accepts or cancels a job.
+func (n *Node) changeJob(ctx context.Context, op jobs.Op, sub *wire.Submission) jobs.Result {
+	id := op.Job
+	name := wire.JobName(id)
+	openKey, finalKey := openKeys+name, finalKeys+name
 	t := wire.Txn{}
 	if op.Kind == jobs.Create {
 		t.Guards = []wire.Guard{{Key: openKey}, {Key: finalKey}}
@@ -80,14 +97,17 @@
 	return jobs.Result{Outcome: jobs.Failed}
 }
 
-// version is that of a job's open record, if it has been seen, else 0.
-func (n *Node) version(id model.JobID) uint64 {
+// seenOpen returns the version of a job's open record, if it has been seen, else 0. ended
+// tells that the job is believed to have ended: no open record of it was seen, and a leader
+// that told of all open jobs did not tell of it. It may have been submitted since.
+func (n *Node) seenOpen(id model.JobID) (version uint64, ended bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if v := n.versions[id]; v.version != 0 {
-		return v.version
+		return v.version, false
 	}
-	return n.progress[id].version
+	p, open := n.progress[id]
+	return p.version, !open && len(n.progress) > 0
 }
 
 func (n *Node) keepVersion(id model.JobID, version uint64, awaits bool) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -52,8 +52,8 @@
 		_, _, busy := n.state.Stats()
 		return busy
 	})
-	counter("questions_compared", "Users' questions about open jobs that this controller compared, its siblings' included.",
-		func() uint64 { return n.questions.stats().compared })
+	counter("questions_compared",
+		"Users' questions about open jobs that this controller compared, its siblings' included.", func() uint64 { return n.questions.stats().compared })
 	counter("comparisons", "Comparisons with the state service that answered them.",
 		func() uint64 { return n.questions.stats().comparisons })
 	counter("questions_passed", "Users' questions about open jobs that this controller passed to the leader.",
--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -21,10 +21,12 @@
 	n := l.n
 	siblings := n.cfg.Siblings
 	equal := rateshare.All / float64(1+len(siblings))
+	links := make([]*link, len(siblings)) // nil: not linked
 	requests, writes := make([]float64, len(siblings)), make([]float64, len(siblings))
 	for i, s := range siblings {
+		links[i] = l.linkTo(s.HostName)
 		requests[i], writes[i] = equal, equal
-		if k := l.linkTo(s.HostName); k != nil && k.needs.Requests > 0 {
+		if k := links[i]; k != nil && k.needs.Requests > 0 {
 			requests[i], writes[i] = k.needs.Requests, k.needs.Writes
 		}
 	}
@@ -33,8 +35,8 @@
 	part.Requests, requests = rateshare.Divide(rateshare.Requests, own.Requests, requests)
 	part.Writes, writes = rateshare.Divide(rateshare.Changes, own.Writes, writes)
 	n.state.SetPart(part, rateshare.ToldFor)
-	for i, s := range siblings {
-		if k := l.linkTo(s.HostName); k != nil {
+	for i, k := range links {
+		if k != nil {
 			k.part = ratelimit.Part{Requests: requests[i], Writes: writes[i]}
 		}
 	}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -165,8 +165,14 @@
 		st.asked[st.seq] = now
 		st.askAt = now
 		needs := n.state.Needs()
-		ask := &peerpb.Ask{RequestsNeeded: needs.Requests, WritesNeeded: needs.Writes, Seq: st.seq, Promised: st.number, StateAgeUs: n.health.servedAgo(now).Microseconds(),
-			ToldForUs: max(1, (now - n.told.Since()).Microseconds())}
+		ask := &peerpb.Ask{
+			Seq:            st.seq,
+			Promised:       st.number,
+			StateAgeUs:     n.health.servedAgo(now).Microseconds(),
+			ToldForUs:      max(1, (now - n.told.Since()).Microseconds()),
+			RequestsNeeded: needs.Requests,
+			WritesNeeded:   needs.Writes,
+		}
 		var told []model.JobID
 		told, st.toldTo = n.told.From(st.toldTo)
 		for _, id := range told {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -188,32 +188,26 @@
 
 // request begins a request. What a submission awaits was mostly seen a moment ago.
 func (n *Node) request(k jobs.Kind, id model.JobID, sub *wire.Submission) (*jobs.Request, jobs.Op) {
-	if k != jobs.Submit && n.believedEnded(id) {
-		return jobs.NewEnded(k, id)
+	if k != jobs.Submit {
+		version, ended := n.seenOpen(id)
+		if ended {
+			return jobs.NewEnded(k, id)
+		}
+		return jobs.New(k, id, version)
 	}
-	if k != jobs.Submit || len(sub.Awaits) == 0 {
-		return jobs.New(k, id, n.version(id))
+	if len(sub.Awaits) == 0 {
+		return jobs.New(k, id, 0) // a submission reads nothing first
 	}
 	needs := sub.Needs()
 	open := make(map[model.JobID]uint64, len(needs))
 	for _, need := range needs {
-		if v := n.version(need); v != 0 {
+		if v, _ := n.seenOpen(need); v != 0 {
 			open[need] = v
 		}
 	}
 	return jobs.NewAwaiting(id, needs, open, guardsPerOp*n.cfg.Cluster.TxnOps()-2)
 }
 
-// believedEnded tells that a job has no open record as far as this controller knows: it has
-// seen none, and a leader that told of all open jobs did not tell of it. It may have been
-// submitted since.
-func (n *Node) believedEnded(id model.JobID) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	_, open := n.progress[id]
-	return len(n.progress) > 0 && !open && n.versions[id].version == 0
-}
-
 // maySayQueued tells whether users may be told that an open job is queued.
 func (n *Node) maySayQueued(id model.JobID) bool {
 	n.mu.Lock()
--- a/internal/scale/cancellations.go
+++ b/internal/scale/cancellations.go
@@ -73,20 +73,16 @@
 	})
 }
 
-// answered repeats the cancellation until it is answered, for up to a minute.
+// answered cancels a job until that is answered, for up to a minute.
 func (c *cancellations) answered(ctx context.Context, name string) bool {
 	began := time.Now()
-	for time.Since(began) < giveUpAfter && ctx.Err() == nil {
-		status, again, _ := c.users.call(ctx, askPatience, http.MethodPost, "/v1/jobs/"+name+"/withdraw", nil)
-		if status == http.StatusOK {
-			c.answer.record(time.Since(began))
-			c.count(func(s *CancelStats) { s.Answered++ })
-			return true
-		}
-		if sleep(ctx, c.users.jittered(again)) != nil {
-			return false
-		}
+	switch {
+	case c.users.insist(ctx, began, "/v1/jobs/"+name+"/withdraw", nil, http.StatusOK) == http.StatusOK:
+		c.answer.record(time.Since(began))
+		c.count(func(s *CancelStats) { s.Answered++ })
+		return true
+	case ctx.Err() == nil:
+		c.count(func(s *CancelStats) { s.Unanswered++ })
 	}
-	c.count(func(s *CancelStats) { s.Unanswered++ })
 	return false
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -99,30 +99,31 @@
 // standInBound is the part of a core at which a stand-in may hold up what it is asked for.
 const standInBound = 0.9
 
+// verdict notes what went wrong.
+func (r *Report) verdict(format string, args ...any) {
+	r.Verdicts = append(r.Verdicts, fmt.Sprintf(format, args...))
+}
+
 // judge tells what went wrong.
 func (r *Report) judge() {
 	for _, w := range r.Windows {
 		for i, reg := range w.Regions {
 			if n := reg.Workers.BrokenCount; n > 0 {
-				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s, region %d: %d rules broken: %v", w.Name, i, n, reg.Workers.Broken))
+				r.verdict("%s, region %d: %d rules broken: %v", w.Name, i, n, reg.Workers.Broken)
 			}
 			if reg.World.Lost > 0 {
-				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s, region %d: %d jobs lost: %v", w.Name, i, reg.World.Lost,
-					reg.World.Losses))
+				r.verdict("%s, region %d: %d jobs lost: %v", w.Name, i, reg.World.Lost, reg.World.Losses)
 			}
 			if n := reg.World.Cancels.StillRun; n > 0 {
-				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s, region %d: %d cancelled jobs have tasks on machines after cancel_s",
-					w.Name, i, n))
+				r.verdict("%s, region %d: %d cancelled jobs have tasks on machines after cancel_s", w.Name, i, n)
 			}
 			if n := reg.World.LimitChanges.Stale; n > 0 {
-				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s, region %d: %d limits were told that had been changed before",
-					w.Name, i, n))
+				r.verdict("%s, region %d: %d limits were told that had been changed before", w.Name, i, n)
 			}
 		}
 		for _, u := range w.Processes {
 			if u.Role == RoleWorld && u.Cores > standInBound {
-				r.Verdicts = append(r.Verdicts, fmt.Sprintf("%s: %s uses %.2f cores: its own bound may show in the figures",
-					w.Name, u.Name, u.Cores))
+				r.verdict("%s: %s uses %.2f cores: its own bound may show in the figures", w.Name, u.Name, u.Cores)
 			}
 		}
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -216,7 +216,8 @@
 		r.mu.Unlock()
 	}
 	if half := r.machine.memoryMB / 2; total > half {
-		return fmt.Errorf("the processes take %.0f MB, more than half of this machine's memory (%.0f MB): stopped", total, half)
+		return fmt.Errorf("the processes take %.0f MB, more than half of this machine's memory (%.0f MB): stopped",
+			total, half)
 	}
 	return nil
 }
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -55,7 +55,12 @@
 // Variables of a region.
 var (
 	varWorkers = Variable{"workers", func(r *row) float64 { return float64(r.workers().Up) }}
-	varOwn     = Variable{"workers of a controller", func(r *row) float64 { return float64(r.workers().Up) / r.controllers() }}
+	varReports = Variable{"reports a second of a worker", func(r *row) float64 {
+		return r.perSecond(r.workers().Reports) / float64(r.workers().Up)
+	}}
+	varOwn = Variable{"workers of a controller", func(r *row) float64 {
+		return float64(r.workers().Up) / r.controllers()
+	}}
 	varStarts  = Variable{"starts a second", func(r *row) float64 { return r.perSecond(r.workers().Starts) }}
 	varOwnEnds = Variable{"starts a second of a controller", func(r *row) float64 {
 		return r.perSecond(r.workers().Starts) / r.controllers()
@@ -82,15 +87,11 @@
 var figures = []figure{
 	{"worker, control part", "ms of processor a second", func(r *row) float64 {
 		return 1000 * r.mean(RoleHollow, false, cores) / float64(r.workers().Up)
-	}, []Variable{{"reports a second of a worker", func(r *row) float64 {
-		return r.perSecond(r.workers().Reports) / float64(r.workers().Up)
-	}}}},
+	}, []Variable{varReports}},
 	{"worker, control part", "bytes a second", func(r *row) float64 {
 		w := r.workers()
 		return r.perSecond(w.BytesIn+w.BytesOut) / float64(w.Up)
-	}, []Variable{{"reports a second of a worker", func(r *row) float64 {
-		return r.perSecond(r.workers().Reports) / float64(r.workers().Up)
-	}}}},
+	}, []Variable{varReports}},
 	{"hollow workers, all of a region", "MB", func(r *row) float64 { return r.mean(RoleHollow, false, mb) },
 		[]Variable{varWorkers}},
 	{"controller that does not lead", "cores", func(r *row) float64 { return r.mean(RoleController, false, cores) },
--- a/internal/scale/slopes_test.go
+++ b/internal/scale/slopes_test.go
@@ -19,9 +19,11 @@
 		}
 		w.Processes = append(w.Processes, u)
 	}
-	w.Processes = append(w.Processes, Usage{Role: RoleHollow, Cores: 0.0001 * float64(workers), ResidentMB: 20 + 0.2*float64(workers)})
+	w.Processes = append(w.Processes, Usage{Role: RoleHollow, Cores: 0.0001 * float64(workers),
+		ResidentMB: 20 + 0.2*float64(workers)})
 	w.Regions = []RegionWindow{{
-		Workers: WorkersStats{Up: workers, Running: 16 * workers, Starts: int64(starts * seconds), Reports: int64(3*workers) + int64(starts),
+		Workers: WorkersStats{Up: workers, Running: 16 * workers, Starts: int64(starts * seconds),
+			Reports: int64(3*workers) + int64(starts),
 			BytesIn: int64(workers) * 100, BytesOut: int64(workers) * 900},
 		World: WorldStats{Open: 10 + workers/7, Accepted: 5 + workers%13, Done: 5 + controllers,
 			State: []FrontStats{{Requests: (20 + controllers) * seconds}}, StateChanges: 10 * seconds},
@@ -46,7 +48,8 @@
 			continue
 		}
 		found = true
-		if math.Abs(s.Base-0.01) > 1e-6 || math.Abs(s.Each[0]-0.0001) > 1e-7 || math.Abs(s.Each[1]-0.0002) > 1e-6 || s.R2 < 0.999 {
+		if math.Abs(s.Base-0.01) > 1e-6 || math.Abs(s.Each[0]-0.0001) > 1e-7 || math.Abs(s.Each[1]-0.0002) > 1e-6 ||
+			s.R2 < 0.999 {
 			t.Errorf("%+v", s)
 		}
 	}
--- a/internal/scale/start.go
+++ b/internal/scale/start.go
@@ -71,8 +71,8 @@
 	if err := os.WriteFile(path, b, 0o600); err != nil {
 		return nil, Ready{}, fmt.Errorf("%s: %w", path, err)
 	}
-	p, err := r.start.start(role, g.spec.Index, g.spec.Name+"-"+verb, r.env.Binary, []string{"scale", verb, "--spec", path},
-		os.Environ())
+	p, err := r.start.start(role, g.spec.Index, g.spec.Name+"-"+verb, r.env.Binary,
+		[]string{"scale", verb, "--spec", path}, os.Environ())
 	if err != nil {
 		return nil, Ready{}, err
 	}
--- a/internal/scale/users.go
+++ b/internal/scale/users.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -84,12 +85,7 @@
 	}
 	perJob := float64(u.spec.TasksPerJob) * (1 - urgentShare + urgentShare/urgentPart)
 	mean := float64(time.Second) * perJob / u.spec.startsPerSecond()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Duration(u.exponential() * mean)):
-		}
+	for sleep(ctx, time.Duration(u.exponential()*mean)) == nil {
 		if u.chance(urgentShare) {
 			u.start(ctx, u.newJob(u.team(), "batch", urgentRank, max(1, u.size()/urgentPart), false))
 		} else {
@@ -174,12 +170,7 @@
 	}
 	answered := time.Now()
 	u.note(func() { u.open[j.name] = answered })
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(u.jittered(pollEvery)):
-		}
+	for sleep(ctx, u.jittered(pollEvery)) == nil {
 		st, status := u.ask(ctx, j.name)
 		switch {
 		case ctx.Err() != nil:
@@ -225,29 +216,34 @@
 
 // accepted submits a job until it is accepted, for up to a minute.
 func (u *users) accepted(ctx context.Context, j *job) bool {
-	for time.Since(j.asked) < giveUpAfter && ctx.Err() == nil {
-		status, again, _ := u.call(ctx, askPatience, http.MethodPost, "/v1/jobs", j.body)
-		switch status {
-		case http.StatusOK, http.StatusCreated:
-			u.submit.record(time.Since(j.asked))
-			u.note(func() { u.counts.Accepted++ })
-			return true
-		case http.StatusBadRequest, http.StatusUnprocessableEntity:
-			u.note(func() { u.counts.Refused++ })
-			return false
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(u.jittered(again)):
-		}
-	}
-	if ctx.Err() == nil {
+	status := u.insist(ctx, j.asked, "/v1/jobs", j.body, http.StatusOK, http.StatusCreated, http.StatusBadRequest,
+		http.StatusUnprocessableEntity)
+	switch {
+	case status == http.StatusOK || status == http.StatusCreated:
+		u.submit.record(time.Since(j.asked))
+		u.note(func() { u.counts.Accepted++ })
+		return true
+	case ctx.Err() == nil:
 		u.note(func() { u.counts.Refused++ })
 	}
 	return false
 }
 
+// insist repeats a call until it is answered with one of the final statuses, and returns that;
+// 0 if it was not for a minute since the first try, or the context has ended.
+func (u *users) insist(ctx context.Context, began time.Time, path string, body []byte, final ...int) int {
+	for time.Since(began) < giveUpAfter {
+		status, again, _ := u.call(ctx, askPatience, http.MethodPost, path, body)
+		if slices.Contains(final, status) {
+			return status
+		}
+		if sleep(ctx, u.jittered(again)) != nil {
+			return 0
+		}
+	}
+	return 0
+}
+
 // ask polls a job once.
 func (u *users) ask(ctx context.Context, name string) (st wire.JobState, status int) {
 	u.polls.Add(1)
--- a/internal/scale/window.go
+++ b/internal/scale/window.go
@@ -79,7 +79,6 @@
 // strike carries a fault out in the first region.
 func (r *run) strike(ctx context.Context, k FaultKind) error {
 	g := r.regions[0]
-	leader := r.leader(ctx, g)
 	switch k {
 	case RackGone:
 		return control(ctx, http.MethodPost, g.worldAddr, pathLose, Lose{Count: rackSize, Zone: g.spec.Zones[0]}, nil)
@@ -93,12 +92,12 @@
 		}
 		return nil
 	}
-	if leader < 0 {
+	struck := r.leader(ctx, g)
+	if struck < 0 {
 		return fmt.Errorf("%s: %s has no leader", k, g.spec.Name)
 	}
-	struck := leader
 	if k == ControllerRestart {
-		struck = g.after(leader)
+		struck = g.after(struck)
 	}
 	r.killController(ctx, g, struck)
 	return nil
@@ -114,7 +113,8 @@
 			r.endController(g, i)
 		}
 	}
-	return control(ctx, http.MethodPost, g.worldAddr, pathLose, Lose{Count: g.spec.Workers, Zone: zone, ForGood: true}, nil)
+	all := Lose{Count: g.spec.Workers, Zone: zone, ForGood: true}
+	return control(ctx, http.MethodPost, g.worldAddr, pathLose, all, nil)
 }
 
 // after is the next controller that has not ended for good; the same one if there is no other.
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -71,9 +71,20 @@
 
 // NewCloud returns a cloud whose workers report to the hosts.
 func NewCloud(p CloudParams, d *Depot, hosts []Host, rng *rand.Rand) (*Cloud, error) {
-	c := &Cloud{kinds: p.Kinds, lag: p.ListLag, dying: p.Dying, timing: p.Timing, depot: d, hosts: hosts, rng: rng, runs: p.Runs,
-		reqs: rate.NewLimiter(rate.Limit(p.RPS), max(1,
-			int(2*p.RPS))), all: map[string]*rented{}, hires: map[string][]string{}, shut: map[string]bool{}}
+	c := &Cloud{
+		kinds:  p.Kinds,
+		lag:    p.ListLag,
+		dying:  p.Dying,
+		timing: p.Timing,
+		depot:  d,
+		hosts:  hosts,
+		rng:    rng,
+		runs:   p.Runs,
+		reqs:   rate.NewLimiter(rate.Limit(p.RPS), max(1, int(2*p.RPS))),
+		all:    map[string]*rented{},
+		hires:  map[string][]string{},
+		shut:   map[string]bool{},
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter,
 		_ *http.Request) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -67,7 +67,8 @@
 // newWorker returns a machine that is not up yet.
 func newWorker(m MachineSpec, t Timing, d *Depot, hosts []Host, meter *Meter) *Worker {
 	return &Worker{
-		Name: m.Name, Yard: m.Yard, Spot: m.Spot, kind: m.Kind, timing: t, depot: d, hosts: hosts, target: m.First, session: 1,
+		Name: m.Name, Yard: m.Yard, Spot: m.Spot, kind: m.Kind, timing: t, depot: d, hosts: hosts,
+		target: m.First, session: 1,
 		cells: map[string]*cell{}, images: map[string]bool{}, fetches: map[string]time.Time{}, renewed: time.Now(),
 		meter: meter, news: make(chan struct{}, 1),
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -53,7 +53,8 @@
 }
 
 // New returns a client. noted hears what became of every request.
-func New(addr string, p ratelimit.Params, timeout time.Duration, noted func(sent time.Time, o storehealth.Outcome)) *Client {
+func New(addr string, p ratelimit.Params, timeout time.Duration,
+	noted func(sent time.Time, o storehealth.Outcome)) *Client {
 	return &Client{
 		base: "http://" + addr, http: jsonhttp.New(24, 0, 2*time.Second), first: jsonhttp.New(4, 0, 2*time.Second),
 		watches: jsonhttp.New(4, 0, 2*time.Second), timeout: timeout, start: time.Now(), noted: noted,
