--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -10,7 +10,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -276,24 +275,3 @@
 		Operate: true}}}
 	return s, err
 }
-
-// Ports that clusters listen on: below those that outgoing connections get. One that was
-// free when it was chosen was now and then taken by a connection before its controller
-// listened, or while it was restarted, and the controller could not be reached.
-const (
-	firstPort = 10_240
-	ports     = 20_000
-)
-
-// FreeAddr returns a loopback address that was free just now.
-func FreeAddr() (string, error) {
-	var err error
-	for range 50 {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		var l net.Listener
-		if l, err = net.Listen("tcp4", addr); err == nil {
-			return addr, l.Close()
-		}
-	}
-	return "", fmt.Errorf("no free port: %w", err)
-}
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -42,3 +42,19 @@
 		}
 	}
 }
+
+// A cluster was given the port of another one's controller that was stopped just then, and
+// answered operators for it.
+func TestNoAddressIsGivenTwice(t *testing.T) {
+	given := map[string]bool{}
+	for range 2000 {
+		addr, err := FreeAddr()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if given[addr] {
+			t.Fatalf("%s is given a second time, after %d others", addr, len(given)-1)
+		}
+		given[addr] = true
+	}
+}
