--- /dev/null
+++ b/internal/core/sim/lapse_test.go
@@ -0,0 +1,211 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"honeylock/internal/core/model"
+)
+
+// Machines whose leases end while the network holds their reports back. Once it delivers them,
+// a controller reads reports of sessions that it has already settled, in front of the first
+// report of the present one. Teams are at their limits and jobs are bound to zones, so a task
+// that counts as free and is started from such a report breaks a rule.
+
+// limited makes a job one of several tasks that all want a quarter of a machine; a third of the
+// jobs keeps its tasks together, a third has a fixed zone.
+func (w *world) limited(sp *model.Spec) {
+	sp.Tasks = int32(3 + w.rng.IntN(6))
+	sp.Each = model.Request(4, 0, 4)
+	sp.Estimate = w.between(8*time.Second, 30*time.Second)
+	sp.Spread, sp.Together, sp.Zone = false, false, model.None
+	switch sp.ID % 3 {
+	case 0:
+		sp.Together = true
+	case 1:
+		sp.Zone = model.Name(w.rng.IntN(3))
+	}
+}
+
+// atLimitAndBound are days on which both teams offer more work than their limits allow.
+func atLimitAndBound(p params) params {
+	p.faults, p.limited, p.books = false, true, true
+	p.jobs, p.length, p.rest = 60, 4*time.Minute, 6*time.Minute
+	return p
+}
+
+// cutMachine cuts a machine off from all controllers; what is sent meanwhile is held back and
+// delivered at the end, or dropped.
+func (w *world) cutMachine(m *machine, hold bool, d time.Duration) {
+	for _, c := range w.ctls {
+		if _, cut := w.cuts[pair{c.host, m.host}]; cut {
+			continue
+		}
+		w.cut(c.host, m.host, hold)
+		w.after(d, func() { w.heal(c.host, m.host) })
+	}
+}
+
+// pastTheLease is how long a fault lasts that ends 2 to 20 s after the leases that it broke.
+func (w *world) pastTheLease() time.Duration {
+	return w.p.lease + w.between(2*time.Second, 20*time.Second)
+}
+
+// zoneHeldBack cuts a whole zone off from all controllers for longer than a lease.
+func zoneHeldBack(w *world) time.Duration {
+	zone, d, hold := model.Name(w.rng.IntN(3)), w.pastTheLease(), w.rng.IntN(4) > 0
+	w.note("meeting: zone %d is cut off for %v, hold %v", zone, d, hold)
+	for _, m := range w.workers {
+		if m.Zone == zone {
+			w.cutMachine(m, hold, d)
+		}
+	}
+	w.sawHeldPastLease(hold)
+	w.alsoControllers(d)
+	return d
+}
+
+// machinesUnreachable has single machines lose all controllers, hear nothing, be heard by
+// nobody, or hang, each for longer than a lease.
+func machinesUnreachable(w *world) time.Duration {
+	var longest time.Duration
+	for range 2 + w.rng.IntN(4) {
+		m, d := w.workers[w.rng.IntN(len(w.workers))], w.pastTheLease()
+		longest = max(longest, d)
+		switch w.rng.IntN(4) {
+		case 0:
+			w.note("meeting: %s hangs for %v", m.host, d)
+			m.hungUntil = max(m.hungUntil, w.now+d)
+		case 1:
+			w.oneWayFor(m, d)
+		case 2:
+			w.note("meeting: the reports of %s get lost for %v", m.host, d)
+			m.unheard = w.now + d
+		default:
+			hold := w.rng.IntN(4) > 0
+			w.note("meeting: %s is cut off for %v, hold %v", m.host, d, hold)
+			w.cutMachine(m, hold, d)
+			w.sawHeldPastLease(hold)
+		}
+	}
+	w.alsoControllers(longest)
+	return longest
+}
+
+func (w *world) sawHeldPastLease(hold bool) {
+	if hold {
+		w.saw("reports are held back for longer than the lease")
+	}
+}
+
+// alsoControllers has, on half of the occasions, a controller end, stand still or lose its
+// siblings within the next d, or direct commands arrive late around its end.
+func (w *world) alsoControllers(d time.Duration) {
+	at := w.between(0, d+2*time.Second)
+	c := w.ctls[w.rng.IntN(len(w.ctls))]
+	switch w.rng.IntN(8) {
+	case 0:
+		w.after(at, func() { w.leading().crash(w.between(100*time.Millisecond, 5*time.Second)) })
+	case 1:
+		w.after(at, func() { c.crash(w.between(100*time.Millisecond, 5*time.Second)) })
+	case 2:
+		w.after(at, func() { c.haltIn(w.rng.IntN(6), w.between(500*time.Millisecond, 20*time.Second)) })
+	case 3:
+		w.after(at, func() { w.cutFromSiblings(c, w.between(time.Second, 10*time.Second)) })
+	case 4:
+		until := w.now + d + 16*time.Second
+		for _, m := range w.workers {
+			w.holdsUp[pair{c.host, m.host}] = until
+		}
+	}
+	w.cancelSome(1, d)
+}
+
+// checkBooks compares, on a leader, what shards hold and what runs with what is charged.
+func (w *world) checkBooks() {
+	l := w.newestLeader()
+	if l == nil {
+		return
+	}
+	l.checkShard(l.c.seat, l.local)
+	for id, k := range l.links {
+		if st := k.peer; !k.dead && st.c.up && st.c.seat == st && st.l == l {
+			l.checkShard(st, id)
+		}
+	}
+	l.checkCharges()
+	for _, m := range w.workers {
+		if w.now-m.leaseFrom > w.p.lease || m.dead {
+			continue // it holds nothing, or will find so
+		}
+		for k, a := range m.cells {
+			if a.on && !l.d.Charged(k.t, k.a, m.ID) {
+				w.fail("books", "task %v runs on %s in attempt %d, and counts against no limit", k.t, m.host, k.a)
+			}
+		}
+	}
+}
+
+// checkCharges looks for charges that dispatching would have refused: limits do not change on
+// these days, and what an earlier leader left was within them.
+func (l *lead) checkCharges() {
+	w := l.c.w
+	for team, st := range l.d.TeamStatus() {
+		if st.Used.CPU > st.Limit.CPU {
+			w.fail("books", "%d are charged to team %d, of %d", st.Used.CPU, team, st.Limit.CPU)
+		}
+	}
+	for id, u := range w.users {
+		if zones := l.d.HeldIn(id); u.spec.Together && len(zones) > 1 {
+			w.fail("books", "job %d, whose tasks stay together, is charged to zones %v", id, zones)
+		}
+	}
+}
+
+func (l *lead) checkShard(st *seat, id model.ShardID) {
+	st.s.Tasks(func(t model.Task) {
+		if !l.d.Holds(t, id) {
+			l.c.w.fail("books", "shard %d of %s holds task %v, which is not charged to it", id, st.c.host, t)
+		}
+	})
+}
+
+// newestLeader is the leader of the newest term that has read the store; nil if there is none.
+func (w *world) newestLeader() (newest *lead) {
+	for _, c := range w.ctls {
+		if l := c.lead; c.up && l != nil && l.loaded && c.el.Leading(c.now()) && (newest == nil || l.term > newest.term) {
+			newest = l
+		}
+	}
+	return newest
+}
+
+var pastLeases = map[string]meeting{
+	"a zone":   zoneHeldBack,
+	"machines": machinesUnreachable,
+}
+
+// TestRulesHoldAsMachinesReturnAfterTheirLeases plays days on which machines come back within
+// 2 to 20 s of their leases' ends, with what they had sent before.
+func TestRulesHoldAsMachinesReturnAfterTheirLeases(t *testing.T) {
+	t.Parallel()
+	for name, meet := range pastLeases {
+		for lease, p := range map[string]params{"short lease": almatyLike(), "long lease": longLease()} {
+			t.Run(name+"/"+lease, func(t *testing.T) {
+				t.Parallel()
+				p := atLimitAndBound(p)
+				p.meets = meet
+				held := 0
+				for seed := range seeds(6) {
+					t.Run(fmt.Sprint(seed), func(t *testing.T) {
+						held += play(t, 7000+seed, p).seen["reports are held back for longer than the lease"]
+					})
+				}
+				if held == 0 {
+					t.Error("never seen: reports that are held back for longer than the lease")
+				}
+			})
+		}
+	}
+}
--- a/internal/core/sim/looks_test.go
+++ b/internal/core/sim/looks_test.go
@@ -77,6 +77,9 @@
 		sp.Together, sp.Spread, sp.Zone = false, false, model.None
 		sp.Estimate = w.p.cancel + w.between(time.Second, w.p.cancel/4) // all tasks run for as long
 	}
+	if w.p.limited {
+		w.limited(sp)
+	}
 	if w.p.zoned {
 		sp.Spread, sp.Together, sp.Zone = false, sp.ID%3 == 0, model.None
 		if !sp.Together {
--- a/internal/core/sim/search_test.go
+++ b/internal/core/sim/search_test.go
@@ -12,6 +12,7 @@
 
 // boundary counts one; at the one that is searched the second trouble begins.
 func (w *world) boundary() {
+	w.acted = true
 	if w.search == 0 {
 		return
 	}
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -54,6 +54,8 @@
 	sharedAnswers               bool          // a broken guard: answers of before a question are given to it
 	unvetted                    bool          // a broken guard: shards don't know which jobs are open
 	noFloor                     bool          // a broken guard: no job is sure to begin
+	limited                     bool          // teams at their limits, jobs bound to zones
+	books                       bool          // what shards hold and what runs is compared with what is charged
 }
 
 type event struct {
@@ -114,6 +116,7 @@
 	zoneCut *zoneCut
 	teller  *ctl                          // who last told a user of a cancellation
 	room    map[model.JobID]time.Duration // since when a job waits beside room
+	acted   bool                          // a controller has sent, received or ticked since the last event
 	plans   plans
 	moved   map[model.Task]bool // by plans, and not seen at work since
 	// Of drain plans: tasks moved, machines given back.
@@ -364,6 +367,10 @@
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		e.f()
+		if w.p.books && w.acted {
+			w.acted = false
+			w.checkBooks()
+		}
 	}
 	if len(w.broken) == 0 && w.p.rest > known+70*time.Second {
 		w.checkKnown()
