node: decision log by job and machine, metrics of lapses and disagreements

The records of the incident have no line that names its jobs. Each change of a team's charges now has a reason (dealer.OnCharge), and with attempts found, tasks given, starts sent, ownership and leases it can be followed by job at debug; lapses, returns after them, refused reports and grants that begin or end are told at info. New counters: machines lapsed and returned, unexpected attempts, limits that held work back, reports of lapsed sessions. No decision changes.

--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -144,6 +144,9 @@
 	if m != nil && (m.gone || m.owner != from) {
 		return // the next owner will find it
 	}
+	if m != nil && d.accountedFor(m) {
+		d.stats.Unexpected++
+	}
 	if m != nil && known && !j.isDone(e.Task.No) && j.spec.Allows(&m.Machine) && d.adoptable(j, e.Task.No, m) {
 		if h, ok := j.held[e.Task.No]; ok {
 			delete(h.adrift.tasks, e.Task)
@@ -151,7 +154,7 @@
 			h.shard, h.adrift, h.zone = from, nil, m.Zone
 			j.held[e.Task.No] = h
 		} else {
-			d.hold(j, e.Task.No, m.Zone, from)
+			d.hold(j, e.Task.No, m.Zone, from, Adopted)
 		}
 		d.give(from, model.Deal{Task: e.Task, Spec: j.spec, Price: j.price, Zone: j.pin(m.Zone), Since: j.since,
 			Machine: e.Machine, Attempt: e.Attempt})
@@ -184,18 +187,21 @@
 
 func (d *Dealer) isHeld(j *job, no int32) bool { _, ok := j.held[no]; return ok }
 
-func (d *Dealer) hold(j *job, no int32, zone model.Name, shard model.ShardID) {
-	j.held[no] = hold{zone: zone, shard: shard}
+func (d *Dealer) hold(j *job, no int32, zone model.Name, shard model.ShardID, why ChargeReason) {
+	h := hold{zone: zone, shard: shard}
+	j.held[no] = h
 	d.usage[j.spec.Team] = d.usage[j.spec.Team].Add(j.spec.Each)
+	d.charged(j, no, h, why)
 }
 
-func (d *Dealer) release(j *job, no int32) {
+func (d *Dealer) release(j *job, no int32, why ChargeReason) {
 	if h, ok := j.held[no]; ok {
 		if h.adrift != nil {
 			j.adrift--
 		}
 		delete(j.held, no)
 		d.usage[j.spec.Team] = d.usage[j.spec.Team].Sub(j.spec.Each)
+		d.charged(j, no, h, why)
 	}
 }
 
@@ -203,7 +209,7 @@
 	j := d.jobs[e.Task.Job]
 	clear := clearing{from, e.Machine, e.Task, e.Attempt}
 	if j != nil && e.Held && d.holds(j, e.Task.No, from) {
-		d.release(j, e.Task.No)
+		d.release(j, e.Task.No, Completed)
 	}
 	if j == nil || j.ended || e.Task.No >= j.spec.Tasks {
 		if j != nil {
@@ -239,8 +245,8 @@
 }
 
 // freed takes the certainty that a held task is nowhere.
-func (d *Dealer) freed(j *job, no int32) {
-	d.release(j, no)
+func (d *Dealer) freed(j *job, no int32, why ChargeReason) {
+	d.release(j, no, why)
 	if j.ended {
 		d.forget(j)
 	} else if !j.isDone(no) {
@@ -249,7 +255,7 @@
 }
 
 func (d *Dealer) returned(now time.Duration, j *job, e model.Event) {
-	d.freed(j, e.Task.No)
+	d.freed(j, e.Task.No, Returned)
 	if e.Cause == model.CauseError {
 		d.failed(now, j, e.Machine)
 	}
--- /dev/null
+++ b/internal/core/dealer/charges.go
@@ -0,0 +1,70 @@
+package dealer
+
+import "honeylock/internal/core/model"
+
+// ChargeReason is why a task began or ceased to count against its team's limit.
+type ChargeReason uint8
+
+// Reasons to charge a task, then reasons to take a charge back.
+const (
+	Dispatched        ChargeReason = iota // given to a shard, under the limit
+	Adopted                               // found on a machine, under no check
+	Completed                             // it has completed
+	Returned                              // its shard told that it is nowhere
+	MachinesAccounted                     // each machine that it may have been on is accounted for
+)
+
+// String is the reason as the log has it.
+func (r ChargeReason) String() string {
+	return [...]string{"dispatched", "adopted", "completed", "returned by its shard", "machines accounted for"}[r]
+}
+
+// Charge is a change of what a team is charged for.
+type Charge struct {
+	Task   model.Task
+	Zone   model.Name // that the task is charged to; None: any
+	Shard  model.ShardID
+	Reason ChargeReason
+	Used   model.Resources // by the team, after the change
+	Limit  model.Resources // of the team
+}
+
+// OnCharge has f told of each change of what teams are charged for; nil ends that.
+func (d *Dealer) OnCharge(f func(Charge)) { d.onCharge = f }
+
+func (d *Dealer) charged(j *job, no int32, h hold, why ChargeReason) {
+	if d.onCharge == nil {
+		return
+	}
+	d.onCharge(Charge{
+		Task:   model.Task{Job: j.spec.ID, No: no},
+		Zone:   h.zone,
+		Shard:  h.shard,
+		Reason: why,
+		Used:   d.usage[j.spec.Team],
+		Limit:  d.p.Teams[j.spec.Team].Limit,
+	})
+}
+
+// Stats count what a term's dealer has seen; each is rare on a plain day.
+type Stats struct {
+	Lapsed     uint64 // machines whose lease was over
+	Returned   uint64 // machines that were heard of after that
+	Unexpected uint64 // attempts found on machines that were accounted for
+	Limited    uint64 // rounds in which a limit kept a job's tasks from being dispatched
+}
+
+// Stats are this term's counts.
+func (d *Dealer) Stats() Stats { return d.stats }
+
+// Lapsed tells whether a machine's lease is over and nothing was heard of it since.
+func (d *Dealer) Lapsed(id model.MachineID) bool {
+	m := d.machines[id]
+	return m != nil && m.lapsed
+}
+
+// accountedFor tells whether all that earlier owners left on a machine is known: whatever else
+// is found there is not expected.
+func (d *Dealer) accountedFor(m *machine) bool {
+	return m.fenced && !d.suspects[m.ID] && len(m.groups) == 0
+}
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -162,7 +162,11 @@
 	d.ranked(now, jobs)
 	exposure := d.exposure()
 	for _, j := range jobs {
-		n := min(int64(d.undealt(now, j)), j.spec.Each.Count(d.headroom(j.spec.Team, exposure)))
+		n := int64(d.undealt(now, j))
+		if allowed := j.spec.Each.Count(d.headroom(j.spec.Team, exposure)); allowed < n {
+			d.stats.Limited++
+			n = allowed
+		}
 		if n <= 0 {
 			continue
 		}
@@ -373,7 +377,7 @@
 	if !ok {
 		return false
 	}
-	d.hold(j, no, zone, to)
+	d.hold(j, no, zone, to, Dispatched)
 	d.give(to, model.Deal{Task: model.Task{Job: j.spec.ID, No: no}, Spec: j.spec, Price: j.price, Zone: zone,
 		Since: j.since, Again: again && d.p.Tell})
 	return true
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -78,6 +78,8 @@
 	countedAt  time.Duration
 	starvation *starvation.Detector
 	watched    time.Duration
+	onCharge   func(Charge)
+	stats      Stats
 }
 
 // New returns a dealer for a term that begins now. No shard of an earlier term
@@ -258,6 +260,9 @@
 	case model.Lapsed:
 		if owner && e.Token == m.token {
 			d.resolve(m)
+			if !m.lapsed {
+				d.stats.Lapsed++
+			}
 			m.lapsed = true
 			d.block(m.ID).dirty = true
 			d.Use(m.ID, false)
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -114,7 +114,7 @@
 	slices.SortFunc(tasks, model.Task.Compare)
 	for _, t := range tasks {
 		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
-			d.freed(j, t.No)
+			d.freed(j, t.No, MachinesAccounted)
 			if d.p.Tell {
 				d.freedNow = append(d.freedNow, t)
 			}
@@ -340,6 +340,7 @@
 		return
 	}
 	m.lapsed = false
+	d.stats.Returned++
 	if !m.recorded {
 		d.block(m.ID).dirty = true
 	}
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -10,6 +10,7 @@
 type Stats struct {
 	Placed, Evicted, Demoted, Lost, Refused, Errors uint64
 	Looked                                          uint64 // machines looked at for waiting tasks
+	OfLapsed                                        uint64 // reports refused: their session's lease is over
 }
 
 // Status summarises the machines whose summary has changed since it was last
--- a/internal/node/dealing.go
+++ b/internal/node/dealing.go
@@ -88,6 +88,7 @@
 			return
 		}
 		for i := range orders {
+			p.l.logOrder(&orders[i])
 			if o := &orders[i]; o.To == p.l.local {
 				s.Order(now, *o)
 				p.l.n.owned(o)
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -99,6 +99,7 @@
 		Ahead: n.set.DealAhead, SureLease: c.SureLease(), Crowd: crowd(c),
 		Begin: n.set.BeginWithin,
 		Tell:  len(n.set.Budgets) > 0}, now+max(n.ttl, config.Promise)+time.Second)
+	l.logCharges()
 	if len(n.cfg.Siblings) == 0 {
 		l.d.EveryoneHere(now)
 	}
@@ -304,6 +305,7 @@
 
 // hear takes an event of a shard.
 func (l *leadership) hear(now time.Duration, from model.ShardID, e model.Event) {
+	l.logEvent(from, &e)
 	l.drains.hear(now, &e)
 	l.d.Event(now, from, e)
 }
--- a/internal/node/loading.go
+++ b/internal/node/loading.go
@@ -115,7 +115,8 @@
 		}
 		p.rev, p.orphans = rev, orphans
 		p.seen(now, asked)
-		n.log.Info("store read", "term", p.l.term, "open", len(open), "machines", machines)
+		n.log.Info("store read", "term", p.l.term, "revision", rev,
+			"asked_ago", now-asked, "open", len(open), "machines", machines)
 		return nil
 	}, nil
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"honeylock/internal/core/budget"
+	"honeylock/internal/core/dealer"
 )
 
 // Register adds the controller's metrics to a registry.
@@ -123,6 +124,22 @@
 	reg.MustRegister(newStarvationMetrics(n))
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
+	term := func(f func(s dealer.Stats) uint64) func() uint64 {
+		return func() uint64 {
+			if n.lead == nil {
+				return 0
+			}
+			return f(n.lead.d.Stats())
+		}
+	}
+	counter("machines_lapsed", "Machines whose lease was over, in this controller's present term.",
+		term(func(s dealer.Stats) uint64 { return s.Lapsed }))
+	counter("machines_returned", "Machines heard of again after their lease was over, in this controller's present term.",
+		term(func(s dealer.Stats) uint64 { return s.Returned }))
+	counter("attempts_unexpected", "Attempts found on machines that were accounted for, in this controller's present term.",
+		term(func(s dealer.Stats) uint64 { return s.Unexpected }))
+	counter("dispatch_limited", "Times that a team's limit kept a job's tasks waiting, in this controller's present term.",
+		term(func(s dealer.Stats) uint64 { return s.Limited }))
 	stat := func(f func() uint64) func() uint64 {
 		return func() uint64 {
 			if n.seat == nil {
@@ -131,6 +148,8 @@
 			return f()
 		}
 	}
+	counter("reports_lapsed", "Reports refused by this controller's present shard because their session's lease is over.",
+		stat(func() uint64 { return n.seat.s.Stats.OfLapsed }))
 	counter("tasks_placed", "Tasks placed on machines by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Placed }))
 	counter("tasks_evicted", "Tasks evicted for higher-priced ones by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Evicted }))
 	counter("tasks_demoted", "Demotions by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Demoted }))
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -89,6 +89,7 @@
 		return a, "", false
 	}
 	s := n.seat.s
+	refused := s.Stats.OfLapsed
 	ok := s.Report(now, r)
 	if !ok && n.lead != nil { // the dealer is at hand: it may be ours by now
 		n.lead.deals.exchange(now)
@@ -97,7 +98,11 @@
 	if ok {
 		s.PlaceOn(now, r.Machine.ID)
 		a = s.Answer(now, r)
+		n.logStarts(r.Machine.ID, a.Token, r.Session, a.Commands, false)
 	} else {
+		if s.Stats.OfLapsed > refused {
+			n.logRefused(r)
+		}
 		keeper = s.Moved(r.Machine.ID)
 		n.tell(now) // at once: the worker waits for its owner
 	}
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -34,10 +34,12 @@
 	ticked time.Duration
 	dirty  bool
 	asked  map[uint64]time.Duration
-	seq    uint64
-	askAt  time.Duration
-	number uint64 // of the newest grant
-	toldTo int    // of the cancellations that users were told of here: what the leader has
+	// granted: the shard may act, as last told in the log.
+	granted bool
+	seq     uint64
+	askAt   time.Duration
+	number  uint64 // of the newest grant
+	toldTo  int    // of the cancellations that users were told of here: what the leader has
 }
 
 func (n *Node) newSeat(attempts uint64) *seat {
@@ -116,6 +118,7 @@
 	st := n.seat
 	st.s.Flush(now, n.health.atOnce(now, maxDirect))
 	for _, d := range st.s.Directs() {
+		n.logStarts(d.Machine, d.Token, d.Session, d.Commands, true)
 		go n.direct(st, d)
 	}
 }
@@ -153,6 +156,7 @@
 		return
 	}
 	st.ticked = now
+	n.logGrant(now, st)
 	st.s.Tick(now)
 	n.flush(now)
 	n.tell(now)
