shard: a lapse ends a session for good, and needs a new token

Cause: what the network holds back is as old as its sending, yet a report was new if only its number was the next one. After a lapse its tasks were found again, though the dispatcher had taken them for free and given some elsewhere.

Change: the shard notes the session that ended with a lapse and refuses its reports (no sign of life, nothing found, 421), and the worker must be fenced again under a token that was not given out before the lapse; that covers a worker whose session was not known. A worker that begins its numbers anew is still taken on the answer to a question.

--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -56,7 +56,7 @@
 		if len(cmds) == 0 && m.fenced && !m.probe {
 			continue
 		}
-		m.probe = false
+		m.probe, m.tokenSent = false, true
 		s.directID++
 		d := Direct{ID: s.directID, Machine: m.ID, Addr: m.Addr, Token: m.token, Session: max(1, m.session), Commands: cmds, Until: s.until}
 		var launched []*slot
--- a/internal/core/shard/hears.go
+++ b/internal/core/shard/hears.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"math"
 	"time"
 
 	"honeylock/internal/core/model"
@@ -134,7 +133,6 @@
 			sl.doubt, sl.sentSeq = max(sl.doubt, m.token), 0
 		}
 	}
-	m.fenced, m.first, m.refence = false, math.MaxUint64, true
 	m.session, m.seq, m.reported = r.Session, r.Seq, 0
-	s.askToken(m)
+	s.fenceAnew(m)
 }
--- a/internal/core/shard/lapse_test.go
+++ b/internal/core/shard/lapse_test.go
@@ -47,6 +47,82 @@
 	}
 }
 
+// A shard that had not fenced a worker before its lapse knows none of its sessions. A report
+// that bears the token given out before the lapse may be as old as that.
+func TestAWorkerIsFencedUnderANewTokenAfterALapse(t *testing.T) {
+	for name, fenced := range map[string]bool{"fenced before": true, "answered only": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.own(1, 5, 8)
+			r.report(1, 0)
+			if fenced {
+				r.report(1, 5)
+			}
+			r.lapse(1)
+			if len(r.s.Events()) != 0 || !r.s.machines[1].needToken {
+				t.Fatal("no new token was asked for with the lapse")
+			}
+			r.own(1, 9, 8)
+			late := r.old(1, 2, 50, 5, cell(1, 0, 77, model.Running, 0))
+			r.s.Report(r.now, late)
+			r.s.Answer(r.now, late)
+			for _, e := range r.s.Events() {
+				if e.Kind == model.Found || e.Kind == model.Fenced {
+					t.Errorf("event %d came of a report under a token of before the lapse", e.Kind)
+				}
+			}
+			r.s.Report(r.now, r.old(1, 2, 51, 9))
+			if e := r.events(model.Fenced); len(e) != 1 {
+				t.Error("not fenced by the token that was given since")
+			}
+		})
+	}
+}
+
+// A machine that stays silent is told to have lapsed every few seconds; it costs one token.
+func TestALapseThatIsToldAgainAsksForNoToken(t *testing.T) {
+	r := newRig(t)
+	r.runsOne()
+	r.lapse(1)
+	r.own(1, 9, 8)
+	for range 3 {
+		r.now += 6 * time.Second
+		r.s.Tick(r.now)
+		r.s.Order(r.now, model.Order{Kind: model.Lapse, ID: 1})
+		for _, e := range r.s.Events() {
+			if e.Kind == model.NeedToken {
+				t.Fatal("a token was asked for again")
+			}
+		}
+	}
+}
+
+// A worker whose numbers begin anew after a lapse is below the session that ended. The answer
+// to a question shows it to be new, by the token that it was asked under.
+func TestAWorkerThatBeginsItsNumbersAnewAfterALapse(t *testing.T) {
+	r := newRig(t)
+	r.own(1, 5, 8)
+	r.report(1, 5)
+	r.s.machines[1].session = 3 // it had begun its numbers long ago
+	r.lapse(1)
+	r.own(1, 9, 8)
+	for range 2 { // the first question finds its session out
+		r.now += overtakenFor
+		if r.s.Report(r.now, r.old(1, 1, 1, 0)) {
+			t.Fatal("answered before it is known to be no copy")
+		}
+		r.ask(func(d Direct) (*model.Report, bool) {
+			if d.Session != 1 {
+				return r.old(1, 1, 2, 0), false
+			}
+			return r.old(1, 1, 3, d.Token), true
+		})
+	}
+	if !r.s.machines[1].fenced || !r.s.Report(r.now, r.old(1, 1, 4, 9)) {
+		t.Fatal("not taken on proof")
+	}
+}
+
 // A task that was adopted where it ran was never checked against its team's limit and its
 // job's zones. Lost, it goes back to the dispatcher, which checks both.
 func TestALostAdoptedTaskGoesBackToTheDispatcher(t *testing.T) {
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -178,6 +178,11 @@
 		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
 		return false
 	}
+	if m.ofLapsedSession(r) {
+		s.Stats.OfLapsed++
+		s.stale(now, m)
+		return false
+	}
 	if s.mute(now, m) {
 		s.askMute(m, r)
 		return false
@@ -202,7 +207,7 @@
 	if m == nil || !s.Granted(now) {
 		return Answer{}
 	}
-	m.answered, m.spoke = now, true
+	m.answered, m.spoke, m.tokenSent = now, true, true
 	if !m.fenced && m.offered == 0 {
 		m.offered, m.vain = now, false
 	}
@@ -279,7 +284,7 @@
 		s.absent(now, sl, r, isReport)
 	}
 	if !m.fenced {
-		m.fenced = true
+		m.fenced, m.endedSession = true, 0
 		s.mayLast(now, m)
 		s.hears(m)
 		s.replan = true
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -32,6 +32,8 @@
 	low            float64 // the lowest price that runs here
 	priced         bool    // low holds: nothing has changed since
 	session, seq   uint64
+	endedSession   uint64        // it, and those before, ended with a lapse; 0: none has since the worker was fenced
+	tokenSent      bool          // the worker was sent its token
 	reported       uint64        // of session: the newest report, answers to direct commands left out
 	asked          time.Duration // the last answer to a direct command came
 	askStale       time.Duration // not to be asked before because of reports that are not new
@@ -240,8 +242,7 @@
 		// Only the dealer knows that nobody else has answered the worker; only
 		// this shard, that it has not answered it since it said so.
 		if m := s.machines[o.ID]; m != nil && m.silent {
-			s.loseAll(now, m)
-			s.emit(model.Event{Kind: model.Lapsed, Machine: m.ID, Token: m.token})
+			s.lapse(now, m)
 		}
 	}
 }
@@ -332,7 +333,9 @@
 	s.replan = s.replan || !m.fenced || m.Machine != o.Machine || m.usable != o.Usable || m.needToken
 	m.anew = m.anew || m.Machine != o.Machine
 	m.Machine = o.Machine
-	m.token = max(m.token, o.Token)
+	if o.Token > m.token {
+		m.token, m.tokenSent = o.Token, false
+	}
 	m.needToken = false
 	if m.refence {
 		m.refence, m.first, m.offered = false, o.Token, 0
