shard, dealer: what was adopted is dispatched anew once it is lost

Cause: an adoption charges a task where it runs, and looks at neither its team's limit nor its job's zones. That holds while it runs; lost, its shard started it again under that charge. The same for an attempt that was gone by the time that the order to adopt it arrived.

Change: a lost adopted task goes back to the dispatcher (Gone), as does one whose attempt is nowhere when it is to be adopted; and the dispatcher adopts a task that nobody holds only on a machine that is not accounted for yet.

--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -165,10 +165,15 @@
 	d.order(from, model.Order{Kind: model.KillIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
 }
 
-// adoptable: nobody holds the task, or it was adrift and may be there.
+// adoptable: the task was adrift and may be there, or nobody holds it and what earlier owners
+// left on the machine is not known yet. Later than that it may have been dispatched elsewhere,
+// and been taken back: to adopt it would pass by its team's limit and its job's zones.
 func (d *Dealer) adoptable(j *job, no int32, m *machine) bool {
 	h, ok := j.held[no]
-	return !ok || h.adrift != nil && h.adrift.machines[m.ID]
+	if !ok {
+		return !d.accountedFor(m)
+	}
+	return h.adrift != nil && h.adrift.machines[m.ID]
 }
 
 func (d *Dealer) give(to model.ShardID, deal model.Deal) {
--- a/internal/core/shard/lapse_test.go
+++ b/internal/core/shard/lapse_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// An attempt that is gone by the time that it is given to be adopted was not checked either.
+func TestATaskAdoptedTooLateGoesBackToTheDispatcher(t *testing.T) {
+	for name, lose := range map[string]func(*rig){
+		"its machine lapsed": func(r *rig) { r.lapse(1) },
+		"it has exited":      func(r *rig) { r.report(1, 5, cell(1, 0, 77, model.Exited, model.CauseStopped)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.own(1, 5, 8)
+			r.own(2, 6, 8)
+			r.report(1, 5, cell(1, 0, 77, model.Running, 0))
+			r.report(2, 6)
+			lose(r)
+			r.s.Events()
+			r.adopt(1, 77)
+			if e := r.events(model.Gone); len(e) != 1 || r.s.Waiting() != 0 {
+				t.Errorf("events %+v, %d tasks wait here; want it told to be gone", e, r.s.Waiting())
+			}
+		})
+	}
+}
+
 // lapseUnchecked is lapse for a caller that looks at the events itself.
 func (r *rig) lapseUnchecked(id model.MachineID) {
 	r.now += lease + time.Second
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -40,7 +40,7 @@
 	hardAt   time.Duration // a saving task is ended then
 	clear    bool
 	alien    bool          // found, and not adopted
-	adopted  bool          // it ran before this shard saw it
+	adopted  bool          // it ran before this shard saw it, and was charged unchecked
 	fetches  bool          // of a rehearsal: its machine had not its image
 	runSince time.Duration // first seen running
 }
@@ -117,7 +117,9 @@
 	}
 	sl.t = nil
 	sl.m.priced = false
-	if t.recalled || c == model.CauseError || c == model.CauseUnknown {
+	// An adopted task was charged where it ran, whatever its team's limit and its job's zones
+	// said. To start it again is for the dispatcher to allow, which checks both.
+	if t.recalled || sl.adopted || c == model.CauseError || c == model.CauseUnknown {
 		s.release(t, c) // it still tells where it was
 		return
 	}
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -370,7 +370,9 @@
 			m.images[d.Spec.Image] = true
 			return
 		}
-		// It has exited since it was found.
+		// It is nowhere since it was found. It was charged to be adopted, not to be started.
+		s.release(t, model.CauseStopped)
+		return
 	}
 	s.enqueue(now, t)
 }
