shard, dealer: one documented type for a worker that does not answer

Names in metrics and logs stay. No behaviour changes: tests of shard, dealer, drain, fleet and node are green.

--- a/internal/core/dealer/door_test.go
+++ b/internal/core/dealer/crowded_test.go
@@ -89,11 +89,11 @@
 	r.machine(0, 2, a)
 	r.d.Event(time.Second, a, model.Event{Kind: model.Unanswered, Machine: 1})
 	r.d.Event(time.Second, a, model.Event{Kind: model.Unanswered, Machine: 2, Held: true})
-	if got := r.d.Deaf(); len(got) != 1 || got[0] != 2 {
+	if got := r.d.Unreachable(); len(got) != 1 || got[0] != 2 {
 		t.Errorf("deaf: %v, want machine 2", got)
 	}
 	r.d.Event(2*time.Second, a, model.Event{Kind: model.Heard, Machine: 2})
-	if got := r.d.Deaf(); len(got) != 0 {
+	if got := r.d.Unreachable(); len(got) != 0 {
 		t.Errorf("deaf: %v after it was heard", got)
 	}
 }
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -239,19 +239,19 @@
 		d.unowned(now, from, &e)
 	case model.Fenced:
 		if owner {
-			d.alive(m)
-			m.fenced, m.unheard = true, 0
+			d.heardAgain(m)
+			m.fenced, m.unfencedOwners = true, 0
 			d.resolve(m)
 		}
 	case model.Heard:
 		if owner {
-			d.alive(m)
+			d.heardAgain(m)
 		}
 	case model.Silent:
 		if !owner || e.Token != m.token {
 			return
 		}
-		m.silent = true
+		m.leaseExpired = true
 		// Nobody else may answer it, unless a lost shard still did. The shard
 		// must confirm after that: it may have answered meanwhile.
 		if now > m.authority+d.p.SureLease {
@@ -278,7 +278,7 @@
 		}
 	case model.Unanswered:
 		if owner {
-			m.unanswered, m.deaf = true, e.Held
+			m.unanswered, m.unreachable = true, e.Held
 		}
 	case model.Kept:
 		if owner {
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -22,9 +22,9 @@
 	token    uint64
 	recorded bool // surely in a block's record
 	// recordedIn is the layout of the block that it is recorded in.
-	recordedIn uint64
-	stored     bool // perhaps in it
-	silent     bool
+	recordedIn   uint64
+	stored       bool // perhaps in it
+	leaseExpired bool // its owner has not answered it for a whole lease
 	// lapsed: nothing is there, and nothing goes there: it leaves the record,
 	// so that a later leader need not look for it.
 	lapsed    bool
@@ -35,20 +35,20 @@
 	releasing bool          // the owner was asked to let go
 	// authority is when the last shard that was lost as its owner could
 	// answer it for the last time.
-	authority  time.Duration
-	lost       time.Duration // authority of this term's lost shards alone
-	groups     []*adrift
-	unanswered bool                // a direct command to its worker was not answered
-	deaf       bool                // ... nor has it reported, while others of its zone do
-	orphaned   time.Duration       // seen without an owner since, 0: it has one
-	status     model.MachineStatus // as its owner last told
-	told       model.ShardID       // the owner that told it, 0: none has
-	avail      model.Resources     // of status, less what was dealt since
-	fenced     bool                // by its present owner
-	unheard    int                 // owners in succession that let go without having fenced it
-	ownedAt    time.Duration       // its owner was told
-	movedTo    model.ShardID       // its worker was told to report there
-	movedAt    time.Duration
+	authority      time.Duration
+	lost           time.Duration // authority of this term's lost shards alone
+	groups         []*adrift
+	unanswered     bool                // a direct command to its worker was not answered
+	unreachable    bool                // ... nor has it reported, while others of its zone do
+	orphaned       time.Duration       // seen without an owner since, 0: it has one
+	status         model.MachineStatus // as its owner last told
+	told           model.ShardID       // the owner that told it, 0: none has
+	avail          model.Resources     // of status, less what was dealt since
+	fenced         bool                // by its present owner
+	unfencedOwners int                 // owners in succession that let go without having fenced it
+	ownedAt        time.Duration       // its owner was told
+	movedTo        model.ShardID       // its worker was told to report there
+	movedAt        time.Duration
 }
 
 // alien is an attempt that must go; it runs unaccounted until it has.
@@ -74,7 +74,7 @@
 			delete(d.heldBack, m.ID)
 			m.lost = max(m.lost, end)
 			m.authority = max(m.authority, end)
-			m.silent = false
+			m.leaseExpired = false
 			if m.gone {
 				continue // nothing is there, and it will be forgotten before it could be accounted for
 			}
@@ -241,7 +241,7 @@
 func (d *Dealer) own(m *machine, to model.ShardID) {
 	if m.owner != to {
 		m.ownedAt = d.now
-		m.silent, m.deaf, m.told, m.fenced = false, false, 0, false
+		m.leaseExpired, m.unreachable, m.told, m.fenced = false, false, 0, false
 		if d.owns != nil {
 			d.owns[m.owner]--
 			d.owns[to]++
@@ -293,11 +293,11 @@
 	return true
 }
 
-// Deaf are the machines whose workers neither report nor answer though others of
+// Unreachable are the machines whose workers neither report nor answer though others of
 // their zone do.
-func (d *Dealer) Deaf() (out []model.MachineID) {
+func (d *Dealer) Unreachable() (out []model.MachineID) {
 	for _, m := range d.byID {
-		if m.deaf && m.owner != 0 && !m.gone {
+		if m.unreachable && m.owner != 0 && !m.gone {
 			out = append(out, m.ID)
 		}
 	}
@@ -317,10 +317,10 @@
 // HasMachines tells whether there is any machine.
 func (d *Dealer) HasMachines() bool { return len(d.machines) > 0 }
 
-// Silent tells whether no shard has answered a machine for its whole lease.
-func (d *Dealer) Silent(id model.MachineID) bool {
+// LeaseExpired tells whether no shard has answered a machine for its whole lease.
+func (d *Dealer) LeaseExpired(id model.MachineID) bool {
 	m := d.machines[id]
-	return m == nil || m.silent || m.gone || m.owner == 0
+	return m == nil || m.leaseExpired || m.gone || m.owner == 0
 }
 
 // Use lets tasks be placed on a machine, or not.
@@ -333,9 +333,9 @@
 // usable: a machine gets tasks only while its record is stored for sure.
 func (m *machine) usable() bool { return m.recorded && !m.lapsed && !m.barred && m.Cap.CPU > 0 }
 
-// alive takes the news that a machine's worker reports.
-func (d *Dealer) alive(m *machine) {
-	m.silent, m.deaf = false, false
+// heardAgain takes the news that a machine's worker reports.
+func (d *Dealer) heardAgain(m *machine) {
+	m.leaseExpired, m.unreachable = false, false
 	if !m.lapsed {
 		return
 	}
--- a/internal/core/dealer/hears.go
+++ b/internal/core/dealer/reachability.go
@@ -14,17 +14,17 @@
 // been shown to hear, by an answer on a connection that they opened; its lease runs from
 // the last answer that may have arrived.
 const (
-	unheardEnough = 2
+	unfencedOwnersEnough = 2
 	// proveTurn is for how long such an owner asks before another one may try.
 	proveTurn = 5 * time.Second
 )
 
-func (m *machine) toProve() bool { return m.unheard >= unheardEnough }
+func (m *machine) toProve() bool { return m.unfencedOwners >= unfencedOwnersEnough }
 
 // letGo notes what its owner told when it let go of a machine.
 func (m *machine) letGo(now time.Duration, e *model.Event) {
 	if !m.fenced {
-		m.unheard++
+		m.unfencedOwners++
 	}
 	if !e.Held {
 		// It was answered until now at the latest.
@@ -69,9 +69,9 @@
 	}
 }
 
-// Unheard counts the machines that have shown no owner that they hear, two in succession
+// Unverified counts the machines that have shown no owner that they receive, two in succession
 // or more.
-func (d *Dealer) Unheard() (n int) {
+func (d *Dealer) Unverified() (n int) {
 	for _, m := range d.byID {
 		if m.toProve() && !m.fenced && !m.gone {
 			n++
--- a/internal/core/dealer/spread.go
+++ b/internal/core/dealer/spread.go
@@ -54,7 +54,7 @@
 	}
 	move := max(1, (owns[most.id]-owns[least.id])/20)
 	for _, m := range d.byID {
-		if m.owner != most.id || m.releasing || m.silent || m.gone || now < d.shunned[reach{m.Zone, least.host}] {
+		if m.owner != most.id || m.releasing || m.leaseExpired || m.gone || now < d.shunned[reach{m.Zone, least.host}] {
 			continue
 		}
 		m.releasing, m.movedTo, m.movedAt = true, least.id, now
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -43,12 +43,12 @@
 		if len(s.pending) >= most {
 			return // a thousand at once would all be late
 		}
-		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.silent && !m.probe ||
+		if !m.wake || m.inFlight > 0 || m.Addr == "" || now < m.quietUntil || m.leaseExpired && !m.probe ||
 			!m.fenced && now < m.patient {
 			continue
 		}
-		asks := m.dumb || s.mute(now, m)
-		if asks && s.asking >= max(1, most/askPart) {
+		asks := m.inboundLost || s.unverified(now, m)
+		if asks && s.asking >= max(1, most/questionPart) {
 			continue
 		}
 		m.wake = false
@@ -97,8 +97,8 @@
 	m.inFlight--
 	if r == nil {
 		m.quietUntil = now + s.pause(now, m)
-		m.vain = m.vain || m.offered != 0
-		s.unheard(now, m)
+		m.questionFailed = m.questionFailed || m.tokenOffered != 0
+		s.directFailed(now, m)
 		return
 	}
 	if !executed && r.Token <= m.token && !m.fenced {
@@ -111,11 +111,11 @@
 		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
 		return
 	}
-	if m.deaf || m.silent && s.mute(now, m) {
-		s.heard(m)
+	if m.unreachable || m.leaseExpired && s.unverified(now, m) {
+		s.signOfLife(m)
 	}
-	s.hears(m)
-	m.asked = now
+	s.receives(m)
+	m.directAnswered = now
 	switch {
 	case !s.Granted(now):
 	case !m.fenced:
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -15,7 +15,7 @@
 const mostAttempts = 400
 
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && len(m.slots) < mostAttempts && !m.silent && !m.dumb && m.noticeAt == 0 &&
+	return m.fenced && m.usable && len(m.slots) < mostAttempts && !m.leaseExpired && !m.inboundLost && m.noticeAt == 0 &&
 		now >= m.faultyUntil &&
 		now >= m.refusedUntil && !m.needToken && !s.quiet(now, m)
 }
--- a/internal/core/shard/hears_test.go
+++ b/internal/core/shard/reachability_test.go
@@ -118,12 +118,12 @@
 		t.Fatal("not told to be silent")
 	}
 	// It hears again: a question is answered, and so are its reports.
-	r.now += longestAsk
+	r.now += longestQuestionPause
 	r.s.Report(r.now, r.old(1, 7, 1000, 0))
 	if n := r.ask(func(d Direct) (*model.Report, bool) { return r.old(1, 7, 1001, d.Token), true }); n != 1 {
 		t.Fatalf("%d questions, want one", n)
 	}
-	if !r.s.Report(r.now, r.old(1, 7, 1002, 5)) || r.s.machines[1].silent {
+	if !r.s.Report(r.now, r.old(1, 7, 1002, 5)) || r.s.machines[1].leaseExpired {
 		t.Fatal("not taken again on proof")
 	}
 }
@@ -146,7 +146,7 @@
 	if b := r.s.Status(r.now); len(b) != 1 || b[0].Ready || !b[0].Draining {
 		t.Fatalf("%+v, want it to count as no room", b)
 	}
-	r.now += longestAsk
+	r.now += longestQuestionPause
 	r.report(1, 5)
 	r.ask(func(d Direct) (*model.Report, bool) { r.seq++; return r.old(1, 1, r.seq, d.Token), true })
 	r.s.Tick(r.now)
@@ -162,7 +162,7 @@
 	r.report(1, 5)
 	r.now += time.Second
 	r.report(1, 5)
-	if !r.s.Report(r.now+time.Second, r.old(1, 2, 1, 5)) || !r.s.machines[1].dumb {
+	if !r.s.Report(r.now+time.Second, r.old(1, 2, 1, 5)) || !r.s.machines[1].inboundLost {
 		t.Fatal("its next session counts as if it heard")
 	}
 }
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -1,159 +1,15 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
 	"honeylock/internal/core/model"
 )
 
-type key struct {
-	task    model.Task
-	attempt uint64
-}
-
-type slotState uint8
-
-const (
-	starting slotState = iota // not seen on the worker yet
-	live
-	exited // seen exited, not cleared yet
-)
-
-// slot is an attempt that is, or may be, on a machine.
-type slot struct {
-	key
-	m        *machine
-	at       int    // in its job's list
-	seen     uint64 // the take that last showed it
-	t        *task  // nil: an attempt that nobody here holds
-	each     model.Resources
-	state    slotState
-	stage    model.Stage
-	sent     bool
-	sentSeq  uint64 // the report in whose answer the launch last went out
-	direct   int    // direct commands in flight that carry the launch
-	doubt    uint64 // token of the newest direct launch: it may arrive once more
-	unsure   bool   // one went unanswered
-	stop     bool
-	grace    time.Duration
-	hardAt   time.Duration // a saving task is ended then
-	clear    bool
-	alien    bool          // found, and not adopted
-	adopted  bool          // it ran before this shard saw it, and was charged unchecked
-	fetches  bool          // of a rehearsal: its machine had not its image
-	runSince time.Duration // first seen running
-}
-
-// ran is how long the attempt has been seen running.
-func (sl *slot) ran(now time.Duration) time.Duration {
-	if sl.runSince == 0 {
-		return 0
-	}
-	return now - sl.runSince
-}
-
-// graceOf is the time that a task gets to save, with some room for timers.
-func graceOf(sp *model.Spec) time.Duration {
-	if sp == nil || sp.Checkpoint == 0 {
-		return 0
-	}
-	return sp.Save + sp.Save/10 + 100*time.Millisecond
-}
-
 // tellsItself is how long a worker that has got a higher token may take to report
 // it: it sends no more than a report each half second.
 const tellsItself = 700 * time.Millisecond
 
-func (s *Shard) stop(now time.Duration, sl *slot, grace time.Duration) {
-	if sl.state == exited || sl.stop && grace >= sl.grace {
-		return
-	}
-	if !sl.sent {
-		// Never on its way: it is nowhere.
-		s.drop(now, sl)
-		s.landed(now, sl, model.CauseStopped)
-		return
-	}
-	if s.rehearsal != nil {
-		s.rehearsal.stopped = append(s.rehearsal.stopped, sl)
-	}
-	sl.stop, sl.grace = true, grace
-	sl.m.priced = false
-	sl.hardAt = now + grace + s.p.Report + 2*time.Second
-	sl.m.wake = true
-}
-
-// drop removes a slot from its machine's books.
-func (s *Shard) drop(now time.Duration, sl *slot) {
-	m := sl.m
-	if sl.state != exited {
-		s.free(sl)
-	}
-	s.cut(sl)
-	m.leveled = 0
-}
-
-// free gives an attempt's room back to its machine.
-func (s *Shard) free(sl *slot) {
-	m := sl.m
-	m.used = m.used.Sub(sl.each)
-	m.leveled = 0
-	if !m.roomier {
-		m.roomier = true
-		s.roomier = append(s.roomier, m)
-	}
-}
-
-// landed settles the task of an attempt that is surely not on a machine.
-func (s *Shard) landed(now time.Duration, sl *slot, c model.Cause) {
-	t := sl.t
-	if t == nil || t.slot != sl {
-		s.alienGone(sl)
-		return
-	}
-	if c == model.CauseStopped {
-		s.idled(now, sl, c)
-	}
-	sl.t = nil
-	sl.m.priced = false
-	// An adopted task was charged where it ran, whatever its team's limit and its job's zones
-	// said. To start it again is for the dispatcher to allow, which checks both.
-	if t.recalled || sl.adopted || c == model.CauseError || c == model.CauseUnknown {
-		s.release(t, c) // it still tells where it was
-		return
-	}
-	s.enqueue(now, t)
-}
-
-// idled tells the dealer that a task which ran is out of work.
-func (s *Shard) idled(now time.Duration, sl *slot, c model.Cause) {
-	t := sl.t
-	if !s.tells || t == nil || t.told || sl.runSince == 0 {
-		return
-	}
-	t.told = true
-	s.emit(model.Event{Kind: model.Idled, Machine: sl.m.ID, Task: t.Task, Cause: c, Held: t.recalled, Ran: loss(now, sl)})
-}
-
-func (s *Shard) alienGone(sl *slot) {
-	if sl.alien {
-		sl.alien = false
-		s.emit(model.Event{Kind: model.AlienGone, Task: sl.task, Attempt: sl.attempt})
-	}
-}
-
-func (s *Shard) loseAll(now time.Duration, m *machine) {
-	for _, sl := range slices.Clone(m.slots) {
-		s.drop(now, sl)
-		if sl.t != nil {
-			s.Stats.Lost++
-			s.idled(now, sl, model.CauseOther)
-		}
-		s.landed(now, sl, model.CauseStopped)
-	}
-}
-
 // Answer to a report.
 type Answer struct {
 	OK       bool // false: not entitled
@@ -185,8 +41,8 @@
 		s.stale(now, m)
 		return false
 	}
-	if s.mute(now, m) {
-		s.askMute(m, r)
+	if s.unverified(now, m) {
+		s.questionUnverified(m, r)
 		return false
 	}
 	if !s.fresh(now, m, r) {
@@ -210,10 +66,10 @@
 		return Answer{}
 	}
 	m.answered, m.spoke, m.tokenSent = now, true, true
-	if !m.fenced && m.offered == 0 {
-		m.offered, m.vain = now, false
+	if !m.fenced && m.tokenOffered == 0 {
+		m.tokenOffered, m.questionFailed = now, false
 	}
-	s.heard(m)
+	s.signOfLife(m)
 	cmds := append(s.vet(m, r), s.commands(now, m, r.Seq, false)...)
 	// A worker that is not fenced yet has the token with this answer, and mostly
 	// reports that by itself: only if it does not, it is told directly as well.
@@ -247,7 +103,7 @@
 func (s *Shard) take(now time.Duration, m *machine, r *model.Report, isReport bool) {
 	if r.Session > m.session && m.session != 0 && m.fenced {
 		// The worker has killed and forgotten all of its earlier session.
-		s.deafSession(now, m)
+		s.endedDespiteAnswers(now, m)
 		s.loseAll(now, m)
 		s.mayLast(now, m)
 	}
@@ -288,7 +144,7 @@
 	if !m.fenced {
 		m.fenced, m.endedSession = true, 0
 		s.mayLast(now, m)
-		s.hears(m)
+		s.receives(m)
 		s.replan = true
 		s.emit(model.Event{Kind: model.Fenced, Machine: m.ID})
 	}
@@ -311,7 +167,7 @@
 	}
 	sl.stage = c.Stage
 	if sl.state == starting {
-		s.hears(m)
+		s.receives(m)
 	}
 	if c.Stage != model.Exited {
 		sl.state = live
@@ -375,7 +231,7 @@
 		// later report was made.
 		later := isReport && r.Seq > sl.sentSeq
 		if later && sl.sentSeq != 0 {
-			s.passedOver(sl.m, r)
+			s.launchIgnored(sl.m, r)
 		}
 		over := sl.direct == 0 && (sl.doubt == 0 || r.Token > sl.doubt) && (sl.sentSeq == 0 || later)
 		if over && sl.stop {
@@ -428,7 +284,7 @@
 		case sl.state == starting && sl.direct == 0:
 			if !sl.sent {
 				// A reservation waits until its victims are gone.
-				if !sl.each.Fits(room) || !m.usable || m.dumb {
+				if !sl.each.Fits(room) || !m.usable || m.inboundLost {
 					continue
 				}
 				room = room.Sub(sl.each)
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -23,60 +23,6 @@
 	DoubtPause   time.Duration // no direct commands for so long after one went unanswered
 }
 
-type machine struct {
-	model.Machine
-	token, shown   uint64
-	first          uint64 // the token whose showing fences the worker
-	fenced         bool
-	usable         bool
-	low            float64 // the lowest price that runs here
-	priced         bool    // low holds: nothing has changed since
-	session, seq   uint64
-	endedSession   uint64        // it, and those before, ended with a lapse; 0: none has since the worker was fenced
-	tokenSent      bool          // the worker was sent its token
-	reported       uint64        // of session: the newest report, answers to direct commands left out
-	asked          time.Duration // the last answer to a direct command came
-	askStale       time.Duration // not to be asked before because of reports that are not new
-	spoke          bool          // this shard has answered it
-	offered        time.Duration // the first answer that bore the token to be shown, 0: none
-	vain           bool          // a question went unanswered since
-	prove          bool          // to be answered only once it is shown to hear
-	dumb           bool          // fenced, and does not hear: it gets nothing new
-	passed         int           // answers in succession whose launches it passed over
-	passedSeq      uint64        // the report that showed the last of them
-	asks           int           // questions in succession without an answer
-	refence        bool          // the token to come is the one to be shown
-	raised         time.Duration // a higher token was last asked for to clear attempts
-	unclearedSince time.Duration // attempts that could be cleared are kept since, 0: there are none
-	inUse          bool          // has attempts besides those that only wait to be cleared
-	answered       time.Duration
-	silent         bool
-	told           time.Duration // silence last told to the dealer
-	slots          slots
-	used           model.Resources // of all slots not exited, reservations included
-	images         map[model.Name]bool
-	noticeAt       time.Duration // 0: none
-	inFlight       int
-	quietUntil     time.Duration
-	needToken      bool
-	idleSince      time.Duration
-	errors         []jobError
-	faultyUntil    time.Duration // held to be faulty
-	refusedUntil   time.Duration // it had less room than the books say
-	wake           bool          // has commands that should go out directly
-	keptFor        model.JobID   // no other job's tasks are placed here
-	keptUntil      time.Duration // ... until then
-	patient        time.Duration // not directly before, while it is not fenced
-	probe          bool          // its worker is to be asked, whether there are commands or not
-	deaf           bool          // it did not answer, and the dealer knows
-	roomier        bool          // has had room freed since waiting tasks were placed
-	last           brief         // as last told to the dealer
-	anew           bool          // more has changed since than that
-	leveled        uint64        // round in which lowest and busy were looked up
-	lowest         model.Rank
-	busy           bool
-}
-
 type task struct {
 	model.Deal
 	price  float64 // after demotions
@@ -241,7 +187,7 @@
 	case model.Lapse:
 		// Only the dealer knows that nobody else has answered the worker; only
 		// this shard, that it has not answered it since it said so.
-		if m := s.machines[o.ID]; m != nil && m.silent {
+		if m := s.machines[o.ID]; m != nil && m.leaseExpired {
 			s.lapse(now, m)
 		}
 	}
@@ -319,7 +265,7 @@
 	delete(s.moved, o.Machine.ID)
 	if m == nil {
 		m = &machine{Machine: o.Machine, first: o.Token, answered: now, idleSince: now,
-			images: s.images[o.Machine.ID], anew: true, prove: o.Prove}
+			images: s.images[o.Machine.ID], anew: true, reachability: reachability{unproven: o.Prove}}
 		if o.Prove { // this shard does not answer it before it is shown to hear
 			m.answered = now - s.p.SureLease
 		}
@@ -338,7 +284,7 @@
 	}
 	m.needToken = false
 	if m.refence {
-		m.refence, m.first, m.offered = false, o.Token, 0
+		m.refence, m.first, m.tokenOffered = false, o.Token, 0
 	}
 	m.usable = o.Usable
 	m.wake, m.patient = true, 0
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -45,7 +45,7 @@
 		avail = model.Resources{} // it is promised: whatever is dealt on the strength of it would wait
 	}
 	return brief{avail: avail, ready: s.ready(now, m),
-		draining: m.noticeAt != 0 || m.dumb || s.mute(now, m), faulty: now < m.faultyUntil, slots: n, idleSince: m.idleSince}
+		draining: m.noticeAt != 0 || m.inboundLost || s.unverified(now, m), faulty: now < m.faultyUntil, slots: n, idleSince: m.idleSince}
 }
 
 // inUseBy counts the attempts that are on the machine, or that it is still to tell of:
--- a/internal/core/shard/tick.go
+++ b/internal/core/shard/tick.go
@@ -10,17 +10,17 @@
 // Tick settles what time alone decides.
 func (s *Shard) Tick(now time.Duration) {
 	for _, m := range s.order {
-		if now-m.answered > s.p.SureLease && (!m.silent || now-m.told > 5*time.Second) {
+		if now-m.answered > s.p.SureLease && (!m.leaseExpired || now-m.expiryTold > 5*time.Second) {
 			// Its lease is over, unless another controller has answered it:
 			// the dealer knows.
-			m.silent, m.told = true, now
+			m.leaseExpired, m.expiryTold = true, now
 			s.emit(model.Event{Kind: model.Silent, Machine: m.ID, Token: m.token})
 		}
 		s.probe(now, m)
 		if m.noticeAt != 0 {
 			s.evacuate(now, m)
 		}
-		if s.quiet(now, m) || m.dumb {
+		if s.quiet(now, m) || m.inboundLost {
 			s.unreserve(now, m)
 		}
 	}
--- a/internal/core/shard/deaf.go
+++ b/internal/core/shard/unreachable.go
@@ -13,8 +13,8 @@
 // machine of it.
 const (
 	// A report that went unanswered is tried again elsewhere 4 s and 1 s later.
-	secondTry = 5 * time.Second
-	heardPart = 0.6 // of the zone's other machines that must have reported in time
+	secondTry     = 5 * time.Second
+	reportingPart = 0.6 // of the zone's other machines that must have reported in time
 )
 
 // Overdue is after how long without a report a worker should have reported.
@@ -24,40 +24,40 @@
 
 // probe asks an overdue worker directly, once in a while.
 func (s *Shard) probe(now time.Duration, m *machine) {
-	if m.fenced && !m.silent && now >= m.quietUntil && m.inFlight == 0 && (m.dumb || s.overdue(now, m)) {
+	if m.fenced && !m.leaseExpired && now >= m.quietUntil && m.inFlight == 0 && (m.inboundLost || s.overdue(now, m)) {
 		m.probe, m.wake = true, true
 	}
 }
 
-// unheard takes a direct command without an answer. One to a worker that is not fenced
+// directFailed takes a direct command without an answer. One to a worker that is not fenced
 // yet says little: it may have come to a socket that was just closed.
-func (s *Shard) unheard(now time.Duration, m *machine) {
-	deaf := m.fenced && (s.overdue(now, m) || m.dumb && m.asks >= asksEnough) && s.zoneHeard(now, m)
-	if !m.fenced || deaf {
-		m.deaf = deaf
-		s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID, Held: deaf})
+func (s *Shard) directFailed(now time.Duration, m *machine) {
+	unreachable := m.fenced && (s.overdue(now, m) || m.inboundLost && m.failedQuestions >= questionsEnough) && s.zoneReports(now, m)
+	if !m.fenced || unreachable {
+		m.unreachable = unreachable
+		s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID, Held: unreachable})
 	}
 }
 
-// heard takes a sign of life.
-func (s *Shard) heard(m *machine) {
-	if m.silent || m.deaf {
-		m.silent, m.deaf = false, false
+// signOfLife takes an answer that was given to the worker, or one of its own.
+func (s *Shard) signOfLife(m *machine) {
+	if m.leaseExpired || m.unreachable {
+		m.leaseExpired, m.unreachable = false, false
 		s.emit(model.Event{Kind: model.Heard, Machine: m.ID})
 	}
 }
 
-// zoneHeard tells whether most machines of a machine's zone report in time.
-func (s *Shard) zoneHeard(now time.Duration, m *machine) bool {
+// zoneReports tells whether most machines of a machine's zone report in time.
+func (s *Shard) zoneReports(now time.Duration, m *machine) bool {
 	all, heard := 0, 0
 	for _, o := range s.order {
 		if o == m || o.Zone != m.Zone || !o.fenced {
 			continue
 		}
 		all++
-		if now-o.answered <= s.p.Report*5/4 && !o.dumb {
+		if now-o.answered <= s.p.Report*5/4 && !o.inboundLost {
 			heard++
 		}
 	}
-	return all > 0 && float64(heard) >= heardPart*float64(all)
+	return all > 0 && float64(heard) >= reportingPart*float64(all)
 }
--- a/internal/core/shard/deaf_test.go
+++ b/internal/core/shard/unreachable_test.go
@@ -8,9 +8,9 @@
 )
 
 // zone has ten fenced machines report every second, all but those that are silent,
-// and has no direct command of theirs answered. It returns who is told to be deaf.
+// and has no direct command of theirs answered. It returns who is told to be unreachable.
 func (r *rig) zone(length time.Duration, silent func(model.MachineID) bool) map[model.MachineID]bool {
-	deaf := map[model.MachineID]bool{}
+	unreachable := map[model.MachineID]bool{}
 	for end := r.now + length; r.now < end; r.now += time.Second {
 		for id := range model.MachineID(10) {
 			if !silent(id) {
@@ -29,13 +29,13 @@
 		for _, e := range r.s.Events() {
 			switch e.Kind {
 			case model.Unanswered:
-				deaf[e.Machine] = true
+				unreachable[e.Machine] = true
 			case model.Heard:
-				delete(deaf, e.Machine)
+				delete(unreachable, e.Machine)
 			}
 		}
 	}
-	return deaf
+	return unreachable
 }
 
 func ten(t *testing.T) *rig {
@@ -52,8 +52,8 @@
 func TestAMachineThatNeitherReportsNorAnswersIsTold(t *testing.T) {
 	r := ten(t)
 	two := func(id model.MachineID) bool { return id < 2 }
-	if deaf := r.zone(9*time.Second, two); len(deaf) != 2 || !deaf[0] || !deaf[1] {
-		t.Fatalf("deaf: %v, want machines 0 and 1 before their lease of 10 s is over", deaf)
+	if unreachable := r.zone(9*time.Second, two); len(unreachable) != 2 || !unreachable[0] || !unreachable[1] {
+		t.Fatalf("unreachable: %v, want machines 0 and 1 before their lease of 10 s is over", unreachable)
 	}
 	r.report(0, 5)
 	if e := r.events(model.Heard); len(e) != 1 || e[0].Machine != 0 {
@@ -64,11 +64,11 @@
 // A zone that is out of reach is no reason to give its machines up.
 func TestAZoneOutOfReachIsNotDeaf(t *testing.T) {
 	r := ten(t)
-	if deaf := r.zone(9*time.Second, func(model.MachineID) bool { return true }); len(deaf) != 0 {
-		t.Errorf("deaf: %v", deaf)
+	if unreachable := r.zone(9*time.Second, func(model.MachineID) bool { return true }); len(unreachable) != 0 {
+		t.Errorf("unreachable: %v", unreachable)
 	}
 	r = ten(t)
-	if deaf := r.zone(9*time.Second, func(id model.MachineID) bool { return id > 4 }); len(deaf) != 0 {
-		t.Errorf("half of the zone is silent, and deaf: %v", deaf)
+	if unreachable := r.zone(9*time.Second, func(id model.MachineID) bool { return id > 4 }); len(unreachable) != 0 {
+		t.Errorf("half of the zone is silent, and unreachable: %v", unreachable)
 	}
 }
--- a/internal/core/sim/yard_test.go
+++ b/internal/core/sim/yard_test.go
@@ -240,7 +240,7 @@
 
 func (y *yard) fleet() {
 	status := y.d.Machines()
-	y.f.Observe(y.now, status, y.d.Silent)
+	y.f.Observe(y.now, status, y.d.LeaseExpired)
 	var demand []fleet.Demand
 	for _, need := range y.d.Needs() {
 		demand = append(demand, fleet.Demand{Need: need, Placed: need.Held - int32(y.d.Count(need.Spec.ID).Waiting)})
--- a/internal/node/loadlog.go
+++ b/internal/node/loadlog.go
@@ -56,7 +56,7 @@
 	}
 	awaiting, unknown, doomed := p.l.chains.g.Counts()
 	p.l.n.log.Info("load", "awaiting", awaiting, "unknown", unknown, "doomed", doomed,
-		"machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "unheard", p.d.Unheard(), "cpus", cpus/1000,
+		"machines", machines, "spot", spot, "ready", ready, "faulty", faulty, "unheard", p.d.Unverified(), "cpus", cpus/1000,
 		"free", free/1000)
 	for _, s := range starvation.Danger(p.d.Starvation(p.l.n.now())) {
 		p.l.n.log.Warn("jobs wait for too long to begin", "of", p.l.n.groupName(s.Group), "begun", s.Begun, "late", s.Late,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -106,7 +106,7 @@
 		}
 	}
 	gauge("machines_unheard", "Machines that report and that nothing shows to hear, on the leader.",
-		leading(func(l *leadership) float64 { return float64(l.d.Unheard()) }))
+		leading(func(l *leadership) float64 { return float64(l.d.Unverified()) }))
 	gauge("drain_plans", "Drain plans under way, on the leader.", leading(func(l *leadership) float64 {
 		plans, _ := l.drains.e.Active()
 		return float64(plans)
--- a/internal/node/renting.go
+++ b/internal/node/renting.go
@@ -81,9 +81,9 @@
 
 func (p *renting) runFleet(now time.Duration) {
 	status := p.l.d.Machines()
-	p.f.Observe(now, status, p.l.d.Silent)
+	p.f.Observe(now, status, p.l.d.LeaseExpired)
 	if p.worthGivingUp() {
-		p.f.Deaf(p.l.d.Deaf())
+		p.f.Deaf(p.l.d.Unreachable())
 	}
 	var demand []fleet.Demand
 	for _, need := range p.l.d.Needs() {
