shard, dealer: a checked adoption stays, a known session needs no new token

After a change of leader nearly all that runs is adopted, and each lapse cost a token and a report more.

A fenced worker's session is known, so a lapse ends that session and needs no new token; one that was not fenced needs it as before. Charges by zone are counted, not looked up among all of a job's tasks.

--- a/internal/core/dealer/adoption_test.go
+++ b/internal/core/dealer/adoption_test.go
@@ -1,6 +1,7 @@
 package dealer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -33,3 +34,44 @@
 		t.Error("held for the shard, or not charged")
 	}
 }
+
+// An adoption tells whether dispatching would have allowed it: within the team's limit, and in a
+// zone that the job's other tasks leave to it.
+func TestAnAdoptionTellsWhetherDispatchingWouldHaveAllowedIt(t *testing.T) {
+	const here, there = model.Name(0), model.Name(1)
+	for name, c := range map[string]struct {
+		limit            float64
+		together, spread bool
+		tasks            int32
+		found            []model.Name // where its tasks are found, in turn
+		want             []bool
+	}{
+		"within the limit":   {limit: 4, tasks: 4, found: []model.Name{here, there}, want: []bool{true, true}},
+		"over the limit":     {limit: 5, tasks: 4, found: []model.Name{here, here, here}, want: []bool{true, true, false}},
+		"together":           {limit: 9, together: true, tasks: 4, found: []model.Name{here, here}, want: []bool{true, true}},
+		"together and apart": {limit: 9, together: true, tasks: 4, found: []model.Name{here, there}, want: []bool{true, false}},
+		"spread":             {limit: 9, spread: true, tasks: 4, found: []model.Name{here, here, there}, want: []bool{true, true, true}},
+		"spread, too many":   {limit: 9, spread: true, tasks: 4, found: []model.Name{here, here, here}, want: []bool{true, true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.limit)
+			s := r.d.Join(0, "a")
+			r.d.Recorded(BlockID{}, 4, []model.Machine{{ID: 1, Addr: "x", Zone: here}, {ID: 2, Addr: "x", Zone: there}})
+			r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 1})
+			r.d.Event(0, s, model.Event{Kind: model.Remembered, Machine: 2})
+			sp := r.job(1, c.tasks, true)
+			sp.Together, sp.Spread = c.together, c.spread
+			r.d.Orders()
+			for i, zone := range c.found {
+				r.finds(time.Second, s, model.MachineID(zone)+1, model.Task{Job: 1, No: int32(i)}, uint64(70+i))
+			}
+			var got []bool
+			for _, o := range r.orders(model.Give) {
+				got = append(got, o.Deal.Checked)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("checked %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -29,7 +29,8 @@
 	done    []uint64
 	nDone   int32
 	held    map[int32]hold
-	next    int32 // tasks from here on were never dealt by this leader
+	heldIn  map[model.Name]int32 // of held: how many are charged to each zone
+	next    int32                // tasks from here on were never dealt by this leader
 	back    []int32
 	since   time.Duration // began to wait
 	old     bool          // accepted before this term: its tasks may be anywhere
@@ -63,8 +64,9 @@
 	if d.jobs[sp.ID] != nil || int(sp.Team) >= len(d.p.Teams) {
 		return
 	}
-	j := &job{spec: sp, version: version, done: make([]uint64, (sp.Tasks+63)/64), held: map[int32]hold{}, since: now - waited,
-		old: old, rank: sp.Rank, dirty: map[int32]bool{}, kept: map[ChunkID]uint64{}}
+	j := &job{spec: sp, version: version, done: make([]uint64, (sp.Tasks+63)/64), held: map[int32]hold{}, heldIn: map[model.Name]int32{},
+		since: now - waited,
+		old:   old, rank: sp.Rank, dirty: map[int32]bool{}, kept: map[ChunkID]uint64{}}
 	j.price = Price(sp.Rank, false)
 	d.jobs[sp.ID] = j
 	i, _ := slices.BinarySearchFunc(d.inOrder, j, compareJobs)
@@ -148,16 +150,18 @@
 		d.stats.Unexpected++
 	}
 	if m != nil && known && !j.isDone(e.Task.No) && j.spec.Allows(&m.Machine) && d.adoptable(j, e.Task.No, m) {
+		checked := d.wouldAllow(j, e.Task.No, m.Zone)
 		if h, ok := j.held[e.Task.No]; ok {
 			delete(h.adrift.tasks, e.Task)
 			j.adrift--
+			j.moveZone(h.zone, m.Zone)
 			h.shard, h.adrift, h.zone = from, nil, m.Zone
 			j.held[e.Task.No] = h
 		} else {
 			d.hold(j, e.Task.No, m.Zone, from, Adopted)
 		}
 		d.give(from, model.Deal{Task: e.Task, Spec: j.spec, Price: j.price, Zone: j.pin(m.Zone), Since: j.since,
-			Machine: e.Machine, Attempt: e.Attempt})
+			Machine: e.Machine, Attempt: e.Attempt, Checked: checked})
 		return
 	}
 	// It takes room, and its team's share, until it is gone.
@@ -176,6 +180,42 @@
 	return h.adrift != nil && h.adrift.machines[m.ID]
 }
 
+// wouldAllow tells whether a task could be charged in a zone now, beside what else is charged: by
+// its team's limit and its job's zones. An earlier leader looked at both when it dispatched the
+// task, so what is not found yet need not be reckoned with.
+func (d *Dealer) wouldAllow(j *job, no int32, zone model.Name) bool {
+	used := d.usage[j.spec.Team]
+	here, all := j.heldIn[zone], int32(len(j.held))
+	if h, ok := j.held[no]; ok { // itself
+		used = used.Sub(j.spec.Each)
+		all--
+		if h.zone == zone {
+			here--
+		}
+	}
+	switch {
+	case j.spec.Each.Count(d.p.Teams[j.spec.Team].Left(used)) <= 0:
+		return false
+	case j.spec.Together:
+		return here == all
+	case j.spec.Spread:
+		return here < (j.spec.Tasks+1)/2
+	}
+	return true
+}
+
+// moveZone has a task charged to another zone.
+func (j *job) moveZone(from, to model.Name) {
+	j.leaveZone(from)
+	j.heldIn[to]++
+}
+
+func (j *job) leaveZone(zone model.Name) {
+	if j.heldIn[zone]--; j.heldIn[zone] == 0 {
+		delete(j.heldIn, zone)
+	}
+}
+
 func (d *Dealer) give(to model.ShardID, deal model.Deal) {
 	if m := d.members[to]; m != nil {
 		m.deals++
@@ -195,6 +235,7 @@
 func (d *Dealer) hold(j *job, no int32, zone model.Name, shard model.ShardID, why ChargeReason) {
 	h := hold{zone: zone, shard: shard}
 	j.held[no] = h
+	j.heldIn[zone]++
 	d.usage[j.spec.Team] = d.usage[j.spec.Team].Add(j.spec.Each)
 	d.charged(j, no, h, why)
 }
@@ -205,6 +246,7 @@
 			j.adrift--
 		}
 		delete(j.held, no)
+		j.leaveZone(h.zone)
 		d.usage[j.spec.Team] = d.usage[j.spec.Team].Sub(j.spec.Each)
 		d.charged(j, no, h, why)
 	}
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -215,8 +215,8 @@
 				}
 			}
 		}
-		for _, h := range j.held {
-			perZone[h.zone]++
+		for zone, n := range j.heldIn {
+			perZone[zone] = int64(n)
 		}
 	}
 	if j.spec.Together && len(perZone) == 0 && len(zones) > 0 {
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -13,6 +13,9 @@
 	// Adopted: the task was found on this machine in this attempt.
 	Machine MachineID
 	Attempt uint64 // 0: not adopted
+	// Checked: the adopted task is within its team's limit and its job's zones, as one that is
+	// dispatched. Otherwise it may run on, but only the dispatcher may have it started again.
+	Checked bool
 	// Again: it was out of work; the shard tells when it is at work again.
 	Again bool
 }
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -123,7 +123,7 @@
 		s.take(now, m, r, false)
 	case r.Token < m.first || sent.seen.Covers(r.Numbers()):
 		s.reborn(m, r)
-	case r.Newer(m.session, m.seq):
+	case r.Newer(m.session, m.seq) && !m.ofEndedSession(r):
 		s.take(now, m, r, false)
 	}
 }
--- a/internal/core/shard/lapse.go
+++ b/internal/core/shard/lapse.go
@@ -10,22 +10,24 @@
 // A lapse is the dispatcher's word that a worker's lease is surely over: what ran there is lost,
 // and may be started elsewhere from then on. The network may deliver, half a minute later, what
 // the worker had sent before. Its numbers are the next ones, so order does not tell that it is
-// old. Two things do:
+// old. One of two things does:
 //
-//   - the session: a fenced worker's session was known, and it is over with its lease;
-//   - the token: after a lapse the worker is to be fenced again, under a token that was not
-//     given out before. It is needed where the session was not known.
+//   - The session, where the worker was fenced. It showed this shard's token in that session or
+//     an earlier one, has refused all lower tokens since, and was launched nothing in a later one,
+//     which this shard has not heard of. So whatever ran there ran in that session or before.
+//   - The token, where it was not fenced and its sessions are not known. It is to be fenced under
+//     a token that was not given out before the lapse.
 //
-// A message that passes neither is no sign of life, and nothing that it lists counts.
+// A message that does not pass is no sign of life, and nothing that it lists counts.
 
 // lapse takes the word that a machine's lease is surely over.
 func (s *Shard) lapse(now time.Duration, m *machine) {
 	s.loseAll(now, m)
-	if m.fenced {
-		m.endedSession = m.session
-	}
 	s.emit(model.Event{Kind: model.Lapsed, Machine: m.ID, Token: m.token})
-	if m.fenced || m.tokenSent {
+	switch {
+	case m.fenced:
+		m.endedSession = m.session
+	case m.tokenSent:
 		s.fenceAnew(m)
 	}
 }
@@ -33,12 +35,9 @@
 // fenceAnew has a worker show a token that nobody was given before, until which nothing that it
 // lists or lacks counts.
 func (s *Shard) fenceAnew(m *machine) {
-	m.fenced, m.first, m.refence = false, math.MaxUint64, true
+	m.fenced, m.first, m.refence, m.endedSession = false, math.MaxUint64, true, 0
 	s.askToken(m)
 }
 
-// ofLapsedSession tells whether a message was written in a session that is known to be over. A
-// token that was given since shows that it was not: its worker has begun its numbers anew.
-func (m *machine) ofLapsedSession(r *model.Report) bool {
-	return r.Session <= m.endedSession && r.Token < m.first
-}
+// ofEndedSession tells whether a message was written in a session that ended with a lapse.
+func (m *machine) ofEndedSession(r *model.Report) bool { return r.Session <= m.endedSession }
--- a/internal/core/shard/machine.go
+++ b/internal/core/shard/machine.go
@@ -17,7 +17,7 @@
 	low            float64 // the lowest price that runs here
 	priced         bool    // low holds: nothing has changed since
 	session, seq   uint64
-	endedSession   uint64        // it, and those before, ended with a lapse; 0: none has since the worker was fenced
+	endedSession   uint64        // of a fenced worker: it, and those before, ended with a lapse; 0: none has
 	tokenSent      bool          // the worker was sent its token
 	reported       uint64        // of session: the newest report, answers to direct commands left out
 	spoke          bool          // this shard has answered it
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -36,7 +36,7 @@
 		s.emit(model.Event{Kind: model.Superseded, Machine: m.ID, Token: r.Token})
 		return false
 	}
-	if m.ofLapsedSession(r) {
+	if m.ofEndedSession(r) {
 		s.Stats.OfLapsed++
 		s.stale(now, m)
 		return false
@@ -142,7 +142,7 @@
 		s.absent(now, sl, r, isReport)
 	}
 	if !m.fenced {
-		m.fenced, m.endedSession = true, 0
+		m.fenced = true
 		s.mayLast(now, m)
 		s.receives(m)
 		s.replan = true
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -307,7 +307,7 @@
 		if sl := m.slots.get(key{d.Task, d.Attempt}); sl != nil && sl.state == live {
 			sl.t, t.slot, sl.alien = t, sl, false
 			m.priced = false
-			sl.adopted = true
+			sl.adopted, sl.unchecked = true, !d.Checked
 			if sl.stage == model.Running {
 				sl.runSince = now
 			}
--- a/internal/core/shard/slot.go
+++ b/internal/core/shard/slot.go
@@ -25,26 +25,27 @@
 // slot is an attempt that is, or may be, on a machine.
 type slot struct {
 	key
-	m        *machine
-	at       int    // in its job's list
-	seen     uint64 // the take that last showed it
-	t        *task  // nil: an attempt that nobody here holds
-	each     model.Resources
-	state    slotState
-	stage    model.Stage
-	sent     bool
-	sentSeq  uint64 // the report in whose answer the launch last went out
-	direct   int    // direct commands in flight that carry the launch
-	doubt    uint64 // token of the newest direct launch: it may arrive once more
-	unsure   bool   // one went unanswered
-	stop     bool
-	grace    time.Duration
-	hardAt   time.Duration // a saving task is ended then
-	clear    bool
-	alien    bool          // found, and not adopted
-	adopted  bool          // it ran before this shard saw it, and was charged unchecked
-	fetches  bool          // of a rehearsal: its machine had not its image
-	runSince time.Duration // first seen running
+	m         *machine
+	at        int    // in its job's list
+	seen      uint64 // the take that last showed it
+	t         *task  // nil: an attempt that nobody here holds
+	each      model.Resources
+	state     slotState
+	stage     model.Stage
+	sent      bool
+	sentSeq   uint64 // the report in whose answer the launch last went out
+	direct    int    // direct commands in flight that carry the launch
+	doubt     uint64 // token of the newest direct launch: it may arrive once more
+	unsure    bool   // one went unanswered
+	stop      bool
+	grace     time.Duration
+	hardAt    time.Duration // a saving task is ended then
+	clear     bool
+	alien     bool          // found, and not adopted
+	adopted   bool          // it ran before this shard saw it
+	unchecked bool          // ... and dispatching it would have been refused
+	fetches   bool          // of a rehearsal: its machine had not its image
+	runSince  time.Duration // first seen running
 }
 
 // ran is how long the attempt has been seen running.
@@ -117,9 +118,9 @@
 	}
 	sl.t = nil
 	sl.m.priced = false
-	// An adopted task was charged where it ran, whatever its team's limit and its job's zones
+	// An unchecked task was charged where it ran, whatever its team's limit and its job's zones
 	// said. To start it again is for the dispatcher to allow, which checks both.
-	if t.recalled || sl.adopted || c == model.CauseError || c == model.CauseUnknown {
+	if t.recalled || sl.unchecked || c == model.CauseError || c == model.CauseUnknown {
 		s.release(t, c) // it still tells where it was
 		return
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -153,7 +153,7 @@
 	case model.Give:
 		d := &o.Deal
 		p.Task, p.Price, p.Id, p.Attempt = task(d.Task), d.Price, uint64(d.Machine), d.Attempt
-		p.Again = d.Again
+		p.Again, p.Checked = d.Again, d.Checked
 		p.WaitedUs = (now - d.Since).Microseconds()
 		if d.Zone != model.None {
 			z := c.names.Zones.Name(d.Zone)
@@ -188,7 +188,7 @@
 			return o, fmt.Errorf("a task of %s came without its job", wire.JobName(o.Task.Job))
 		}
 		o.Deal = model.Deal{Task: o.Task, Spec: sp, Price: o.Price, Zone: model.None, Machine: o.ID, Attempt: o.Attempt,
-			Again: p.GetAgain(), Since: now - time.Duration(p.GetWaitedUs())*time.Microsecond}
+			Again: p.GetAgain(), Checked: p.GetChecked(), Since: now - time.Duration(p.GetWaitedUs())*time.Microsecond}
 		if p.Zone != nil {
 			o.Deal.Zone = c.names.Zones.ID(p.GetZone())
 		}
