--- a/cmd/honeylock/main.go
+++ b/cmd/honeylock/main.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 )
 
-const version = "0.9.0"
+const version = "0.9.1"
 
 // Exit codes.
 const (
--- a/internal/core/sim/lapse_test.go
+++ b/internal/core/sim/lapse_test.go
@@ -122,6 +122,13 @@
 	w.cancelSome(1, d)
 }
 
+const (
+	// booksEvery is how often other days that may break no rule are looked at in the same way: at
+	// each step it took four times as long.
+	booksEvery = 500 * time.Millisecond
+	never      = time.Duration(1<<63 - 1) // days with a broken guard must break a rule to count
+)
+
 // checkBooks compares, on a leader, what shards hold and what runs with what is charged.
 func (w *world) checkBooks() {
 	l := w.newestLeader()
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -117,6 +117,7 @@
 	teller  *ctl                          // who last told a user of a cancellation
 	room    map[model.JobID]time.Duration // since when a job waits beside room
 	acted   bool                          // a controller has sent, received or ticked since the last event
+	booksAt time.Duration                 // when what is charged is looked at next, on days without books
 	plans   plans
 	moved   map[model.Task]bool // by plans, and not seen at work since
 	// Of drain plans: tasks moved, machines given back.
@@ -127,7 +128,7 @@
 	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{},
 		users: map[model.JobID]*user{},
 		plans: plans{}, moved: map[model.Task]bool{}, holdsUp: map[pair]time.Duration{},
-		seen: map[string]int{}, room: map[model.JobID]time.Duration{}}
+		seen: map[string]int{}, room: map[model.JobID]time.Duration{}, booksAt: never}
 	w.store = newStore(w)
 	for i := range p.controllers {
 		w.ctls = append(w.ctls, newCtl(w, i))
@@ -367,8 +368,9 @@
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		e.f()
-		if w.p.books && w.acted {
+		if w.acted && (w.p.books || w.now >= w.booksAt) {
 			w.acted = false
+			w.booksAt = w.now + booksEvery
 			w.checkBooks()
 		}
 	}
