--- a/internal/core/sim/lapse_test.go
+++ b/internal/core/sim/lapse_test.go
@@ -30,7 +30,7 @@
 
 // atLimitAndBound are days on which both teams offer more work than their limits allow.
 func atLimitAndBound(p params) params {
-	p.faults, p.limited, p.books = false, true, true
+	p.faults, p.limited, p.accounting = false, true, true
 	p.jobs, p.length, p.rest = 60, 4*time.Minute, 6*time.Minute
 	return p
 }
@@ -123,14 +123,14 @@
 }
 
 const (
-	// booksEvery is how often other days that may break no rule are looked at in the same way: at
+	// accountingEvery is how often other days that may break no rule are looked at in the same way: at
 	// each step it took four times as long.
-	booksEvery = 2 * time.Second
-	never      = time.Duration(1<<63 - 1) // days with a broken guard must break a rule to count
+	accountingEvery = 2 * time.Second
+	never           = time.Duration(1<<63 - 1) // days with a broken guard must break a rule to count
 )
 
-// checkBooks compares, on a leader, what shards hold and what runs with what is charged.
-func (w *world) checkBooks() {
+// checkAccounting compares, on a leader, what shards hold and what runs with what is charged.
+func (w *world) checkAccounting() {
 	l := w.newestLeader()
 	if l == nil {
 		return
@@ -148,7 +148,7 @@
 		}
 		for k, a := range m.cells {
 			if a.on && !l.d.Charged(k.t, k.a, m.ID) {
-				w.fail("books", "task %v runs on %s in attempt %d, and counts against no limit", k.t, m.host, k.a)
+				w.fail("accounting", "task %v runs on %s in attempt %d, and counts against no limit", k.t, m.host, k.a)
 			}
 		}
 	}
@@ -160,12 +160,12 @@
 	w := l.c.w
 	for team, st := range l.d.TeamStatus() {
 		if st.Used.CPU > st.Limit.CPU {
-			w.fail("books", "%d are charged to team %d, of %d", st.Used.CPU, team, st.Limit.CPU)
+			w.fail("accounting", "%d are charged to team %d, of %d", st.Used.CPU, team, st.Limit.CPU)
 		}
 	}
 	for id, u := range w.users {
 		if zones := l.d.HeldIn(id); u.spec.Together && len(zones) > 1 {
-			w.fail("books", "job %d, whose tasks stay together, is charged to zones %v", id, zones)
+			w.fail("accounting", "job %d, whose tasks stay together, is charged to zones %v", id, zones)
 		}
 	}
 }
@@ -173,7 +173,7 @@
 func (l *lead) checkShard(st *seat, id model.ShardID) {
 	st.s.Tasks(func(t model.Task) {
 		if !l.d.Holds(t, id) {
-			l.c.w.fail("books", "shard %d of %s holds task %v, which is not charged to it", id, st.c.host, t)
+			l.c.w.fail("accounting", "shard %d of %s holds task %v, which is not charged to it", id, st.c.host, t)
 		}
 	})
 }
--- a/internal/core/sim/sim_test.go
+++ b/internal/core/sim/sim_test.go
@@ -39,7 +39,7 @@
 func play(t *testing.T, seed uint64, p params) *world {
 	t.Helper()
 	w := newWorld(seed, p)
-	w.booksAt = 0
+	w.accountingAt = 0
 	w.run()
 	if len(w.broken) > 0 {
 		t.Fatalf("%s\n%s", strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -55,7 +55,7 @@
 	unvetted                    bool          // a broken guard: shards don't know which jobs are open
 	noFloor                     bool          // a broken guard: no job is sure to begin
 	limited                     bool          // teams at their limits, jobs bound to zones
-	books                       bool          // what shards hold and what runs is compared with what is charged
+	accounting                  bool          // what shards hold and what runs is compared with what is charged
 }
 
 type event struct {
@@ -87,39 +87,39 @@
 }
 
 type world struct {
-	p       params
-	rng     *rand.Rand
-	now     time.Duration
-	seq     uint64
-	queue   events
-	cuts    map[pair]bool // true: holds messages; false: drops them
-	held    []held
-	last    map[pair]time.Duration // of the newest delivery, for streams
-	store   *store
-	ctls    []*ctl
-	workers []*machine
-	users   map[model.JobID]*user
-	broken  []string
-	started int
-	slow    time.Duration // until when the store answers slowly
-	calm    time.Duration // the last trouble is over
-	log     []string
-	search  int // boundaries until the second trouble begins; 0: it has, or there is none
-	second  func()
-	longest time.Duration          // from when a user was told of a cancellation until a task of it was gone
-	holdsUp map[pair]time.Duration // what one sends to the other is held up, until then
-	seen    map[string]int         // what meetings are about, and how often it did happen
-	kept    []*heldReport          // copies of reports, for the next leader
-	changed time.Duration          // when work last changed hands
-	ledAt   []time.Duration        // when leaders began
-	gone    time.Duration          // since when no controller is up; 0: one is
-	zoneCut *zoneCut
-	teller  *ctl                          // who last told a user of a cancellation
-	room    map[model.JobID]time.Duration // since when a job waits beside room
-	acted   bool                          // a controller has sent, received or ticked since the last event
-	booksAt time.Duration                 // when what is charged is looked at next, on days without books
-	plans   plans
-	moved   map[model.Task]bool // by plans, and not seen at work since
+	p            params
+	rng          *rand.Rand
+	now          time.Duration
+	seq          uint64
+	queue        events
+	cuts         map[pair]bool // true: holds messages; false: drops them
+	held         []held
+	last         map[pair]time.Duration // of the newest delivery, for streams
+	store        *store
+	ctls         []*ctl
+	workers      []*machine
+	users        map[model.JobID]*user
+	broken       []string
+	started      int
+	slow         time.Duration // until when the store answers slowly
+	calm         time.Duration // the last trouble is over
+	log          []string
+	search       int // boundaries until the second trouble begins; 0: it has, or there is none
+	second       func()
+	longest      time.Duration          // from when a user was told of a cancellation until a task of it was gone
+	holdsUp      map[pair]time.Duration // what one sends to the other is held up, until then
+	seen         map[string]int         // what meetings are about, and how often it did happen
+	kept         []*heldReport          // copies of reports, for the next leader
+	changed      time.Duration          // when work last changed hands
+	ledAt        []time.Duration        // when leaders began
+	gone         time.Duration          // since when no controller is up; 0: one is
+	zoneCut      *zoneCut
+	teller       *ctl                          // who last told a user of a cancellation
+	room         map[model.JobID]time.Duration // since when a job waits beside room
+	acted        bool                          // a controller has sent, received or ticked since the last event
+	accountingAt time.Duration                 // when what is charged is looked at next, on other days
+	plans        plans
+	moved        map[model.Task]bool // by plans, and not seen at work since
 	// Of drain plans: tasks moved, machines given back.
 	recalled, given int
 }
@@ -128,7 +128,7 @@
 	w := &world{p: p, rng: rand.New(rand.NewPCG(seed, 7)), cuts: map[pair]bool{}, last: map[pair]time.Duration{},
 		users: map[model.JobID]*user{},
 		plans: plans{}, moved: map[model.Task]bool{}, holdsUp: map[pair]time.Duration{},
-		seen: map[string]int{}, room: map[model.JobID]time.Duration{}, booksAt: never}
+		seen: map[string]int{}, room: map[model.JobID]time.Duration{}, accountingAt: never}
 	w.store = newStore(w)
 	for i := range p.controllers {
 		w.ctls = append(w.ctls, newCtl(w, i))
@@ -368,10 +368,10 @@
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		e.f()
-		if w.acted && (w.p.books || w.now >= w.booksAt) {
+		if w.acted && (w.p.accounting || w.now >= w.accountingAt) {
 			w.acted = false
-			w.booksAt = w.now + booksEvery
-			w.checkBooks()
+			w.accountingAt = w.now + accountingEvery
+			w.checkAccounting()
 		}
 	}
 	if len(w.broken) == 0 && w.p.rest > known+70*time.Second {
