--- a/internal/core/dealer/adoption_test.go
+++ b/internal/core/dealer/adoption_test.go
@@ -39,6 +39,8 @@
 // zone that the job's other tasks leave to it.
 func TestAnAdoptionTellsWhetherDispatchingWouldHaveAllowedIt(t *testing.T) {
 	const here, there = model.Name(0), model.Name(1)
+	zones := func(z ...model.Name) []model.Name { return z }
+	checked := func(c ...bool) []bool { return c }
 	for name, c := range map[string]struct {
 		limit            float64
 		together, spread bool
@@ -46,12 +48,36 @@
 		found            []model.Name // where its tasks are found, in turn
 		want             []bool
 	}{
-		"within the limit":   {limit: 4, tasks: 4, found: []model.Name{here, there}, want: []bool{true, true}},
-		"over the limit":     {limit: 5, tasks: 4, found: []model.Name{here, here, here}, want: []bool{true, true, false}},
-		"together":           {limit: 9, together: true, tasks: 4, found: []model.Name{here, here}, want: []bool{true, true}},
-		"together and apart": {limit: 9, together: true, tasks: 4, found: []model.Name{here, there}, want: []bool{true, false}},
-		"spread":             {limit: 9, spread: true, tasks: 4, found: []model.Name{here, here, there}, want: []bool{true, true, true}},
-		"spread, too many":   {limit: 9, spread: true, tasks: 4, found: []model.Name{here, here, here}, want: []bool{true, true, false}},
+		"within the limit": {
+			limit: 4, tasks: 4,
+			found: zones(here, there),
+			want:  checked(true, true),
+		},
+		"over the limit": {
+			limit: 5, tasks: 4,
+			found: zones(here, here, here),
+			want:  checked(true, true, false),
+		},
+		"together": {
+			limit: 9, together: true, tasks: 4,
+			found: zones(here, here),
+			want:  checked(true, true),
+		},
+		"together and apart": {
+			limit: 9, together: true, tasks: 4,
+			found: zones(here, there),
+			want:  checked(true, false),
+		},
+		"spread": {
+			limit: 9, spread: true, tasks: 4,
+			found: zones(here, here, there),
+			want:  checked(true, true, true),
+		},
+		"spread, too many": {
+			limit: 9, spread: true, tasks: 4,
+			found: zones(here, here, here),
+			want:  checked(true, true, false),
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, c.limit)
--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -64,9 +64,18 @@
 	if d.jobs[sp.ID] != nil || int(sp.Team) >= len(d.p.Teams) {
 		return
 	}
-	j := &job{spec: sp, version: version, done: make([]uint64, (sp.Tasks+63)/64), held: map[int32]hold{}, heldIn: map[model.Name]int32{},
-		since: now - waited,
-		old:   old, rank: sp.Rank, dirty: map[int32]bool{}, kept: map[ChunkID]uint64{}}
+	j := &job{
+		spec:    sp,
+		version: version,
+		done:    make([]uint64, (sp.Tasks+63)/64),
+		held:    map[int32]hold{},
+		heldIn:  map[model.Name]int32{},
+		since:   now - waited,
+		old:     old,
+		rank:    sp.Rank,
+		dirty:   map[int32]bool{},
+		kept:    map[ChunkID]uint64{},
+	}
 	j.price = Price(sp.Rank, false)
 	d.jobs[sp.ID] = j
 	i, _ := slices.BinarySearchFunc(d.inOrder, j, compareJobs)
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -44,8 +44,14 @@
 	if now < m.keptUntil {
 		avail = model.Resources{} // it is promised: whatever is dealt on the strength of it would wait
 	}
-	return brief{avail: avail, ready: s.ready(now, m),
-		draining: m.noticeAt != 0 || m.inboundLost || s.unverified(now, m), faulty: now < m.faultyUntil, slots: n, idleSince: m.idleSince}
+	return brief{
+		avail:     avail,
+		ready:     s.ready(now, m),
+		draining:  m.noticeAt != 0 || m.inboundLost || s.unverified(now, m),
+		faulty:    now < m.faultyUntil,
+		slots:     n,
+		idleSince: m.idleSince,
+	}
 }
 
 // inUseBy counts the attempts that are on the machine, or that it is still to tell of:
--- a/internal/core/shard/unreachable.go
+++ b/internal/core/shard/unreachable.go
@@ -32,7 +32,8 @@
 // directFailed takes a direct command without an answer. One to a worker that is not fenced
 // yet says little: it may have come to a socket that was just closed.
 func (s *Shard) directFailed(now time.Duration, m *machine) {
-	unreachable := m.fenced && (s.overdue(now, m) || m.inboundLost && m.failedQuestions >= questionsEnough) && s.zoneReports(now, m)
+	asked := m.inboundLost && m.failedQuestions >= questionsEnough
+	unreachable := m.fenced && (s.overdue(now, m) || asked) && s.zoneReports(now, m)
 	if !m.fenced || unreachable {
 		m.unreachable = unreachable
 		s.emit(model.Event{Kind: model.Unanswered, Machine: m.ID, Held: unreachable})
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -136,7 +136,8 @@
 		term(func(s dealer.Stats) uint64 { return s.Lapsed }))
 	counter("machines_returned", "Machines heard of again after their lease was over, in this controller's present term.",
 		term(func(s dealer.Stats) uint64 { return s.Returned }))
-	counter("attempts_unexpected", "Attempts found on machines that were accounted for, in this controller's present term.",
+	counter("attempts_unexpected",
+		"Attempts found on machines that were accounted for, in this controller's present term.",
 		term(func(s dealer.Stats) uint64 { return s.Unexpected }))
 	counter("dispatch_limited", "Times that a team's limit kept a job's tasks waiting, in this controller's present term.",
 		term(func(s dealer.Stats) uint64 { return s.Limited }))
