shard: one set-up for tests of found attempts; dealer: a comment on adoption corrected

Found on reading the change once more: two tests set the same machines up, and lapse repeated what lapseUnchecked does. An adoption's charge is checked since Deal.Checked, the comment still said that it is not.

--- a/internal/core/dealer/charges.go
+++ b/internal/core/dealer/charges.go
@@ -8,7 +8,7 @@
 // Reasons to charge a task, then reasons to take a charge back.
 const (
 	Dispatched        ChargeReason = iota // given to a shard, under the limit
-	Adopted                               // found on a machine, under no check
+	Adopted                               // found on a machine; it may be beyond the limit
 	Completed                             // it has completed
 	Returned                              // its shard told that it is nowhere
 	MachinesAccounted                     // each machine that it may have been on is accounted for
--- a/internal/core/shard/lapse_test.go
+++ b/internal/core/shard/lapse_test.go
@@ -20,9 +20,7 @@
 // lapse lets a machine's lease end and has the dispatcher settle that.
 func (r *rig) lapse(id model.MachineID) {
 	r.t.Helper()
-	r.now += lease + time.Second
-	r.s.Tick(r.now)
-	r.s.Order(r.now, model.Order{Kind: model.Lapse, ID: id})
+	r.lapseUnchecked(id)
 	if e := r.events(model.Lapsed); len(e) != 1 {
 		r.t.Fatalf("%d machines lapsed, want one", len(e))
 	}
@@ -174,10 +172,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
-			r.own(1, 5, 8)
-			r.own(2, 6, 8)
-			r.report(1, 5, cell(1, 0, 77, model.Running, 0))
-			r.report(2, 6)
+			r.findsOne()
 			r.adopt(1, 77)
 			r.s.Events()
 			lose(r)
@@ -213,10 +208,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
-			r.own(1, 5, 8)
-			r.own(2, 6, 8)
-			r.report(1, 5, cell(1, 0, 77, model.Running, 0))
-			r.report(2, 6)
+			r.findsOne()
 			lose(r)
 			r.s.Events()
 			r.adopt(1, 77)
@@ -234,7 +226,16 @@
 	r.s.Order(r.now, model.Order{Kind: model.Lapse, ID: id})
 }
 
-// adopt gives the shard a task of job 1 that it found on machine 1.
+// findsOne gives the shard two machines, the first of which runs attempt 77 of a task of job 1.
+func (r *rig) findsOne() {
+	r.t.Helper()
+	r.own(1, 5, 8)
+	r.own(2, 6, 8)
+	r.report(1, 5, cell(1, 0, 77, model.Running, 0))
+	r.report(2, 6)
+}
+
+// adopt gives the shard a task that it found on machine 1.
 func (r *rig) adopt(job model.JobID, attempt uint64) {
 	r.s.Order(r.now, model.Order{Kind: model.Give, Deal: model.Deal{Task: model.Task{Job: job},
 		Spec: r.spec(job, model.Standard, 2), Price: 10, Zone: model.None, Machine: 1, Attempt: attempt}})
--- a/internal/core/sim/lapse_test.go
+++ b/internal/core/sim/lapse_test.go
@@ -123,8 +123,8 @@
 }
 
 const (
-	// accountingEvery is how often other days that may break no rule are looked at in the same way: at
-	// each step it took four times as long.
+	// accountingEvery is how often other days that may break no rule are looked at in the same way:
+	// at each step it took four times as long.
 	accountingEvery = 2 * time.Second
 	never           = time.Duration(1<<63 - 1) // days with a broken guard must break a rule to count
 )
