fleet, drain: room that plans' moves need is neither drained for its price nor returned

Cause: the fleet counted the room that tasks of draining machines are to move to as free, and did not know that a machine was a plan's replacement. It drained both for their price and returned them; the plan had "no room elsewhere" until tasks ended. Change: replacements are wanted until the machine that they stand for is emptied, also by a leader that learns of them late; the work on machines that plans drain counts as room that is taken. The test prints the plan when it fails. Machines that are lost and that are idle are judged apart.

--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -237,13 +237,14 @@
 		t.Fatal(err)
 	}
 	r.ticks(4)
-	replacement := func() model.MachineID {
-		for _, id := range r.rented {
-			return id
-		}
-		t.Fatal("no replacement was rented")
-		return 0
-	}()
+	r.want(t, Renting)
+	replacement := r.replacement(t)
+	r.lead()
+	r.e.Empty([]model.MachineID{replacement}) // this leader has not been told whose it is
+	r.ticks(4)
+	if m := r.ms[replacement]; m == nil || m.barred {
+		t.Errorf("after a change of leader: the replacement is drained or given back: %+v", m)
+	}
 	check := func(when string) {
 		t.Helper()
 		r.e.Empty([]model.MachineID{replacement})
--- a/internal/core/drain/engine.go
+++ b/internal/core/drain/engine.go
@@ -271,20 +271,26 @@
 	}
 }
 
-// wanted are the machines that plans have.
+// wanted are the machines that plans have, and the replacements of those that are not emptied
+// yet: their tasks are to move there.
 func (e *Engine) wanted() map[model.MachineID]bool {
 	out := map[model.MachineID]bool{}
 	for _, p := range e.plans {
 		for i := range p.Steps {
-			if !p.Steps[i].State.over() {
-				out[p.Steps[i].Machine] = true
+			if p.Steps[i].State.over() {
+				continue
+			}
+			out[p.Steps[i].Machine] = true
+			if id := p.rt[i].renewed; id != 0 {
+				out[id] = true
 			}
 		}
 	}
 	return out
 }
 
-// Plans tells whether a plan drains a machine now, and whether one has it at all.
+// Plans tells whether a plan drains a machine now, and whether one has it at all, or rented it
+// for one that it has.
 func (e *Engine) Plans() func(model.MachineID) (drains, wants bool) {
 	wanted := e.wanted()
 	return func(id model.MachineID) (bool, bool) { return e.barred[id] && wanted[id], wanted[id] }
@@ -318,6 +324,9 @@
 	switch {
 	case len(got) > 0:
 		r.renewed = got[0]
+		if !e.giving[got[0]] {
+			delete(e.price, got[0]) // drained before this leader was told whose replacement it is
+		}
 	case refused:
 		r.held = "the cloud has no machine to replace it"
 	default:
--- a/internal/core/drain/rig_test.go
+++ b/internal/core/drain/rig_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"testing"
 	"time"
 
 	"honeylock/internal/core/model"
@@ -116,6 +117,18 @@
 	return v
 }
 
+// replacement is the only machine that was rented.
+func (r *rig) replacement(t *testing.T) model.MachineID {
+	t.Helper()
+	if len(r.rented) != 1 {
+		t.Fatalf("rented %v, want one machine", r.rented)
+	}
+	for _, id := range r.rented {
+		return id
+	}
+	return 0
+}
+
 // tick lets half a second go by.
 func (r *rig) tick() {
 	r.now += 500 * time.Millisecond
--- a/internal/core/fleet/drain.go
+++ b/internal/core/fleet/drain.go
@@ -20,19 +20,19 @@
 
 // drain tells which machines are to get no more tasks. How they are emptied and
 // given back is core/drain's.
-func (f *Fleet) drain(now time.Duration, rooms []room) []Action {
-	ids := f.toDrain(now, rooms)
+func (f *Fleet) drain(now time.Duration, rooms []room, moving int64) []Action {
+	ids := f.toDrain(now, rooms, moving)
 	if len(ids) == 0 {
 		return nil
 	}
 	return []Action{{Kind: Drain, Machine: ids}}
 }
 
-// toDrain picks machines to run empty, once nothing has lacked room for a while.
-func (f *Fleet) toDrain(now time.Duration, rooms []room) []model.MachineID {
-	var free, have int64
+// toDrain picks machines to run empty, once nothing has lacked room for a while. moving is the
+// room that plans' moves will take.
+func (f *Fleet) toDrain(now time.Duration, rooms []room, moving int64) []model.MachineID {
+	free, have := freeCPU(rooms)-moving, int64(0)
 	for i := range rooms {
-		free += max(0, rooms[i].avail.CPU)
 		have += rooms[i].m.Cap.CPU
 	}
 	if float64(free) < reserve*float64(have) {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -240,7 +240,8 @@
 		again, lacking = f.undrain(status, lacking)
 		out = append(out, again...)
 	}
-	out = append(out, f.drain(now, rooms)...)
+	moving := f.moving(status)
+	out = append(out, f.drain(now, rooms, moving)...)
 	left := lacking
 	for len(f.renting) < atOnce && len(left) > 0 {
 		a, ok := f.rent(now, left)
@@ -254,7 +255,7 @@
 	if !f.giving {
 		ids := f.givenUp()
 		if len(ids) == 0 {
-			ids = f.surplus(now, status, rooms, slackening(rooms, demand))
+			ids = f.surplus(now, status, rooms, slackening(rooms, demand), moving)
 		}
 		if len(ids) > 0 {
 			out = append(out, Action{Kind: Return, Machine: ids})
@@ -396,8 +397,22 @@
 }
 
 // surplus picks machines to give back: those that never came up, failed, or
-// went silent for good, and those that stand idle.
-func (f *Fleet) surplus(now time.Duration, status []model.MachineStatus, rooms []room, slackening bool) []model.MachineID {
+// went silent for good, and those that stand idle and that plans' moves need no room on.
+func (f *Fleet) surplus(now time.Duration, status []model.MachineStatus, rooms []room, slackening bool,
+	moving int64) []model.MachineID {
+	out := f.lost(now)
+	out = append(out, f.idle(now, rooms, slackening, moving)...)
+	for i := range status {
+		s := &status[i]
+		if u := f.units[s.Machine.ID]; u != nil && !u.drop && !u.held && s.Faulty && s.Slots == 0 {
+			out = append(out, s.Machine.ID)
+		}
+	}
+	return f.giveBack(out)
+}
+
+// lost are the machines that never came up, failed, or went silent for good.
+func (f *Fleet) lost(now time.Duration) []model.MachineID {
 	var out []model.MachineID
 	cut := f.cutZones()
 	for id, u := range f.units {
@@ -417,6 +432,14 @@
 			out = append(out, id)
 		}
 	}
+	return out
+}
+
+// idle are the machines that stand idle for longer than their price allows, as far as enough
+// room is left for what moves.
+func (f *Fleet) idle(now time.Duration, rooms []room, slackening bool, moving int64) []model.MachineID {
+	var out []model.MachineID
+	free := freeCPU(rooms)
 	for i := range rooms {
 		r := &rooms[i]
 		if r.status == nil || r.used || r.status.Slots > 0 {
@@ -425,15 +448,14 @@
 		if p := f.patience(&r.m, slackening); now-r.status.IdleSince < p || now-f.want < p/2 {
 			continue
 		}
+		left := free - max(0, r.avail.CPU)
+		if moving > 0 && left < moving {
+			continue
+		}
 		if u := f.units[r.m.ID]; u != nil && !u.drop && u.silent == 0 {
 			out = append(out, r.m.ID)
+			free = left
 		}
 	}
-	for i := range status {
-		s := &status[i]
-		if u := f.units[s.Machine.ID]; u != nil && !u.drop && !u.held && s.Faulty && s.Slots == 0 {
-			out = append(out, s.Machine.ID)
-		}
-	}
-	return f.giveBack(out)
+	return out
 }
--- a/internal/core/fleet/plans.go
+++ b/internal/core/fleet/plans.go
@@ -15,6 +15,19 @@
 	}
 }
 
+// moving is the CPU of what runs on machines that plans drain: it needs room elsewhere, unless
+// it ends first. None of that room is surplus, or the plans' moves wait until tasks end.
+func (f *Fleet) moving(status []model.MachineStatus) int64 {
+	var cpu int64
+	for i := range status {
+		s := &status[i]
+		if u := f.units[s.Machine.ID]; u != nil && u.held && s.Slots > 0 {
+			cpu += max(0, s.Machine.Cap.CPU-s.Avail.CPU)
+		}
+	}
+	return cpu
+}
+
 // Give begins a return that somebody else has decided on; false tells that one is
 // under way, and to come back.
 func (f *Fleet) Give(ids []model.MachineID) bool {
--- a/internal/core/fleet/rooms.go
+++ b/internal/core/fleet/rooms.go
@@ -46,6 +46,15 @@
 	return out
 }
 
+// freeCPU is what the machines have free in all.
+func freeCPU(rooms []room) int64 {
+	var free int64
+	for i := range rooms {
+		free += max(0, rooms[i].avail.CPU)
+	}
+	return free
+}
+
 // machine is one of those that a rental asks for.
 func (a *Action) machine(t *model.MachineType) model.Machine {
 	return model.Machine{Type: a.Type, Zone: a.Zone, Spot: a.Spot, Cap: t.Cap}
--- a/internal/e2e/pipeline_test.go
+++ b/internal/e2e/pipeline_test.go
@@ -137,6 +137,11 @@
 	}
 	apply(t, ops, `name: "renew" machines { all: true } at_once: 4 rent_first: true running: MOVE_SAVED
 		waves { machines: 1 soak_s: 1 }`)
+	defer func() {
+		if t.Failed() {
+			t.Logf("the plan: %+v", status(t, ops, "renew"))
+		}
+	}()
 	until(t, "the first wave is over", func() bool { return status(t, ops, "renew").Counts["finished"] >= 2 })
 	for _, k := range c.Controllers {
 		if leads(k) {
