server: a part of the sockets is never the workers'

Cause: workers keep their connections open, and whoever leads first after a restart of all controllers is met by all of them: its sockets are taken, neither users nor health checks get in, and the load balancer leaves it out for up to a minute.

--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -7,21 +7,23 @@
 	"sync"
 )
 
-// conns keeps count of the connections through this door. Users and workers come
-// through the same port, and nothing tells them apart until a request arrives: users
-// can't crowd out workers, for a part of the sockets is never theirs, and once the
-// door is nearly full the users that have been idle for longest are let go.
+// conns keeps count of the server's connections. Users and workers come through the same
+// port, and nothing tells them apart until a request arrives. Neither can crowd out the
+// other: a part of the sockets is never the users', and once nearly all are taken the
+// users that have been idle for longest are closed; another part is never the workers',
+// whose connections are closed after each answer while they hold more.
 type conns struct {
 	mu   sync.Mutex
 	full int // from so many connections on idle users are let go
 	most int // users
+	rest int // others: workers, and whoever has not said anything yet
 	open int
 	user map[net.Conn]*list.Element // nil: it carries a request
 	idle *list.List                 // of net.Conn, the longest idle first
 }
 
 func newConns(limit int) *conns {
-	return &conns{full: limit * 9 / 10, most: limit * 6 / 10, user: map[net.Conn]*list.Element{}, idle: list.New()}
+	return &conns{full: limit * 9 / 10, most: limit * 6 / 10, rest: limit * 8 / 10, user: map[net.Conn]*list.Element{}, idle: list.New()}
 }
 
 // admit tells whether a connection may carry a user's request.
@@ -38,6 +40,15 @@
 	return true
 }
 
+// keepsWorker tells whether a worker's connection may stay open after its answer. With all
+// sockets taken by workers neither a user nor the load balancer's health check gets in, while
+// workers that report each few seconds need none in between.
+func (u *conns) keepsWorker() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open-len(u.user) <= u.rest
+}
+
 // state follows a connection.
 func (u *conns) state(c net.Conn, st http.ConnState) {
 	if out := u.follow(c, st); out != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -160,6 +160,9 @@
 func (s *Server) withdraw(c echo.Context) error { return s.job(c, s.node.Withdraw) }
 
 func (s *Server) report(c echo.Context) error {
+	if !s.conns.keepsWorker() {
+		c.Response().Header().Set("Connection", "close")
+	}
 	b, err := body(c)
 	if err != nil {
 		return c.JSON(http.StatusBadRequest, errorBody{"the body is over 64 KiB or could not be read"})
