server: as many questions wait at the door as the state service answers at once

Cause: a door of 48 questions before a queue that is fair by job. A question waits half a second for a comparison of up to 80, so one controller answered 100 a second and turned 190 away at random, with its processor not behind; a job whose fifteen questions in a row met that went unanswered for 75 s. Change: 128 wait at once.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,8 +26,8 @@
 
 const (
 	maxBody     = 64 << 10
-	maxPolls    = 48 // at once; more are told to come back
-	maxChanges  = 64 // submissions and cancellations at once
+	maxPolls    = 128 // at once; they wait rather than work, and a comparison answers 80 and more
+	maxChanges  = 64  // submissions and cancellations at once
 	userTimeout = 1800 * time.Millisecond
 )
 
