--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -9,11 +9,11 @@
 	"honeylock/internal/core/model"
 )
 
-// hold is a task charged to its team: dealt to a shard, or adrift.
+// hold is a task charged to its team: dealt to a shard, or orphaned.
 type hold struct {
-	zone   model.Name
-	shard  model.ShardID
-	adrift *adrift // nil: a living shard holds it
+	zone    model.Name
+	shard   model.ShardID
+	orphans *orphans // nil: a living shard holds it
 }
 
 type clearing struct {
@@ -51,11 +51,11 @@
 	// guarantee, and nothing is rented for it.
 	waits bool
 	// rank is the highest of its own and of those of the jobs that need it.
-	rank    model.Rank
-	adrift  int32         // of held
-	begun   bool          // a task of it has run, or runs
-	late    bool          // none has, for too long
-	pressed time.Duration // the shards were last told so
+	rank     model.Rank
+	orphaned int32         // of held
+	begun    bool          // a task of it has run, or runs
+	late     bool          // none has, for too long
+	pressed  time.Duration // the shards were last told so
 }
 
 // AddJob takes an open job. done holds its stored chunks; old tells that it
@@ -137,7 +137,7 @@
 
 func (d *Dealer) holds(j *job, no int32, id model.ShardID) bool {
 	h, ok := j.held[no]
-	return ok && h.adrift == nil && h.shard == id
+	return ok && h.orphans == nil && h.shard == id
 }
 
 func (d *Dealer) found(now time.Duration, from model.ShardID, e model.Event) {
@@ -161,10 +161,10 @@
 	if m != nil && known && !j.isDone(e.Task.No) && j.spec.Allows(&m.Machine) && d.adoptable(j, e.Task.No, m) {
 		checked := d.wouldAllow(j, e.Task.No, m.Zone)
 		if h, ok := j.held[e.Task.No]; ok {
-			delete(h.adrift.tasks, e.Task)
-			j.adrift--
+			delete(h.orphans.tasks, e.Task)
+			j.orphaned--
 			j.moveZone(h.zone, m.Zone)
-			h.shard, h.adrift, h.zone = from, nil, m.Zone
+			h.shard, h.orphans, h.zone = from, nil, m.Zone
 			j.held[e.Task.No] = h
 		} else {
 			d.hold(j, e.Task.No, m.Zone, from, Adopted)
@@ -174,11 +174,11 @@
 		return
 	}
 	// It takes room, and its team's share, until it is gone.
-	d.aliens[e.Attempt] = alien{e.Machine, from}
+	d.strays[e.Attempt] = stray{e.Machine, from}
 	d.order(from, model.Order{Kind: model.KillIt, ID: e.Machine, Task: e.Task, Attempt: e.Attempt})
 }
 
-// adoptable: the task was adrift and may be there, or nobody holds it and what earlier owners
+// adoptable: the task was orphaned and may be there, or nobody holds it and what earlier owners
 // left on the machine is not known yet. Later than that it may have been dispatched elsewhere,
 // and been taken back: to adopt it would pass by its team's limit and its job's zones.
 func (d *Dealer) adoptable(j *job, no int32, m *machine) bool {
@@ -186,7 +186,7 @@
 	if !ok {
 		return !d.accountedFor(m)
 	}
-	return h.adrift != nil && h.adrift.machines[m.ID]
+	return h.orphans != nil && h.orphans.machines[m.ID]
 }
 
 // wouldAllow tells whether a task could be charged in a zone now, beside what else is charged: by
@@ -251,8 +251,8 @@
 
 func (d *Dealer) release(j *job, no int32, why ChargeReason) {
 	if h, ok := j.held[no]; ok {
-		if h.adrift != nil {
-			j.adrift--
+		if h.orphans != nil {
+			j.orphaned--
 		}
 		delete(j.held, no)
 		j.leaveZone(h.zone)
@@ -274,7 +274,7 @@
 		d.clearIt(clear)
 		return
 	}
-	if h, ok := j.held[e.Task.No]; ok && h.adrift == nil {
+	if h, ok := j.held[e.Task.No]; ok && h.orphans == nil {
 		// It is done, yet started again elsewhere.
 		d.order(h.shard, model.Order{Kind: model.Recall, Task: e.Task})
 	}
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -85,7 +85,7 @@
 	for id := range d.suspects {
 		add(id)
 	}
-	for _, a := range d.aliens {
+	for _, a := range d.strays {
 		add(a.machine)
 	}
 	return sum
--- a/internal/core/dealer/dealer.go
+++ b/internal/core/dealer/dealer.go
@@ -58,7 +58,7 @@
 	blocks     map[BlockID]*block
 	layout     uint64 // size of the blocks that are written, 0: p.BlockSize
 	suspects   map[model.MachineID]bool
-	aliens     map[uint64]alien
+	strays     map[uint64]stray
 	members    map[model.ShardID]*member
 	lastID     model.ShardID
 	oldEnd     time.Duration // no authority of an earlier term lasts beyond
@@ -89,7 +89,7 @@
 		heldBack: map[model.MachineID][]model.Event{},
 		barred:   map[model.MachineID]bool{}, jobs: map[model.JobID]*job{}, machines: map[model.MachineID]*machine{},
 		blocks: map[BlockID]*block{}, suspects: map[model.MachineID]bool{},
-		aliens: map[uint64]alien{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
+		strays: map[uint64]stray{}, usage: make([]model.Resources, len(p.Teams)), types: map[model.Name]model.MachineType{}}
 }
 
 // Orders takes away what shards must be told.
@@ -298,8 +298,8 @@
 		if j := d.jobs[e.Task.Job]; j != nil && d.holds(j, e.Task.No, from) {
 			d.returned(now, j, e)
 		}
-	case model.AlienGone:
-		delete(d.aliens, e.Attempt)
+	case model.StrayGone:
+		delete(d.strays, e.Attempt)
 		d.forgetFound(e.Attempt)
 	}
 }
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -223,7 +223,7 @@
 	if n := len(r.orders(model.Give)); n != 0 {
 		t.Fatalf("%d dealt beside an attempt of unknown team", n)
 	}
-	r.d.Event(time.Second, s, model.Event{Kind: model.AlienGone, Task: task, Attempt: 5})
+	r.d.Event(time.Second, s, model.Event{Kind: model.StrayGone, Task: task, Attempt: 5})
 	r.status(time.Second, s, 2)
 	r.d.Deal(2 * time.Second)
 	if n := len(r.orders(model.Give)); n != 4 {
--- a/internal/core/dealer/inspect.go
+++ b/internal/core/dealer/inspect.go
@@ -19,7 +19,7 @@
 	if j := d.jobs[t.Job]; j != nil && d.isHeld(j, t.No) {
 		return true
 	}
-	_, leaving := d.aliens[attempt]
+	_, leaving := d.strays[attempt]
 	return leaving || d.suspects[on]
 }
 
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -8,11 +8,11 @@
 	"honeylock/internal/core/model"
 )
 
-// adrift is a set of tasks whose shard was lost, or let go of a machine. They
+// orphans is a set of tasks whose shard was lost, or let go of a machine. They
 // may be on any of the machines, and are free once each of those has been
 // accounted for: its worker fenced by a new owner, its lease surely over, or
 // the machine gone. Those found are adopted before that.
-type adrift struct {
+type orphans struct {
 	machines map[model.MachineID]bool
 	tasks    map[model.Task]bool
 }
@@ -37,7 +37,7 @@
 	// answer it for the last time.
 	authority      time.Duration
 	lost           time.Duration // authority of this term's lost shards alone
-	groups         []*adrift
+	groups         []*orphans
 	unanswered     bool                // a direct command to its worker was not answered
 	unreachable    bool                // ... nor has it reported, while others of its zone do
 	orphaned       time.Duration       // seen without an owner since, 0: it has one
@@ -51,8 +51,8 @@
 	movedAt        time.Duration
 }
 
-// alien is an attempt that must go; it runs unaccounted until it has.
-type alien struct {
+// stray is an attempt that must go; it runs unaccounted until it has.
+type stray struct {
 	machine model.MachineID
 	owner   model.ShardID
 }
@@ -64,7 +64,7 @@
 		return
 	}
 	delete(d.members, id)
-	g := &adrift{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
+	g := &orphans{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
 	for _, m := range d.sortedMachines() {
 		if m.next == id {
 			m.next = 0
@@ -84,26 +84,26 @@
 	}
 	for _, j := range d.sortedJobs() {
 		for no, h := range j.held {
-			if h.shard == id && h.adrift == nil {
-				d.setAdrift(j, no, g)
+			if h.shard == id && h.orphans == nil {
+				d.setOrphaned(j, no, g)
 			}
 		}
 	}
 	d.settle(g)
 }
 
-func (d *Dealer) setAdrift(j *job, no int32, g *adrift) {
+func (d *Dealer) setOrphaned(j *job, no int32, g *orphans) {
 	h := j.held[no]
-	if h.adrift == nil {
-		j.adrift++
+	if h.orphans == nil {
+		j.orphaned++
 	}
-	h.shard, h.adrift = 0, g
+	h.shard, h.orphans = 0, g
 	j.held[no] = h
 	g.tasks[model.Task{Job: j.spec.ID, No: no}] = true
 }
 
-// settle frees what is still adrift once no machine is left to look at.
-func (d *Dealer) settle(g *adrift) {
+// settle frees what is still orphaned once no machine is left to look at.
+func (d *Dealer) settle(g *orphans) {
 	if len(g.machines) > 0 {
 		return
 	}
@@ -113,7 +113,7 @@
 	}
 	slices.SortFunc(tasks, model.Task.Compare)
 	for _, t := range tasks {
-		if j := d.jobs[t.Job]; j != nil && j.held[t.No].adrift == g {
+		if j := d.jobs[t.Job]; j != nil && j.held[t.No].orphans == g {
 			d.freed(j, t.No, MachinesAccounted)
 			if d.p.Tell {
 				d.freedNow = append(d.freedNow, t)
@@ -127,9 +127,9 @@
 // been found, or is gone.
 func (d *Dealer) resolve(m *machine) {
 	delete(d.suspects, m.ID)
-	for id, a := range d.aliens {
+	for id, a := range d.strays {
 		if a.machine == m.ID && a.owner != m.owner {
-			delete(d.aliens, id) // its owner has found it again, or it is gone
+			delete(d.strays, id) // its owner has found it again, or it is gone
 		}
 	}
 	groups := m.groups
@@ -392,10 +392,10 @@
 	if m != nil && m.owner != from {
 		return
 	}
-	g := &adrift{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
+	g := &orphans{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
 	for _, t := range e.Tasks {
 		if j := d.jobs[t.Job]; j != nil && d.holds(j, t.No, from) {
-			d.setAdrift(j, t.No, g)
+			d.setOrphaned(j, t.No, g)
 		}
 	}
 	if m == nil { // only machines that are gone are forgotten: nothing is there
--- a/internal/core/dealer/present.go
+++ b/internal/core/dealer/present.go
@@ -11,17 +11,17 @@
 }
 
 // AtWork counts a team's tasks, or those of one of its classes (None: all): what runs,
-// what is adrift, and what of the jobs of earlier terms is neither done nor known to run,
+// what is orphaned, and what of the jobs of earlier terms is neither done nor known to run,
 // with the CPU of the last two, in thousandths.
-func (d *Dealer) AtWork(team, class model.Name) (running, adrift, unsure int, cpu int64) {
+func (d *Dealer) AtWork(team, class model.Name) (running, orphaned, unsure int, cpu int64) {
 	for _, j := range d.inOrder {
 		if j.ended || j.waits || j.spec.Team != team || class != model.None && class != j.spec.Class {
 			continue
 		}
 		at := d.Count(j.spec.ID).Running
 		running += at
-		adrift += int(j.adrift)
-		out := int(j.adrift)
+		orphaned += int(j.orphaned)
+		out := int(j.orphaned)
 		if j.old {
 			rest := max(0, int(j.spec.Tasks-j.nDone)-at-out)
 			unsure += rest
@@ -29,5 +29,5 @@
 		}
 		cpu += int64(out) * j.spec.Each.CPU
 	}
-	return running, adrift, unsure, cpu
+	return running, orphaned, unsure, cpu
 }
--- a/internal/core/dealer/teams.go
+++ b/internal/core/dealer/teams.go
@@ -17,8 +17,8 @@
 // TeamStatus is how a team stands.
 type TeamStatus struct {
 	Team
-	Used     model.Resources // charged: dealt, or adrift
-	Adrift   int             // of its tasks, those whose owner was lost
+	Used     model.Resources // charged: dealt, or orphaned
+	Orphaned int             // of its tasks, those whose owner was lost
 	Unseen   model.Resources // charged to every team for machines that are not accounted for
 	Waiting  int             // tasks that could be dealt, but for room and the limit
 	Least    model.Resources // the smallest of them
@@ -35,7 +35,7 @@
 	}
 	for _, j := range d.inOrder {
 		t := &out[j.spec.Team]
-		t.Adrift += int(j.adrift)
+		t.Orphaned += int(j.orphaned)
 		n := int(j.spec.Tasks-j.nDone) - len(j.held)
 		switch {
 		case j.ended || n <= 0:
--- a/internal/core/disruption/disruption.go
+++ b/internal/core/disruption/disruption.go
@@ -78,10 +78,10 @@
 
 // Present is what the leader knows of a team's work beside what the book was told.
 type Present struct {
-	Running int   // tasks at work
-	Adrift  int   // tasks whose owner was lost, or let their machine go
-	Unsure  int   // tasks of jobs of before this term that are neither done nor known to be at work
-	CPU     int64 // of those adrift and unsure, in thousandths
+	Running  int   // tasks at work
+	Orphaned int   // tasks whose owner was lost, or let their machine go
+	Unsure   int   // tasks of jobs of before this term that are neither done nor known to be at work
+	CPU      int64 // of those orphaned and unsure, in thousandths
 }
 
 // Book is the state machine.
@@ -229,9 +229,9 @@
 	}
 	p := k.Present(b.Team, b.Class)
 	u.running = p.Running
-	u.tasks += p.Adrift + p.Unsure
+	u.tasks += p.Orphaned + p.Unsure
 	u.cpu += p.CPU
-	u.by[Lost] += p.Adrift
+	u.by[Lost] += p.Orphaned
 	u.by[Unsure] += p.Unsure
 	return u
 }
--- a/internal/core/disruption/disruption_test.go
+++ b/internal/core/disruption/disruption_test.go
@@ -85,12 +85,12 @@
 	p := &Present{}
 	k := book(Budget{Tasks: 3}, p)
 	k.Stopped(model.Task{Job: 7, No: 1}, sp, Evicted, time.Second)
-	p.Adrift, p.Unsure = 1, 1
+	p.Orphaned, p.Unsure = 1, 1
 	why := k.Draw(0, ask(9, sp))
 	if !strings.Contains(why, "1 evicted, 1 lost with their machines, 1 unknown since the change of leader") {
 		t.Errorf("%q", why)
 	}
-	p.Adrift = 0
+	p.Orphaned = 0
 	if why := k.Draw(0, ask(9, sp)); why != "" {
 		t.Error(why)
 	}
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -125,7 +125,7 @@
 	Gone                        // a task is nowhere, and this shard holds it no more
 	Unanswered                  // a direct command to a worker that is not fenced, or is overdue, went unanswered
 	Remembered                  // the controller's shard of an earlier term owned the machine
-	AlienGone                   // a found attempt that was not adopted is nowhere now
+	StrayGone                   // a found attempt that was not adopted is nowhere now
 	Looked                      // what runs on the machine
 	Idled                       // a task that ran is out of work, for other reasons than its own: Held: it was recalled
 	AtWork                      // a task that was told idle, or dealt again, runs
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -153,10 +153,10 @@
 func (s *Shard) cell(now time.Duration, m *machine, k key, c model.Cell) {
 	sl := m.slots.get(k)
 	if sl == nil {
-		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, alien: true, seen: s.takes}
+		sl = &slot{key: k, sent: true, state: live, stage: c.Stage, stray: true, seen: s.takes}
 		s.put(m, sl)
 		if c.Stage == model.Exited {
-			sl.state, sl.alien = exited, false
+			sl.state, sl.stray = exited, false
 		}
 		s.emit(model.Event{Kind: model.Found, Machine: m.ID, Task: k.task, Attempt: k.attempt, Cell: c})
 		return
@@ -192,7 +192,7 @@
 			sl.t = nil
 			delete(s.tasks, t.Task)
 		}
-		s.alienGone(sl)
+		s.strayGone(sl)
 		// Cleared once its completion is stored.
 		s.emit(model.Event{Kind: model.Finished, Machine: m.ID, Task: k.task, Attempt: k.attempt, Held: held,
 			Ran: sl.ran(now)})
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -305,7 +305,7 @@
 			return
 		}
 		if sl := m.slots.get(key{d.Task, d.Attempt}); sl != nil && sl.state == live {
-			sl.t, t.slot, sl.alien = t, sl, false
+			sl.t, t.slot, sl.stray = t, sl, false
 			m.priced = false
 			sl.adopted, sl.unchecked = true, !d.Checked
 			if sl.stage == model.Running {
--- a/internal/core/shard/slot.go
+++ b/internal/core/shard/slot.go
@@ -41,7 +41,7 @@
 	grace     time.Duration
 	hardAt    time.Duration // a saving task is ended then
 	clear     bool
-	alien     bool          // found, and not adopted
+	stray     bool          // found, and not adopted
 	adopted   bool          // it ran before this shard saw it
 	unchecked bool          // ... and dispatching it would have been refused
 	fetches   bool          // of a rehearsal: its machine had not its image
@@ -110,7 +110,7 @@
 func (s *Shard) landed(now time.Duration, sl *slot, c model.Cause) {
 	t := sl.t
 	if t == nil || t.slot != sl {
-		s.alienGone(sl)
+		s.strayGone(sl)
 		return
 	}
 	if c == model.CauseStopped {
@@ -137,11 +137,11 @@
 	s.emit(model.Event{Kind: model.Idled, Machine: sl.m.ID, Task: t.Task, Cause: c, Held: t.recalled, Ran: loss(now, sl)})
 }
 
-// alienGone tells that a found attempt which was not adopted is gone.
-func (s *Shard) alienGone(sl *slot) {
-	if sl.alien {
-		sl.alien = false
-		s.emit(model.Event{Kind: model.AlienGone, Task: sl.task, Attempt: sl.attempt})
+// strayGone tells that a found attempt which was not adopted is gone.
+func (s *Shard) strayGone(sl *slot) {
+	if sl.stray {
+		sl.stray = false
+		s.emit(model.Event{Kind: model.StrayGone, Task: sl.task, Attempt: sl.attempt})
 	}
 }
 
--- a/internal/core/sim/budgets_test.go
+++ b/internal/core/sim/budgets_test.go
@@ -34,9 +34,9 @@
 	x.book.Sweep(func(id model.JobID) bool { return l.d.Spec(id) != nil })
 	x.book.Settled = l.d.Recovered() || l.c.w.p.forgetDraws
 	x.book.Present = func(team, class model.Name) (p disruption.Present) {
-		p.Running, p.Adrift, p.Unsure, p.CPU = l.d.AtWork(team, class)
+		p.Running, p.Orphaned, p.Unsure, p.CPU = l.d.AtWork(team, class)
 		if l.c.w.p.forgetDraws {
-			p.Unsure, p.Adrift, p.CPU = 0, 0, 0
+			p.Unsure, p.Orphaned, p.CPU = 0, 0, 0
 		}
 		return p
 	}
--- a/internal/node/disrupting.go
+++ b/internal/node/disrupting.go
@@ -55,7 +55,7 @@
 		w := work{team, class}
 		x, ok := told[w]
 		if !ok {
-			x.Running, x.Adrift, x.Unsure, x.CPU = l.d.AtWork(team, class)
+			x.Running, x.Orphaned, x.Unsure, x.CPU = l.d.AtWork(team, class)
 			told[w] = x
 		}
 		return x
