--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,7 +26,7 @@
 
 const (
 	maxBody     = 64 << 10
-	maxPolls    = 128 // at once; they wait rather than work, and a comparison answers 80 and more
+	maxPolls    = 96 // at once; they wait rather than work, and a comparison answers some 80
 	maxChanges  = 64  // submissions and cancellations at once
 	userTimeout = 1800 * time.Millisecond
 )
