--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,7 +27,7 @@
 const (
 	maxBody     = 64 << 10
 	maxPolls    = 96 // at once; they wait rather than work, and a comparison answers some 80
-	maxChanges  = 64  // submissions and cancellations at once
+	maxChanges  = 64 // submissions and cancellations at once
 	userTimeout = 1800 * time.Millisecond
 )
 
