dealer, fleet, node, shard: logic that stood twice called in one place

From a reading of the whole change; no behaviour changes. dealer: the bound of a spread job's tasks in a zone (wouldAllow, plan) is mostInZone; orphans are made and given machines in one place each; a machine's unownedSince, whose name had come to be that of orphaned tasks. drain: Rented keeps a replacement by Keep. fleet: a comparison that could not differ. node: whileLeading serves the leader's gauges and counters, five closures before; the decision log's two switches are one. Tests: runsOne and finds where the same lines stood; assertions as they were.

--- a/internal/core/dealer/book.go
+++ b/internal/core/dealer/book.go
@@ -208,11 +208,14 @@
 	case j.spec.Together:
 		return here == all
 	case j.spec.Spread:
-		return here < (j.spec.Tasks+1)/2
+		return here < j.mostInZone()
 	}
 	return true
 }
 
+// mostInZone is how many tasks of a job that is spread may be in one zone.
+func (j *job) mostInZone() int32 { return (j.spec.Tasks + 1) / 2 }
+
 // moveZone has a task charged to another zone.
 func (j *job) moveZone(from, to model.Name) {
 	j.leaveZone(from)
--- a/internal/core/dealer/deal.go
+++ b/internal/core/dealer/deal.go
@@ -232,7 +232,7 @@
 				continue
 			}
 			if j.spec.Spread {
-				can = min(can, int64(j.spec.Tasks+1)/2-perZone[z])
+				can = min(can, int64(j.mostInZone())-perZone[z])
 			}
 			for _, m := range members {
 				if f := m.fits(j.spec, z, can, false); f > best.n {
--- a/internal/core/dealer/dealer_test.go
+++ b/internal/core/dealer/dealer_test.go
@@ -96,7 +96,7 @@
 	}
 	// One task is found, then the worker is fenced: the other is nowhere.
 	task := model.Task{Job: 1, No: 1}
-	r.d.Event(time.Second, s, model.Event{Kind: model.Found, Machine: 1, Task: task, Attempt: 77, Cell: model.Cell{Task: task, Attempt: 77, Stage: model.Running}})
+	r.finds(time.Second, s, 1, task, 77)
 	gives = r.orders(model.Give)
 	if len(gives) != 1 || gives[0].Deal.Attempt != 77 {
 		t.Fatalf("%v, want the found attempt adopted", gives)
@@ -194,7 +194,7 @@
 	if len(own) != 1 || own[0].To != b || own[0].Token <= first[0].Token {
 		t.Fatalf("orders %+v, want a higher token for b", own)
 	}
-	r.d.Event(2*time.Second, b, model.Event{Kind: model.Found, Machine: 1, Task: task, Attempt: 9, Cell: model.Cell{Task: task, Attempt: 9, Stage: model.Running}})
+	r.finds(2*time.Second, b, 1, task, 9)
 	if g := r.orders(model.Give); len(g) != 1 || g[0].To != b || g[0].Deal.Attempt != 9 {
 		t.Fatalf("orders %+v, want it adopted at b", g)
 	}
@@ -213,7 +213,7 @@
 	r.machine(0, 2, s)
 	r.d.Orders()
 	task := model.Task{Job: 99, No: 0}
-	r.d.Event(0, s, model.Event{Kind: model.Found, Machine: 1, Task: task, Attempt: 5, Cell: model.Cell{Task: task, Attempt: 5, Stage: model.Running}})
+	r.finds(0, s, 1, task, 5)
 	if o := r.orders(model.KillIt); len(o) != 1 {
 		t.Fatalf("orders %v, want it killed", o)
 	}
--- a/internal/core/dealer/orphans.go
+++ b/internal/core/dealer/orphans.go
@@ -16,6 +16,16 @@
 	tasks    map[model.Task]bool
 }
 
+func newOrphans() *orphans {
+	return &orphans{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
+}
+
+// mayBeOn has the tasks wait for a machine to be accounted for.
+func (g *orphans) mayBeOn(m *machine) {
+	g.machines[m.ID] = true
+	m.groups = append(m.groups, g)
+}
+
 // stray is an attempt that must go; it runs unaccounted until it has.
 type stray struct {
 	machine model.MachineID
@@ -29,7 +39,7 @@
 		return
 	}
 	delete(d.members, id)
-	g := &orphans{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
+	g := newOrphans()
 	for _, m := range d.sortedMachines() {
 		if m.next == id {
 			m.next = 0
@@ -43,8 +53,7 @@
 			if m.gone {
 				continue // nothing is there, and it will be forgotten before it could be accounted for
 			}
-			g.machines[m.ID] = true
-			m.groups = append(m.groups, g)
+			g.mayBeOn(m)
 		}
 	}
 	for _, j := range d.sortedJobs() {
@@ -109,7 +118,7 @@
 	if m != nil && m.owner != from {
 		return
 	}
-	g := &orphans{machines: map[model.MachineID]bool{}, tasks: map[model.Task]bool{}}
+	g := newOrphans()
 	for _, t := range e.Tasks {
 		if j := d.jobs[t.Job]; j != nil && d.holds(j, t.No, from) {
 			d.setOrphaned(j, t.No, g)
@@ -120,8 +129,7 @@
 		return
 	}
 	m.letGo(now, &e)
-	g.machines[m.ID] = true
-	m.groups = append(m.groups, g)
+	g.mayBeOn(m)
 	m.owner, m.releasing = 0, false
 	delete(d.heldBack, m.ID)
 	if m.gone {
--- a/internal/core/dealer/owners.go
+++ b/internal/core/dealer/owners.go
@@ -31,7 +31,7 @@
 	groups         []*orphans
 	unanswered     bool                // a direct command to its worker was not answered
 	unreachable    bool                // ... nor has it reported, while others of its zone do
-	orphaned       time.Duration       // seen without an owner since, 0: it has one
+	unownedSince   time.Duration       // seen without an owner since, 0: it has one
 	status         model.MachineStatus // as its owner last told
 	told           model.ShardID       // the owner that told it, 0: none has
 	avail          model.Resources     // of status, less what was dealt since
@@ -56,7 +56,7 @@
 			m.authority = max(d.oldEnd, m.lost)
 		}
 		if m.owner != 0 || len(m.groups) == 0 && !d.suspects[m.ID] {
-			m.orphaned = 0
+			m.unownedSince = 0
 			continue
 		}
 		if now > m.authority+d.p.SureLease {
@@ -65,18 +65,18 @@
 		}
 		// Nobody's, and work waits until it is accounted for: a shard is to
 		// reach for its worker, for that may not report for long.
-		if m.orphaned == 0 {
-			m.orphaned = now
-		} else if now-m.orphaned >= orphanPatience && len(members) > 0 && !m.gone {
+		if m.unownedSince == 0 {
+			m.unownedSince = now
+		} else if now-m.unownedSince >= unownedPatience && len(members) > 0 && !m.gone {
 			d.own(m, members[d.turn%len(members)].id)
 			d.turn++
 		}
 	}
 }
 
-// orphanPatience is how long a machine that lost its owner is left to report to
+// unownedPatience is how long a machine that lost its owner is left to report to
 // another one by itself.
-const orphanPatience = time.Second
+const unownedPatience = time.Second
 
 // Recovered tells whether every machine that an earlier leader may have used
 // has been accounted for.
--- a/internal/core/drain/engine.go
+++ b/internal/core/drain/engine.go
@@ -324,9 +324,7 @@
 	switch {
 	case len(got) > 0:
 		r.renewed = got[0]
-		if !e.giving[got[0]] {
-			delete(e.price, got[0]) // drained before this leader was told whose replacement it is
-		}
+		e.Keep(got[:1]) // it may be drained for its price by a leader that did not know whose it is
 	case refused:
 		r.held = "the cloud has no machine to replace it"
 	default:
--- a/internal/core/fleet/drain.go
+++ b/internal/core/fleet/drain.go
@@ -31,7 +31,8 @@
 // toDrain picks machines to run empty, once nothing has lacked room for a while. moving is the
 // room that plans' moves will take.
 func (f *Fleet) toDrain(now time.Duration, rooms []room, moving int64) []model.MachineID {
-	free, have := freeCPU(rooms)-moving, int64(0)
+	free := freeCPU(rooms) - moving
+	var have int64
 	for i := range rooms {
 		have += rooms[i].m.Cap.CPU
 	}
--- a/internal/core/fleet/surplus.go
+++ b/internal/core/fleet/surplus.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		left := free - max(0, r.avail.CPU)
-		if moving > 0 && left < moving {
+		if left < moving {
 			continue
 		}
 		if u := f.units[r.m.ID]; u != nil && !u.drop && u.silent == 0 {
--- a/internal/core/shard/reachability_test.go
+++ b/internal/core/shard/reachability_test.go
@@ -288,11 +288,7 @@
 
 func TestNewSessionLosesItsTasks(t *testing.T) {
 	r := newRig(t)
-	r.own(1, 5, 8)
-	r.report(1, 5)
-	r.give(r.spec(1, model.Standard, 2), 0, 10)
-	r.report(1, 5)
-	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	r.runsOne()
 	r.now += lease
 	rep := &model.Report{Machine: model.Machine{ID: 1}, Session: 2, Seq: 1, Token: 5, Notice: -1}
 	for range 2 { // the first is the first sign of life for a lease
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -219,11 +219,7 @@
 
 func TestLateReportIsIgnored(t *testing.T) {
 	r := newRig(t)
-	r.own(1, 5, 8)
-	r.report(1, 5)
-	r.give(r.spec(1, model.Standard, 2), 0, 10)
-	r.report(1, 5)
-	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	r.runsOne()
 	old := &model.Report{Machine: model.Machine{ID: 1}, Session: 1, Seq: 1, Token: 5, Notice: -1}
 	r.s.Report(r.now, old)
 	if got := r.report(1, 5, cell(1, 0, 1001, model.Running, 0)); len(got) != 0 {
@@ -235,11 +231,7 @@
 // worker. Only the dealer's word does, and not if the worker is back by then.
 func TestSilenceIsTheDealersToDecide(t *testing.T) {
 	r := newRig(t)
-	r.own(1, 5, 8)
-	r.report(1, 5)
-	r.give(r.spec(1, model.Standard, 2), 0, 10)
-	r.report(1, 5)
-	r.report(1, 5, cell(1, 0, 1001, model.Running, 0))
+	r.runsOne()
 	r.s.Events()
 	r.now += lease + time.Second
 	r.s.Tick(r.now)
--- a/internal/node/decisionlog.go
+++ b/internal/node/decisionlog.go
@@ -49,22 +49,16 @@
 		if l.d.Lapsed(e.Machine) {
 			l.n.log.Info("machine is back after its lease was over", "machine", wire.MachineName(e.Machine), "shard", from)
 		}
-	case model.Found, model.Released, model.Kept:
+	case model.Found:
 		if l.n.logs(slog.LevelDebug) {
-			l.logFound(from, e)
+			l.n.log.Debug("attempt found", "task", wire.TaskName(e.Task), "attempt", e.Attempt,
+				"machine", wire.MachineName(e.Machine), "shard", from)
 		}
-	}
-}
-
-// logFound tells of what a shard found on a machine, or let go of with it.
-func (l *leadership) logFound(from model.ShardID, e *model.Event) {
-	switch e.Kind {
-	case model.Found:
-		l.n.log.Debug("attempt found", "task", wire.TaskName(e.Task), "attempt", e.Attempt,
-			"machine", wire.MachineName(e.Machine), "shard", from)
 	case model.Released, model.Kept:
-		l.n.log.Debug("machine let go of, or kept", "machine", wire.MachineName(e.Machine), "shard", from,
-			"kept", e.Kind == model.Kept, "tasks", len(e.Tasks))
+		if l.n.logs(slog.LevelDebug) {
+			l.n.log.Debug("machine let go of, or kept", "machine", wire.MachineName(e.Machine), "shard", from,
+				"kept", e.Kind == model.Kept, "tasks", len(e.Tasks))
+		}
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,7 +4,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"honeylock/internal/core/budget"
-	"honeylock/internal/core/dealer"
 )
 
 // Register adds the controller's metrics to a registry.
@@ -65,13 +64,10 @@
 		rate, _ := n.state.Writes()
 		return rate
 	})
-	gauge("jobs_awaiting", "Open jobs that await others, on the leader.", func() float64 {
-		if n.lead == nil {
-			return 0
-		}
-		awaiting, _, _ := n.lead.chains.g.Counts()
+	gauge("jobs_awaiting", "Open jobs that await others, on the leader.", whileLeading(n, func(l *leadership) float64 {
+		awaiting, _, _ := l.chains.g.Counts()
 		return float64(awaiting)
-	})
+	}))
 	gauge("cancellations_behind_seconds", "How long ago the oldest cancellation may have been told that has not gone "+
 		"through to all that need the job, on the leader.", func() float64 {
 		if n.lead == nil || !n.lead.loaded {
@@ -79,68 +75,46 @@
 		}
 		return (n.now() - n.lead.chains.settled(n.now())).Seconds()
 	})
-	gauge("jobs_broken", "Open jobs held to be broken, on the leader.", func() float64 {
-		if n.lead == nil {
-			return 0
-		}
-		return float64(n.lead.d.BrokenNow())
-	})
-	gauge("machines_faulty", "Machines held to be faulty, on the leader.", func() float64 {
-		if n.lead == nil {
-			return 0
-		}
+	gauge("jobs_broken", "Open jobs held to be broken, on the leader.", whileLeading(n, func(l *leadership) float64 {
+		return float64(l.d.BrokenNow())
+	}))
+	gauge("machines_faulty", "Machines held to be faulty, on the leader.", whileLeading(n, func(l *leadership) float64 {
 		faulty := 0
-		for _, st := range n.lead.d.Machines() {
+		for _, st := range l.d.Machines() {
 			if st.Faulty {
 				faulty++
 			}
 		}
 		return float64(faulty)
-	})
-	leading := func(f func(l *leadership) float64) func() float64 {
-		return func() float64 {
-			if n.lead == nil {
-				return 0
-			}
-			return f(n.lead)
-		}
-	}
+	}))
 	gauge("machines_unheard", "Machines that report and that nothing shows to hear, on the leader.",
-		leading(func(l *leadership) float64 { return float64(l.d.Unverified()) }))
-	gauge("drain_plans", "Drain plans under way, on the leader.", leading(func(l *leadership) float64 {
+		whileLeading(n, func(l *leadership) float64 { return float64(l.d.Unverified()) }))
+	gauge("drain_plans", "Drain plans under way, on the leader.", whileLeading(n, func(l *leadership) float64 {
 		plans, _ := l.drains.e.Active()
 		return float64(plans)
 	}))
 	gauge("drain_machines", "Machines that drain plans keep tasks from, on the leader.",
-		leading(func(l *leadership) float64 {
+		whileLeading(n, func(l *leadership) float64 {
 			_, machines := l.drains.e.Active()
 			return float64(machines)
 		}))
 	gauge("records_waiting_seconds", "How long operators' records have waited to be stored, on the leader.",
-		leading(func(l *leadership) float64 {
+		whileLeading(n, func(l *leadership) float64 {
 			return l.budget.Waiting(n.now(), budget.Records).Seconds()
 		}))
 	reg.MustRegister(newDisruptionMetrics(n))
 	reg.MustRegister(newStarvationMetrics(n))
 	counter("reports", "Workers' reports received.", func() uint64 { return n.stats.Reports })
 	counter("reports_redirected", "Workers' reports answered with 421.", func() uint64 { return n.stats.Redirected })
-	term := func(f func(s dealer.Stats) uint64) func() uint64 {
-		return func() uint64 {
-			if n.lead == nil {
-				return 0
-			}
-			return f(n.lead.d.Stats())
-		}
-	}
 	counter("machines_lapsed", "Machines whose lease was over, in this controller's present term.",
-		term(func(s dealer.Stats) uint64 { return s.Lapsed }))
+		whileLeading(n, func(l *leadership) uint64 { return l.d.Stats().Lapsed }))
 	counter("machines_returned", "Machines heard of again after their lease was over, in this controller's present term.",
-		term(func(s dealer.Stats) uint64 { return s.Returned }))
+		whileLeading(n, func(l *leadership) uint64 { return l.d.Stats().Returned }))
 	counter("attempts_unexpected",
 		"Attempts found on machines that were accounted for, in this controller's present term.",
-		term(func(s dealer.Stats) uint64 { return s.Unexpected }))
+		whileLeading(n, func(l *leadership) uint64 { return l.d.Stats().Unexpected }))
 	counter("dispatch_limited", "Times that a team's limit kept a job's tasks waiting, in this controller's present term.",
-		term(func(s dealer.Stats) uint64 { return s.Limited }))
+		whileLeading(n, func(l *leadership) uint64 { return l.d.Stats().Limited }))
 	stat := func(f func() uint64) func() uint64 {
 		return func() uint64 {
 			if n.seat == nil {
@@ -158,3 +132,13 @@
 	counter("machines_looked_at", "Machines looked at for waiting tasks by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Looked }))
 	counter("task_errors", "Tasks that ended with an error by this controller's present shard.", stat(func() uint64 { return n.seat.s.Stats.Errors }))
 }
+
+// whileLeading is f's figure while this controller leads, else 0.
+func whileLeading[T float64 | uint64](n *Node, f func(l *leadership) T) func() T {
+	return func() T {
+		if n.lead == nil {
+			return 0
+		}
+		return f(n.lead)
+	}
+}
--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -23,7 +23,13 @@
 }
 
 func newConns(limit int) *conns {
-	return &conns{full: limit * 9 / 10, most: limit * 6 / 10, rest: limit * 8 / 10, user: map[net.Conn]*list.Element{}, idle: list.New()}
+	return &conns{
+		full: limit * 9 / 10,
+		most: limit * 6 / 10,
+		rest: limit * 8 / 10,
+		user: map[net.Conn]*list.Element{},
+		idle: list.New(),
+	}
 }
 
 // admit tells whether a connection may carry a user's request.
