--- a/review/rig/leftover.go
+++ b/review/rig/leftover.go
@@ -13,6 +13,9 @@
 	if err := w.cloud.AddMachines(0, "almaty-west", true, 1); err != nil {
 		return err
 	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
 	if !w.healthy(15 * time.Second) {
 		return errors.New("controllers are not healthy")
 	}
@@ -36,10 +39,9 @@
 	}
 	w.note("tasks of the batch job run: %v", w.running(batch))
 	if trouble {
-		for _, worker := range w.cloud.Workers() {
-			if worker.Name != first[0] {
-				w.note("the cloud takes %s in %s without notice", worker.Name, worker.Zone)
-				w.cloud.FailMachine(worker.Name)
+		for _, name := range w.cloud.RunningInZone("") {
+			if name != first[0] {
+				w.take(name)
 			}
 		}
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 	"leftover": leftover,
 	"replicas": replicas,
 	"unknown":  unknown,
+	"handover": handover,
 }
 
 // A controller ends with the thread that started it, so that none is left if this process is killed.
@@ -47,7 +48,7 @@
 	go func() {
 		select {
 		case <-interrupted:
-		case <-time.After(118 * time.Second):
+		case <-time.After(119 * time.Second):
 		}
 		fmt.Println("the case could not run: interrupted, or out of time")
 		end()
@@ -55,9 +56,6 @@
 	}()
 	if err == nil {
 		w.note("with the disruption: %v", trouble)
-		err = w.startAll()
-	}
-	if err == nil {
 		err = run(w, trouble)
 		w.noteRuns()
 	}
--- a/review/rig/replicas.go
+++ b/review/rig/replicas.go
@@ -14,6 +14,9 @@
 			return err
 		}
 	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
 	if !w.healthy(15 * time.Second) {
 		return errors.New("controllers are not healthy")
 	}
@@ -26,11 +29,8 @@
 	}
 	w.note("replicas run: %v", w.running(service))
 	if trouble {
-		for _, worker := range w.cloud.Workers() {
-			if worker.Zone == "almaty-west" {
-				w.note("the cloud takes %s in %s without notice", worker.Name, worker.Zone)
-				w.cloud.FailMachine(worker.Name)
-			}
+		for _, name := range w.cloud.RunningInZone("almaty-west") {
+			w.take(name)
 		}
 	}
 	for end := time.Now().Add(95 * time.Second); time.Now().Before(end); {
--- a/review/rig/unknown.go
+++ b/review/rig/unknown.go
@@ -14,6 +14,9 @@
 	if err := w.cloud.AddMachines(0, "almaty-east", false, 1); err != nil {
 		return err
 	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
 	if !w.healthy(15 * time.Second) {
 		return errors.New("controllers are not healthy")
 	}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -11,12 +11,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -64,6 +66,37 @@
 	mu          sync.Mutex
 	record      *os.File
 	submitted   map[string][]byte
+	firstHost   func(numbered int) int // index of the controller to which a machine reports first; nil: any
+	hosts       []standin.Host
+	workers     map[string]*standin.Worker
+	interesting map[string]bool // jobs whose runs are all noted
+}
+
+// Boot starts a machine, for the cloud.
+func (w *world) Boot(m standin.MachineSpec) (string, error) {
+	if w.firstHost != nil {
+		m.First = w.firstHost(m.First)
+	}
+	worker, err := standin.StartWorker(m, standin.Timing{Report: seconds(w.site.reportS), Lease: seconds(w.site.leaseS)},
+		w.tasks, w.hosts)
+	if err != nil {
+		return "", err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[m.Name] = worker
+	return worker.Addr(), nil
+}
+
+// End stops a machine, for the cloud.
+func (w *world) End(name string) {
+	w.mu.Lock()
+	worker := w.workers[name]
+	delete(w.workers, name)
+	w.mu.Unlock()
+	if worker != nil {
+		worker.Kill()
+	}
 }
 
 // note writes a line to the record.
@@ -102,15 +135,15 @@
 		return nil, err
 	}
 	w := &world{site: s, dir: dir, run: run, begun: time.Now(), record: record, submitted: map[string][]byte{},
-		store: standin.NewStore(standin.StoreLimits{RPS: s.rps, WriteRPS: s.writeRPS, ValueKB: s.valueKB, TxnOps: s.txnOps}),
-		tasks: standin.NewTaskRegistry()}
+		workers: map[string]*standin.Worker{},
+		store:   standin.NewStore(standin.StoreLimits{RPS: s.rps, WriteRPS: s.writeRPS, ValueKB: s.valueKB, TxnOps: s.txnOps}),
+		tasks:   standin.NewTaskRegistry()}
 	w.tasks.LimitCPUs = s.limitCPUs
 	w.tasks.FindJob = func(name string) []byte {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return w.submitted[name]
 	}
-	var hosts []standin.Host
 	peers := make([]string, s.controllers)
 	for i := range s.controllers {
 		c := &controller{host: fmt.Sprintf("hive-%d", i)}
@@ -121,11 +154,11 @@
 			return w, err
 		}
 		w.controllers = append(w.controllers, c)
-		hosts = append(hosts, standin.Host{Name: c.host, Addr: c.bind})
+		w.hosts = append(w.hosts, standin.Host{Name: c.host, Addr: c.bind})
 	}
 	if w.cloud, err = standin.NewCloud(standin.CloudParams{Types: s.types, ListLag: s.listLagTime,
 		ListedAfterLoss: s.listedAfterLoss, RPS: s.cloudRPS,
-		Timing: standin.Timing{Report: seconds(s.reportS), Lease: seconds(s.leaseS)}}, w.tasks, hosts,
+		Timing: standin.Timing{Report: seconds(s.reportS), Lease: seconds(s.leaseS)}, Runner: w}, w.tasks, w.hosts,
 		rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))); err != nil {
 		return w, err
 	}
@@ -217,9 +250,17 @@
 	return nil
 }
 
-// noteRuns writes to the record what has run on the machines.
+// noteRuns writes to the record what has run on the machines: each run of the jobs of interest (all jobs if
+// there are few runs), and the numbers of the others.
 func (w *world) noteRuns() {
-	for _, r := range w.tasks.Runs() {
+	runs := w.tasks.Runs()
+	counts := map[string]int{}
+	for _, r := range runs {
+		name, _, _ := strings.Cut(r.Task, "/")
+		counts[name+" "+r.Cause]++
+		if len(runs) > 200 && !w.interesting[name] {
+			continue
+		}
 		end := "runs"
 		if !r.EndedAt.IsZero() {
 			end = fmt.Sprintf("ended at %.2f: %s", r.EndedAt.Sub(w.begun).Seconds(), r.Cause)
@@ -227,6 +268,9 @@
 		w.note("run: %s attempt %d on %s, started at %.2f, %s", r.Task, r.Attempt, r.Machine,
 			r.StartedAt.Sub(w.begun).Seconds(), end)
 	}
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
+		w.note("runs of %s: %d", key, counts[key])
+	}
 	for _, v := range w.tasks.Violations() {
 		w.note("stand-ins saw: %s", v)
 	}
@@ -237,6 +281,12 @@
 	for _, c := range w.controllers {
 		w.kill(c)
 	}
+	w.mu.Lock()
+	names := slices.Collect(maps.Keys(w.workers))
+	w.mu.Unlock()
+	for _, name := range names {
+		w.End(name)
+	}
 	if w.cloud != nil {
 		w.cloud.Close()
 	}
@@ -332,3 +382,36 @@
 	}
 	return false
 }
+
+// leader returns the index of the controller that says it leads, -1 if none does.
+func (w *world) leader() int {
+	for i, c := range w.controllers {
+		res, err := http.Get("http://" + c.bind + "/metrics")
+		if err != nil {
+			continue
+		}
+		b, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if bytes.Contains(b, []byte("\nhoneylock_leading 1\n")) {
+			return i
+		}
+	}
+	return -1
+}
+
+// take has the cloud take a machine without a notice.
+func (w *world) take(machine string) {
+	w.note("the cloud takes %s without notice", machine)
+	w.cloud.FailMachine(machine)
+}
+
+// joined reports whether all other controllers say in their logs that they have joined the leader.
+func (w *world) joined(leader int) bool {
+	for i, c := range w.controllers {
+		b, err := os.ReadFile(filepath.Join(w.dir, c.host+".log"))
+		if i != leader && (err != nil || !bytes.Contains(b, []byte("msg=joined leader="+w.controllers[leader].host))) {
+			return false
+		}
+	}
+	return true
+}
