--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 	"leftover": leftover,
 	"replicas": replicas,
 	"unknown":  unknown,
+	"twice":    twice,
 	"handover": handover,
 }
 
