--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -69,7 +69,8 @@
 	firstHost   func(numbered int) int // index of the controller to which a machine reports first; nil: any
 	hosts       []standin.Host
 	workers     map[string]*standin.Worker
-	interesting map[string]bool // jobs whose runs are all noted
+	endpoints   map[string]*standin.StoreEndpoint // at which each controller reaches the state service
+	interesting map[string]bool                   // jobs whose runs are all noted
 }
 
 // Boot starts a machine, for the cloud.
@@ -135,9 +136,9 @@
 		return nil, err
 	}
 	w := &world{site: s, dir: dir, run: run, begun: time.Now(), record: record, submitted: map[string][]byte{},
-		workers: map[string]*standin.Worker{},
-		store:   standin.NewStore(standin.StoreLimits{RPS: s.rps, WriteRPS: s.writeRPS, ValueKB: s.valueKB, TxnOps: s.txnOps}),
-		tasks:   standin.NewTaskRegistry()}
+		workers: map[string]*standin.Worker{}, endpoints: map[string]*standin.StoreEndpoint{},
+		store: standin.NewStore(standin.StoreLimits{RPS: s.rps, WriteRPS: s.writeRPS, ValueKB: s.valueKB, TxnOps: s.txnOps}),
+		tasks: standin.NewTaskRegistry()}
 	w.tasks.LimitCPUs = s.limitCPUs
 	w.tasks.FindJob = func(name string) []byte {
 		w.mu.Lock()
@@ -195,11 +196,12 @@
 }
 
 // directState gives each controller an endpoint of its own at the state service.
-func directState(w *world, _ string) (string, error) {
+func directState(w *world, host string) (string, error) {
 	e, err := w.store.NewEndpoint()
 	if err != nil {
 		return "", err
 	}
+	w.endpoints[host] = e
 	return e.Addr, nil
 }
 
