--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -13,6 +13,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,7 +25,6 @@
 	"syscall"
 	"time"
 
-	"honeylock/internal/dev"
 	"honeylock/internal/standin"
 )
 
@@ -148,10 +148,10 @@
 	peers := make([]string, s.controllers)
 	for i := range s.controllers {
 		c := &controller{host: fmt.Sprintf("hive-%d", i)}
-		if c.bind, err = dev.FreeAddr(); err != nil {
+		if c.bind, err = freeAddr(); err != nil {
 			return w, err
 		}
-		if peers[i], err = dev.FreeAddr(); err != nil {
+		if peers[i], err = freeAddr(); err != nil {
 			return w, err
 		}
 		w.controllers = append(w.controllers, c)
@@ -205,6 +205,17 @@
 	return e.Addr, nil
 }
 
+// freeAddr returns a free address for a controller, on a loopback address that only this process uses: several
+// of them may run side by side.
+func freeAddr() (string, error) {
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.1:0", 1+pid/250%250, 1+pid%250))
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // start starts a controller's process.
