wire: match field names exactly

Cause: the JSON decoder matches a field's name without regard to case unless it is told otherwise.

The fix: internal/exactjson decodes with the library's flag for exact names, and is the only package that decodes JSON, so that no path can differ from the others.

TestReportDecodingMatchesStandardLibrary asserted the fault for {"flight":7} and {"FLIGHT":7}, because encoding/json matches them too. It now compares with encoding/json on the fields whose names are exact; both inputs stay, and four are added.

--- a/cmd/honeylock/scale.go
+++ b/cmd/honeylock/scale.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"honeylock/internal/exactjson"
 	"honeylock/internal/scale"
 )
 
@@ -246,7 +246,7 @@
 				return fmt.Errorf("--spec: %w", err)
 			}
 			var spec scale.RegionSpec
-			if err := json.Unmarshal(b, &spec); err != nil {
+			if err := exactjson.Unmarshal(b, &spec); err != nil {
 				return fmt.Errorf("--spec: %s: %w", path, err)
 			}
 			debug.SetGCPercent(childGCPercent)
--- a/internal/client/operators.go
+++ b/internal/client/operators.go
@@ -13,7 +13,7 @@
 	"os"
 	"time"
 
-	"github.com/segmentio/encoding/json"
+	"honeylock/internal/exactjson"
 )
 
 // Operators is a client of the controllers' operators' endpoints. It is not safe for
@@ -121,7 +121,7 @@
 	if out == nil {
 		return true, nil
 	}
-	if err := json.Unmarshal(b, out); err != nil {
+	if err := exactjson.Unmarshal(b, out); err != nil {
 		return true, fmt.Errorf("answer can't be decoded: %w", err)
 	}
 	return true, nil
--- a/internal/client/users.go
+++ b/internal/client/users.go
@@ -14,8 +14,7 @@
 	"strconv"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
+	"honeylock/internal/exactjson"
 	"honeylock/internal/wire"
 )
 
@@ -152,7 +151,7 @@
 	switch res.StatusCode {
 	case http.StatusOK, http.StatusCreated:
 		var state wire.JobState
-		if err := json.Unmarshal(b, &state); err != nil {
+		if err := exactjson.Unmarshal(b, &state); err != nil {
 			return 0, nil, delay, fmt.Errorf("answer can't be decoded: %w", err)
 		}
 		return res.StatusCode, &state, 0, nil
@@ -170,7 +169,7 @@
 	var e struct {
 		Error string `json:"error"`
 	}
-	if json.Unmarshal(b, &e) == nil && e.Error != "" {
+	if exactjson.Unmarshal(b, &e) == nil && e.Error != "" {
 		return e.Error
 	}
 	return string(bytes.TrimSpace(b))
--- a/internal/core/drain/record.go
+++ b/internal/core/drain/record.go
@@ -14,6 +14,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"honeylock/internal/core/model"
+	"honeylock/internal/exactjson"
 )
 
 // Versions of stored plans. A leader leaves records of other versions alone. A compressed record
@@ -71,7 +72,7 @@
 // decompress returns the plain record of a stored value.
 func decompress(value []byte) ([]byte, error) {
 	var record compressedRecord
-	if err := json.Unmarshal(value, &record); err != nil {
+	if err := exactjson.Unmarshal(value, &record); err != nil {
 		return nil, fmt.Errorf("its record is unreadable: %w", err)
 	}
 	if record.V != compressedVersion {
@@ -160,7 +161,7 @@
 		return err
 	}
 	var r record
-	if err := json.Unmarshal(value, &r); err != nil {
+	if err := exactjson.Unmarshal(value, &r); err != nil {
 		return fmt.Errorf("its record is unreadable: %w", err)
 	}
 	if r.V != recordVersion {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -16,6 +16,7 @@
 
 	"honeylock/internal/core/dispatcher"
 	"honeylock/internal/core/model"
+	"honeylock/internal/exactjson"
 )
 
 // recordVersion is the version of stored records. Records of newer versions are not changed.
@@ -96,7 +97,7 @@
 	e := o.ensureEntry(team)
 	e.version = version
 	var r record
-	switch err := json.Unmarshal(value, &r); {
+	switch err := exactjson.Unmarshal(value, &r); {
 	case err != nil:
 		e.readOnlyReason = "its record is unreadable: " + err.Error()
 	case r.V != recordVersion:
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/segmentio/encoding/json"
+
+	"honeylock/internal/exactjson"
 )
 
 // ErrNoAnswer means that the outcome is unknown: the request may or may not have been
@@ -64,7 +66,7 @@
 		return 0, nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	if out != nil && res.StatusCode/100 == 2 {
-		if err := json.Unmarshal(b, out); err != nil {
+		if err := exactjson.Unmarshal(b, out); err != nil {
 			return res.StatusCode, b, fmt.Errorf("%w: body can't be decoded: %w", ErrNoAnswer, err)
 		}
 	}
--- a/internal/node/dependencies.go
+++ b/internal/node/dependencies.go
@@ -5,13 +5,12 @@
 	"errors"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/core/writequota"
+	"honeylock/internal/exactjson"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -116,7 +115,7 @@
 		return pipeline.Unknown, 0
 	}
 	var final wire.Final
-	if err := json.Unmarshal(item.Value, &final); err != nil {
+	if err := exactjson.Unmarshal(item.Value, &final); err != nil {
 		dt.lead.node.log.Error("failed to decode a final record", "job", wire.JobName(id), "err", err)
 		return pipeline.Unknown, 0
 	}
--- a/internal/node/drains.go
+++ b/internal/node/drains.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"honeylock/internal/config"
 	"honeylock/internal/core/audit"
 	"honeylock/internal/core/disruption"
@@ -19,6 +17,7 @@
 	"honeylock/internal/core/rollout"
 	"honeylock/internal/core/runtimes"
 	"honeylock/internal/core/writequota"
+	"honeylock/internal/exactjson"
 	"honeylock/internal/planfile"
 	"honeylock/internal/wire"
 )
@@ -84,7 +83,7 @@
 		}
 		if _, err := dm.lead.node.state.List(ctx, auditPrefix, func(item *wire.Item) error {
 			var e audit.Entry
-			if err := json.Unmarshal(item.Value, &e); err != nil {
+			if err := exactjson.Unmarshal(item.Value, &e); err != nil {
 				dm.lead.node.log.Error("failed to decode an audit record", "key", item.Key, "err", err)
 				return nil
 			}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -10,6 +10,7 @@
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/storehealth"
+	"honeylock/internal/exactjson"
 	"honeylock/internal/peer"
 	"honeylock/internal/wire"
 )
@@ -79,7 +80,7 @@
 func readPeerRequest(w http.ResponseWriter, r *http.Request, v any) bool {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 128<<10))
 	if err == nil {
-		err = json.Unmarshal(b, v)
+		err = exactjson.Unmarshal(b, v)
 	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/node/jobops.go
+++ b/internal/node/jobops.go
@@ -4,11 +4,10 @@
 	"context"
 	"errors"
 
-	"github.com/segmentio/encoding/json"
-
 	"honeylock/internal/core/jobs"
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/ratelimit"
+	"honeylock/internal/exactjson"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -34,7 +33,7 @@
 		return jobs.Result{Outcome: readOutcome(err)}
 	}
 	var rec struct{ Awaits []string }
-	if json.Unmarshal(item.Value, &rec) != nil {
+	if exactjson.Unmarshal(item.Value, &rec) != nil {
 		return jobs.Result{Outcome: jobs.Failed}
 	}
 	n.cacheOpenRecord(id, item.Version, len(rec.Awaits) > 0)
@@ -48,7 +47,7 @@
 		return jobs.Result{Outcome: readOutcome(err)}
 	}
 	var final wire.Final
-	if json.Unmarshal(item.Value, &final) != nil || !jobs.Stage(final.Stage).Ended() {
+	if exactjson.Unmarshal(item.Value, &final) != nil || !jobs.Stage(final.Stage).Ended() {
 		return jobs.Result{Outcome: jobs.Failed}
 	}
 	return jobs.Result{Version: item.Version, Stage: jobs.Stage(final.Stage)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/core/storehealth"
+	"honeylock/internal/exactjson"
 	"honeylock/internal/peer"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
@@ -271,7 +272,7 @@
 		}
 		if item != nil {
 			var term wire.Term
-			if err := json.Unmarshal(item.Value, &term); err != nil {
+			if err := exactjson.Unmarshal(item.Value, &term); err != nil {
 				n.log.Error("failed to decode the stored term", "err", err)
 				return result
 			}
@@ -317,7 +318,7 @@
 // leaderRecord decodes a value of the leader key.
 func leaderRecord(value json.RawMessage, version uint64) (election.LeaderRecord, error) {
 	var leader wire.Leader
-	if err := json.Unmarshal(value, &leader); err != nil {
+	if err := exactjson.Unmarshal(value, &leader); err != nil {
 		return election.LeaderRecord{}, fmt.Errorf("decode leader key: %w", err)
 	}
 	return election.LeaderRecord{Present: true, Host: leader.Host, Term: leader.Term, Lease: leader.Lease,
@@ -423,7 +424,7 @@
 		return nil, err
 	}
 	var catalog wire.Catalog
-	if err := json.Unmarshal(item.Value, &catalog); err != nil {
+	if err := exactjson.Unmarshal(item.Value, &catalog); err != nil {
 		return nil, fmt.Errorf("decode stored catalog: %w", err)
 	}
 	return &catalog, nil
--- a/internal/node/openjobs.go
+++ b/internal/node/openjobs.go
@@ -17,6 +17,7 @@
 	"honeylock/internal/core/model"
 	"honeylock/internal/core/pipeline"
 	"honeylock/internal/core/ratelimit"
+	"honeylock/internal/exactjson"
 	"honeylock/internal/state"
 	"honeylock/internal/wire"
 )
@@ -53,7 +54,7 @@
 		return id, nil, nil
 	}
 	var submission wire.Submission
-	if err := json.Unmarshal(value, &submission); err != nil {
+	if err := exactjson.Unmarshal(value, &submission); err != nil {
 		return 0, nil, fmt.Errorf("open record %s: %w", key, err)
 	}
 	return id, &submission, nil
@@ -135,7 +136,7 @@
 		if block.blockID, err = parseBlockKey(item.Key); err != nil {
 			return err
 		}
-		if err := json.Unmarshal(item.Value, &block.MachineBlock); err != nil {
+		if err := exactjson.Unmarshal(item.Value, &block.MachineBlock); err != nil {
 			return fmt.Errorf("machine records %s: %w", item.Key, err)
 		}
 		blocks = append(blocks, block)
@@ -181,7 +182,7 @@
 			return nil
 		}
 		var chunk wire.Chunk
-		if err := json.Unmarshal(item.Value, &chunk); err != nil {
+		if err := exactjson.Unmarshal(item.Value, &chunk); err != nil {
 			return fmt.Errorf("done record %s: %w", item.Key, err)
 		}
 		if chunkID.OldLayout {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -15,6 +15,8 @@
 	"github.com/segmentio/encoding/json"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+
+	"honeylock/internal/exactjson"
 )
 
 // Path is the path of the stream that a member opens to the leader.
@@ -175,7 +177,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("forward: status %d", res.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxMessage)).Decode(reply); err != nil {
+	if err := exactjson.Decode(io.LimitReader(res.Body, maxMessage), reply); err != nil {
 		return fmt.Errorf("forward: %w", err)
 	}
 	return nil
--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"honeylock/internal/exactjson"
 )
 
 // Paths of the control servers of the hollow and world processes.
@@ -72,7 +74,7 @@
 		var input In
 		encoded, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBytes))
 		if err == nil && len(encoded) > 0 {
-			err = json.Unmarshal(encoded, &input)
+			err = exactjson.Unmarshal(encoded, &input)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -121,7 +123,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(encoded, out); err != nil {
+	if err := exactjson.Unmarshal(encoded, out); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	return nil
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"honeylock/internal/exactjson"
 )
 
 // Role is the role of a child process in a run.
@@ -175,7 +176,7 @@
 	announced := make(chan announcement, 1)
 	go func() {
 		var a announcement
-		a.err = json.NewDecoder(p.stdout).Decode(&a.ready)
+		a.err = exactjson.Decode(p.stdout, &a.ready)
 		announced <- a
 	}()
 	select {
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"honeylock/internal/exactjson"
 )
 
 // SchemaVersion is the version of the report format. It increases when a field changes its meaning.
@@ -151,7 +153,7 @@
 		return nil, fmt.Errorf("report: %w", err)
 	}
 	var report Report
-	if err := json.Unmarshal(content, &report); err != nil {
+	if err := exactjson.Unmarshal(content, &report); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if report.Schema != SchemaVersion {
--- a/internal/scale/users.go
+++ b/internal/scale/users.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"honeylock/internal/exactjson"
 	"honeylock/internal/wire"
 )
 
@@ -262,7 +263,7 @@
 		return state, status
 	}
 	u.pollLatency.record(time.Since(started))
-	if status == http.StatusOK && json.Unmarshal(answer, &state) != nil {
+	if status == http.StatusOK && exactjson.Unmarshal(answer, &state) != nil {
 		status = 0
 	}
 	return state, status
--- a/internal/server/serializer.go
+++ b/internal/server/serializer.go
@@ -5,6 +5,8 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/segmentio/encoding/json"
+
+	"honeylock/internal/exactjson"
 )
 
 // serializer makes echo use the same JSON library as the other packages.
@@ -20,5 +22,5 @@
 }
 
 func (serializer) Deserialize(c echo.Context, v any) error {
-	return json.NewDecoder(c.Request().Body).Decode(v)
+	return exactjson.Decode(c.Request().Body, v)
 }
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"honeylock/internal/config"
+	"honeylock/internal/exactjson"
 )
 
 // rentedMachine is a machine that was rented from the cloud.
@@ -259,7 +259,7 @@
 		SwarmBoxes        bool
 		Count             int
 	}
-	if json.NewDecoder(r.Body).Decode(&request) != nil || request.Hire == "" || request.Count < 1 || request.Count > 50 {
+	if exactjson.Decode(r.Body, &request) != nil || request.Hire == "" || request.Count < 1 || request.Count > 50 {
 		writeJSON(w, http.StatusBadRequest, object{"error": "malformed"})
 		return
 	}
@@ -313,7 +313,7 @@
 // returnMachines takes machines back and stops them.
 func (c *Cloud) returnMachines(w http.ResponseWriter, r *http.Request) {
 	var request struct{ Hives []string }
-	if json.NewDecoder(r.Body).Decode(&request) != nil || len(request.Hives) > 100 {
+	if exactjson.Decode(r.Body, &request) != nil || len(request.Hives) > 100 {
 		writeJSON(w, http.StatusBadRequest, object{"error": "malformed"})
 		return
 	}
--- a/internal/standin/store_http.go
+++ b/internal/standin/store_http.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"honeylock/internal/exactjson"
 )
 
 // Limits of the protocol.
@@ -95,7 +97,7 @@
 // txn commits a transaction, or answers with the guards that failed.
 func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
 	var t txn
-	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTxnBytes)).Decode(&t) != nil || s.malformed(&t) {
+	if exactjson.Decode(http.MaxBytesReader(w, r.Body, maxTxnBytes), &t) != nil || s.malformed(&t) {
 		writeJSON(w, http.StatusBadRequest, object{"error": "malformed"})
 		return
 	}
@@ -142,7 +144,7 @@
 // createLease creates a lease.
 func (s *Store) createLease(w http.ResponseWriter, r *http.Request) {
 	var request struct{ TtlMs int64 }
-	if json.NewDecoder(r.Body).Decode(&request) != nil || request.TtlMs < 100 || request.TtlMs > 600_000 {
+	if exactjson.Decode(r.Body, &request) != nil || request.TtlMs < 100 || request.TtlMs > 600_000 {
 		writeJSON(w, http.StatusBadRequest, object{"error": "TtlMs"})
 		return
 	}
--- a/internal/standin/taskregistry.go
+++ b/internal/standin/taskregistry.go
@@ -1,11 +1,12 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
 	"time"
+
+	"honeylock/internal/exactjson"
 )
 
 // Job is the part of a user's job description that workers need.
@@ -75,7 +76,7 @@
 		return nil
 	}
 	var j Job
-	if json.Unmarshal(raw, &j) != nil {
+	if exactjson.Unmarshal(raw, &j) != nil {
 		return nil
 	}
 	reg.jobs[name] = &j
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
+	"honeylock/internal/exactjson"
 )
 
 // MachineType is an entry of the cloud's catalog.
@@ -228,7 +228,7 @@
 		QueenMark, Flight *uint64
 		Dances            []command
 	}
-	if json.NewDecoder(r.Body).Decode(&request) != nil || request.QueenMark == nil || request.Flight == nil {
+	if exactjson.Decode(r.Body, &request) != nil || request.QueenMark == nil || request.Flight == nil {
 		writeJSON(rw, http.StatusBadRequest, object{})
 		return
 	}
--- a/internal/standin/worker_reports.go
+++ b/internal/standin/worker_reports.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/segmentio/encoding/json"
+
+	"honeylock/internal/exactjson"
 )
 
 // replayReport sends a copy of a report to every controller after each delay, even if the
@@ -119,7 +121,7 @@
 	if res, err := c.Do(req); err == nil {
 		b, _ := io.ReadAll(res.Body)
 		res.Body.Close()
-		if json.Unmarshal(b, &reply) == nil {
+		if exactjson.Unmarshal(b, &reply) == nil {
 			status = res.StatusCode
 		}
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,10 +11,9 @@
 	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"honeylock/internal/core/ratelimit"
 	"honeylock/internal/core/storehealth"
+	"honeylock/internal/exactjson"
 	"honeylock/internal/jsonhttp"
 	"honeylock/internal/wire"
 )
@@ -315,7 +314,7 @@
 		return nil, err
 	}
 	var conflict wire.FailedGuards
-	if err := json.Unmarshal(body, &conflict); err != nil || len(conflict.Keys) == 0 {
+	if err := exactjson.Unmarshal(body, &conflict); err != nil || len(conflict.Keys) == 0 {
 		return nil, fmt.Errorf("state service: conflict answer can't be decoded: %.200s", body)
 	}
 	failed = make(map[string]bool, len(conflict.Keys))
--- a/internal/wire/json_test.go
+++ b/internal/wire/json_test.go
@@ -7,9 +7,36 @@
 	"testing"
 )
 
-// The JSON library used for reports and submissions must accept, reject and decode
-// the same inputs as encoding/json: otherwise the scheduler could misread which tasks
-// a worker holds.
+// withExactNames returns the JSON text of a report without the fields whose names differ from the
+// protocol's in case. Text that is not an object with such fields is returned as it is.
+func withExactNames(text string) string {
+	var fields map[string]stdjson.RawMessage
+	if stdjson.Unmarshal([]byte(text), &fields) != nil {
+		return text
+	}
+	known := map[string]bool{}
+	for i := range reflect.TypeFor[reportJSON]().NumField() {
+		known[reflect.TypeFor[reportJSON]().Field(i).Tag.Get("json")] = true
+	}
+	removed := false
+	for name := range fields {
+		if !known[name] {
+			delete(fields, name)
+			removed = true
+		}
+	}
+	if !removed {
+		return text
+	}
+	exact, err := stdjson.Marshal(fields)
+	if err != nil {
+		panic(err) // fields come from valid JSON
+	}
+	return string(exact)
+}
+
+// Reports and submissions must be accepted, rejected and decoded as encoding/json would do if it
+// matched names exactly: otherwise the scheduler could misread which tasks a worker holds.
 func TestReportDecodingMatchesStandardLibrary(t *testing.T) {
 	attempt := `{"Cell":"job-000001/2","Brood":68719476737,"Stage":"running","Cause":"","Saved":false}`
 	valid := `{"Hive":"m-000001","Addr":"a","Flight":3,"Buzz":4,"QueenMark":4294967297,"SmokeS":null,` +
@@ -18,7 +45,8 @@
 		`{"Flight":-1}`,
 		`{"Flight":1.5}`, `{"Flight":1e3}`, `{"Flight":"1"}`, `{"Flight":18446744073709551616}`,
 		`{"Flight":18446744073709551615}`,
-		`{"flight":7}`, `{"FLIGHT":7}`, `{"Flight":7,"Flight":8}`, `{"Cells":null}`, `{"Cells":{}}`, `{"Cells":[null]}`,
+		`{"flight":7}`, `{"FLIGHT":7}`, `{"Flight":7,"flight":8}`, `{"cells":1,"Cells":[]}`, `{"cells":[{}]}`, `{"flight":7,}`,
+		`{"Flight":7,"Flight":8}`, `{"Cells":null}`, `{"Cells":{}}`, `{"Cells":[null]}`,
 		`{"Cells":[` + attempt + `,]}`, `{"Cells":[` + attempt, `{"Hive":"\u00e9\ud83d\ude00\n"}`, `{"Hive":"\ud83d"}`,
 		`{"Hive":"` + "\xff" + `"}`,
 		`{"Hive":"` + "\x01" + `"}`, `{"Hive":'x'}`, `{Hive:"x"}`, `{"Hive":true}`, `{"SwarmBoxes":"true"}`,
@@ -31,7 +59,7 @@
 	}
 	for _, s := range inputs {
 		var want reportJSON
-		wantErr := stdjson.Unmarshal([]byte(s), &want)
+		wantErr := stdjson.Unmarshal([]byte(withExactNames(s)), &want)
 		got, err := ParseReport([]byte(s))
 		if (err == nil) != (wantErr == nil) {
 			t.Errorf("%q: error %v, the standard library returns %v", s, err, wantErr)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,9 +13,8 @@
 	"strings"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"honeylock/internal/core/model"
+	"honeylock/internal/exactjson"
 )
 
 // Submission is the body of POST /v1/jobs. The state service stores it too.
@@ -63,7 +62,7 @@
 		return nil, errors.New("the body must be a JSON object")
 	}
 	var s Submission
-	if err := json.Unmarshal(body, &s); err != nil {
+	if err := exactjson.Unmarshal(body, &s); err != nil {
 		return nil, fmt.Errorf("malformed: %w", err)
 	}
 	s.SubmittedMS = 0
@@ -254,7 +253,7 @@
 // ParseReport decodes the JSON of a worker's report.
 func ParseReport(body []byte) (*RawReport, error) {
 	var r RawReport
-	if err := json.Unmarshal(body, &r.body); err != nil {
+	if err := exactjson.Unmarshal(body, &r.body); err != nil {
 		return nil, fmt.Errorf("report: %w", err)
 	}
 	return &r, nil
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -45,6 +47,29 @@
 	}
 }
 
+// Guards against a submission whose unknown field replaced a known one, because JSON names were
+// matched without regard to case: with "cells":1 a job of 16 tasks was called done after one.
+func TestSubmissionFieldsMatchExactNames(t *testing.T) {
+	want, err := ParseSubmission([]byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range reflect.TypeFor[Submission]().NumField() {
+		name, _, _ := strings.Cut(reflect.TypeFor[Submission]().Field(i).Tag.Get("json"), ",")
+		for _, other := range []string{strings.ToLower(name), strings.ToUpper(name)} {
+			for _, value := range []string{"1", `"b"`, "true", `["b"]`, "{}", "null"} {
+				s := strings.Replace(valid, `"Extra":[1]`, fmt.Sprintf("%q:%s", other, value), 1)
+				got, err := ParseSubmission([]byte(s))
+				if err != nil {
+					t.Errorf("%q:%s is not ignored: %v", other, value, err)
+				} else if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("%q:%s is not ignored: %s", other, value, diff)
+				}
+			}
+		}
+	}
+}
+
 func TestJobNamesRoundTrip(t *testing.T) {
 	for _, s := range []string{"job-000000", "job-000412", "job-999999", "job-1000000", "job-123456789012"} {
 		id, err := ParseJob(s)
