wire: ignore a field in submissions that only stored records have

What callers saw: a submission with a field SubmittedMs got 400 unless the field held a whole number. The protocol does not know the field, so it must be ignored.

Cause: users' submissions and stored records are decoded into one type, which has the record's own field. Its value was dropped only after decoding, which had already refused other kinds of values.

Evidence: TestSubmissionIgnoresFieldsOfStoredRecords failed before for five of seven values.

The fix: the type for requests takes the record's field away, so that any value is ignored.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"honeylock/internal/core/model"
 	"honeylock/internal/exactjson"
 )
@@ -61,12 +63,19 @@
 	if len(trimmed) == 0 || trimmed[0] != '{' {
 		return nil, errors.New("the body must be a JSON object")
 	}
-	var s Submission
-	if err := exactjson.Unmarshal(body, &s); err != nil {
+	var fields userSubmission
+	if err := exactjson.Unmarshal(body, &fields); err != nil {
 		return nil, fmt.Errorf("malformed: %w", err)
 	}
-	s.SubmittedMS = 0
-	return &s, s.check()
+	s := &fields.Submission
+	return s, s.check()
+}
+
+// userSubmission is a submission as users send it. It takes the fields that only stored records have
+// away from Submission: in a request they are unknown fields, which are ignored whatever they hold.
+type userSubmission struct {
+	Submission
+	SubmittedMS json.RawMessage `json:"SubmittedMs"`
 }
 
 func (s *Submission) check() error {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// Guards against a field that only stored records have: users' submissions with it were refused.
+func TestSubmissionIgnoresFieldsOfStoredRecords(t *testing.T) {
+	for _, value := range []string{"7", "-1.5", `"b"`, "true", "[1]", "{}", "null"} {
+		s := strings.Replace(valid, `"Extra":[1]`, `"SubmittedMs":`+value, 1)
+		got, err := ParseSubmission([]byte(s))
+		if err != nil {
+			t.Errorf("SubmittedMs %s is not ignored: %v", value, err)
+		} else if got.SubmittedMS != 0 {
+			t.Errorf("SubmittedMs %s is not ignored: %d", value, got.SubmittedMS)
+		}
+	}
+}
+
 func TestJobNamesRoundTrip(t *testing.T) {
 	for _, s := range []string{"job-000000", "job-000412", "job-999999", "job-1000000", "job-123456789012"} {
 		id, err := ParseJob(s)
