config: match names of settings exactly

What operators would have seen: an unknown setting whose name differs from a known one only in case replaced it or was refused (STATE = 7 beside state), though unknown settings are to be ignored; a date in such a setting ended the process.

Cause: the TOML library falls back to names in lower case and has no option against it, the same fault as that of the JSON decoder.

Mistakes keep their line and column (TestMistakesHaveTheirPosition).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,7 +94,7 @@
 		return nil, fmt.Errorf("settings file: %w", err)
 	}
 	var p Platform
-	if err := toml.Unmarshal(b, &p); err != nil {
+	if err := decode(b, &p); err != nil {
 		var de *toml.DecodeError
 		if errors.As(err, &de) {
 			row, col := de.Position()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 const validSettings = `
@@ -54,6 +57,47 @@
 	return Load(p)
 }
 
+// Guards against unknown settings that replace known ones because their names differ only in case.
+func TestSettingsMatchExactNames(t *testing.T) {
+	want, err := load(t, validSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for before, added := range map[string]string{
+		"[[siblings]]":         `HOST_NAME = "other"` + "\nZone = 3\nCLUSTER = [1]",
+		"address = ":           `Host_Name = "other"`,
+		"state = ":             "STATE = 7",
+		"[[cluster.teams]]":    "skew_MS = 5.0\nTeams = 1\n[cluster.State]\nrps = 1.0\n[Cluster.workers]\nlease_s = 1.0",
+		"cpus_max = 8.0":       "CPUS = 1.0\nCpus_max = 1.0",
+		"[cluster.state]":      "Lease_S = 1979-05-27T07:32:00Z\nLEASE_s = nan",
+		"[cluster.resources]":  `cloud = { RPS = 1.0 }` + "\nRPS = inf",
+		"[cluster.cloud]\nrps": "[[Siblings]]\nhost_name = \"hive-9\"",
+	} {
+		s := strings.Replace(validSettings, before, added+"\n"+before, 1)
+		if s == validSettings {
+			t.Fatalf("%s is not in the settings", before)
+		}
+		got, err := load(t, s)
+		if err != nil {
+			t.Errorf("%s is not ignored: %v", added, err)
+		} else if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s is not ignored: %s", added, diff)
+		}
+	}
+}
+
+func TestMistakesHaveTheirPosition(t *testing.T) {
+	for before, after := range map[string]string{
+		"lease_s = 10.0": `lease_s = "ten"`, "rps = 5.0": "rps = = 5.0", "zone = \"a\"": "zone = 3", "fd_limit = 800": `fd_limit = "many"`,
+	} {
+		s := strings.Replace(validSettings, before, after, 1)
+		row := 1 + strings.Count(s[:strings.Index(s, after)], "\n")
+		if _, err := load(t, s); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("s.toml:%d:", row)) {
+			t.Errorf("%s: error %v, want the position of line %d", after, err, row)
+		}
+	}
+}
+
 func TestLoad(t *testing.T) {
 	p, err := load(t, validSettings)
 	if err != nil {
