--- a/internal/core/dispatcher/writes.go
+++ b/internal/core/dispatcher/writes.go
@@ -86,7 +86,7 @@
 		if j.ended || j.writePending || now-j.lastWriteAt < d.params.ProgressInterval {
 			continue
 		}
-		for index := range j.dirtyChunks {
+		for _, index := range slices.Sorted(maps.Keys(j.dirtyChunks)) {
 			if len(out) >= n {
 				return out
 			}
