core: name the ownership of a machine in orders and events

Cause: the dispatcher orders a shard to release a machine; the shard's request for a higher token, sent before, arrives behind that order, and the dispatcher answers it with a renewed ownership. The shard releases the machine and then takes it as its own again, while the dispatcher makes another shard the owner. The same order goes out behind a release after TokenSuperseded and after a change of the catalog. And when a machine is considered gone and is seen again, events of its earlier ownership were taken for ones of the later, and the tasks of a late release stayed with a shard that did not know them.

The fix: orders about an ownership and the events of its owner carry its epoch, the token that it began with, and either side drops what belongs to another. A renewal can so be told from the beginning of an ownership. While the dispatcher waits for the answer to a release it renews nothing; it does so afterwards if the shard keeps the machine. That alone protects members of older releases, which know no epochs.

--- a/internal/core/dispatcher/charges.go
+++ b/internal/core/dispatcher/charges.go
@@ -52,6 +52,7 @@
 	ExpiredMachines    uint64 // machines whose lease expiry was confirmed
 	ReturnedMachines   uint64 // machines whose workers reported again after that
 	UnexpectedAttempts uint64 // attempts found on machines that were accounted for
+	StaleEvents        uint64 // events about an ownership that had ended
 	LimitedRounds      uint64 // times that a limit kept tasks of a job from being dispatched
 }
 
--- a/internal/core/dispatcher/dispatcher.go
+++ b/internal/core/dispatcher/dispatcher.go
@@ -261,6 +261,12 @@
 	d.now = now
 	shard.recordReport(now, e.Kind)
 	m := d.machines[e.Machine]
+	if d.IsStale(from, &e) {
+		d.stats.StaleEvents++
+		if e.Kind != model.MachineReleased {
+			return
+		}
+	}
 	isOwner := m != nil && m.owner == from
 	if isOwner && m.releasing && d.deferEvent(&e) {
 		return
@@ -287,7 +293,7 @@
 		// authorityEnd. After that plus the longest lease the owner is asked to confirm, because it
 		// may have answered the worker meanwhile.
 		if now > m.authorityEnd+d.params.MaxLease {
-			d.order(from, model.Order{Kind: model.ConfirmLeaseExpiry, ID: m.ID})
+			d.orderOwner(m, model.Order{Kind: model.ConfirmLeaseExpiry})
 		}
 	case model.LeaseExpiryConfirmed:
 		if isOwner && e.Token == m.token {
@@ -300,13 +306,13 @@
 			d.SetUsable(m.ID, false)
 		}
 	case model.MachineReleased:
-		d.machineReleased(now, from, m, e)
+		d.machineReleased(now, from, m, &e)
 	case model.TokenNeeded, model.TokenSuperseded:
 		// A token of this term that is higher than the owner's was issued by this dispatcher, so
 		// the owner gets a new one. A token of a later term shows that this term is over; the
 		// leader learns that from its own lease, so the event is ignored.
-		if isOwner && !m.gone && (e.Kind == model.TokenNeeded || e.Token>>32 == d.params.Term) {
-			d.assignOwner(m, from)
+		if isOwner && (e.Kind == model.TokenNeeded || e.Token>>32 == d.params.Term) {
+			d.renewOwnership(m)
 		}
 	case model.CommandUnanswered:
 		if isOwner {
@@ -387,7 +393,7 @@
 // with the same sequence number.
 func (d *Dispatcher) InspectMachine(id model.MachineID, seq uint64) {
 	if m := d.machines[id]; m != nil {
-		d.order(m.owner, model.Order{Kind: model.InspectMachine, ID: id, Token: seq})
+		d.orderOwner(m, model.Order{Kind: model.InspectMachine, Token: seq})
 	}
 }
 
--- a/internal/core/dispatcher/inspect.go
+++ b/internal/core/dispatcher/inspect.go
@@ -34,3 +34,28 @@
 	}
 	return zones
 }
+
+// Owner returns the shard that owns a machine; 0: none, or the machine is unknown or gone.
+func (d *Dispatcher) Owner(id model.MachineID) model.ShardID {
+	if m := d.machines[id]; m != nil && !m.gone {
+		return m.owner
+	}
+	return 0
+}
+
+// Releasing reports whether a machine's owner has been ordered to release it and has not answered.
+func (d *Dispatcher) Releasing(id model.MachineID) bool {
+	m := d.machines[id]
+	return m != nil && m.releasing
+}
+
+// ForEachAssigned calls f for every task that is assigned to a living shard.
+func (d *Dispatcher) ForEachAssigned(f func(t model.Task, shard model.ShardID)) {
+	for _, j := range d.jobsBySubmission {
+		for index, a := range j.assignments {
+			if a.group == nil {
+				f(model.Task{Job: j.spec.ID, Index: index}, a.shard)
+			}
+		}
+	}
+}
--- a/internal/core/dispatcher/machine_balance.go
+++ b/internal/core/dispatcher/machine_balance.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		m.releasing, m.redirectedTo, m.redirectedAt = true, fewest.id, now
-		d.order(most.id, model.Order{Kind: model.ReleaseMachine, ID: m.ID, RedirectTo: fewest.host})
+		d.orderOwner(m, model.Order{Kind: model.ReleaseMachine, RedirectTo: fewest.host})
 		if remaining--; remaining == 0 {
 			return
 		}
--- a/internal/core/dispatcher/machines.go
+++ b/internal/core/dispatcher/machines.go
@@ -12,11 +12,12 @@
 // last status.
 type machine struct {
 	model.Machine
-	token          uint64 // issued to the present or last owner
-	recorded       bool   // certainly in a stored block
-	recordedLayout uint64 // layout of the block that holds the machine's record
-	maybeStored    bool   // possibly in a stored block
-	leaseExpired   bool   // the owner has not answered its worker for a whole lease
+	token          uint64      // issued to the present or last owner
+	epoch          model.Epoch // of the present or last ownership
+	recorded       bool        // certainly in a stored block
+	recordedLayout uint64      // layout of the block that holds the machine's record
+	maybeStored    bool        // possibly in a stored block
+	leaseExpired   bool        // the owner has not answered its worker for a whole lease
 	// expiryConfirmed is true from the confirmed expiry of the worker's lease until the worker
 	// reports again. No task is on the machine, and none is placed there. Its record is removed, so
 	// a later leader need not account for it.
@@ -26,6 +27,7 @@
 	owner           model.ShardID // 0: none
 	nextOwner       model.ShardID // the owner after the present one has released the machine
 	releasing       bool          // the owner was ordered to release the machine
+	renewalDue      bool          // the ownership is to be renewed if the owner keeps the machine
 	// authorityEnd is the last time at which a shard that was lost as the machine's owner could
 	// have answered its worker.
 	authorityEnd     time.Duration
@@ -89,8 +91,8 @@
 // for.
 func (d *Dispatcher) Recovered() bool { return len(d.unaccounted) == 0 }
 
-// SetTypes sets the machine types of the cloud's catalog. The owner of each machine whose capacity
-// changes is assigned again with the new capacity.
+// SetTypes sets the machine types of the cloud's catalog. The ownership of each machine whose capacity
+// changes is renewed with the new capacity.
 func (d *Dispatcher) SetTypes(types []model.MachineType) {
 	for _, t := range types {
 		d.types[t.Name] = t
@@ -98,9 +100,7 @@
 	for _, m := range d.sortedMachines() {
 		if t, ok := d.types[m.Type]; ok && m.Cap != t.Cap {
 			m.Cap, m.FetchRate = t.Cap, t.FetchRate
-			if m.owner != 0 {
-				d.assignOwner(m, m.owner)
-			}
+			d.renewOwnership(m)
 		}
 	}
 }
@@ -152,30 +152,62 @@
 	d.unaccounted[stored.ID] = true
 }
 
-// assignOwner makes a shard the machine's owner, with a token that was never used before. Assigning
-// the present owner again only renews the token and sends the machine's current data.
+// assignOwner makes a shard the owner of a machine that has none. It begins a new ownership, with a token
+// that was never used before.
 func (d *Dispatcher) assignOwner(m *machine, to model.ShardID) {
-	if m.owner != to {
-		m.ownedAt = d.now
-		m.leaseExpired, m.unreachable, m.statusFrom, m.fenced = false, false, 0, false
-		if d.machineCounts != nil {
-			d.machineCounts[m.owner]--
-			d.machineCounts[to]++
-		}
+	m.ownedAt = d.now
+	m.leaseExpired, m.unreachable, m.statusFrom, m.fenced, m.renewalDue = false, false, 0, false, false
+	if d.machineCounts != nil {
+		d.machineCounts[m.owner]--
+		d.machineCounts[to]++
 	}
-	d.tokensIssued++
 	m.owner, m.nextOwner = to, 0
+	d.issueToken(m)
+	m.epoch = model.Epoch(m.token)
+	d.orderOwnership(m)
+}
+
+// renewOwnership sends a machine's owner a higher token and the machine's current data. An owner that
+// was ordered to release the machine would get them after the release, and would then hold a machine
+// that belongs to nobody here. It gets them only if it keeps the machine.
+func (d *Dispatcher) renewOwnership(m *machine) {
+	switch {
+	case m.owner == 0 || m.gone:
+	case m.releasing:
+		m.renewalDue = true
+	default:
+		d.issueToken(m)
+		d.orderOwnership(m)
+	}
+}
+
+// issueToken gives a machine a token that was never used before.
+func (d *Dispatcher) issueToken(m *machine) {
+	d.tokensIssued++
 	m.token = d.params.Term<<32 | d.tokensIssued
-	d.order(to, model.Order{Kind: model.OwnMachine, Machine: m.Machine, Token: m.token, Usable: m.usable(),
+}
+
+// orderOwnership orders a machine's owner to own it under the machine's token.
+func (d *Dispatcher) orderOwnership(m *machine) {
+	d.orderOwner(m, model.Order{Kind: model.OwnMachine, Machine: m.Machine, Token: m.token, Usable: m.usable(),
 		VerifyFirst: m.needsVerification()})
 }
 
+// orderOwner queues an order for a machine's owner that is about its ownership.
+func (d *Dispatcher) orderOwner(m *machine, o model.Order) {
+	if o.Kind != model.OwnMachine {
+		o.ID = m.ID
+	}
+	o.Epoch = m.epoch
+	d.order(m.owner, o)
+}
+
 // MachineGone records that a machine no longer exists, with everything on it. It is kept in memory
 // while it may be in a stored block, and removed once the block is written without it.
 func (d *Dispatcher) MachineGone(id model.MachineID) {
 	if m := d.machines[id]; m != nil && !m.gone {
 		m.gone = true
-		d.order(m.owner, model.Order{Kind: model.RemoveMachine, ID: id})
+		d.orderOwner(m, model.Order{Kind: model.RemoveMachine})
 		d.markAccounted(m)
 		if m.maybeStored {
 			d.block(id).dirty = true
@@ -246,7 +278,7 @@
 // for another reason stays so.
 func (d *Dispatcher) SetUsable(id model.MachineID, usable bool) {
 	if m := d.machines[id]; m != nil {
-		d.order(m.owner, model.Order{Kind: model.SetUsable, ID: id, Usable: usable && m.usable()})
+		d.orderOwner(m, model.Order{Kind: model.SetUsable, Usable: usable && m.usable()})
 	}
 }
 
@@ -312,6 +344,6 @@
 		// owner knows which tasks are on the machine, so the machine changes owners only after the
 		// owner has released it and passed this on.
 		m.nextOwner, m.releasing = from, true
-		d.order(m.owner, model.Order{Kind: model.ReleaseMachine, ID: m.ID, MessageID: e.MessageID})
+		d.orderOwner(m, model.Order{Kind: model.ReleaseMachine, MessageID: e.MessageID})
 	}
 }
--- a/internal/core/dispatcher/orphans.go
+++ b/internal/core/dispatcher/orphans.go
@@ -47,7 +47,7 @@
 			m.nextOwner = 0
 		}
 		if m.owner == id {
-			m.owner, m.nextOwner, m.releasing = 0, 0, false
+			m.owner, m.nextOwner, m.releasing, m.renewalDue = 0, 0, false, false
 			delete(d.deferredEvents, m.ID)
 			m.lostAuthorityEnd = max(m.lostAuthorityEnd, end)
 			m.authorityEnd = max(m.authorityEnd, end)
@@ -119,23 +119,24 @@
 
 // machineReleased handles the release of a machine by its owner. The tasks that were there become
 // orphans until the next owner has fenced the worker.
-func (d *Dispatcher) machineReleased(now time.Duration, from model.ShardID, m *machine, e model.Event) {
-	if m != nil && m.owner != from {
+func (d *Dispatcher) machineReleased(now time.Duration, from model.ShardID, m *machine, e *model.Event) {
+	group := d.orphanTasks(from, e.Tasks)
+	if m == nil { // the machine was removed because it is gone, so nothing runs there
+		d.freeIfAccounted(group)
 		return
 	}
-	group := newOrphanGroup()
-	for _, t := range e.Tasks {
-		if j := d.jobs[t.Job]; j != nil && d.isAssignedTo(j, t.Index, from) {
-			d.setOrphaned(j, t.Index, group)
+	if m.owner != from || d.IsStale(from, e) {
+		// The machine was considered gone in the meantime, and has been seen again. The shard does not know
+		// the tasks any more. What its present owner has not found does not run there.
+		if !m.gone && !m.fenced {
+			group.waitForMachine(m)
 		}
-	}
-	if m == nil { // the machine was removed because it is gone, so nothing runs there
 		d.freeIfAccounted(group)
 		return
 	}
-	m.recordRelease(now, &e)
+	m.recordRelease(now, e)
 	group.waitForMachine(m)
-	m.owner, m.releasing = 0, false
+	m.owner, m.releasing, m.renewalDue = 0, false, false
 	delete(d.deferredEvents, m.ID)
 	if m.gone {
 		d.markAccounted(m)
@@ -144,3 +145,14 @@
 	}
 	m.nextOwner = 0
 }
+
+// orphanTasks moves those of the tasks that are assigned to a shard to a new orphan group.
+func (d *Dispatcher) orphanTasks(shard model.ShardID, tasks []model.Task) *orphanGroup {
+	group := newOrphanGroup()
+	for _, t := range tasks {
+		if j := d.jobs[t.Job]; j != nil && d.isAssignedTo(j, t.Index, shard) {
+			d.setOrphaned(j, t.Index, group)
+		}
+	}
+	return group
+}
--- a/internal/core/dispatcher/reachability.go
+++ b/internal/core/dispatcher/reachability.go
@@ -64,6 +64,10 @@
 	for i := range deferred {
 		d.HandleEvent(now, from, deferred[i])
 	}
+	if m.renewalDue {
+		m.renewalDue = false
+		d.renewOwnership(m)
+	}
 }
 
 // dropDeferredAttempt removes deferred events of an attempt that has ended.
--- a/internal/core/model/messages.go
+++ b/internal/core/model/messages.go
@@ -27,6 +27,13 @@
 // lost. IDs are never reused within a term.
 type ShardID uint32
 
+// Epoch identifies the time in which one shard owns a machine, from the order to own it until the
+// machine is released or removed, or the shard is lost. It is the token that the ownership began with,
+// so a later ownership has a higher epoch. Messages about an ownership carry its epoch, and whoever
+// receives one of another epoch drops it: orders and events cross on their way. 0: not known, as in
+// messages of releases up to 0.9.1.
+type Epoch uint64
+
 // Order is a message from the dispatcher to a shard. The comments name the kinds that use a
 // field.
 type Order struct {
@@ -37,7 +44,10 @@
 	Usable  bool    // OwnMachine, SetUsable: tasks may be placed there
 	// ID is the machine that the order is about, except in OwnMachine, which uses Machine. In
 	// RecallTask, the task is recalled only if it is on this machine; 0: wherever it is.
-	ID         MachineID
+	ID MachineID
+	// Epoch is the ownership that the order is about: OwnMachine, RemoveMachine, SetUsable,
+	// ReleaseMachine, ConfirmLeaseExpiry, InspectMachine.
+	Epoch      Epoch
 	Assignment Assignment // AssignTask
 	Task       Task       // RecallTask, ClearAttempt, KillAttempt
 	Attempt    uint64     // ClearAttempt, KillAttempt
@@ -102,6 +112,9 @@
 type Event struct {
 	Kind    EventKind
 	Machine MachineID
+	// Epoch is the ownership in which the shard emitted the event. Events about a task, rather than about
+	// a machine or an attempt found there, have none, and neither have UnownedWorker and MachineRemembered.
+	Epoch   Epoch
 	Report  *Report // UnownedWorker
 	Task    Task
 	Attempt uint64
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -111,7 +111,7 @@
 		return
 	}
 	if r.Token > m.token {
-		s.emit(model.Event{Kind: model.TokenSuperseded, Machine: m.ID, Token: r.Token})
+		s.emitAsOwner(m, model.Event{Kind: model.TokenSuperseded, Token: r.Token})
 		return
 	}
 	if m.unreachable || m.leaseExpired && s.unverified(now, m) {
--- a/internal/core/shard/lease_expiry.go
+++ b/internal/core/shard/lease_expiry.go
@@ -25,7 +25,7 @@
 // confirmLeaseExpiry handles the dispatcher's confirmation that a worker's lease has expired.
 func (s *Shard) confirmLeaseExpiry(now time.Duration, m *machine) {
 	s.loseAllAttempts(now, m)
-	s.emit(model.Event{Kind: model.LeaseExpiryConfirmed, Machine: m.ID, Token: m.token})
+	s.emitAsOwner(m, model.Event{Kind: model.LeaseExpiryConfirmed, Token: m.token})
 	switch {
 	case m.fenced:
 		m.endedSession = m.session
--- a/internal/core/shard/machine.go
+++ b/internal/core/shard/machine.go
@@ -10,6 +10,7 @@
 type machine struct {
 	model.Machine
 	reachability
+	epoch             model.Epoch         // of this ownership; 0: the dispatcher does not know epochs
 	token, shownToken uint64              // the shard's newest token, and the one in the worker's newest message
 	fencingToken      uint64              // the worker is fenced once it shows this token or a higher one
 	fenced            bool                // the worker has shown fencingToken: it refuses earlier owners' commands
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -34,7 +34,7 @@
 	}
 	if r.Token > m.token {
 		// A later owner has a higher token, so the worker would drop an answer from here.
-		s.emit(model.Event{Kind: model.TokenSuperseded, Machine: m.ID, Token: r.Token})
+		s.emitAsOwner(m, model.Event{Kind: model.TokenSuperseded, Token: r.Token})
 		return false
 	}
 	if m.ofEndedSession(r) {
@@ -149,7 +149,7 @@
 		s.restartLease(now, m)
 		s.markReceiving(m)
 		s.replanAll = true
-		s.emit(model.Event{Kind: model.WorkerFenced, Machine: m.ID})
+		s.emitAsOwner(m, model.Event{Kind: model.WorkerFenced})
 	}
 }
 
@@ -165,7 +165,7 @@
 		if status.Stage == model.Exited {
 			a.state, a.notAdopted = exited, false
 		}
-		s.emit(model.Event{Kind: model.AttemptFound, Machine: m.ID, Task: k.task, Attempt: k.number, Status: status})
+		s.emitAsOwner(m, model.Event{Kind: model.AttemptFound, Task: k.task, Attempt: k.number, Status: status})
 		return
 	}
 	a.lastSeen = s.messagesApplied
@@ -336,7 +336,7 @@
 		(m.tokenRaisedAt == 0 || now-m.tokenRaisedAt >= s.params.MaxLease/2)
 	if m.token == m.shownToken && (due || uncleared >= urgentUncleared) {
 		m.tokenRaisedAt = now
-		s.emit(model.Event{Kind: model.TokenNeeded, Machine: m.ID})
+		s.emitAsOwner(m, model.Event{Kind: model.TokenNeeded})
 	}
 }
 
@@ -353,6 +353,6 @@
 func (s *Shard) requestToken(m *machine) {
 	if !m.tokenNeeded {
 		m.tokenNeeded = true
-		s.emit(model.Event{Kind: model.TokenNeeded, Machine: m.ID})
+		s.emitAsOwner(m, model.Event{Kind: model.TokenNeeded})
 	}
 }
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -132,8 +132,18 @@
 // emit adds an event for the dispatcher.
 func (s *Shard) emit(e model.Event) { s.events = append(s.events, e) }
 
+// emitAsOwner emits an event about a machine that belongs to the shard's ownership of it.
+func (s *Shard) emitAsOwner(m *machine, e model.Event) {
+	e.Machine, e.Epoch = m.ID, m.epoch
+	s.emit(e)
+}
+
 // HandleOrder carries out an order of the dispatcher.
 func (s *Shard) HandleOrder(now time.Duration, o model.Order) {
+	if s.isStale(&o) {
+		s.staleOrder(&o)
+		return
+	}
 	switch o.Kind {
 	case model.OwnMachine:
 		s.ownMachine(now, o)
@@ -185,10 +195,10 @@
 			// The report that reached another controller is no newer than the newest one here, so
 			// it was a replayed copy: the worker still reports to this shard.
 			s.handleStaleReport(now, m)
-			s.emit(model.Event{Kind: model.MachineKept, Machine: o.ID})
+			s.emitAsOwner(m, model.Event{Kind: model.MachineKept})
 			return
 		}
-		s.releaseMachine(o.ID, o.RedirectTo)
+		s.releaseMachine(&o)
 	case model.ExpediteJob:
 		s.expedite(now, o.Job)
 	case model.RedirectWorker:
@@ -232,10 +242,11 @@
 
 // releaseMachine stops managing a machine because another shard is to own it. Tasks on the
 // machine keep running, and the dispatcher waits for the next owner to find them. Tasks whose
-// launch was not sent are returned. The worker is redirected to redirectTo if that is not empty.
-func (s *Shard) releaseMachine(machineID model.MachineID, redirectTo string) {
-	event := model.Event{Kind: model.MachineReleased, Machine: machineID}
-	if m := s.machines[machineID]; m != nil {
+// launch was not sent are returned. The worker is redirected to the order's RedirectTo if that is not
+// empty.
+func (s *Shard) releaseMachine(o *model.Order) {
+	event := model.Event{Kind: model.MachineReleased, Machine: o.ID, Epoch: o.Epoch}
+	if m := s.machines[o.ID]; m != nil {
 		event.Held = !m.everAnswered && !m.fenced // so this shard neither launched a task there nor renewed the lease
 		for _, a := range slices.Clone(m.attempts) {
 			switch t := a.assigned; {
@@ -249,8 +260,8 @@
 			}
 		}
 		s.removeMachine(m)
-		if redirectTo != "" {
-			s.redirects[machineID] = redirectTo
+		if o.RedirectTo != "" {
+			s.redirects[o.ID] = o.RedirectTo
 		}
 	}
 	s.emit(event)
@@ -296,7 +307,7 @@
 	}
 	s.replanAll = s.replanAll || !m.fenced || m.Machine != o.Machine || m.usable != o.Usable || m.tokenNeeded
 	m.summaryChanged = m.summaryChanged || m.Machine != o.Machine
-	m.Machine = o.Machine
+	m.Machine, m.epoch = o.Machine, o.Epoch
 	if o.Token > m.token {
 		m.token, m.tokenSent = o.Token, false
 	}
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -11,6 +11,7 @@
 	Placed, Evicted, Demoted, Lost, Refused, Errors uint64
 	MachinesExamined                                uint64 // how often a machine was examined for a waiting task
 	ExpiredSessionReports                           uint64 // reports refused because their session's lease had expired
+	StaleOrders                                     uint64 // orders dropped because their ownership had ended
 }
 
 // TakeStatus returns the status of each machine whose status has changed since the last call.
@@ -135,7 +136,7 @@
 	if m == nil {
 		return // the dispatcher asks the next owner
 	}
-	s.emit(model.Event{Kind: model.MachineInspected, Machine: m.ID, Token: o.Token, Placed: m.placedTasks(now)})
+	s.emitAsOwner(m, model.Event{Kind: model.MachineInspected, Token: o.Token, Placed: m.placedTasks(now)})
 }
 
 // placedTasks returns the tasks that are, or may be, on the machine.
--- a/internal/core/shard/tasks.go
+++ b/internal/core/shard/tasks.go
@@ -9,3 +9,6 @@
 		f(t)
 	}
 }
+
+// Knows reports whether a task is assigned to the shard.
+func (s *Shard) Knows(t model.Task) bool { return s.tasks[t] != nil }
--- a/internal/core/shard/tick.go
+++ b/internal/core/shard/tick.go
@@ -15,7 +15,7 @@
 			// The lease has expired unless another controller has answered the worker. Only the
 			// dispatcher knows that. The event is repeated until it decides.
 			m.leaseExpired, m.expiryReportedAt = true, now
-			s.emit(model.Event{Kind: model.LeaseExpired, Machine: m.ID, Token: m.token})
+			s.emitAsOwner(m, model.Event{Kind: model.LeaseExpired, Token: m.token})
 		}
 		s.probeOverdue(now, m)
 		if m.preemptionAt != 0 {
--- a/internal/core/shard/unreachable.go
+++ b/internal/core/shard/unreachable.go
@@ -43,7 +43,7 @@
 	unreachable := m.fenced && (s.reportOverdue(now, m) || probed) && s.zoneReporting(now, m)
 	if !m.fenced || unreachable {
 		m.unreachable = unreachable
-		s.emit(model.Event{Kind: model.CommandUnanswered, Machine: m.ID, Held: unreachable})
+		s.emitAsOwner(m, model.Event{Kind: model.CommandUnanswered, Held: unreachable})
 	}
 }
 
@@ -53,7 +53,7 @@
 func (s *Shard) markAlive(m *machine) {
 	if m.leaseExpired || m.unreachable {
 		m.leaseExpired, m.unreachable = false, false
-		s.emit(model.Event{Kind: model.WorkerBack, Machine: m.ID})
+		s.emitAsOwner(m, model.Event{Kind: model.WorkerBack})
 	}
 }
 
--- a/internal/core/sim/controller_test.go
+++ b/internal/core/sim/controller_test.go
@@ -355,6 +355,14 @@
 			c.w.repeatLater(func() { m.handleDirectCommands(d.Token, d.Session, d.Commands, func(*model.Report, bool) {}) })
 		}
 		sent := c.w.now
+		if late := c.w.commandDelay(); late > 0 {
+			c.w.after(late, func() {
+				c.w.observe("a command arrives seconds late")
+				m.handleDirectCommands(d.Token, d.Session, d.Commands, func(*model.Report, bool) {})
+			})
+			c.timer(2*time.Second, func() { finish(nil, false) })
+			continue
+		}
 		c.w.send(c.host, m.host, false, func() {
 			if c.w.now-sent > 4*time.Second {
 				c.w.observe("a command arrives seconds late")
@@ -385,7 +393,7 @@
 	for _, e := range local.shard.TakeEvents() {
 		if local.l != nil {
 			if c.oldRelease || local.l.c.oldRelease {
-				e.MessageID = model.MessageID{}
+				e.MessageID, e.Epoch = model.MessageID{}, 0
 				e.Held = e.Held && e.Kind != model.MachineReleased
 			}
 			local.sendToLeader(func(l *leadership, k *memberLink) {
--- a/internal/core/sim/leadership_test.go
+++ b/internal/core/sim/leadership_test.go
@@ -306,11 +306,12 @@
 			return
 		}
 		for _, o := range orders {
+			l.c.w.logOrder(&o)
 			if o.To == l.localID {
 				s.HandleOrder(now, o)
 			} else if k := l.links[o.To]; k != nil {
 				if l.c.oldRelease || k.member.c.oldRelease {
-					o.VerifyFirst, o.MessageID, o.Assignment.WithinLimits = false, model.MessageID{}, false
+					o.VerifyFirst, o.MessageID, o.Assignment.WithinLimits, o.Epoch = false, model.MessageID{}, false, 0
 				}
 				l.sendToMember(k, func(member *localShard) {
 					member.shard.HandleOrder(member.c.now(), adjustClock(o, now, member.c.now()))
@@ -325,10 +326,16 @@
 
 // handleEvent passes a shard's event to the drain plans and the dispatcher.
 func (l *leadership) handleEvent(now time.Duration, from model.ShardID, e model.Event) {
-	l.drains.handleEvent(now, &e)
-	if e.Kind == model.MachineInspected {
+	l.c.w.logEvent(from, &e)
+	if !l.dispatcher.IsStale(from, &e) {
+		l.drains.handleEvent(now, &e)
+	}
+	if e.Kind == model.MachineInspected && !l.dispatcher.IsStale(from, &e) {
 		l.drains.engine.TasksListed(now, e.Machine, e.Token, e.Placed, l.dispatcher.Spec)
 	}
+	if (e.Kind == model.TokenNeeded || e.Kind == model.TokenSuperseded) && l.dispatcher.Releasing(e.Machine) {
+		l.c.w.observe("a token is asked for while its machine is released")
+	}
 	l.dispatcher.HandleEvent(now, from, e)
 }
 
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -104,6 +104,9 @@
 	// Compares shards and running tasks with the leader's charges after each step, not only every
 	// accountingEvery.
 	checkEachStep bool
+	// Machines change hands all the time over links that are slow now and then, see handoverFaults. Which
+	// shard holds a machine is checked after each step.
+	handovers bool
 }
 
 // event is a function that runs at a time of the simulated clock.
@@ -185,8 +188,10 @@
 	lastAcknowledger *controller
 	// Since when a job waits beside free capacity.
 	waitingSince map[model.JobID]time.Duration
-	// A controller has sent, received or ticked since the last accounting check.
+	// A controller has sent, received or ticked since the last step.
 	controllerActed bool
+	// A controller has acted since the last accounting check.
+	accountingDue bool
 	// Next accounting check of runs without checkEachStep.
 	nextAccountingCheck time.Duration
 	// Drain plans that were applied.
@@ -195,6 +200,12 @@
 	interrupted map[model.Task]bool
 	// Totals of drain plans: tasks recalled, machines returned to the cloud.
 	recalledTasks, returnedMachines int
+	// By direction, what a slow link between controllers adds to the latency of its messages.
+	linkDelays map[hostPair]time.Duration
+	// End of the period in which direct commands are late.
+	lateCommandsUntil time.Duration
+	// Since when a shard and the dispatcher differ, see checkOwnership.
+	disagreedSince map[disagreement]time.Duration
 }
 
 // newWorld returns a run before its start; the seed fixes all random draws.
@@ -203,7 +214,8 @@
 		lastDelivery: map[hostPair]time.Duration{},
 		users:        map[model.JobID]*user{},
 		plans:        planSpecs{}, interrupted: map[model.Task]bool{}, delayedUntil: map[hostPair]time.Duration{},
-		observed: map[string]int{}, waitingSince: map[model.JobID]time.Duration{}, nextAccountingCheck: never}
+		observed: map[string]int{}, waitingSince: map[model.JobID]time.Duration{}, nextAccountingCheck: never,
+		linkDelays: map[hostPair]time.Duration{}, disagreedSince: map[disagreement]time.Duration{}}
 	w.store = newStore(w)
 	for i := range p.controllers {
 		w.controllers = append(w.controllers, newController(w, i))
@@ -279,6 +291,7 @@
 		return
 	}
 	at := w.now + w.randomDuration(time.Millisecond, 8*time.Millisecond) + w.params.extraLatency
+	at += w.linkDelays[hostPair{from, to}]
 	if w.now < w.storeSlowUntil && to == "store" {
 		at += w.randomDuration(20*time.Millisecond, 2*time.Second)
 	}
@@ -456,6 +469,10 @@
 	if w.params.scenario != nil {
 		w.after(w.randomDuration(20*time.Second, 30*time.Second), w.runScenarios)
 	}
+	if w.params.handovers {
+		w.after(10*time.Second, w.moveMachines)
+		w.after(15*time.Second, w.handoverFaults)
+	}
 	if w.params.drains {
 		w.after(5*time.Second, func() { w.runOperator(0) })
 	}
@@ -463,8 +480,14 @@
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		e.run()
-		if w.controllerActed && (w.params.checkEachStep || w.now >= w.nextAccountingCheck) {
-			w.controllerActed = false
+		if w.controllerActed {
+			w.controllerActed, w.accountingDue = false, true
+			if w.params.handovers {
+				w.checkOwnership()
+			}
+		}
+		if w.accountingDue && (w.params.checkEachStep || w.now >= w.nextAccountingCheck) {
+			w.accountingDue = false
 			w.nextAccountingCheck = w.now + accountingEvery
 			w.checkAccounting()
 		}
--- a/internal/node/decisionlog.go
+++ b/internal/node/decisionlog.go
@@ -40,6 +40,10 @@
 
 // logEvent logs an event of a shard, before the event is handled.
 func (l *leadership) logEvent(from model.ShardID, event *model.Event) {
+	if l.dispatcher.IsStale(from, event) && l.node.logEnabled(slog.LevelDebug) {
+		l.node.log.Debug("event about an ended ownership", "machine", wire.MachineName(event.Machine), "shard", from,
+			"kind", event.Kind, "epoch", event.Epoch)
+	}
 	switch event.Kind {
 	case model.LeaseExpiryConfirmed:
 		if l.dispatcher.LeaseExpiryConfirmed(event.Machine) {
@@ -77,7 +81,7 @@
 	switch order.Kind {
 	case model.OwnMachine:
 		l.node.log.Debug("machine assigned to shard", "machine", wire.MachineName(order.Machine.ID), "shard", order.To,
-			"token", order.Token)
+			"token", order.Token, "epoch", order.Epoch)
 	case model.AssignTask:
 		l.node.log.Debug("task assigned to shard", "task", wire.TaskName(order.Assignment.Task), "shard", order.To,
 			"adopted", order.Assignment.Attempt)
--- a/internal/node/leadership.go
+++ b/internal/node/leadership.go
@@ -326,6 +326,8 @@
 // handleEvent logs a shard's event and passes it to the drain manager and the dispatcher.
 func (l *leadership) handleEvent(now time.Duration, from model.ShardID, event model.Event) {
 	l.logEvent(from, &event)
-	l.drains.handleEvent(now, &event)
+	if !l.dispatcher.IsStale(from, &event) {
+		l.drains.handleEvent(now, &event)
+	}
 	l.dispatcher.HandleEvent(now, from, event)
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -116,6 +116,8 @@
 	counter("attempts_unexpected",
 		"Attempts found on machines that were accounted for, in this controller's present term.",
 		whileLeading(n, func(l *leadership) uint64 { return l.dispatcher.Stats().UnexpectedAttempts }))
+	counter("stale_events", "Events of shards that were about an ownership of a machine that had ended, in this term.",
+		whileLeading(n, func(l *leadership) uint64 { return l.dispatcher.Stats().StaleEvents }))
 	counter("dispatch_limited", "Times that a team's limit kept a job's tasks waiting, in this controller's present term.",
 		whileLeading(n, func(l *leadership) uint64 { return l.dispatcher.Stats().LimitedRounds }))
 	shardCount := func(f func() uint64) func() uint64 {
@@ -128,6 +130,8 @@
 	}
 	counter("reports_lapsed", "Reports refused by this controller's present shard because their session's lease is over.",
 		shardCount(func() uint64 { return n.local.shard.Stats.ExpiredSessionReports }))
+	counter("stale_orders", "Orders of the leader that were about an ownership of a machine that had ended.",
+		shardCount(func() uint64 { return n.local.shard.Stats.StaleOrders }))
 	counter("tasks_placed", "Tasks placed on machines by this controller's present shard.",
 		shardCount(func() uint64 { return n.local.shard.Stats.Placed }))
 	counter("tasks_evicted", "Tasks evicted for higher-priced ones by this controller's present shard.",
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -45,7 +45,8 @@
 func (c *Codec) Event(e *model.Event) *peerpb.Up {
 	p := &peerpb.Event{Kind: uint32(e.Kind), Machine: uint64(e.Machine), Task: task(e.Task), Attempt: e.Attempt,
 		Stage: uint32(e.Status.Stage), CellCause: uint32(e.Status.Cause), Cause: uint32(e.Cause),
-		Token: e.Token, Held: e.Held, RanUs: e.RunTime.Microseconds(), Session: e.Session, Seq: e.Seq}
+		Token: e.Token, Held: e.Held, RanUs: e.RunTime.Microseconds(), Session: e.Session, Seq: e.Seq,
+		Epoch: uint64(e.Epoch)}
 	for _, o := range e.Placed {
 		p.On = append(p.On, &peerpb.OnMachine{Task: task(o.Task), Stage: uint32(o.Stage), RanUs: o.RunTime.Microseconds(),
 			Stopping: o.Stopping, Adopted: o.Adopted})
@@ -68,7 +69,8 @@
 			Cause: model.Cause(p.GetCellCause())},
 		Cause: model.Cause(p.GetCause()), Token: p.GetToken(), Held: p.GetHeld(),
 		MessageID: model.MessageID{Session: p.GetSession(), Seq: p.GetSeq()},
-		RunTime:   time.Duration(p.GetRanUs()) * time.Microsecond}
+		RunTime:   time.Duration(p.GetRanUs()) * time.Microsecond,
+		Epoch:     model.Epoch(p.GetEpoch())}
 	for _, o := range p.GetOn() {
 		e.Placed = append(e.Placed, model.PlacedTask{Task: fromTask(o.GetTask()), Stage: model.Stage(o.GetStage()),
 			RunTime: time.Duration(o.GetRanUs()) * time.Microsecond, Stopping: o.GetStopping(), Adopted: o.GetAdopted()})
@@ -163,7 +165,8 @@
 func (c *Codec) Order(now time.Duration, o *model.Order) *peerpb.Down {
 	p := &peerpb.Order{Kind: uint32(o.Kind), Token: o.Token, Usable: o.Usable, Id: uint64(o.ID), Task: task(o.Task),
 		Attempt: o.Attempt, Job: uint64(o.Job), Price: o.Price, Count: int32(o.Count), Keeper: o.RedirectTo,
-		Aim: uint32(o.Objective), Prove: o.VerifyFirst, Session: o.Session, Seq: o.Seq}
+		Aim: uint32(o.Objective), Prove: o.VerifyFirst, Session: o.Session, Seq: o.Seq,
+		Epoch: uint64(o.Epoch)}
 	switch o.Kind {
 	case model.OwnMachine:
 		p.Machine = c.machine(&o.Machine)
@@ -195,7 +198,7 @@
 		Task: fromTask(p.GetTask()), Attempt: p.GetAttempt(), Job: model.JobID(p.GetJob()),
 		Price: p.GetPrice(), Count: int(p.GetCount()),
 		RedirectTo: p.GetKeeper(), Objective: model.Objective(p.GetAim()), VerifyFirst: p.GetProve(),
-		MessageID: model.MessageID{Session: p.GetSession(), Seq: p.GetSeq()}}
+		MessageID: model.MessageID{Session: p.GetSession(), Seq: p.GetSeq()}, Epoch: model.Epoch(p.GetEpoch())}
 	switch o.Kind {
 	case model.OwnMachine:
 		o.Machine = c.fromMachine(p.GetMachine())
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -61,7 +61,7 @@
 func TestEventsAndStatusRoundTrip(t *testing.T) {
 	a, b := newNames(0), newNames(1)
 	task := model.Task{Job: 7, Index: 3}
-	e := model.Event{Kind: model.AttemptFound, Machine: 4, Task: task, Attempt: 1 << 60,
+	e := model.Event{Kind: model.AttemptFound, Machine: 4, Epoch: 1 << 33, Task: task, Attempt: 1 << 60,
 		Status: model.AttemptStatus{Task: task, Attempt: 1 << 60, Stage: model.Exited, Cause: model.CauseDone},
 		Cause:  model.CauseError, Token: 1 << 40, Held: true, Tasks: []model.Task{{Job: 1, Index: 2}},
 		RunTime: 3 * time.Second, Placed: []model.PlacedTask{{Task: task, Stage: model.Saving, RunTime: time.Minute,
