fleet: count free capacity only where a task may be placed

Cause: findShortages asked only what a job's own zone, machine types and kind of machine allow. The dispatcher asks the shares of its zones besides. So room counted that no task could ever get. The same holds for Together, for the kind of machine that is rented and for machines that are taken out of a price drain; and of teams' limits only CPUs were looked at, so that machines were rented for work that a GPU limit holds back.

The fix: one predicate on both sides. dispatcher.ZoneQuota decides where the dispatcher sends tasks and what the fleet counts as capacity, and the fleet asks Team.Remaining as the dispatcher does. A zone that has its share of a batch job's tasks is waited for as before, for they end.

--- a/internal/core/dispatcher/dispatch.go
+++ b/internal/core/dispatcher/dispatch.go
@@ -218,7 +218,7 @@
 // charged to a zone before a shard places it.
 func planBatches(j *job, n int64, members []*member) []batch {
 	zones := []model.Name{model.None}
-	perZone := map[model.Name]int64{}
+	quota := NewZoneQuota(j.spec, j.assignedInZone)
 	if j.pinned() {
 		zones = zones[:0]
 		for _, m := range members {
@@ -228,11 +228,8 @@
 				}
 			}
 		}
-		for zone, n := range j.assignedInZone {
-			perZone[zone] = int64(n)
-		}
 	}
-	if j.spec.SameZone && len(perZone) == 0 && len(zones) > 0 {
+	if quota.ChoosesZone() && len(zones) > 0 {
 		// The whole job should fit into its zone, so take the one with the most free capacity.
 		zones = []model.Name{zoneWithMostCapacity(j.spec, zones, n, members)}
 	}
@@ -240,13 +237,7 @@
 	for n > 0 {
 		var best batch
 		for _, z := range zones {
-			limit := n
-			if j.spec.SameZone && len(perZone) > 0 && perZone[z] == 0 {
-				continue
-			}
-			if j.spec.Spread {
-				limit = min(limit, int64(j.maxPerZone())-perZone[z])
-			}
+			limit := min(n, quota.Room(z))
 			for _, m := range members {
 				if fitting := m.countFitting(j.spec, z, limit, false); fitting > best.count {
 					best = batch{m, z, fitting}
@@ -257,7 +248,7 @@
 			break
 		}
 		best.shard.countFitting(j.spec, best.zone, best.count, true)
-		perZone[best.zone] += best.count
+		quota.Add(best.zone, best.count)
 		n -= best.count
 		batches = append(batches, best)
 	}
--- a/internal/core/dispatcher/dispatcher.go
+++ b/internal/core/dispatcher/dispatcher.go
@@ -356,6 +356,7 @@
 		}
 		out = append(out, JobDemand{
 			Spec:            j.spec,
+			Zones:           NewZoneQuota(j.spec, j.assignedInZone),
 			Unfinished:      unfinished,
 			Assigned:        int32(len(j.assignments)),
 			WithinGuarantee: j.withinGuarantee,
@@ -369,6 +370,7 @@
 // JobDemand is a job's demand for machines.
 type JobDemand struct {
 	Spec                 *model.Spec
+	Zones                ZoneQuota // of its assigned tasks
 	Unfinished, Assigned int32
 	WithinGuarantee      bool
 	WaitingSince         time.Duration
--- a/internal/core/dispatcher/jobs.go
+++ b/internal/core/dispatcher/jobs.go
@@ -233,13 +233,13 @@
 	case j.spec.SameZone:
 		return inZone == total
 	case j.spec.Spread:
-		return inZone < j.maxPerZone()
+		return inZone < maxPerZone(j.spec)
 	}
 	return true
 }
 
 // maxPerZone returns how many tasks of a spread job may be in one zone: half of them, rounded up.
-func (j *job) maxPerZone() int32 { return (j.spec.Tasks + 1) / 2 }
+func maxPerZone(spec *model.Spec) int32 { return (spec.Tasks + 1) / 2 }
 
 // moveToZone charges a task to another zone.
 func (j *job) moveToZone(from, to model.Name) {
--- a/internal/core/fleet/capacity.go
+++ b/internal/core/fleet/capacity.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"honeylock/internal/core/dispatcher"
 	"honeylock/internal/core/model"
 )
 
@@ -76,9 +77,11 @@
 func shortagesAfterPlacing(shortages []shortage, m *model.Machine, free model.Resources) []shortage {
 	var remaining []shortage
 	for _, missing := range shortages {
-		if missing.spec.Allows(m) && missing.spec.PerTask.Fits(m.Cap) {
-			placed := min(missing.tasks, missing.spec.PerTask.Count(free))
+		if missing.mayUse(m) {
+			placed := min(missing.tasks, missing.fitting(m, free))
 			free = free.Sub(missing.spec.PerTask.Times(placed))
+			missing.zones = missing.zones.Clone()
+			missing.zones.Add(m.Zone, placed)
 			missing.tasks, missing.fitsNoMachine = missing.tasks-placed, false
 		}
 		if missing.tasks > 0 {
@@ -91,12 +94,30 @@
 // shortage is a number of waiting tasks of a job for which there is no capacity.
 type shortage struct {
 	spec  *model.Spec
+	zones dispatcher.ZoneQuota // counts the tasks for which there is capacity as well
 	tasks int64
 	// fitsNoMachine: no available machine could run a task even if it were empty, so waiting
 	// does not help.
 	fitsNoMachine bool
 }
 
+// fitsEmpty reports whether a task of the job may run on a machine that is empty, whatever zones the
+// other tasks are in.
+func (s *shortage) fitsEmpty(m *model.Machine) bool {
+	return s.spec.Allows(m) && s.spec.PerTask.Fits(m.Cap)
+}
+
+// mayUse reports whether a task of the job may be placed on a machine now, if enough of it is free.
+func (s *shortage) mayUse(m *model.Machine) bool {
+	return s.fitsEmpty(m) && s.zones.Room(m.Zone) > 0
+}
+
+// fitting returns how many tasks of the job may be placed in the free resources of a machine that the
+// job may use.
+func (s *shortage) fitting(m *model.Machine, free model.Resources) int64 {
+	return min(s.spec.PerTask.Count(free), s.zones.Room(m.Zone))
+}
+
 // rentableDemand returns the demand that machines are rented for. Best-effort jobs wait for idle
 // machines first, but not longer than Params.BestEffortWait.
 func (f *Fleet) rentableDemand(now time.Duration, demand []Demand) []Demand {
@@ -116,55 +137,107 @@
 // findShortages returns the waiting tasks for which there is no capacity, now or once machines have
 // booted. Tasks beyond their team's limit are not counted. It marks the machines that the demand uses.
 func findShortages(machines []availableMachine, demand []Demand, limit func(model.Name) model.Resources) []shortage {
-	teamLimitLeft := map[model.Name]int64{}
-	for _, d := range demand {
-		team := d.Job.Spec.Team
-		if _, ok := teamLimitLeft[team]; !ok {
-			teamLimitLeft[team] = 1 << 50
-			if teamLimit := limit(team).CPU; teamLimit > 0 {
-				teamLimitLeft[team] = teamLimit
-			}
-		}
-		teamLimitLeft[team] -= int64(d.Placed) * d.Job.Spec.PerTask.CPU
-	}
+	limits := newLimitCheck(demand, limit)
 	var shortages []shortage
 	candidates := largeEnoughMachines(machines, demand)
-	for _, d := range demand {
-		spec := d.Job.Spec
-		missing := int64(d.Job.Unfinished - d.Placed)
-		missing = min(missing, max(0, teamLimitLeft[spec.Team]/max(1, spec.PerTask.CPU)))
-		if missing <= 0 {
+	for i := range demand {
+		d := &demand[i]
+		missing := shortage{spec: d.Job.Spec, zones: d.Job.Zones.Without(int64(d.Job.Assigned - d.Placed)),
+			tasks: limits.take(d.Job.Spec, int64(d.Job.Unfinished-d.Placed))}
+		if missing.tasks <= 0 {
 			continue
 		}
-		teamLimitLeft[spec.Team] -= missing * spec.PerTask.CPU
-		exhausted := 0
-		for _, candidate := range candidates {
-			if missing <= 0 {
-				break
-			}
-			if candidate.free.CPU == 0 {
-				exhausted++
-				continue
-			}
-			if !spec.Allows(&candidate.machine) {
-				continue
-			}
-			if placed := min(missing, spec.PerTask.Count(candidate.free)); placed > 0 {
-				candidate.free = candidate.free.Sub(spec.PerTask.Times(placed))
-				candidate.usedByDemand = true
-				missing -= placed
-			}
+		usable := candidates
+		if missing.zones.ChoosesZone() {
+			usable = inBestZone(candidates, &missing)
 		}
-		if exhausted > len(candidates)/2 {
+		if full := missing.placeOn(usable); full > len(candidates)/2 {
 			candidates = slices.DeleteFunc(candidates, func(candidate *availableMachine) bool { return candidate.free.CPU == 0 })
 		}
-		if missing > 0 {
-			shortages = append(shortages, shortage{spec, missing, fitsNoMachine(spec, machines)})
+		if missing.tasks > 0 {
+			missing.fitsNoMachine = fitsNoMachine(&missing, machines)
+			shortages = append(shortages, missing)
 		}
 	}
 	return shortages
 }
 
+// placeOn takes capacity for the missing tasks from the machines, as far as they have it. It returns how
+// many machines without free CPU it has seen.
+func (s *shortage) placeOn(machines []*availableMachine) (full int) {
+	for _, candidate := range machines {
+		if s.tasks <= 0 {
+			break
+		}
+		if candidate.free.CPU == 0 {
+			full++
+			continue
+		}
+		if !s.mayUse(&candidate.machine) {
+			continue
+		}
+		if placed := min(s.tasks, s.fitting(&candidate.machine, candidate.free)); placed > 0 {
+			candidate.free = candidate.free.Sub(s.spec.PerTask.Times(placed))
+			candidate.usedByDemand = true
+			s.zones.Add(candidate.machine.Zone, placed)
+			s.tasks -= placed
+		}
+	}
+	return full
+}
+
+// inBestZone returns the machines of the zone that has capacity for most of the missing tasks, which is
+// the one that the dispatcher chooses.
+func inBestZone(machines []*availableMachine, missing *shortage) []*availableMachine {
+	fitting := map[model.Name]int64{}
+	best := model.None
+	for _, candidate := range machines {
+		if !missing.mayUse(&candidate.machine) {
+			continue
+		}
+		zone := candidate.machine.Zone
+		fitting[zone] += missing.fitting(&candidate.machine, candidate.free)
+		if fitting[zone] > fitting[best] {
+			best = zone
+		}
+	}
+	var out []*availableMachine
+	for _, candidate := range machines {
+		if candidate.machine.Zone == best {
+			out = append(out, candidate)
+		}
+	}
+	return out
+}
+
+// limitCheck tracks how much of the teams' limits the demand leaves.
+type limitCheck struct {
+	limit func(model.Name) model.Resources
+	used  map[model.Name]model.Resources
+}
+
+// newLimitCheck returns a check that counts the tasks of the demand that are on machines.
+func newLimitCheck(demand []Demand, limit func(model.Name) model.Resources) *limitCheck {
+	l := &limitCheck{limit: limit, used: map[model.Name]model.Resources{}}
+	for i := range demand {
+		l.use(demand[i].Job.Spec, int64(demand[i].Placed))
+	}
+	return l
+}
+
+// use counts tasks as using their team's limit.
+func (l *limitCheck) use(spec *model.Spec, tasks int64) {
+	l.used[spec.Team] = l.used[spec.Team].Add(spec.PerTask.Times(tasks))
+}
+
+// take returns how many of the tasks their team's limit allows, and counts them.
+func (l *limitCheck) take(spec *model.Spec, tasks int64) int64 {
+	remaining := dispatcher.Team{Limit: l.limit(spec.Team)}.Remaining(l.used[spec.Team])
+	tasks = max(0, min(tasks, spec.PerTask.Count(remaining)))
+	l.use(spec, tasks)
+	return tasks
+}
+
 // largeEnoughMachines returns the machines with enough free CPU for the smallest of the tasks.
 func largeEnoughMachines(machines []availableMachine, demand []Demand) []*availableMachine {
 	minCPU := int64(math.MaxInt64)
@@ -180,10 +253,13 @@
 	return large
 }
 
-// fitsNoMachine reports whether no machine could run a task of the job even if it were empty.
-func fitsNoMachine(spec *model.Spec, machines []availableMachine) bool {
+// fitsNoMachine reports whether no machine could run one of the missing tasks even if it were empty. A
+// zone that has its share of a batch job's tasks can run more once some are done; replicas never are.
+func fitsNoMachine(missing *shortage, machines []availableMachine) bool {
+	waitForZone := !missing.spec.Daemon
 	for i := range machines {
-		if spec.Allows(&machines[i].machine) && spec.PerTask.Fits(machines[i].machine.Cap) {
+		m := &machines[i].machine
+		if missing.fitsEmpty(m) && (waitForZone || missing.zones.Room(m.Zone) > 0) {
 			return false
 		}
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -324,14 +324,11 @@
 		var bestCost, costRatio float64
 		for i := range f.types {
 			t := &f.types[i]
-			if missing.spec.PerTask.Count(t.Cap) == 0 {
-				continue
-			}
 			for _, zone := range t.Zones {
 				for _, spot := range []bool{true, false} {
 					kind := machineKind{t.Name, zone, spot}
-					m := model.Machine{Type: t.Name, Zone: zone, Spot: spot}
-					if !missing.spec.Allows(&m) || now < f.refusedUntil[kind] {
+					m := model.Machine{Type: t.Name, Zone: zone, Spot: spot, Cap: t.Cap}
+					if !missing.mayUse(&m) || now < f.refusedUntil[kind] {
 						continue
 					}
 					// Kinds of equal cost are spread over the zones, in proportion to the machines rented.
@@ -346,16 +343,17 @@
 			continue
 		}
 		var worthCPU, totalCPU int64
+		size := f.typeOf(best.machineType).Cap
 		for _, other := range shortages {
-			m := model.Machine{Type: best.machineType, Zone: best.zone, Spot: best.spot}
-			if other.spec.Allows(&m) {
+			m := model.Machine{Type: best.machineType, Zone: best.zone, Spot: best.spot, Cap: size}
+			if other.mayUse(&m) {
+				other.tasks = min(other.tasks, other.zones.Room(best.zone))
 				worthCPU += f.tasksWorthRenting(other, costRatio) * other.spec.PerTask.CPU
 				totalCPU += other.tasks * other.spec.PerTask.CPU
 			}
 		}
-		size := f.typeOf(best.machineType).Cap.CPU
-		count := (worthCPU + size/2) / size
-		if count == 0 && worthCPU > 0 && counts[*best] == 0 && totalCPU >= size {
+		count := (worthCPU + size.CPU/2) / size.CPU
+		if count == 0 && worthCPU > 0 && counts[*best] == 0 && totalCPU >= size.CPU {
 			count = 1
 		}
 		if count == 0 && missing.fitsNoMachine {
