fleet: rent for a job that makes no progress, however little it needs

A service of another team filled the only machine, and nothing was rented for the job.

Cause: the fleet rents by what missing tasks are worth in machines, short tasks in part, and nothing for less than half a machine unless no machine that exists could run the task even if it were empty. It reckons with tasks that end; the service never does.

The fix: a job that has had a shortage for 30 s (maxStall) while no task of it completed or got a machine gets one machine of the cheapest kind that it allows.

--- a/internal/core/fleet/capacity.go
+++ b/internal/core/fleet/capacity.go
@@ -82,7 +82,7 @@
 			free = free.Sub(missing.spec.PerTask.Times(placed))
 			missing.zones = missing.zones.Clone()
 			missing.zones.Add(m.Zone, placed)
-			missing.tasks, missing.fitsNoMachine = missing.tasks-placed, false
+			missing.tasks, missing.fitsNoMachine, missing.stalled = missing.tasks-placed, false, false
 		}
 		if missing.tasks > 0 {
 			remaining = append(remaining, missing)
@@ -99,6 +99,8 @@
 	// fitsNoMachine: no available machine could run a task even if it were empty, so waiting
 	// does not help.
 	fitsNoMachine bool
+	// stalled: the job has made no progress for maxStall, so waiting has not helped.
+	stalled bool
 }
 
 // fitsEmpty reports whether a task of the job may run on a machine that is empty, whatever zones the
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -82,14 +82,16 @@
 	gone             map[model.MachineID]time.Duration // returned or gone; the list may contain them for a while
 	requestCount     uint64
 	cycle            uint64
-	lastShortageAt   time.Duration // when there were shortages
-	lastScarceAt     time.Duration // when little capacity was free, or there were shortages
+	lastShortageAt   time.Duration         // when there were shortages
+	lastScarceAt     time.Duration         // when little capacity was free, or there were shortages
+	stalls           map[model.JobID]stall // of the jobs with shortages
 }
 
 // New returns a Fleet that knows no machines.
 func New(p Params) *Fleet {
 	return &Fleet{params: p, machines: map[model.MachineID]*machineState{}, renting: map[string]Action{},
-		refusedUntil: map[machineKind]time.Duration{}, gone: map[model.MachineID]time.Duration{}}
+		refusedUntil: map[machineKind]time.Duration{}, gone: map[model.MachineID]time.Duration{},
+		stalls: map[model.JobID]stall{}}
 }
 
 // SetTypes sets the cloud's machine types with their current prices.
@@ -243,6 +245,7 @@
 	machines := f.availableMachines(now, status)
 	rentable := f.rentableDemand(now, demand)
 	shortages := findShortages(machines, rentable, limit)
+	f.markStalled(now, shortages, rentable)
 	if len(shortages) > 0 {
 		f.lastShortageAt, f.lastScarceAt = now, now
 		var undrained []Action
@@ -356,7 +359,7 @@
 		if count == 0 && worthCPU > 0 && counts[*best] == 0 && totalCPU >= size.CPU {
 			count = 1
 		}
-		if count == 0 && missing.fitsNoMachine {
+		if count == 0 && (missing.fitsNoMachine || missing.stalled) {
 			count = 1
 		}
 		if count == 0 {
