exactjson: return a value as soon as it is complete

Cause: exactjson.Decode used the library's decoder of streams, which waits until its buffer is full or the stream ends.

The fix: the standard library's decoder finds the end of the value, and the value is decoded as before.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -88,7 +88,8 @@
 
 func TestMistakesHaveTheirPosition(t *testing.T) {
 	for before, after := range map[string]string{
-		"lease_s = 10.0": `lease_s = "ten"`, "rps = 5.0": "rps = = 5.0", "zone = \"a\"": "zone = 3", "fd_limit = 800": `fd_limit = "many"`,
+		"lease_s = 10.0": `lease_s = "ten"`, "rps = 5.0": "rps = = 5.0", "zone = \"a\"": "zone = 3",
+		"fd_limit = 800": `fd_limit = "many"`,
 	} {
 		s := strings.Replace(validSettings, before, after, 1)
 		row := 1 + strings.Count(s[:strings.Index(s, after)], "\n")
--- a/internal/core/fleet/placement_test.go
+++ b/internal/core/fleet/placement_test.go
@@ -189,7 +189,8 @@
 		status := []model.MachineStatus{{Machine: model.Machine{ID: 1, Cap: model.Capacity(8, 0, 32)},
 			Avail: model.Capacity(6, 0, 24), Ready: true, AttemptCount: 1}}
 		f.Observe(0, status, func(model.MachineID) bool { return false })
-		spec := &model.Spec{ID: 1, Tasks: tasks, PerTask: model.Request(1, 0, 1), Zone: model.None, Daemon: true, Spread: true}
+		spec := &model.Spec{ID: 1, Tasks: tasks, PerTask: model.Request(1, 0, 1), Zone: model.None, Daemon: true,
+			Spread: true}
 		placed := (tasks + 1) / 2
 		demand := []Demand{{Placed: placed, Job: dispatcher.JobDemand{Spec: spec, Unfinished: tasks, Assigned: placed,
 			Zones: dispatcher.NewZoneQuota(spec, map[model.Name]int32{0: placed})}}}
--- a/internal/core/sim/handover_test.go
+++ b/internal/core/sim/handover_test.go
@@ -107,7 +107,8 @@
 	case model.OwnMachine:
 		w.logf("order: shard %d owns m%d, token %d", o.To, o.Machine.ID, o.Token)
 	case model.ReleaseMachine:
-		w.logf("order: shard %d releases m%d for %q, unless its report is as new as %v", o.To, o.ID, o.RedirectTo, o.MessageID)
+		w.logf("order: shard %d releases m%d for %q, unless its report is as new as %v", o.To, o.ID, o.RedirectTo,
+			o.MessageID)
 	}
 }
 
--- a/internal/exactjson/exactjson.go
+++ b/internal/exactjson/exactjson.go
@@ -7,6 +7,7 @@
 package exactjson
 
 import (
+	stdjson "encoding/json"
 	"errors"
 	"io"
 
@@ -29,10 +30,13 @@
 	return nil
 }
 
-// Decode decodes the first JSON value that r yields into v, with the same rule for fields. What
-// follows the value is left alone, so that a stream that stays open can be read.
+// Decode decodes the first JSON value that r yields into v, with the same rule for fields. It
+// returns once the value is complete, so that a stream that stays open can be read: the standard
+// library's decoder reads the value, because the other one waits for a full buffer.
 func Decode(r io.Reader, v any) error {
-	decoder := json.NewDecoder(r)
-	decoder.DontMatchCaseInsensitiveStructFields()
-	return decoder.Decode(v)
+	var value stdjson.RawMessage
+	if err := stdjson.NewDecoder(r).Decode(&value); err != nil {
+		return err
+	}
+	return Unmarshal(value, v)
 }
--- a/internal/exactjson/exactjson_test.go
+++ b/internal/exactjson/exactjson_test.go
@@ -1,12 +1,15 @@
 package exactjson
 
 import (
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
+	"reflect"
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 )
 
 type inner struct {
@@ -34,7 +37,7 @@
 			var got outer
 			if err := decode(s, &got); err != nil {
 				t.Errorf("%s(%s): %v", name, s, err)
-			} else if len(got.Cells) != 1 || got.Cells[0] != want.Cells[0] || got.Stage != want.Stage || got.Inner != want.Inner {
+			} else if !reflect.DeepEqual(got, want) {
 				t.Errorf("%s(%s) = %+v, want %+v", name, s, got, want)
 			}
 		}
@@ -50,6 +53,25 @@
 	}
 }
 
+// Guards against a reader that waits for more than the value, as for a child process whose output stays
+// open: a scale run's processes counted as not ready after 30 s.
+func TestDecodeDoesNotWaitForTheEndOfTheStream(t *testing.T) {
+	r, w := io.Pipe()
+	defer r.Close()
+	go func() { _, _ = io.WriteString(w, `{"Stage":"ready"}`+"\n") }() // and w stays open
+	decoded := make(chan error, 1)
+	var got outer
+	go func() { decoded <- Decode(r, &got) }()
+	select {
+	case err := <-decoded:
+		if err != nil || got.Stage != "ready" {
+			t.Fatalf("%+v, %v", got, err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the value was not returned")
+	}
+}
+
 // Guards against a path that decodes JSON without regard to case while the others don't.
 func TestAllSourcesDecodeWithThisPackage(t *testing.T) {
 	otherDecoder := regexp.MustCompile(`\bjson\.(Unmarshal|NewDecoder|Parse)\(`)
