--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -50,6 +50,12 @@
 	loseAnswer bool          // the request is executed, the answer is lost
 }
 
+// verdictOnWire is what happens to a message between a controller and a worker.
+type verdictOnWire struct {
+	late       time.Duration // it arrives so much later, and its sender gets no answer
+	loseAnswer bool
+}
+
 // options are a case's deployment.
 type options struct {
 	controllers int
@@ -66,7 +72,10 @@
 	cpu         float64
 	memMB       float64
 	fdLimit     int
-	peerProxies bool // controllers reach each other through proxies
+	next        string // TOML: the limits that the state service will have
+	peerProxies bool   // controllers reach each other through proxies
+	// onReport and onCommand decide about each report of a worker and each direct command; nil: no proxies.
+	onReport, onCommand func() verdictOnWire
 	// onStore decides about each request of a controller to the state service; it may be nil.
 	onStore func(node int, method, path, query string, body []byte) verdictOnStore
 }
@@ -124,6 +133,7 @@
 	controllers []*controller
 	links       map[[2]int]*standin.Proxy // from controller, to controller
 	users       *http.Client
+	commands    sync.Map // addresses of the proxies to workers, by the workers' own addresses
 	uploaded    sync.Map // job descriptions that users have uploaded for the workers, by name
 }
 
@@ -171,7 +181,13 @@
 			return c, err
 		}
 		c.controllers = append(c.controllers, n)
-		hosts = append(hosts, standin.Host{Name: n.name, Addr: n.bind})
+		reportTo := n.bind
+		if o.onReport != nil {
+			if reportTo, err = c.startReportFront(n); err != nil {
+				return c, err
+			}
+		}
+		hosts = append(hosts, standin.Host{Name: n.name, Addr: reportTo})
 	}
 	c.cloud, err = standin.NewCloud(standin.CloudParams{Types: o.types, ListLag: seconds(o.listLagS),
 		ListedAfterLoss: 30 * time.Second, RPS: o.cloudRPS,
@@ -243,6 +259,71 @@
 	return nil
 }
 
+// startReportFront starts the address at which workers reach a controller. Reports then name the address of a
+// proxy as the worker's own.
+func (c *cluster) startReportFront(n *controller) (string, error) {
+	return c.startWire(n.bind, func() verdictOnWire { return c.onReport() }, func(body []byte) []byte {
+		var report map[string]json.RawMessage
+		var addr string
+		if json.Unmarshal(body, &report) != nil || json.Unmarshal(report["Addr"], &addr) != nil {
+			return body
+		}
+		proxy, known := c.commands.Load(addr)
+		if !known {
+			started, err := c.startWire(addr, func() verdictOnWire { return c.onCommand() }, nil)
+			if err != nil {
+				return body
+			}
+			proxy, _ = c.commands.LoadOrStore(addr, started)
+		}
+		report["Addr"], _ = json.Marshal(proxy)
+		rewritten, _ := json.Marshal(report)
+		return rewritten
+	})
+}
+
+// startWire starts a proxy for requests to an address.
+func (c *cluster) startWire(target string, decide func() verdictOnWire, rewrite func([]byte) []byte) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	backend := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	front := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if rewrite != nil {
+			body = rewrite(body)
+		}
+		v := decide()
+		time.Sleep(v.late)
+		ctx := r.Context()
+		if v.late > 0 {
+			late, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			ctx = late
+		}
+		req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+target+r.URL.RequestURI(), bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		res, err := backend.Do(req)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		answer, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		if v.loseAnswer {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(res.StatusCode)
+		_, _ = w.Write(answer)
+	})}
+	go func() { _ = front.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
 func (c *cluster) writeConfig(n *controller) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "host_name = %q\nzone = %q\nbind = %q\npeer_listen = %q\n\n", n.name, c.zones[n.index%len(c.zones)], n.bind,
@@ -271,6 +352,7 @@
 		c.reportS, c.leaseS, c.cancelS)
 	fmt.Fprintf(&b, "[cluster.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n\n", c.limits.RPS,
 		c.limits.WriteRPS, c.limits.ValueKB, c.limits.TxnOps)
+	b.WriteString(c.next)
 	fmt.Fprintf(&b, "[cluster.cloud]\nrps = %.1f\nlist_lag_s = %.1f\n\n", c.cloudRPS, c.listLagS)
 	fmt.Fprintf(&b, "[cluster.resources]\ncpu = %.2f\nmem_mb = %.1f\nfd_limit = %d\n", c.cpu, c.memMB, c.fdLimit)
 	return os.WriteFile(n.config, []byte(b.String()), 0o644)
