--- a/review/rig2/tiny.go
+++ b/review/rig2/tiny.go
@@ -30,7 +30,7 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	wages := newJob(17, "listing-review", "payments-office", "prod", 6, 4, 35)
+	wages := newJob(17, "listing-review", "payments-office", "prod", 6, 4, 92)
 	if err := c.submit(0, wages); err != nil {
 		return false, err
 	}
