--- a/review/rig2/pipeline.go
+++ b/review/rig2/pipeline.go
@@ -110,6 +110,14 @@
 	var lastAnswer = told
 	answers, othersAsked, othersAnswered := 0, 0, 0
 	for i := 0; c.at() < 117*time.Second; i++ {
+		for c.at() < told+3200*time.Millisecond+time.Duration(i)*5*time.Second {
+			time.Sleep(20 * time.Millisecond)
+			if silent := c.at() - lastAnswer; silent > 75*time.Second {
+				r.logf("no question about %s was answered for %.1f s; of others %d of %d were", second, silent.Seconds(),
+					othersAnswered, othersAsked)
+				return true, nil
+			}
+		}
 		n := c.controllers[i%3]
 		if status, s := c.poll(n, second); status == 200 {
 			answers++
@@ -127,12 +135,6 @@
 		if status, _ := c.poll(n, fmt.Sprintf("job-%06d", 100000+3571*(i%200)%90000)); status == 200 {
 			othersAnswered++
 		}
-		if silent := c.at() - lastAnswer; silent > 75*time.Second {
-			r.logf("no question about %s was answered for %.1f s; of others %d of %d were", second, silent.Seconds(),
-				othersAnswered, othersAsked)
-			return true, nil
-		}
-		time.Sleep(4500 * time.Millisecond)
 	}
 	r.logf("last answer about %s %.1f s ago", second, (c.at() - lastAnswer).Seconds())
 	return false, fmt.Errorf("%w: the end of the time was reached", errSetup)
