--- a/review/rig2/chaos.go
+++ b/review/rig2/chaos.go
@@ -328,6 +328,11 @@
 			_ = c.submit(i, j)
 		}()
 	}
+	if os.Getenv("SLOW") != "" {
+		for _, l := range c.links {
+			l.SetDelay(time.Duration(50+rng.IntN(350)) * time.Millisecond)
+		}
+	}
 	// troubles
 	time.Sleep(10 * time.Second)
 	var twg sync.WaitGroup
--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -131,7 +131,7 @@
 	cloud       *standin.Cloud
 	tasks       *standin.TaskRegistry
 	controllers []*controller
-	links       map[[2]int]*standin.Proxy // from controller, to controller
+	links       map[[2]int]*slowLink // from controller, to controller
 	users       *http.Client
 	commands    sync.Map // addresses of the proxies to workers, by the workers' own addresses
 	uploaded    sync.Map // job descriptions that users have uploaded for the workers, by name
@@ -156,7 +156,7 @@
 		return nil, err
 	}
 	c := &cluster{record: r, options: o, dir: dir, store: standin.NewStore(o.limits), tasks: standin.NewTaskRegistry(),
-		links: map[[2]int]*standin.Proxy{}, users: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+		links: map[[2]int]*slowLink{}, users: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	c.tasks.LimitCPUs = map[string]float64{}
 	c.tasks.FindJob = func(name string) []byte {
 		b, _ := c.uploaded.Load(name)
@@ -334,7 +334,7 @@
 		}
 		addr := other.peerListen
 		if c.peerProxies {
-			proxy, err := standin.NewProxy(addr)
+			proxy, err := newSlowLink(addr)
 			if err != nil {
 				return err
 			}
--- a/review/rig2/tiny.go
+++ b/review/rig2/tiny.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -53,13 +52,7 @@
 		r.logf("%d tasks run", c.tasks.TotalRunning())
 		if c.at() > 24*time.Second && !inspected {
 			inspected = true
-			for _, w := range c.cloud.Workers() {
-				if res, err := http.Get("http://" + w.Addr() + "/inspect"); err == nil {
-					b, _ := io.ReadAll(res.Body)
-					res.Body.Close()
-					r.logf("the report of %s lists %d tasks and takes %d bytes", w.Name, strings.Count(string(b), `"Cell":`), len(b))
-				}
-			}
+			c.logReportSizes()
 		}
 	}
 	killed := 0
@@ -82,3 +75,16 @@
 		(c.at() - asked).Seconds(), killed)
 	return true, nil
 }
+
+// logReportSizes records how large the workers' reports are.
+func (c *cluster) logReportSizes() {
+	for _, w := range c.cloud.Workers() {
+		res, err := c.users.Get("http://" + w.Addr() + "/inspect")
+		if err != nil {
+			continue
+		}
+		b, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		c.logf("the report of %s lists %d tasks and takes %d bytes", w.Name, strings.Count(string(b), `"Cell":`), len(b))
+	}
+}
