--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -16,7 +16,7 @@
 // The exit codes are 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-rig-2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: cases-2 CASE FOLDER")
 		os.Exit(2)
 	}
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
