pipeline: end a lookup in flight with its outcome, whatever the job has become

Cause: the graph kept "a request is in flight" as a flag of the job, for lookups of its final record and for cancellations alike, and the outcome of a lookup reset it only if the job was still to be looked up. A job that was submitted while the leader read the open jobs in pages was first looked up and then found open by the watch; the flag stayed set, and the lookup that its end called for was never made. The same flag kept a job from being cancelled during its lookup.

Requests in flight now belong to a queue for each kind of request, and every outcome ends one, so no state of a job can leave one in flight. New gauges tell lookups that fail from lookups that are never made: lookups_pending and lookups_in_flight.

--- a/internal/core/pipeline/freshness.go
+++ b/internal/core/pipeline/freshness.go
@@ -13,10 +13,10 @@
 func (g *Graph) InDoubt() map[model.JobID]bool {
 	out := map[model.JobID]bool{}
 	var todo []*node
-	for _, n := range g.unresolved {
+	for _, n := range g.lookups.nodes {
 		todo = append(todo, n)
 	}
-	for id, n := range g.pendingCancellations {
+	for id, n := range g.cancellations.nodes {
 		out[id] = true
 		todo = append(todo, n)
 	}
@@ -34,7 +34,7 @@
 }
 
 // CancelPending reports whether an open job must be cancelled because a dependency was.
-func (g *Graph) CancelPending(id model.JobID) bool { return g.pendingCancellations[id] != nil }
+func (g *Graph) CancelPending(id model.JobID) bool { return g.cancellations.contains(id) }
 
 // StatusFreshness decides whether a controller may report an open job with unfinished dependencies as
 // queued. It may as long as every cancellation of a dependency that is older than MaxAge is known to
--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -71,8 +71,6 @@
 	effectiveRank       model.Rank            // highest of its own and its dependents'
 	effectiveObjective  bool                  // it or a dependent has an objective
 	cancelPending       bool                  // it must be cancelled, or has been
-	inFlight            bool                  // a lookup or cancellation is under way
-	notBefore           time.Duration         // earliest time of the next lookup or cancellation
 	behindSince         time.Duration         // earliest time at which its or a dependency's end may be reported
 	lastEndMS           int64                 // see Release
 	neverStarted        bool                  // see Release
@@ -80,17 +78,17 @@
 
 // Graph is the state machine.
 type Graph struct {
-	nodes                map[model.JobID]*node
-	unresolved           map[model.JobID]*node // ended jobs whose final state must be looked up
-	pendingCancellations map[model.JobID]*node // open jobs that must be cancelled
-	inheritedChanged     map[model.JobID]*node // jobs to be returned by TakeInherited
-	released             []Release             // jobs to be returned by TakeReleased
+	nodes            map[model.JobID]*node
+	lookups          requestQueue          // ended jobs whose final state must be looked up
+	cancellations    requestQueue          // open jobs that must be cancelled
+	inheritedChanged map[model.JobID]*node // jobs to be returned by TakeInherited
+	released         []Release             // jobs to be returned by TakeReleased
 }
 
 // New returns an empty graph.
 func New() *Graph {
-	return &Graph{nodes: map[model.JobID]*node{}, unresolved: map[model.JobID]*node{},
-		pendingCancellations: map[model.JobID]*node{}, inheritedChanged: map[model.JobID]*node{}}
+	return &Graph{nodes: map[model.JobID]*node{}, lookups: newRequestQueue(), cancellations: newRequestQueue(),
+		inheritedChanged: map[model.JobID]*node{}}
 }
 
 // node returns the job's node, and adds it if there is none.
@@ -112,7 +110,7 @@
 		return len(n.dependencies) > 0
 	}
 	n.Job, n.open, n.observedOpen = j, true, true
-	delete(g.unresolved, j.ID)
+	g.lookups.remove(j.ID)
 	n.effectiveRank, n.effectiveObjective = j.Rank, j.HasObjective
 	g.updateInherited(n)
 	for _, id := range j.DependsOn {
@@ -126,9 +124,9 @@
 		switch {
 		case dependency.cancelPending:
 			g.markCancelPending(n, since)
-		case !dependency.open && g.unresolved[id] == nil:
+		case !dependency.open && !g.lookups.contains(id):
 			dependency.behindSince = since
-			g.unresolved[id] = dependency
+			g.lookups.add(dependency)
 		}
 	}
 	return len(n.dependencies) > 0
@@ -137,13 +135,14 @@
 // JobEnded records that a job is no longer open. If its final state is Unknown and jobs depend on it,
 // the state must be looked up.
 func (g *Graph) JobEnded(id model.JobID, final FinalState, since time.Duration) {
+	g.cancellations.finished(id)
 	n := g.nodes[id]
 	if n == nil {
 		return
 	}
 	if n.open {
 		n.open = false
-		delete(g.pendingCancellations, id)
+		g.cancellations.remove(id)
 		delete(g.inheritedChanged, id)
 		for _, dependency := range n.dependencies {
 			g.removeDependent(dependency, n)
@@ -155,7 +154,7 @@
 	}
 	if final == Unknown && len(n.dependents) > 0 {
 		n.behindSince = since
-		g.unresolved[id] = n
+		g.lookups.add(n)
 		return
 	}
 	g.resolveEnd(n, final, 0, since)
@@ -172,14 +171,14 @@
 func (g *Graph) forgetIfUnused(n *node) {
 	if !n.open && len(n.dependents) == 0 {
 		delete(g.nodes, n.ID)
-		delete(g.unresolved, n.ID)
+		g.lookups.remove(n.ID)
 	}
 }
 
 // resolveEnd applies a job's final state to its dependents: they are released if it was their last
 // dependency, or marked for cancellation.
 func (g *Graph) resolveEnd(n *node, final FinalState, atMS int64, since time.Duration) {
-	delete(g.unresolved, n.ID)
+	g.lookups.remove(n.ID)
 	// A cancelled job stays while it has dependents: a job that is added later and depends on it must
 	// be cancelled too.
 	n.cancelPending = n.cancelPending || final == Cancelled
@@ -211,7 +210,7 @@
 			continue
 		}
 		n.cancelPending, n.behindSince = true, since
-		g.pendingCancellations[n.ID] = n
+		g.cancellations.add(n)
 		for _, dependent := range n.dependents {
 			todo = append(todo, dependent)
 		}
@@ -221,19 +220,19 @@
 // NextLookups returns at most limit ended jobs whose final record must be read. The outcome of each
 // goes to LookupDone.
 func (g *Graph) NextLookups(now time.Duration, limit int) []model.JobID {
-	return takeDue(g.unresolved, now, limit)
+	return g.lookups.next(now, limit)
 }
 
 // LookupDone takes the final state that a lookup found, with the time of day of the job's end (0: not
 // known). After Unknown (the lookup failed) or Absent the lookup is repeated later.
 func (g *Graph) LookupDone(now time.Duration, id model.JobID, final FinalState, atMS int64) {
-	n := g.unresolved[id]
+	g.lookups.finished(id)
+	n := g.lookups.nodes[id]
 	if n == nil {
 		return
 	}
-	n.inFlight = false
 	if final == Unknown || final == Absent {
-		n.notBefore = now + lookupRetry
+		g.lookups.retryAt(id, now+lookupRetry)
 		return
 	}
 	g.resolveEnd(n, final, atMS, n.behindSince)
@@ -242,30 +241,13 @@
 // NextCancellations returns at most limit jobs that must be cancelled now. The outcome of each goes to
 // JobEnded, or to CancellationFailed.
 func (g *Graph) NextCancellations(now time.Duration, limit int) []model.JobID {
-	return takeDue(g.pendingCancellations, now, limit)
+	return g.cancellations.next(now, limit)
 }
 
 // CancellationFailed records that a job could not be cancelled. It is tried again soon.
 func (g *Graph) CancellationFailed(now time.Duration, id model.JobID) {
-	if n := g.pendingCancellations[id]; n != nil {
-		n.inFlight, n.notBefore = false, now+lookupRetry/4
-	}
-}
-
-// takeDue returns at most limit jobs that are due, in order of ID, and marks them as in flight.
-func takeDue(from map[model.JobID]*node, now time.Duration, limit int) []model.JobID {
-	var out []model.JobID
-	for id, node := range from {
-		if !node.inFlight && now >= node.notBefore {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	out = out[:min(len(out), max(0, limit))]
-	for _, id := range out {
-		from[id].inFlight = true
-	}
-	return out
+	g.cancellations.finished(id)
+	g.cancellations.retryAt(id, now+lookupRetry/4)
 }
 
 // TakeReleased returns and clears the jobs that may begin now. Jobs that have ended or
@@ -284,8 +266,8 @@
 // been reported; otherwise it is now.
 func (g *Graph) PropagatedUntil(now time.Duration) time.Duration {
 	at := now
-	for _, set := range []map[model.JobID]*node{g.unresolved, g.pendingCancellations} {
-		for _, n := range set {
+	for _, queue := range []*requestQueue{&g.lookups, &g.cancellations} {
+		for _, n := range queue.nodes {
 			at = min(at, n.behindSince)
 		}
 	}
@@ -300,7 +282,7 @@
 			blocked++
 		}
 	}
-	return blocked, len(g.unresolved), len(g.pendingCancellations)
+	return blocked, len(g.lookups.nodes), len(g.cancellations.nodes)
 }
 
 // TakeInherited returns and clears the jobs whose effective priority has changed.
--- a/internal/core/pipeline/pipeline_test.go
+++ b/internal/core/pipeline/pipeline_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -120,8 +121,69 @@
 	}
 }
 
-// Jobs, ends, lookups and cancellations come in random order. No job begins before all its
-// dependencies are done, or if one is cancelled, and the graph is empty in the end.
+// A lookup that began before its job was submitted must not prevent later lookups of that job: its dependents
+// were never cancelled, and every poll for them was answered with a 503.
+func TestJobSubmittedDuringItsLookupIsLookedUpAgain(t *testing.T) {
+	for name, found := range map[string]FinalState{"no record": Absent, "failed": Unknown} {
+		t.Run(name, func(t *testing.T) {
+			g := New()
+			g.Add(Job{ID: 2, DependsOn: []model.JobID{1}}, 0)
+			if ask := g.NextLookups(0, 9); !slices.Equal(ask, []model.JobID{1}) {
+				t.Fatalf("looks up %v", ask)
+			}
+			g.Add(Job{ID: 1}, 0) // the watch is faster than the lookup
+			g.LookupDone(0, 1, found, 0)
+			g.JobEnded(1, Unknown, 0)
+			if ask := g.NextLookups(time.Minute, 9); !slices.Equal(ask, []model.JobID{1}) {
+				t.Fatalf("looks up %v after the job has ended, want 1", ask)
+			}
+			g.LookupDone(time.Minute, 1, Cancelled, 0)
+			if pending := g.NextCancellations(time.Minute, 9); !slices.Equal(pending, []model.JobID{2}) {
+				t.Errorf("cancels %v, want 2", pending)
+			}
+		})
+	}
+}
+
+// A lookup in flight must not prevent that its job is cancelled once the job is known to be open.
+func TestJobSubmittedDuringItsLookupIsCancelled(t *testing.T) {
+	g := New()
+	g.Add(Job{ID: 1}, 0)
+	g.Add(Job{ID: 3, DependsOn: []model.JobID{2}}, 0)
+	g.NextLookups(0, 9)
+	g.Add(Job{ID: 2, DependsOn: []model.JobID{1}}, 0)
+	g.JobEnded(1, Cancelled, 0)
+	if pending := g.NextCancellations(0, 9); !slices.Equal(pending, []model.JobID{2, 3}) {
+		t.Errorf("cancels %v, want 2 and 3", pending)
+	}
+}
+
+// A job without dependents leaves the graph while it is looked up. The next job that depends on it must not
+// cause a second lookup at the same time.
+func TestLookupIsNotRepeatedWhileInFlight(t *testing.T) {
+	g := New()
+	g.Add(Job{ID: 2, DependsOn: []model.JobID{1}}, 0)
+	g.NextLookups(0, 9)
+	g.JobEnded(2, Cancelled, 0)
+	g.Add(Job{ID: 3, DependsOn: []model.JobID{1}}, 0)
+	if ask := g.NextLookups(0, 9); len(ask) > 0 {
+		t.Fatalf("looks up %v twice at a time", ask)
+	}
+	g.LookupDone(0, 1, Done, 0)
+	if got := releasedIDs(g.TakeReleased()); !slices.Equal(got, []model.JobID{3}) {
+		t.Errorf("released %v, want 3", got)
+	}
+}
+
+// lookup is a read of a final record in flight. found is what it finds if it was carried out at once.
+type lookup struct {
+	id    model.JobID
+	found FinalState
+}
+
+// Jobs, ends, lookups and cancellations come in random order, and the outcomes of lookups and cancellations
+// come later than what happens meanwhile. No job begins before all its dependencies are done, or if one is
+// cancelled, and the graph is empty in the end.
 func TestRandomOrderReleasesOnlySatisfiedJobs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := New()
@@ -145,6 +207,14 @@
 				g.JobEnded(id, how, 0)
 			}
 		}
+		stored := func(id model.JobID) FinalState {
+			if end[id] == Unknown {
+				return Absent
+			}
+			return end[id]
+		}
+		var lookups []lookup
+		var cancellations []model.JobID
 		check := func() {
 			for _, r := range g.TakeReleased() {
 				released[r.ID] = true
@@ -156,34 +226,55 @@
 			}
 			g.TakeInherited()
 		}
-		for step := range 400 {
-			id := model.JobID(rapid.IntRange(0, int(n)-1).Draw(t, "job"))
+		const randomSteps = 400
+		for step := range randomSteps + 20*int(n) { // the last steps take each job in turn, so that all end
+			id := model.JobID(step) % n
+			if step < randomSteps {
+				id = model.JobID(rapid.IntRange(0, int(n)-1).Draw(t, "job"))
+			}
 			switch {
 			case !added[id] && end[id] == Unknown:
 				added[id] = true
 				if !g.Add(Job{ID: id, Rank: model.Rank(id % 4), DependsOn: dependsOn[id]}, 0) {
 					released[id] = true
 				}
-			case end[id] == Unknown && rapid.IntRange(0, 5).Draw(t, "cancel") == 0:
+			case end[id] == Unknown && step < 5*int(n) && rapid.IntRange(0, 5).Draw(t, "cancel") == 0:
 				finish(id, Cancelled)
 			case end[id] == Unknown && released[id]:
 				finish(id, Done)
 			}
 			for _, id := range g.NextLookups(lookupRetry*4000*1000, 3) {
-				if e := end[id]; e == Unknown {
-					g.LookupDone(0, id, Absent, 0)
-				} else {
-					g.LookupDone(0, id, e, 0)
-				}
+				lookups = append(lookups, lookup{id, stored(id)})
 			}
 			for _, id := range g.NextCancellations(lookupRetry*4000*1000, 2) {
 				if released[id] {
 					t.Fatalf("step %d: job %d is to be cancelled, but has begun", step, id)
 				}
-				if end[id] == Unknown {
+				cancellations = append(cancellations, id)
+			}
+			for len(lookups) > 0 && (step >= randomSteps || rapid.Bool().Draw(t, "lookup done")) {
+				l := lookups[0]
+				lookups = lookups[1:]
+				switch kind := rapid.IntRange(0, 3).Draw(t, "found"); {
+				case step >= randomSteps || kind == 1:
+					l.found = stored(l.id)
+				case kind == 0:
+					l.found = Unknown
+				}
+				g.LookupDone(0, l.id, l.found, 0)
+			}
+			for len(cancellations) > 0 && (step >= randomSteps || rapid.Bool().Draw(t, "cancellation done")) {
+				id := cancellations[0]
+				cancellations = cancellations[1:]
+				switch {
+				case end[id] != Unknown: // its user was faster
+					g.JobEnded(id, Unknown, 0)
+				case step < randomSteps && rapid.IntRange(0, 3).Draw(t, "fails") == 0:
+					g.CancellationFailed(0, id)
+				default:
 					end[id] = Cancelled
+					g.JobEnded(id, Cancelled, 0)
 				}
-				g.JobEnded(id, Cancelled, 0)
 			}
 			check()
 		}
@@ -192,7 +283,7 @@
 				t.Fatalf("job %d is left: added %v, released %v, depends on %v", id, added[id], released[id], dependsOn[id])
 			}
 		}
-		if len(g.nodes) > 0 || len(g.unresolved) > 0 || len(g.pendingCancellations) > 0 {
+		if len(g.nodes) > 0 || len(g.lookups.nodes) > 0 || len(g.cancellations.nodes) > 0 {
 			t.Fatalf("%d nodes are left in the graph", len(g.nodes))
 		}
 	})
--- a/internal/core/sim/leadership_test.go
+++ b/internal/core/sim/leadership_test.go
@@ -73,7 +73,11 @@
 	c := l.c
 	readAt := c.now()
 	l.reading = true
-	c.storeCall(c.w.store.snapshot, func(v any) {
+	read := func(apply func(any)) { c.storeCall(c.w.store.snapshot, apply) }
+	if c.w.params.pagedLists {
+		read = l.loadPaged
+	}
+	read(func(v any) {
 		if c.leadership != l {
 			return
 		}
--- a/internal/core/sim/rules_test.go
+++ b/internal/core/sim/rules_test.go
@@ -41,6 +41,21 @@
 	lastChangeAt time.Duration
 }
 
+// scheduleSubmissions has users submit all jobs of the run.
+func (w *world) scheduleSubmissions() {
+	if w.params.pipelines {
+		w.submitPipelines()
+		return
+	}
+	for i := range w.params.jobs {
+		at := w.randomDuration(0, w.params.duration*2/3)
+		if w.params.singleTaskJobs {
+			at = 20*time.Second + time.Duration(i)*250*time.Millisecond
+		}
+		w.after(at, func() { w.submit(model.JobID(i)) })
+	}
+}
+
 // submit creates a job with random properties and has its user submit it, poll it, and perhaps cancel
 // it.
 func (w *world) submit(id model.JobID) {
@@ -73,7 +88,9 @@
 		}
 		u.alwaysFails = r.IntN(8) == 0
 	}
-	if w.params.dependencies {
+	if w.params.pipelines {
+		u.dependsOn, w.nextDependsOn = w.nextDependsOn, nil
+	} else if w.params.dependencies {
 		w.addDependencies(u)
 	}
 	w.adjustJob(u)
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -26,6 +26,12 @@
 	drains bool
 	// Jobs that depend on other jobs.
 	dependencies bool
+	// Jobs come in pairs of which the second depends on the first, see submitPipelines.
+	pipelines bool
+	// Leaders read the open jobs in two pages, not at once.
+	pagedLists bool
+	// Some answers of the state service take a few hundred milliseconds.
+	slowAnswers bool
 	// Broken guard: a job that no longer exists counts as done for its dependents.
 	missingCountsAsDone bool
 	// Broken guard: waiting jobs are reported as queued however old the known state is.
@@ -161,6 +167,8 @@
 	startedTasks int
 	// End of the period in which the store answers slowly.
 	storeSlowUntil time.Duration
+	// Jobs that the next submitted job depends on, see submitAfter.
+	nextDependsOn []model.JobID
 	// End of the last fault.
 	faultsOverAt time.Duration
 	log          []string
@@ -295,6 +303,9 @@
 	if w.now < w.storeSlowUntil && to == "store" {
 		at += w.randomDuration(20*time.Millisecond, 2*time.Second)
 	}
+	if w.params.slowAnswers && from == "store" {
+		at += w.slowAnswerDelay()
+	}
 	if !stream && w.rng.IntN(200) == 0 {
 		at += w.randomDuration(0, 3*time.Second)
 	}
@@ -442,13 +453,7 @@
 	for _, m := range w.workers {
 		w.after(w.randomDuration(0, time.Second), m.tick)
 	}
-	for i := range w.params.jobs {
-		at := w.randomDuration(0, w.params.duration*2/3)
-		if w.params.singleTaskJobs {
-			at = 20*time.Second + time.Duration(i)*250*time.Millisecond
-		}
-		w.after(at, func() { w.submit(model.JobID(i)) })
-	}
+	w.scheduleSubmissions()
 	if w.params.checkWaiting {
 		w.after(time.Second, w.checkWaitingJobs)
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -71,6 +71,13 @@
 		awaiting, _, _ := l.dependencies.graph.Counts()
 		return float64(awaiting)
 	}))
+	gauge("lookups_pending", "Ended jobs whose final record must be read because open jobs await them, on the leader.",
+		whileLeading(n, func(l *leadership) float64 {
+			_, unresolved, _ := l.dependencies.graph.Counts()
+			return float64(unresolved)
+		}))
+	gauge("lookups_in_flight", "Reads of such final records in flight, on the leader.",
+		whileLeading(n, func(l *leadership) float64 { return float64(l.dependencies.lookups) }))
 	gauge("cancellations_behind_seconds", "How long ago the oldest cancellation may have been told that has not gone "+
 		"through to all that need the job, on the leader.", func() float64 {
 		if n.lead == nil || !n.lead.loaded {
