core: count the attempts on a machine as a resource

Cause: a worker's report lists all attempts and may hold 64 KiB. The bound of 400 attempts was asked once for a machine and job in a placement round, and the round then placed for as long as CPUs and memory fitted: reports of over 100 KB could not be sent. And only the shard knew the bound: the dispatcher took such a machine for not ready, the fleet took its free CPUs for capacity.

The number of attempts is part of model.Resources now, 1 for a task and 512 for a machine, so that whatever asks whether a task fits asks about it too, at each step: placement, candidates, eviction, expedited jobs, dispatcher, fleet, forecasts, drain plans. A shard tells what is free in a field of its status; without it, from an older member, the leader takes 512 less the attempts in use.

Tests that changed: 960 tasks of 0.1 CPUs fitted a machine of 96, 512 do now (the 480 of 0.2 CPUs are new beside it). The job of 100,000 tasks needs more rounds on its one machine. The harness of the shard's tests counted what attempts take until they exit; it checks now that each takes one place until it is cleared, and exited ones nothing else.

--- a/internal/core/dispatcher/dispatch.go
+++ b/internal/core/dispatcher/dispatch.go
@@ -94,8 +94,8 @@
 	return sum
 }
 
-// Remaining returns what is left of a team's limit when the team uses the given resources. Memory
-// is not limited.
+// Remaining returns what is left of a team's limit when the team uses the given resources. Memory and
+// the number of attempts are not limited.
 func (t Team) Remaining(used model.Resources) model.Resources {
 	left := func(limit, used int64) int64 {
 		if limit == 0 {
@@ -103,7 +103,8 @@
 		}
 		return limit - used
 	}
-	return model.Resources{CPU: left(t.Limit.CPU, used.CPU), GPU: left(t.Limit.GPU, used.GPU), Mem: unlimited}
+	return model.Resources{CPU: left(t.Limit.CPU, used.CPU), GPU: left(t.Limit.GPU, used.GPU), Mem: unlimited,
+		Attempts: unlimited}
 }
 
 // UnusedGuarantees returns the sum of the CPU, in thousandths, by which teams are below their
--- a/internal/core/dispatcher/scale_test.go
+++ b/internal/core/dispatcher/scale_test.go
@@ -112,7 +112,7 @@
 	for _, w := range stored {
 		next.d.AddDoneChunk(1, w.Chunk, 1, w.FirstTask, w.Bits)
 	}
-	for range 30 {
+	for range tasks / model.AttemptsPerMachine {
 		now += 2 * time.Second
 		next.reportStatus(now, s, 1)
 		next.d.Dispatch(now)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -351,8 +351,9 @@
 			m := model.Machine{Type: best.machineType, Zone: best.zone, Spot: best.spot, Cap: size}
 			if other.mayUse(&m) {
 				other.tasks = min(other.tasks, other.zones.Room(best.zone))
-				worthCPU += f.tasksWorthRenting(other, costRatio) * other.spec.PerTask.CPU
-				totalCPU += other.tasks * other.spec.PerTask.CPU
+				perTask := cpuShare(other.spec.PerTask, size)
+				worthCPU += f.tasksWorthRenting(other, costRatio) * perTask
+				totalCPU += other.tasks * perTask
 			}
 		}
 		count := (worthCPU + size.CPU/2) / size.CPU
@@ -372,6 +373,12 @@
 	return Action{}, false
 }
 
+// cpuShare returns how much of the CPU of a machine of the given size a task counts for: what it uses, but
+// no less than its share of the attempts that the machine may have.
+func cpuShare(perTask, size model.Resources) int64 {
+	return max(perTask.CPU, size.CPU*perTask.Attempts/max(1, size.Attempts))
+}
+
 // countByKind counts the machines of each kind, including those being rented.
 func (f *Fleet) countByKind() map[machineKind]int {
 	n := map[machineKind]int{}
--- a/internal/core/fleet/placement_test.go
+++ b/internal/core/fleet/placement_test.go
@@ -139,6 +139,9 @@
 		PerTask: model.Request(float64(rapid.IntRange(1, 6).Draw(t, "CPUs")), float64(rapid.IntRange(0, 1).Draw(t, "GPUs")),
 			float64(rapid.IntRange(1, 20).Draw(t, "memory"))),
 		Spot: rapid.Bool().Draw(t, "may use spot"), Rank: model.Standard, Estimate: time.Hour}
+	if rapid.IntRange(0, 3).Draw(t, "tiny") == 0 { // so many fit that the number of attempts decides
+		spec.Tasks, spec.PerTask = int32(rapid.IntRange(400, 2000).Draw(t, "tiny tasks")), model.Request(0.004, 0, 0.004)
+	}
 	switch rapid.IntRange(0, 3).Draw(t, "zone rule") {
 	case 0:
 		spec.Spread = true
@@ -180,6 +183,32 @@
 	})
 }
 
+// Guards against a job that waits for ever beside free CPUs: a machine with as many attempts as it may have
+// counted as capacity, so that no machine was rented.
+func TestMachineFullOfTinyTasksIsNoCapacity(t *testing.T) {
+	f := newFleet()
+	status := []model.MachineStatus{{Machine: model.Machine{ID: 1, Cap: model.Capacity(8, 0, 32)},
+		Avail: model.Resources{CPU: 6000, Mem: 24_000}, Ready: true, AttemptCount: model.AttemptsPerMachine}}
+	f.Observe(0, status, func(model.MachineID) bool { return false })
+	spec := &model.Spec{ID: 1, Tasks: 1, PerTask: model.Request(4, 0, 4), Zone: model.None, Rank: model.Prod}
+	demand := []Demand{{Job: dispatcher.JobDemand{Spec: spec, Unfinished: 1}}}
+	if a := findRental(f.Step(time.Second, status, demand, noLimit)); a == nil {
+		t.Error("no machine is rented")
+	}
+}
+
+// As many machines are rented for tiny tasks as their number takes, not only their CPUs.
+func TestTinyTasksAreRentedForByNumber(t *testing.T) {
+	f := newFleet()
+	f.Observe(0, nil, func(model.MachineID) bool { return false })
+	spec := &model.Spec{ID: 1, Tasks: 4 * model.AttemptsPerMachine, PerTask: model.Request(0.001, 0, 0.001), Zone: model.None,
+		Estimate: time.Hour}
+	demand := []Demand{{Job: dispatcher.JobDemand{Spec: spec, Unfinished: spec.Tasks}}}
+	if a := findRental(f.Step(time.Second, nil, demand, noLimit)); a == nil || a.Count != 4 {
+		t.Errorf("%+v, want four machines", a)
+	}
+}
+
 // Guards against a replica that waits for ever beside free capacity in a zone that its service must not
 // use any more.
 func TestCapacityInForbiddenZoneDoesNotCount(t *testing.T) {
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -58,43 +58,53 @@
 // objective of the same price to reach the same score.
 const bestEffortWaitFactor = 100
 
-// Resources are amounts in thousandths. They are integers so that sums are exact.
-type Resources struct{ CPU, GPU, Mem int64 }
+// AttemptsPerMachine is how many attempts may be on a machine at a time, exited ones included until their
+// worker has cleared them. Each report lists them all, in the 64 KiB that the protocol allows.
+const AttemptsPerMachine = 512
+
+// Resources are what tasks take of machines. They are integers so that sums are exact.
+type Resources struct {
+	CPU, GPU, Mem int64 // in thousandths
+	Attempts      int64 // number of attempts: 1 for a task, AttemptsPerMachine for a machine
+}
 
 // Request converts what a task requests. It rounds up: a task never uses more than it is charged for.
 func Request(cpu, gpu, mem float64) Resources {
 	up := func(v float64) int64 { return int64(math.Ceil(v*1000 - 1e-6)) }
-	return Resources{up(cpu), up(gpu), up(mem)}
+	return Resources{CPU: up(cpu), GPU: up(gpu), Mem: up(mem), Attempts: 1}
 }
 
 // Capacity converts what a machine has. It rounds down: a machine never offers more than it has.
 func Capacity(cpu, gpu, mem float64) Resources {
 	down := func(v float64) int64 { return int64(math.Floor(v*1000 + 1e-6)) }
-	return Resources{down(cpu), down(gpu), down(mem)}
+	return Resources{CPU: down(cpu), GPU: down(gpu), Mem: down(mem), Attempts: AttemptsPerMachine}
 }
 
 // Add returns r+o.
 func (r Resources) Add(o Resources) Resources {
-	return Resources{r.CPU + o.CPU, r.GPU + o.GPU, r.Mem + o.Mem}
+	return Resources{r.CPU + o.CPU, r.GPU + o.GPU, r.Mem + o.Mem, r.Attempts + o.Attempts}
 }
 
 // Sub returns r-o.
 func (r Resources) Sub(o Resources) Resources {
-	return Resources{r.CPU - o.CPU, r.GPU - o.GPU, r.Mem - o.Mem}
+	return Resources{r.CPU - o.CPU, r.GPU - o.GPU, r.Mem - o.Mem, r.Attempts - o.Attempts}
 }
 
 // Times returns n*r.
-func (r Resources) Times(n int64) Resources { return Resources{r.CPU * n, r.GPU * n, r.Mem * n} }
+func (r Resources) Times(n int64) Resources {
+	return Resources{r.CPU * n, r.GPU * n, r.Mem * n, r.Attempts * n}
+}
 
 // Fits reports whether r fits into capacity.
 func (r Resources) Fits(capacity Resources) bool {
-	return r.CPU <= capacity.CPU && r.GPU <= capacity.GPU && r.Mem <= capacity.Mem
+	return r.CPU <= capacity.CPU && r.GPU <= capacity.GPU && r.Mem <= capacity.Mem && r.Attempts <= capacity.Attempts
 }
 
 // Count returns how many requests of size r fit into capacity, 0 for an empty request.
 func (r Resources) Count(capacity Resources) int64 {
 	count := int64(math.MaxInt64)
-	for _, pair := range [3][2]int64{{r.CPU, capacity.CPU}, {r.GPU, capacity.GPU}, {r.Mem, capacity.Mem}} {
+	for _, pair := range [4][2]int64{{r.CPU, capacity.CPU}, {r.GPU, capacity.GPU}, {r.Mem, capacity.Mem},
+		{r.Attempts, capacity.Attempts}} {
 		if pair[0] > 0 {
 			count = min(count, max(0, pair[1]/pair[0]))
 		}
--- a/internal/core/model/model_test.go
+++ b/internal/core/model/model_test.go
@@ -28,7 +28,8 @@
 	for _, c := range []struct {
 		cpu, gpu, mem float64
 		n             int64
-	}{{8, 1, 64, 8}, {8, 0, 64, 12}, {1, 3, 1, 2}, {1, 9, 1, 0}, {0.1, 0, 0.1, 960}, {32.0001, 0, 1, 2}, {97, 0, 1, 0}} {
+	}{{8, 1, 64, 8}, {8, 0, 64, 12}, {1, 3, 1, 2}, {1, 9, 1, 0}, {0.2, 0, 0.2, 480}, {0.1, 0, 0.1, AttemptsPerMachine},
+		{0, 0, 0, AttemptsPerMachine}, {32.0001, 0, 1, 2}, {97, 0, 1, 0}} {
 		if n := Request(c.cpu, c.gpu, c.mem).Count(m.Cap); n != c.n {
 			t.Errorf("%d tasks of %v CPUs, %v GPUs, %v GB fit, want %d", n, c.cpu, c.gpu, c.mem, c.n)
 		}
--- a/internal/core/shard/attempt.go
+++ b/internal/core/shard/attempt.go
@@ -29,7 +29,7 @@
 	jobIndex         int             // index in Shard.attemptsByJob of its job
 	lastSeen         uint64          // value of Shard.messagesApplied for the last message that listed it
 	assigned         *task           // the task that it runs for this shard; nil: none was assigned, or it is settled
-	resources        model.Resources // reserved on the machine until the attempt exits
+	resources        model.Resources // used of the machine; see releaseOnExit
 	state            attemptState
 	stage            model.Stage
 	launchSent       bool          // the launch was sent, so it may be executed
@@ -86,22 +86,34 @@
 	a.machine.needsFlush = true
 }
 
+// unassignedResources are the resources of an attempt whose task the shard does not know, or whose task
+// has ended: its worker lists it in each report.
+var unassignedResources = model.Resources{Attempts: 1}
+
 // removeAttempt removes an attempt from its machine and frees its resources.
 func (s *Shard) removeAttempt(now time.Duration, a *attempt) {
-	m := a.machine
-	if a.state != exited {
-		s.freeResources(a)
-	}
+	s.setResources(a, model.Resources{})
 	s.detachAttempt(a)
-	m.lowestRankRound = 0
+	a.machine.lowestRankRound = 0
+}
+
+// releaseOnExit frees the resources of an attempt that has exited, but for its place in the worker's
+// reports, which it keeps until the worker has cleared it.
+func (s *Shard) releaseOnExit(a *attempt) {
+	s.setResources(a, unassignedResources)
+	a.machine.lowestRankRound = 0
 }
 
-// freeResources makes an attempt's resources available on its machine again.
-func (s *Shard) freeResources(a *attempt) {
+// setResources changes what an attempt uses of its machine. The machine is examined for waiting tasks
+// if that frees resources that were short; a place for one more attempt mostly is not.
+func (s *Shard) setResources(a *attempt, resources model.Resources) {
 	m := a.machine
-	m.used = m.used.Sub(a.resources)
-	m.lowestRankRound = 0
-	if !m.capacityFreed {
+	freed := a.resources.Sub(resources)
+	attemptsWereShort := m.used.Attempts >= m.Cap.Attempts
+	m.used = m.used.Sub(freed)
+	a.resources = resources
+	useful := freed.CPU > 0 || freed.GPU > 0 || freed.Mem > 0 || freed.Attempts > 0 && attemptsWereShort
+	if useful && !m.capacityFreed {
 		m.capacityFreed = true
 		s.freedMachines = append(s.freedMachines, m)
 	}
--- a/internal/core/shard/attempt_list.go
+++ b/internal/core/shard/attempt_list.go
@@ -30,10 +30,11 @@
 	return nil
 }
 
-// addAttempt adds an attempt to the lists of its machine and its job.
+// addAttempt adds an attempt to the lists of its machine and its job, and to what is used of the machine.
 func (s *Shard) addAttempt(m *machine, a *attempt) {
 	i, _ := m.attempts.find(a.attemptKey)
 	m.attempts = slices.Insert(m.attempts, i, a)
+	m.used = m.used.Add(a.resources)
 	m.minPriceValid = false
 	job := a.task.Job
 	a.machine, a.jobIndex = m, len(s.attemptsByJob[job])
--- a/internal/core/shard/machine.go
+++ b/internal/core/shard/machine.go
@@ -28,7 +28,7 @@
 	inUse             bool                // has attempts other than those that only wait to be cleared
 	answeredAt        time.Duration       // the worker's lease counts as renewed at this time
 	attempts          attemptList         // attempts that are, or may be, on the machine
-	used              model.Resources     // of all attempts that have not exited, unsent ones included
+	used              model.Resources     // of all attempts, unsent ones included
 	images            map[model.Name]bool // images that the machine is expected to have
 	preemptionAt      time.Duration       // when the cloud takes the machine; 0: no notice
 	commandsInFlight  int                 // direct commands without an outcome so far
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -10,14 +10,9 @@
 	"honeylock/internal/core/model"
 )
 
-// maxAttemptsPerMachine is the number of attempts from which on a machine gets no more tasks. A
-// report holds at most 64 KiB, and lists finished attempts until their completion is stored,
-// which may take as long as an outage of the state service.
-const maxAttemptsPerMachine = 400
-
 // ready reports whether new tasks may be placed on the machine now.
 func (s *Shard) ready(now time.Duration, m *machine) bool {
-	return m.fenced && m.usable && len(m.attempts) < maxAttemptsPerMachine &&
+	return m.fenced && m.usable &&
 		!m.leaseExpired && !m.inboundLost && m.preemptionAt == 0 &&
 		now >= m.faultyUntil && now >= m.refusedUntil && !m.tokenNeeded && !s.notReporting(now, m)
 }
@@ -431,7 +426,7 @@
 	// Adding the former back leaves the capacity that no unsent task is going to use.
 	free := m.Cap.Sub(m.used)
 	for _, a := range m.attempts {
-		if a.stopping && a.state != exited {
+		if a.stopping || a.state == exited && a.clearable {
 			free = free.Add(a.resources)
 		}
 	}
@@ -473,7 +468,6 @@
 	s.lastAttempt++
 	a := &attempt{attemptKey: attemptKey{t.Task, s.lastAttempt}, assigned: t, resources: t.Spec.PerTask}
 	s.addAttempt(m, a)
-	m.used = m.used.Add(a.resources)
 	if s.simulation != nil {
 		a.fetchesImage = !m.images[t.Spec.Image]
 		s.simulation.started = append(s.simulation.started, a)
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -72,10 +72,11 @@
 		m.tokenOfferedAt, m.probeFailed = now, false
 	}
 	s.markAlive(m)
-	cmds := append(s.killNotOpen(m, r), s.commandsFor(now, m, r.Seq, false)...)
 	// The answer carries the token to a worker that is not fenced yet. The worker usually reports
 	// the token soon. If it does not, the token is also sent in a direct command.
 	m.needsFlush, m.directNotBefore = !m.fenced, now+tokenReportTime
+	cmds := s.killNotOpen(m, r)
+	cmds = append(cmds, s.commandsFor(now, m, r.Seq, false)...)
 	return Answer{OK: true, Token: m.token, Commands: cmds}
 }
 
@@ -160,7 +161,7 @@
 	a := m.attempts.get(k)
 	if a == nil {
 		a = &attempt{attemptKey: k, launchSent: true, state: live, stage: status.Stage, notAdopted: true,
-			lastSeen: s.messagesApplied}
+			lastSeen: s.messagesApplied, resources: unassignedResources}
 		s.addAttempt(m, a)
 		if status.Stage == model.Exited {
 			a.state, a.notAdopted = exited, false
@@ -187,7 +188,7 @@
 		}
 		return
 	}
-	s.freeResources(a)
+	s.releaseOnExit(a)
 	a.state = exited
 	m.minPriceValid = false
 	t := a.assigned
@@ -259,26 +260,12 @@
 	if !m.fenced {
 		return nil
 	}
-	var cmds []model.Command
-	uncleared := 0
-	free := m.Cap
-	for _, a := range m.attempts {
-		if a.state != exited && a.launchSent {
-			free = free.Sub(a.resources)
-		}
-	}
+	cmds, uncleared := s.clearCommands(m)
+	free := m.launchCapacity(cmds)
+	attemptsShort := false
 	for _, a := range m.attempts {
 		switch {
 		case a.state == exited:
-			switch {
-			case !a.clearable:
-			case (a.directToken == 0 || m.shownToken > a.directToken) && a.directLaunches == 0:
-				cmds = append(cmds, model.Command{Verb: model.Clear, Task: a.task, Attempt: a.number})
-			case a.launchUnanswered:
-				s.requireHigherToken(m)
-			case a.directToken != 0:
-				uncleared++
-			}
 		case a.stopping:
 			grace := a.grace
 			if a.stage == model.Saving && now < a.killAt && grace > 0 {
@@ -293,7 +280,9 @@
 			cmds = append(cmds, model.Command{Verb: model.Kill, Task: a.task, Attempt: a.number, Grace: grace})
 		case a.state == starting && a.directLaunches == 0:
 			if !a.launchSent {
-				// The launch waits until the victims have gone.
+				// The launch waits until the victims have gone, and have been cleared if they leave no
+				// place for an attempt.
+				attemptsShort = attemptsShort || free.Attempts < a.resources.Attempts
 				if !a.resources.Fits(free) || !m.usable || m.inboundLost {
 					continue
 				}
@@ -306,10 +295,40 @@
 			cmds = append(cmds, model.Command{Verb: model.Launch, Task: a.task, Attempt: a.number})
 		}
 	}
-	s.raiseTokenToClear(now, m, uncleared)
+	s.raiseTokenToClear(now, m, uncleared, attemptsShort)
 	return cmds
 }
 
+// clearCommands returns the commands that clear exited attempts, and the number of clearable attempts that
+// can be cleared only under a higher token.
+func (s *Shard) clearCommands(m *machine) (cmds []model.Command, uncleared int) {
+	for _, a := range m.attempts {
+		switch {
+		case a.state != exited || !a.clearable:
+		case (a.directToken == 0 || m.shownToken > a.directToken) && a.directLaunches == 0:
+			cmds = append(cmds, model.Command{Verb: model.Clear, Task: a.task, Attempt: a.number})
+		case a.launchUnanswered:
+			s.requireHigherToken(m)
+		case a.directToken != 0:
+			uncleared++
+		}
+	}
+	return cmds, uncleared
+}
+
+// launchCapacity returns what is left of the machine for further launches: all launches that were sent may
+// have been executed. The attempts that are cleared by the same message leave their places.
+func (m *machine) launchCapacity(clears []model.Command) model.Resources {
+	free := m.Cap
+	free.Attempts += int64(len(clears))
+	for _, a := range m.attempts {
+		if a.launchSent {
+			free = free.Sub(a.resources)
+		}
+	}
+	return free
+}
+
 // Limits for exited attempts that can be cleared only after the token was raised. They are not
 // cleared one by one, because each raised token costs an extra report.
 const (
@@ -323,8 +342,9 @@
 // raiseTokenToClear requests a higher token once one of the limits for uncleared attempts is
 // reached. An attempt that was launched directly may be cleared only under a higher token: a worker
 // that has forgotten the attempt would start it again if the launch were delivered a second time
-// under a token that is still valid. Until then exited attempts use no resources.
-func (s *Shard) raiseTokenToClear(now time.Duration, m *machine, uncleared int) {
+// under a token that is still valid. Until then exited attempts use no resources but their places in the
+// worker's reports; attemptsShort says that a launch waits for one of these.
+func (s *Shard) raiseTokenToClear(now time.Duration, m *machine, uncleared int, attemptsShort bool) {
 	if uncleared == 0 {
 		m.unclearedSince = 0
 		return
@@ -332,7 +352,7 @@
 	if m.unclearedSince == 0 {
 		m.unclearedSince = now
 	}
-	due := (uncleared >= maxUncleared || now-m.unclearedSince >= maxUnclearedTime) &&
+	due := (uncleared >= maxUncleared || attemptsShort || now-m.unclearedSince >= maxUnclearedTime) &&
 		(m.tokenRaisedAt == 0 || now-m.tokenRaisedAt >= s.params.MaxLease/2)
 	if m.token == m.shownToken && (due || uncleared >= urgentUncleared) {
 		m.tokenRaisedAt = now
--- a/internal/core/shard/shard.go
+++ b/internal/core/shard/shard.go
@@ -343,8 +343,7 @@
 			if a.stage == model.Running {
 				a.runningSince = now
 			}
-			m.used = m.used.Sub(a.resources).Add(assignment.Spec.PerTask)
-			a.resources = assignment.Spec.PerTask
+			s.setResources(a, assignment.Spec.PerTask)
 			m.images[assignment.Spec.Image] = true
 			return
 		}
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -63,9 +63,10 @@
 			if l := h.shard.attemptsByJob[a.task.Job]; a.machine != m || l[a.jobIndex] != a || !ordered {
 				h.t.Fatalf("machine %d, %v: not in its job's list, or not in order", m.ID, a.attemptKey)
 			}
-			if a.state != exited {
-				used = used.Add(a.resources)
+			if a.resources.Attempts != 1 || a.state == exited && a.resources != unassignedResources {
+				h.t.Fatalf("machine %d, %v: takes %v", m.ID, a.attemptKey, a.resources)
 			}
+			used = used.Add(a.resources)
 			remaining++
 		}
 		if m.minPriceValid && m.minPrice != m.computeMinTaskPrice() {
--- a/internal/core/shard/simulation.go
+++ b/internal/core/shard/simulation.go
@@ -66,7 +66,6 @@
 	t.attempt = a
 	sim.shard.tasks[assignment.Task] = t
 	sim.shard.addAttempt(m, a)
-	m.used = m.used.Add(a.resources)
 	m.images[assignment.Spec.Image] = true
 	return StartedTask{Task: assignment.Task, Spec: assignment.Spec, Machine: id, Attempt: a.number}
 }
--- a/internal/core/shard/status.go
+++ b/internal/core/shard/status.go
@@ -73,6 +73,15 @@
 		Draining: summary.draining, AttemptCount: summary.attempts, IdleSince: summary.idleSince, Faulty: summary.faulty}
 }
 
+// MaxAttempts returns the number of attempts on the machine that has most of them.
+func (s *Shard) MaxAttempts() int {
+	most := 0
+	for _, m := range s.sortedMachines {
+		most = max(most, len(m.attempts))
+	}
+	return most
+}
+
 // WaitingCount returns how many tasks wait for a machine.
 func (s *Shard) WaitingCount() int {
 	n := 0
--- a/internal/core/sim/concurrent_requests_test.go
+++ b/internal/core/sim/concurrent_requests_test.go
@@ -85,6 +85,9 @@
 	if w.params.handovers {
 		w.shapeShortTasks(sp)
 	}
+	if w.params.tinyTasks {
+		w.shapeTinyTasks(sp)
+	}
 	if w.params.zoneBoundJobs {
 		sp.Spread, sp.SameZone, sp.Zone = false, sp.ID%3 == 0, model.None
 		if !sp.SameZone {
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -184,7 +184,8 @@
 		w.duplicateLater(func(c *controller) { m.deliverCopy(c, r) })
 	}
 	w.captureReport(m, r)
-	if w.now < m.reportsLostUntil {
+	w.mostAttempts = max(w.mostAttempts, len(r.Attempts))
+	if w.now < m.reportsLostUntil || reportTooLong(r) {
 		return
 	}
 	w.send(m.host, c.host, false, func() {
@@ -281,9 +282,11 @@
 	answer(m.newReport(), true)
 }
 
-// freeCapacity returns what the attempts leave of the machine's resources.
+// freeCapacity returns what the attempts leave of the machine's resources. The worker starts any number of
+// attempts.
 func (m *machine) freeCapacity() model.Resources {
 	free := machineType.Cap
+	free.Attempts = 1 << 40
 	for k, a := range m.attempts {
 		if a.Stage != model.Exited {
 			free = free.Sub(m.w.users[k.task.Job].spec.PerTask)
@@ -296,6 +299,7 @@
 // the task already runs here or capacity is missing.
 func (m *machine) execute(cmds []model.Command) bool {
 	w := m.w
+	w.checkCommandsFit(m, cmds)
 	for _, c := range cmds {
 		k := attemptKey{c.Task, c.Attempt}
 		a := m.attempts[k]
--- a/internal/core/sim/waiting_test.go
+++ b/internal/core/sim/waiting_test.go
@@ -61,6 +61,7 @@
 		at := m.Machine
 		switch {
 		case m.returned, w.now < m.hungUntil, !u.spec.Allows(&at), !u.spec.PerTask.Fits(m.freeCapacity()):
+		case len(m.attempts) >= model.AttemptsPerMachine: // one more would make its reports too long
 		case u.spec.SameZone && active > 0 && zones[m.Zone] == 0:
 		case u.spec.Spread && zones[m.Zone] >= (int(u.spec.Tasks)+1)/2:
 		default:
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -26,6 +26,8 @@
 	drains bool
 	// Jobs that depend on other jobs.
 	dependencies bool
+	// Some jobs are arrays of tiny tasks, see shapeTinyTasks.
+	tinyTasks bool
 	// Jobs come in pairs of which the second depends on the first, see submitPipelines.
 	pipelines bool
 	// Leaders read the open jobs in two pages, not at once.
@@ -167,6 +169,8 @@
 	startedTasks int
 	// End of the period in which the store answers slowly.
 	storeSlowUntil time.Duration
+	// The largest number of attempts in a report.
+	mostAttempts int
 	// Jobs that the next submitted job depends on, see submitAfter.
 	nextDependsOn []model.JobID
 	// End of the last fault.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"honeylock/internal/core/shard"
 	"honeylock/internal/core/writequota"
 )
 
@@ -30,12 +31,17 @@
 		return 0
 	})
 	gauge("term", "The term this controller last led.", func() float64 { return float64(n.election.Term()) })
-	gauge("tasks_waiting", "Dealt tasks that wait for room.", func() float64 {
-		if n.local == nil {
-			return 0
-		}
-		return float64(n.local.shard.WaitingCount())
-	})
+	shardGauge := func(name, help string, value func(*shard.Shard) int) {
+		gauge(name, help, func() float64 {
+			if n.local == nil {
+				return 0
+			}
+			return float64(value(n.local.shard))
+		})
+	}
+	shardGauge("tasks_waiting", "Dealt tasks that wait for room.", (*shard.Shard).WaitingCount)
+	shardGauge("machine_attempts_max", "Attempts on the machine of this controller's that has most of them.",
+		(*shard.Shard).MaxAttempts)
 	counter("halts", "Times that this controller stood still for more than a second.",
 		func() uint64 { return n.stats.Stalls })
 	gauge("lag_seconds", "How far behind this process is, by its timers.", func() float64 {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -37,7 +37,8 @@
 func (c *Codec) fromMachine(m *peerpb.Machine) model.Machine {
 	return model.Machine{ID: model.MachineID(m.GetId()), Addr: m.GetAddr(), Type: c.names.Types.ID(m.GetType()),
 		Zone: c.names.Zones.ID(m.GetZone()),
-		Spot: m.GetSpot(), Cap: model.Resources{CPU: m.GetCpu(), GPU: m.GetGpu(), Mem: m.GetMem()},
+		Spot: m.GetSpot(), Cap: model.Resources{CPU: m.GetCpu(), GPU: m.GetGpu(), Mem: m.GetMem(),
+			Attempts: model.AttemptsPerMachine},
 		FetchRate: m.GetFetchRate()}
 }
 
@@ -91,7 +92,7 @@
 	for i := range machines {
 		m := &machines[i]
 		p.Machines = append(p.Machines, &peerpb.MachineStatus{Id: uint64(m.Machine.ID), Cpu: m.Avail.CPU, Gpu: m.Avail.GPU,
-			Mem:   m.Avail.Mem,
+			Mem: m.Avail.Mem, FreeAttempts: &m.Avail.Attempts,
 			Ready: m.Ready, Draining: m.Draining, Slots: int32(m.AttemptCount), IdleUs: (now - m.IdleSince).Microseconds(),
 			Bad: m.Faulty})
 	}
@@ -108,7 +109,7 @@
 	microseconds := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
 	for _, m := range p.GetMachines() {
 		machines = append(machines, model.MachineStatus{Machine: model.Machine{ID: model.MachineID(m.GetId())},
-			Avail: model.Resources{CPU: m.GetCpu(), GPU: m.GetGpu(), Mem: m.GetMem()}, Ready: m.GetReady(),
+			Avail: availableResources(m), Ready: m.GetReady(),
 			Draining:     m.GetDraining(),
 			AttemptCount: int(m.GetSlots()), IdleSince: now - microseconds(m.GetIdleUs()), Faulty: m.GetBad()})
 	}
@@ -119,6 +120,15 @@
 	return machines, jobs
 }
 
+// availableResources decodes what is free of a machine. An older release tells the attempts in use only.
+func availableResources(m *peerpb.MachineStatus) model.Resources {
+	available := model.Resources{CPU: m.GetCpu(), GPU: m.GetGpu(), Mem: m.GetMem(), Attempts: m.GetFreeAttempts()}
+	if m.FreeAttempts == nil {
+		available.Attempts = model.AttemptsPerMachine - int64(m.GetSlots())
+	}
+	return available
+}
+
 func (c *Codec) spec(jobSpec *model.Spec) *peerpb.Spec {
 	p := &peerpb.Spec{Job: uint64(jobSpec.ID), Class: c.names.Classes.Name(jobSpec.Class),
 		Team: c.names.Teams.Name(jobSpec.Team), Image: c.names.Images.Name(jobSpec.Image),
@@ -143,7 +153,7 @@
 	s := &model.Spec{ID: model.JobID(p.GetJob()), Class: c.names.Classes.ID(p.GetClass()),
 		Team: c.names.Teams.ID(p.GetTeam()), Image: c.names.Images.ID(p.GetImage()),
 		Daemon: p.GetDaemon(), Rank: model.Rank(p.GetRank()), Tasks: p.GetTasks(),
-		PerTask: model.Resources{CPU: p.GetCpu(), GPU: p.GetGpu(), Mem: p.GetMem()},
+		PerTask: model.Resources{CPU: p.GetCpu(), GPU: p.GetGpu(), Mem: p.GetMem(), Attempts: 1},
 		ImageGB: p.GetImageGb(), Zone: model.None, SameZone: p.GetTogether(), Spread: p.GetSpread(), Spot: p.GetSpot(),
 		Estimate: microseconds(p.GetEstimateUs()), CheckpointInterval: microseconds(p.GetCheckpointUs()),
 		CheckpointTime: microseconds(p.GetSaveUs()), Deadline: microseconds(p.GetDeadlineUs()),
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -74,6 +74,7 @@
 		Machine: model.Machine{ID: 4}, Avail: model.Capacity(1, 2, 3), Ready: true, AttemptCount: 2,
 		IdleSince: 8 * time.Second,
 	}}
+	machines[0].Avail.Attempts = 0
 	jobs := map[model.JobID]model.TaskCounts{7: {Waiting: 1, Running: 2}}
 	up := NewCodec(a).Status(10*time.Second, machines, jobs, 5).GetStatus()
 	gotMachines, gotJobs := NewCodec(b).FromStatus(20*time.Second, up)
@@ -84,6 +85,11 @@
 	if diff := cmp.Diff(jobs, gotJobs); diff != "" {
 		t.Fatal(diff)
 	}
+	up.Machines[0].FreeAttempts = nil // of a release up to 0.9.1
+	gotMachines, _ = NewCodec(b).FromStatus(20*time.Second, up)
+	if free := gotMachines[0].Avail.Attempts; free != model.AttemptsPerMachine-2 {
+		t.Errorf("%d attempts are free beside 2 in use", free)
+	}
 }
 
 func TestQueueKeepsOrderAndFailsWhenFull(t *testing.T) {
