shard: send commands beyond one message's length with the next one

Callers would see, after an upgrade from a release without a bound on the attempts of a machine: the kills of more than some 600 tasks make an answer longer than the 64 KiB that a line to a worker may have.

Cause: commandsFor and killNotOpen returned a command for each attempt, however many a worker lists.

A message carries at most as many commands as a machine may have attempts; commands are repeated until their effect shows, so those beyond follow with the next message, and a direct one is sent if the machine makes no report before.

Evidence: TestCommandsBeyondMessageAreSentLater failed before ("812 commands in one message").

--- a/internal/core/shard/attempt_capacity_test.go
+++ b/internal/core/shard/attempt_capacity_test.go
@@ -45,7 +45,7 @@
 // execute carries out the commands of one message.
 func (w *fakeWorker) execute(cmds []model.Command) {
 	w.h.t.Helper()
-	if len(cmds) > model.AttemptsPerMachine {
+	if len(cmds) > maxCommands {
 		w.h.t.Fatalf("%d commands in one message", len(cmds))
 	}
 	for _, c := range cmds {
@@ -185,3 +185,31 @@
 		t.Errorf("the urgent task runs %d times, %d attempts, %d evicted", running, len(w.attempts), h.shard.Stats.Evicted)
 	}
 }
+
+// A release without the bound may leave more attempts than a message has room for commands. Those beyond are
+// killed by the next messages.
+func TestCommandsBeyondMessageAreSentLater(t *testing.T) {
+	h := newHarness(t)
+	w := newFakeWorker(h)
+	const found = maxCommands + 300
+	h.shard.SetOpenJobs(map[model.JobID]bool{})
+	for i := range int32(found) {
+		w.attempts[attemptKey{model.Task{Job: 1, Index: i}, 1}] = attemptStatus(1, i, 1, model.Running, 0)
+	}
+	killed := 0
+	for range 3 {
+		cmds := h.report(1, 5, w.list()...)
+		if len(cmds) > maxCommands {
+			t.Fatalf("%d commands in one message", len(cmds))
+		}
+		for _, c := range cmds {
+			if k := (attemptKey{c.Task, c.Attempt}); c.Verb == model.Kill && w.attempts[k].Stage == model.Running {
+				w.exit(k, model.CauseStopped)
+				killed++
+			}
+		}
+	}
+	if killed != found {
+		t.Errorf("%d of %d attempts killed", killed, found)
+	}
+}
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		m.needsFlush = false
-		cmds := s.commandsFor(now, m, 0, true)
+		cmds := s.commandsFor(now, m, 0, true, maxCommands)
 		if len(cmds) == 0 && m.fenced && !m.needsProbe {
 			continue
 		}
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -76,7 +76,7 @@
 	// the token soon. If it does not, the token is also sent in a direct command.
 	m.needsFlush, m.directNotBefore = !m.fenced, now+tokenReportTime
 	cmds := s.killNotOpen(m, r)
-	cmds = append(cmds, s.commandsFor(now, m, r.Seq, false)...)
+	cmds = append(cmds, s.commandsFor(now, m, r.Seq, false, maxCommands-len(cmds))...)
 	return Answer{OK: true, Token: m.token, Commands: cmds}
 }
 
@@ -90,6 +90,9 @@
 		return nil
 	}
 	for _, status := range r.Attempts {
+		if len(cmds) == maxCommands {
+			break
+		}
 		if status.Stage == model.Exited || s.openJobs[status.Task.Job] {
 			continue
 		}
@@ -253,17 +256,25 @@
 	}
 }
 
-// commandsFor returns the commands for a fenced worker. They are repeated until the worker's
-// messages show their effect. seq is the number of the report that they answer. direct is true if
-// they are sent in a direct command instead.
-func (s *Shard) commandsFor(now time.Duration, m *machine, seq uint64, direct bool) []model.Command {
+// maxCommands is how many commands a message to a worker may carry: it may hold 64 KiB, as a report may,
+// and a command takes no more of it than an attempt does of a report.
+const maxCommands = model.AttemptsPerMachine
+
+// commandsFor returns at most limit commands for a fenced worker. They are repeated until the worker's
+// messages show their effect; those beyond the limit are sent with a later message. seq is the number of
+// the report that they answer. direct is true if they are sent in a direct command instead.
+func (s *Shard) commandsFor(now time.Duration, m *machine, seq uint64, direct bool, limit int) []model.Command {
 	if !m.fenced {
 		return nil
 	}
-	cmds, uncleared := s.clearCommands(m)
+	cmds, uncleared := s.clearCommands(m, limit)
 	free := m.launchCapacity(cmds)
 	attemptsShort := false
 	for _, a := range m.attempts {
+		if len(cmds) >= limit {
+			m.needsFlush = true
+			break
+		}
 		switch {
 		case a.state == exited:
 		case a.stopping:
@@ -299,14 +310,16 @@
 	return cmds
 }
 
-// clearCommands returns the commands that clear exited attempts, and the number of clearable attempts that
-// can be cleared only under a higher token.
-func (s *Shard) clearCommands(m *machine) (cmds []model.Command, uncleared int) {
+// clearCommands returns at most limit commands that clear exited attempts, and the number of clearable
+// attempts that can be cleared only under a higher token.
+func (s *Shard) clearCommands(m *machine, limit int) (cmds []model.Command, uncleared int) {
 	for _, a := range m.attempts {
 		switch {
 		case a.state != exited || !a.clearable:
 		case (a.directToken == 0 || m.shownToken > a.directToken) && a.directLaunches == 0:
-			cmds = append(cmds, model.Command{Verb: model.Clear, Task: a.task, Attempt: a.number})
+			if len(cmds) < limit {
+				cmds = append(cmds, model.Command{Verb: model.Clear, Task: a.task, Attempt: a.number})
+			}
 		case a.launchUnanswered:
 			s.requireHigherToken(m)
 		case a.directToken != 0:
