shard: send launches in answers to reports alone

Callers saw, on another service: a task ran on two machines at once, and a cancelled task ran again, once a machine was back within a second and a late copy of a start command, which had been carried out and answered before, reached it once more.

Cause: a direct command may be carried out late or once more, and what stopped a launch in it was what its worker remembers: the attempt until it was cleared under a higher token, the token after.

No direct command launches a task now. Launches are in answers to reports, which a worker drops after 4 s. An idle worker, which would get its launch with its next regular report only, is asked to report by a direct command that launches what no job has: the worker refuses it, which is a change, and reports; a copy of it starts nothing. Tokens are no longer raised in order to clear.

Tests that changed: TestUnansweredDirectLaunchNeedsHigherToken and TestAttemptIsClearedOnceItsLaunchIsRefused stated how a direct launch is fenced; there is none any more, which TestDirectCommandsCarryNoLaunch checks. TestDirectCommandsExpireWithGrant takes a kill for its command. The simulation's check of late commands needs launches that are sent directly, as a second broken guard. Its machines drew two of four kinds of restarts; they draw all of them in the new test, and report a refused launch at once, as the protocol has it.

--- a/internal/core/shard/attempt.go
+++ b/internal/core/shard/attempt.go
@@ -25,27 +25,24 @@
 // attempt is an attempt to run a task that is, or may be, on a machine, or is to be launched there.
 type attempt struct {
 	attemptKey
-	machine          *machine
-	jobIndex         int             // index in Shard.attemptsByJob of its job
-	lastSeen         uint64          // value of Shard.messagesApplied for the last message that listed it
-	assigned         *task           // the task that it runs for this shard; nil: none was assigned, or it is settled
-	resources        model.Resources // used of the machine; see releaseOnExit
-	state            attemptState
-	stage            model.Stage
-	launchSent       bool          // the launch was sent, so it may be executed
-	launchSeq        uint64        // number of the report whose answer last carried the launch
-	directLaunches   int           // direct commands in flight that carry the launch
-	directToken      uint64        // token of the newest direct launch, which may be delivered again
-	launchUnanswered bool          // a direct launch was not answered
-	stopping         bool          // it is to be killed
-	grace            time.Duration // time to save a checkpoint before the kill
-	killAt           time.Duration // from then on it is killed without grace
-	clearable        bool          // the worker may forget it once it has exited
-	notAdopted       bool          // found on the worker, and not adopted
-	adopted          bool          // it ran before this shard first saw it
-	limitsUnchecked  bool          // adopted although its team's limit or its job's zones would forbid an assignment
-	fetchesImage     bool          // in a simulation: its machine must pull the image first
-	runningSince     time.Duration // when it was first seen running; 0: not yet
+	machine         *machine
+	jobIndex        int             // index in Shard.attemptsByJob of its job
+	lastSeen        uint64          // value of Shard.messagesApplied for the last message that listed it
+	assigned        *task           // the task that it runs for this shard; nil: none was assigned, or it is settled
+	resources       model.Resources // used of the machine; see releaseOnExit
+	state           attemptState
+	stage           model.Stage
+	launchSent      bool          // the launch was sent, so it may be executed
+	launchSeq       uint64        // number of the report whose answer last carried the launch
+	stopping        bool          // it is to be killed
+	grace           time.Duration // time to save a checkpoint before the kill
+	killAt          time.Duration // from then on it is killed without grace
+	clearable       bool          // the worker may forget it once it has exited
+	notAdopted      bool          // found on the worker, and not adopted
+	adopted         bool          // it ran before this shard first saw it
+	limitsUnchecked bool          // adopted although its team's limit or its job's zones would forbid an assignment
+	fetchesImage    bool          // in a simulation: its machine must pull the image first
+	runningSince    time.Duration // when it was first seen running; 0: not yet
 }
 
 // ran returns how long the attempt has been seen running.
--- a/internal/core/shard/attempt_capacity_test.go
+++ b/internal/core/shard/attempt_capacity_test.go
@@ -84,15 +84,11 @@
 	}
 }
 
-// handleEvents stores the ends of tasks with the given probability, and assigns a higher token if one is
-// needed, as the dispatcher does. It returns how many ends were stored.
+// handleEvents stores the ends of tasks with the given probability, and returns those that are not stored yet.
 func (w *fakeWorker) handleEvents(unstored []model.Event, rng *rand.Rand, share float64) []model.Event {
 	for _, e := range w.h.shard.TakeEvents() {
-		switch e.Kind {
-		case model.TaskFinished:
+		if e.Kind == model.TaskFinished {
 			unstored = append(unstored, e)
-		case model.TokenNeeded:
-			w.h.ownMachine(1, w.h.shard.machines[1].token+1, 64)
 		}
 	}
 	return slices.DeleteFunc(unstored, func(e model.Event) bool {
--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -8,6 +8,11 @@
 
 // DirectCommand is a batch of commands that is sent to a worker on a new connection, instead of in
 // the answer to a report. Its outcome is passed to DirectCommandDone.
+//
+// It carries no launch but that of a report request. The network may deliver a direct command minutes later, or once more after it
+// was carried out, and a worker that has lost its tasks or its token since then would start the attempt
+// although its task was moved or cancelled. Kills and clears do no harm then: each names an attempt, whose
+// number is not used again.
 type DirectCommand struct {
 	ID       uint64
 	Machine  model.MachineID
@@ -21,7 +26,6 @@
 // pendingCommand is a direct command without an outcome so far.
 type pendingCommand struct {
 	machine       *machine
-	launches      []*attempt      // attempts that it launches
 	isProbe       bool            // sent to learn whether the worker receives messages
 	newestMessage model.MessageID // newest message of the worker when the command was sent
 }
@@ -52,7 +56,12 @@
 			continue
 		}
 		m.needsFlush = false
-		cmds := s.commandsFor(now, m, 0, true, maxCommands)
+		cmds := s.stopCommands(now, m, maxCommands)
+		if len(cmds) == 0 { // the effect of others makes the worker report in any case
+			if c, needed := s.reportRequest(m); needed {
+				cmds = append(cmds, c)
+			}
+		}
 		if len(cmds) == 0 && m.fenced && !m.needsProbe {
 			continue
 		}
@@ -60,15 +69,7 @@
 		s.lastDirectID++
 		d := DirectCommand{ID: s.lastDirectID, Machine: m.ID, Addr: m.Addr, Token: m.token, Session: max(1, m.session),
 			Commands: cmds, NotAfter: s.grantedUntil}
-		var launches []*attempt
-		for _, c := range cmds {
-			if c.Verb == model.Launch {
-				a := m.attempts.get(attemptKey{c.Task, c.Attempt})
-				a.directLaunches++
-				launches = append(launches, a)
-			}
-		}
-		s.pendingCommands[d.ID] = pendingCommand{m, launches, isProbe, model.MessageID{Session: m.session, Seq: m.seq}}
+		s.pendingCommands[d.ID] = pendingCommand{m, isProbe, model.MessageID{Session: m.session, Seq: m.seq}}
 		if isProbe {
 			s.pendingProbes++
 		}
@@ -86,13 +87,6 @@
 	if pending.isProbe {
 		s.pendingProbes--
 	}
-	for _, a := range pending.launches {
-		a.directLaunches--
-		// The network may deliver the launch minutes later, or a second time, and the worker
-		// executes it as long as the token and the session match.
-		a.directToken = max(a.directToken, d.Token)
-		a.launchUnanswered = a.launchUnanswered || r == nil
-	}
 	m := s.machines[d.Machine]
 	if m == nil || m != pending.machine {
 		return // the machine was released in the meantime
--- a/internal/core/shard/machine.go
+++ b/internal/core/shard/machine.go
@@ -20,11 +20,10 @@
 	session, seq      uint64              // of the worker's newest message
 	endedSession      uint64              // sessions up to this one ended with a confirmed lease expiry; 0: none
 	tokenSent         bool                // the newest token was sent to the worker
+	reportRequested   bool                // a report request was sent, and no report was answered since
 	reportSeq         uint64              // newest report of the session, not counting answers to direct commands
 	everAnswered      bool                // this shard has answered a report of the worker
 	refence           bool                // the next token that the dispatcher assigns becomes fencingToken
-	tokenRaisedAt     time.Duration       // when a higher token was last requested in order to clear attempts
-	unclearedSince    time.Duration       // since when clearable attempts wait for a higher token; 0: there are none
 	inUse             bool                // has attempts other than those that only wait to be cleared
 	answeredAt        time.Duration       // the worker's lease counts as renewed at this time
 	attempts          attemptList         // attempts that are, or may be, on the machine
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -460,8 +460,8 @@
 	return time.Duration(spec.ImageGB / m.FetchRate * float64(time.Second))
 }
 
-// placeNext creates an attempt for the next task of a group on a machine. The launch is sent with
-// the next commands to the worker, once its victims have gone.
+// placeNext creates an attempt for the next task of a group on a machine. The launch is sent in the
+// answer to a report, which may be requested, once its victims have gone.
 func (s *Shard) placeNext(m *machine, g *waitingGroup) {
 	t := g.tasks[0]
 	g.tasks = g.tasks[1:]
--- a/internal/core/shard/reachability.go
+++ b/internal/core/shard/reachability.go
@@ -170,7 +170,7 @@
 func (s *Shard) restartSession(m *machine, r *model.Report) {
 	for _, a := range m.attempts {
 		if a.state == starting && a.launchSent {
-			a.directToken, a.launchSeq = max(a.directToken, m.token), 0
+			a.launchSeq = 0 // any report under the new token is later
 		}
 	}
 	m.session, m.seq, m.reportSeq = r.Session, r.Seq, 0
--- a/internal/core/shard/reachability_test.go
+++ b/internal/core/shard/reachability_test.go
@@ -253,58 +253,6 @@
 	}
 }
 
-// A direct launch may be delivered a second time and would then start an attempt again that its
-// worker has cleared. So the attempt is cleared only once the worker refuses the launch.
-func TestAttemptIsClearedOnceItsLaunchIsRefused(t *testing.T) {
-	h := newHarness(t)
-	h.ownMachine(1, 5, 8)
-	h.report(1, 5)
-	h.assign(h.spec(1, model.Standard, 2), 0, 10)
-	h.answerDirectCommands(func(d DirectCommand) (*model.Report, bool) {
-		h.seq++
-		return h.message(1, 1, h.seq, d.Token, attemptStatus(1, 0, 1001, model.Running, 0)), true
-	})
-	done := attemptStatus(1, 0, 1001, model.Exited, model.CauseDone)
-	h.report(1, 5, done)
-	h.shard.HandleOrder(h.now, model.Order{Kind: model.ClearAttempt, ID: 1, Task: done.Task, Attempt: 1001})
-	if c := h.report(1, 5, done); len(c) != 0 {
-		t.Fatalf("%v although the launch may be delivered again", c)
-	}
-	if e := h.takeEvents(model.TokenNeeded); len(e) != 0 {
-		t.Fatal("a higher token was requested at once for a single attempt")
-	}
-	if b := h.shard.summarize(h.now, h.shard.machines[1]); b.attempts != 0 {
-		t.Fatal("the machine is considered in use")
-	}
-	h.now += maxUnclearedTime
-	h.report(1, 5, done)
-	if e := h.takeEvents(model.TokenNeeded); len(e) != 1 {
-		t.Fatalf("%+v, want a higher token requested once", e)
-	}
-	h.ownMachine(1, 6, 8)
-	if c := h.report(1, 5, done); len(c) != 0 {
-		t.Fatalf("%v before the new token is shown", c)
-	}
-	if c := h.report(1, 6, done); len(c) != 1 || c[0].Verb != model.Clear {
-		t.Fatalf("%v, want it cleared", c)
-	}
-	// A task whose attempt the worker lost without a new session is not placed again before either.
-	h.assign(h.spec(1, model.Standard, 2), 1, 10)
-	h.answerDirectCommands(func(d DirectCommand) (*model.Report, bool) {
-		h.seq++
-		return h.message(1, 1, h.seq, d.Token, attemptStatus(1, 1, 1002, model.Running, 0)), true
-	})
-	h.report(1, 6)
-	if len(h.shard.attemptsByJob[1]) != 1 || h.shard.attemptsByJob[1][0].number != 1002 {
-		t.Fatal("placed again while its launch may be delivered again")
-	}
-	h.ownMachine(1, 7, 8)
-	h.report(1, 7)
-	if len(h.shard.attemptsByJob[1]) != 1 || h.shard.attemptsByJob[1][0].number == 1002 {
-		t.Fatal("not placed again")
-	}
-}
-
 func TestNewSessionLosesTasks(t *testing.T) {
 	h := newHarness(t)
 	h.runOneTask()
--- a/internal/core/shard/reports.go
+++ b/internal/core/shard/reports.go
@@ -67,7 +67,7 @@
 	if m == nil || !s.HasGrant(now) {
 		return Answer{}
 	}
-	m.answeredAt, m.everAnswered, m.tokenSent = now, true, true
+	m.answeredAt, m.everAnswered, m.tokenSent, m.reportRequested = now, true, true, false
 	if !m.fenced && m.tokenOfferedAt == 0 {
 		m.tokenOfferedAt, m.probeFailed = now, false
 	}
@@ -76,7 +76,7 @@
 	// the token soon. If it does not, the token is also sent in a direct command.
 	m.needsFlush, m.directNotBefore = !m.fenced, now+tokenReportTime
 	cmds := s.killNotOpen(m, r)
-	cmds = append(cmds, s.commandsFor(now, m, r.Seq, false, maxCommands-len(cmds))...)
+	cmds = append(cmds, s.answerCommands(now, m, r.Seq, maxCommands-len(cmds))...)
 	return Answer{OK: true, Token: m.token, Commands: cmds}
 }
 
@@ -162,6 +162,10 @@
 // returned or queued again, depending on the cause of the exit.
 func (s *Shard) applyAttemptStatus(now time.Duration, m *machine, k attemptKey, status model.AttemptStatus) {
 	a := m.attempts.get(k)
+	if a == nil && k.task == reportRequestTask {
+		s.addRefusedRequest(now, m, k, status)
+		return
+	}
 	if a == nil {
 		a = &attempt{attemptKey: k, launchSent: true, state: live, stage: status.Stage, notAdopted: true,
 			lastSeen: s.messagesApplied, resources: unassignedResources}
@@ -228,30 +232,25 @@
 	case exited: // the worker has cleared it
 		s.removeAttempt(now, a)
 	case live: // the worker has lost it
-		if a.directToken != 0 && r.Token <= a.directToken {
-			s.requireHigherToken(a.machine) // a repeated delivery of its direct launch would start it again
-			return
-		}
 		s.removeAttempt(now, a)
 		s.settleTask(now, a, model.CauseStopped)
 	case starting:
 		if !a.launchSent {
 			return
 		}
-		// A direct launch may still be executed, also a second time, until the worker has seen a
-		// higher token than the launch carries. A launch in the answer to a report can no longer be
-		// executed once the worker has made a later report.
-		laterReport := isReport && r.Seq > a.launchSeq
-		if laterReport && a.launchSeq != 0 {
+		// A launch in the answer to a report can no longer be executed once the worker has made a
+		// later report. The answer to a direct command may have overtaken it, and proves nothing.
+		if !isReport || r.Seq <= a.launchSeq {
+			return
+		}
+		if a.launchSeq != 0 {
 			s.recordIgnoredLaunch(a.machine, r)
 		}
-		launchOver := a.directLaunches == 0 && (a.directToken == 0 || r.Token > a.directToken) &&
-			(a.launchSeq == 0 || laterReport)
-		if launchOver && a.stopping {
+		if a.stopping {
 			s.removeAttempt(now, a)
 			s.settleTask(now, a, model.CauseStopped)
-		} else if launchOver {
-			a.launchSent, a.directToken, a.launchSeq, a.launchUnanswered = false, 0, 0, false
+		} else {
+			a.launchSent, a.launchSeq = false, 0
 		}
 	}
 }
@@ -260,80 +259,79 @@
 // and a command takes no more of it than an attempt does of a report.
 const maxCommands = model.AttemptsPerMachine
 
-// commandsFor returns at most limit commands for a fenced worker. They are repeated until the worker's
-// messages show their effect; those beyond the limit are sent with a later message. seq is the number of
-// the report that they answer. direct is true if they are sent in a direct command instead.
-func (s *Shard) commandsFor(now time.Duration, m *machine, seq uint64, direct bool, limit int) []model.Command {
+// answerCommands returns at most limit commands for the answer to a report of a fenced worker. They are
+// repeated until the worker's messages show their effect; those beyond the limit are sent with a later
+// message. seq is the number of the report.
+func (s *Shard) answerCommands(now time.Duration, m *machine, seq uint64, limit int) []model.Command {
 	if !m.fenced {
 		return nil
 	}
-	cmds, uncleared := s.clearCommands(m, limit)
+	cmds := s.stopCommands(now, m, limit)
 	free := m.launchCapacity(cmds)
-	attemptsShort := false
 	for _, a := range m.attempts {
+		if a.state != starting || a.stopping {
+			continue
+		}
 		if len(cmds) >= limit {
-			m.needsFlush = true
 			break
 		}
-		switch {
-		case a.state == exited:
-		case a.stopping:
-			grace := a.grace
-			if a.stage == model.Saving && now < a.killAt && grace > 0 {
+		if !a.launchSent {
+			// The launch waits until the victims have gone, and have been cleared if they leave no
+			// place for an attempt.
+			if !a.resources.Fits(free) || !m.usable || m.inboundLost {
 				continue
 			}
-			if now >= a.killAt {
-				grace = 0
-			}
-			if a.state == starting && a.directToken != 0 {
-				s.requireHigherToken(m)
-			}
-			cmds = append(cmds, model.Command{Verb: model.Kill, Task: a.task, Attempt: a.number, Grace: grace})
-		case a.state == starting && a.directLaunches == 0:
-			if !a.launchSent {
-				// The launch waits until the victims have gone, and have been cleared if they leave no
-				// place for an attempt.
-				attemptsShort = attemptsShort || free.Attempts < a.resources.Attempts
-				if !a.resources.Fits(free) || !m.usable || m.inboundLost {
-					continue
-				}
-				free = free.Sub(a.resources)
-			}
-			a.launchSent = true
-			if !direct {
-				a.launchSeq = seq
-			}
-			cmds = append(cmds, model.Command{Verb: model.Launch, Task: a.task, Attempt: a.number})
+			free = free.Sub(a.resources)
 		}
+		a.launchSent, a.launchSeq = true, seq
+		cmds = append(cmds, model.Command{Verb: model.Launch, Task: a.task, Attempt: a.number})
 	}
-	s.raiseTokenToClear(now, m, uncleared, attemptsShort)
 	return cmds
 }
 
-// clearCommands returns at most limit commands that clear exited attempts, and the number of clearable
-// attempts that can be cleared only under a higher token.
-func (s *Shard) clearCommands(m *machine, limit int) (cmds []model.Command, uncleared int) {
+// stopCommands returns at most limit commands that clear and kill attempts of a fenced worker. They may be
+// carried out late, or more than once.
+func (s *Shard) stopCommands(now time.Duration, m *machine, limit int) []model.Command {
+	if !m.fenced {
+		return nil
+	}
+	var cmds []model.Command
 	for _, a := range m.attempts {
-		switch {
-		case a.state != exited || !a.clearable:
-		case (a.directToken == 0 || m.shownToken > a.directToken) && a.directLaunches == 0:
-			if len(cmds) < limit {
-				cmds = append(cmds, model.Command{Verb: model.Clear, Task: a.task, Attempt: a.number})
-			}
-		case a.launchUnanswered:
-			s.requireHigherToken(m)
-		case a.directToken != 0:
-			uncleared++
+		c, due := a.stopCommand(now)
+		if !due {
+			continue
 		}
+		if len(cmds) >= limit {
+			m.needsFlush = true
+			break
+		}
+		cmds = append(cmds, c)
 	}
-	return cmds, uncleared
+	return cmds
+}
+
+// stopCommand returns the command that clears or kills the attempt, if one is due.
+func (a *attempt) stopCommand(now time.Duration) (c model.Command, due bool) {
+	switch {
+	case a.state == exited:
+		return model.Command{Verb: model.Clear, Task: a.task, Attempt: a.number}, a.clearable
+	case !a.stopping || a.stage == model.Saving && now < a.killAt && a.grace > 0:
+		return model.Command{}, false
+	case now >= a.killAt:
+		return model.Command{Verb: model.Kill, Task: a.task, Attempt: a.number}, true
+	}
+	return model.Command{Verb: model.Kill, Task: a.task, Attempt: a.number, Grace: a.grace}, true
 }
 
 // launchCapacity returns what is left of the machine for further launches: all launches that were sent may
 // have been executed. The attempts that are cleared by the same message leave their places.
-func (m *machine) launchCapacity(clears []model.Command) model.Resources {
+func (m *machine) launchCapacity(cmds []model.Command) model.Resources {
 	free := m.Cap
-	free.Attempts += int64(len(clears))
+	for i := range cmds {
+		if cmds[i].Verb == model.Clear {
+			free.Attempts++
+		}
+	}
 	for _, a := range m.attempts {
 		if a.launchSent {
 			free = free.Sub(a.resources)
@@ -342,45 +340,6 @@
 	return free
 }
 
-// Limits for exited attempts that can be cleared only after the token was raised. They are not
-// cleared one by one, because each raised token costs an extra report.
-const (
-	maxUncleared     = 32              // attempts
-	maxUnclearedTime = 3 * time.Minute // since the first of them
-	// urgentUncleared attempts do not wait for the minimum time between two raises: a report holds
-	// 64 KiB, which many short tasks would fill.
-	urgentUncleared = 64
-)
-
-// raiseTokenToClear requests a higher token once one of the limits for uncleared attempts is
-// reached. An attempt that was launched directly may be cleared only under a higher token: a worker
-// that has forgotten the attempt would start it again if the launch were delivered a second time
-// under a token that is still valid. Until then exited attempts use no resources but their places in the
-// worker's reports; attemptsShort says that a launch waits for one of these.
-func (s *Shard) raiseTokenToClear(now time.Duration, m *machine, uncleared int, attemptsShort bool) {
-	if uncleared == 0 {
-		m.unclearedSince = 0
-		return
-	}
-	if m.unclearedSince == 0 {
-		m.unclearedSince = now
-	}
-	due := (uncleared >= maxUncleared || attemptsShort || now-m.unclearedSince >= maxUnclearedTime) &&
-		(m.tokenRaisedAt == 0 || now-m.tokenRaisedAt >= s.params.MaxLease/2)
-	if m.token == m.shownToken && (due || uncleared >= urgentUncleared) {
-		m.tokenRaisedAt = now
-		s.emitAsOwner(m, model.Event{Kind: model.TokenNeeded})
-	}
-}
-
-// requireHigherToken requests a token above the one that the worker has shown, unless the shard
-// already has one.
-func (s *Shard) requireHigherToken(m *machine) {
-	if m.token == m.shownToken {
-		s.requestToken(m)
-	}
-}
-
 // requestToken asks the dispatcher for a higher token. The machine gets no new tasks until the
 // token arrives.
 func (s *Shard) requestToken(m *machine) {
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -167,43 +167,89 @@
 	}
 }
 
-// A direct launch without an answer may be executed minutes later. That reports do not list the
-// attempt proves nothing until the worker has shown a higher token.
-func TestUnansweredDirectLaunchNeedsHigherToken(t *testing.T) {
+// A copy of a direct command may be delivered minutes after it was carried out, and a worker that is back without
+// its tasks, or without its token, would start a launch in it again: tasks ran twice, and after they were
+// cancelled. So launches are sent in answers to reports alone, which no worker accepts late.
+func TestDirectCommandsCarryNoLaunch(t *testing.T) {
 	h := newHarness(t)
 	h.ownMachine(1, 5, 8)
 	h.report(1, 5)
 	h.assign(h.spec(1, model.Standard, 2), 0, 10)
-	h.shard.Place(h.now)
-	h.shard.Flush(h.now, 8)
-	d := h.shard.TakeDirectCommands()
-	if len(d) != 1 || len(d[0].Commands) != 1 {
-		t.Fatalf("direct commands %v, want one launch", d)
+	for _, needsProbe := range []bool{false, true} {
+		h.shard.Place(h.now)
+		h.shard.machines[1].needsProbe, h.shard.machines[1].needsFlush = needsProbe, true
+		h.answerDirectCommands(func(d DirectCommand) (*model.Report, bool) {
+			for _, c := range d.Commands {
+				if c.Verb == model.Launch && c.Task != reportRequestTask {
+					t.Fatalf("%v sent directly", d.Commands)
+				}
+			}
+			h.seq++
+			return h.message(1, 1, h.seq, d.Token), true
+		})
 	}
-	h.shard.DirectCommandDone(h.now, d[0], nil, false)
-	h.shard.TakeEvents()
-	h.shard.HandleOrder(h.now, model.Order{Kind: model.RecallTask, Task: model.Task{Job: 1}})
-	h.report(1, 5)
-	h.report(1, 5)
-	events := h.shard.TakeEvents()
-	requested := false
-	for _, e := range events {
-		if e.Kind == model.TaskReturned {
-			t.Fatal("task returned while its launch may still be executed")
-		}
-		requested = requested || e.Kind == model.TokenNeeded
+	if diff := cmp.Diff([]model.Command{launchCommand(1, 0, 1001)}, h.report(1, 5)); diff != "" {
+		t.Fatal(diff)
+	}
+	running := attemptStatus(1, 0, 1001, model.Running, 0)
+	h.report(1, 5, running)
+	// A worker that has lost the attempt will not start it again, so the task is placed anew (1002 was the number
+	// of a report request).
+	if diff := cmp.Diff([]model.Command{launchCommand(1, 0, 1003)}, h.report(1, 5)); diff != "" {
+		t.Fatal(diff)
 	}
-	if !requested {
-		t.Fatal("no higher token was requested")
+	// What has ended and is stored may be cleared by a direct command, under the same token.
+	done := attemptStatus(1, 0, 1003, model.Exited, model.CauseDone)
+	h.report(1, 5, done)
+	h.shard.HandleOrder(h.now, model.Order{Kind: model.ClearAttempt, ID: 1, Task: done.Task, Attempt: 1003})
+	h.shard.machines[1].needsFlush = true
+	var direct []model.Command
+	h.answerDirectCommands(func(d DirectCommand) (*model.Report, bool) {
+		direct = d.Commands
+		h.seq++
+		return h.message(1, 1, h.seq, d.Token), true
+	})
+	if len(direct) != 1 || direct[0].Verb != model.Clear || len(h.takeEvents(model.TokenNeeded)) != 0 {
+		t.Errorf("%v, want the attempt cleared without a higher token", direct)
 	}
-	h.ownMachine(1, 6, 8)
+}
+
+// A launch to an idle worker would wait for the worker's next regular report. The worker is asked to report, once,
+// by a launch that it refuses, and what that leaves is cleared.
+func TestIdleWorkerIsAskedToReport(t *testing.T) {
+	h := newHarness(t)
+	h.ownMachine(1, 5, 8)
 	h.report(1, 5)
-	if e := h.takeEvents(model.TaskReturned); len(e) != 0 {
-		t.Fatal("task returned before the worker has shown the new token")
+	h.assign(h.spec(1, model.Standard, 2), 0, 10)
+	h.assign(h.spec(2, model.Idle, 8), 0, 1) // waits for the first one
+	var request model.Command
+	sent := 0
+	for range 3 {
+		h.shard.Place(h.now)
+		h.answerDirectCommands(func(d DirectCommand) (*model.Report, bool) {
+			for _, c := range d.Commands {
+				request = c
+				sent++
+			}
+			h.seq++
+			return h.message(1, 1, h.seq, d.Token, attemptStatus(request.Task.Job, request.Task.Index, request.Attempt,
+				model.Exited, model.CauseUnknown)), true
+		})
 	}
-	h.report(1, 6)
-	if e := h.takeEvents(model.TaskReturned); len(e) != 1 {
-		t.Fatalf("events %v, want the task returned", e)
+	if sent != 1 || request.Verb != model.Launch || request.Task != reportRequestTask {
+		t.Fatalf("%d direct commands, the last %+v: want one report request", sent, request)
+	}
+	refused := attemptStatus(request.Task.Job, request.Task.Index, request.Attempt, model.Exited, model.CauseUnknown)
+	want := []model.Command{{Verb: model.Clear, Task: request.Task, Attempt: request.Attempt}, launchCommand(1, 0, 1001)}
+	if diff := cmp.Diff(want, h.report(1, 5, refused)); diff != "" {
+		t.Fatal(diff)
+	}
+	if e := h.takeEvents(model.AttemptFound); len(e) != 0 {
+		t.Errorf("the dispatcher is told of %+v", e)
+	}
+	h.report(1, 5, attemptStatus(1, 0, 1001, model.Running, 0))
+	if m := h.shard.machines[1]; len(m.attempts) != 1 || m.launchWaits() {
+		t.Errorf("%d attempts are left, or a launch waits", len(m.attempts))
 	}
 }
 
@@ -489,10 +535,11 @@
 	h.report(1, 5)
 	h.shard.SetGrant(h.now + 3*time.Second)
 	h.assign(h.spec(1, model.Standard, 2), 0, 10)
-	h.shard.Place(h.now)
+	h.report(1, 5)
+	h.shard.HandleOrder(h.now, model.Order{Kind: model.RecallTask, Task: model.Task{Job: 1}})
 	h.shard.Flush(h.now, 8)
 	d := h.shard.TakeDirectCommands()
-	if len(d) != 1 || d[0].NotAfter != h.now+3*time.Second {
+	if len(d) != 1 || len(d[0].Commands) != 1 || d[0].NotAfter != h.now+3*time.Second {
 		t.Fatalf("commands %+v, want one that may be sent until the grant ends", d)
 	}
 }
--- a/internal/core/sim/controller_test.go
+++ b/internal/core/sim/controller_test.go
@@ -290,28 +290,46 @@
 				c.runCycle()
 			}
 		}
-		m := c.w.workers[d.Machine]
-		if c.w.params.duplicateReports {
-			c.w.repeatLater(func() { m.handleDirectCommands(d.Token, d.Session, d.Commands, func(*model.Report, bool) {}) })
-		}
-		sent := c.w.now
-		if late := c.w.commandDelay(); late > 0 {
-			c.w.after(late, func() {
-				c.w.observe("a command arrives seconds late")
-				m.handleDirectCommands(d.Token, d.Session, d.Commands, func(*model.Report, bool) {})
-			})
-			c.timer(2*time.Second, func() { finish(nil, false) })
-			continue
+		c.sendDirect(d, finish)
+	}
+}
+
+// sendDirect sends a direct command, which the network may delay or repeat. No answer within 2 s counts as not
+// executed.
+func (c *controller) sendDirect(d shard.DirectCommand, finish func(r *model.Report, executed bool)) {
+	m := c.w.workers[d.Machine]
+	if c.w.params.duplicateReports {
+		c.w.repeatLater(func() { m.handleDirectCommands(d.Token, d.Session, d.Commands, func(*model.Report, bool) {}) })
+	}
+	c.timer(2*time.Second, func() { finish(nil, false) })
+	sent := c.w.now
+	if late := c.w.commandDelay(); late > 0 {
+		c.w.after(late, func() {
+			c.w.observe("a command arrives seconds late")
+			m.handleDirectCommands(d.Token, d.Session, d.Commands, func(*model.Report, bool) {})
+		})
+		return
+	}
+	c.w.send(c.host, m.host, false, func() {
+		if c.w.now-sent > 4*time.Second {
+			c.w.observe("a command arrives seconds late")
 		}
-		c.w.send(c.host, m.host, false, func() {
-			if c.w.now-sent > 4*time.Second {
-				c.w.observe("a command arrives seconds late")
-			}
-			m.handleDirectCommands(d.Token, d.Session, d.Commands, func(r *model.Report, ok bool) {
-				c.w.send(m.host, c.host, false, func() { finish(r, ok) })
-			})
+		m.handleDirectCommands(d.Token, d.Session, d.Commands, func(r *model.Report, ok bool) {
+			c.w.send(m.host, c.host, false, func() { finish(r, ok) })
 		})
-		c.timer(2*time.Second, func() { finish(nil, false) })
+	})
+}
+
+// launchDirectly sends the launches of an answer in a direct command as well; see params.launchDirectly.
+func (c *controller) launchDirectly(r *model.Report, a shard.Answer) {
+	d := shard.DirectCommand{Machine: r.Machine.ID, Token: a.Token, Session: r.Session}
+	for _, command := range a.Commands {
+		if command.Verb == model.Launch {
+			d.Commands = append(d.Commands, command)
+		}
+	}
+	if len(d.Commands) > 0 {
+		c.sendDirect(d, func(*model.Report, bool) {})
 	}
 }
 
@@ -443,6 +461,9 @@
 		c.runCycle()
 		if a.OK {
 			answer(true, a.Token, a.Commands, "")
+			if c.w.params.launchDirectly {
+				c.launchDirectly(r, a)
+			}
 		}
 		return a.OK
 	}
--- a/internal/core/sim/extra_faults_test.go
+++ b/internal/core/sim/extra_faults_test.go
@@ -126,28 +126,6 @@
 	w.after(w.randomDuration(10*time.Second, 60*time.Second), w.controllerCutOffs)
 }
 
-// machineQuickRestarts hangs a machine for less than a second; half of the time it loses its attempts
-// and starts a new session.
-func (w *world) machineQuickRestarts() {
-	if w.now > w.params.duration-30*time.Second {
-		return
-	}
-	m := w.workers[w.rng.IntN(len(w.workers))]
-	m.hungUntil = max(m.hungUntil, w.now+w.randomDuration(50*time.Millisecond, 900*time.Millisecond))
-	switch []int{0, 3}[w.rng.IntN(2)] {
-	case 0:
-		m.nextSession()
-	case 1:
-		m.attempts = map[attemptKey]*attempt{}
-	case 2:
-		m.nextSession()
-		m.session, m.seq, m.token = 1, 0, 0
-	}
-	w.logf("fault: %s is back at once in session %d, message %d", m.host, m.session, m.seq)
-	w.extendFaults(time.Second)
-	w.after(w.randomDuration(2*time.Second, 20*time.Second), w.machineQuickRestarts)
-}
-
 // maxUnanswered is how long requests about a job may go unanswered after the last fault.
 const maxUnanswered = 75 * time.Second
 
--- a/internal/core/sim/machine_test.go
+++ b/internal/core/sim/machine_test.go
@@ -49,6 +49,8 @@
 	reportsLostUntil time.Duration
 	// When it was added; 0 if it was there from the start.
 	addedAt time.Duration
+	// Direct commands that it has carried out, the newest last; see repeatCommands.
+	executed []executedCommand
 }
 
 // newMachine returns a machine in its first session; a quarter of the machines are spot machines.
@@ -278,7 +280,10 @@
 	if w.now < m.reportsLostUntil && len(cmds) > 0 {
 		w.observe("a command reaches a machine whose reports are lost")
 	}
-	m.execute(cmds)
+	m.noteExecuted(token, session, cmds)
+	if m.execute(cmds) && m.pendingReport == 0 {
+		m.nextReportAt = min(m.nextReportAt, max(w.now, m.reportSentAt+500*time.Millisecond))
+	}
 	answer(m.newReport(), true)
 }
 
--- a/internal/core/sim/observations_test.go
+++ b/internal/core/sim/observations_test.go
@@ -104,7 +104,7 @@
 func (w *world) teamCPU(team model.Name) (cpu int64) {
 	for _, m := range w.workers {
 		for k, a := range m.attempts {
-			if u := w.users[k.task.Job]; u.spec.Team == team && a.Stage != model.Exited {
+			if u := w.users[k.task.Job]; a.Stage != model.Exited && u.spec.Team == team {
 				cpu += u.spec.PerTask.CPU
 			}
 		}
--- a/internal/core/sim/scenarios_test.go
+++ b/internal/core/sim/scenarios_test.go
@@ -343,7 +343,7 @@
 		"old reports":                            func(p *params) { p.acceptDuplicates = true },
 		"out of reach":                           func(p *params) { p.shortMaxLease = true },
 		"late writes":                            func(p *params) { p.unguardedWrites = true },
-		"late commands":                          func(p *params) { p.acceptOldTokens = true },
+		"late commands":                          func(p *params) { p.acceptOldTokens, p.launchDirectly = true, true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -73,6 +73,12 @@
 	mixedReleases bool
 	// Controllers and machines restart within a second, and controllers lose all but their workers.
 	quickRestarts bool
+	// What machines that restart within a second have lost; nil means either nothing or their session.
+	machineRestarts []machineRestart
+	// Direct commands that a machine has carried out reach it again after it has restarted within a second.
+	repeatedCommands bool
+	// Broken guard: launches are sent in direct commands too, which may arrive late or once more.
+	launchDirectly bool
 	// Broken guard: a lost shard's machines count as accounted for at once.
 	freeMachinesOnLoss bool
 	// Fault scenario that is run repeatedly; nil means none.
