shard: ask a worker to report beside other direct commands too

A machine whose victims or finished tasks were cleared by a direct command was not asked to report, for the effect of these commands was taken to make it report. What the answer to a direct command has told is no change for the worker any more, so the launch waited for the next regular report.

The request goes with the other commands of the message; the places that these clear count as free.

--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -56,11 +56,9 @@
 			continue
 		}
 		m.needsFlush = false
-		cmds := s.stopCommands(now, m, maxCommands)
-		if len(cmds) == 0 { // the effect of others makes the worker report in any case
-			if c, needed := s.reportRequest(m); needed {
-				cmds = append(cmds, c)
-			}
+		cmds := s.stopCommands(now, m, maxCommands-1)
+		if c, needed := s.reportRequest(m, cmds); needed {
+			cmds = append(cmds, c)
 		}
 		if len(cmds) == 0 && m.fenced && !m.needsProbe {
 			continue
--- a/internal/core/shard/report_request.go
+++ b/internal/core/shard/report_request.go
@@ -15,9 +15,10 @@
 // reportRequestTask is a task that no job has: jobs have at most 100,000 tasks, numbered from 0.
 var reportRequestTask = model.Task{Job: 1 << 62, Index: 100_000}
 
-// reportRequest returns the command that asks a machine's worker to report, if a launch waits for that.
-func (s *Shard) reportRequest(m *machine) (c model.Command, needed bool) {
-	if m.reportRequested || !m.launchWaits() {
+// reportRequest returns the command that asks a machine's worker to report, if a launch waits for that once
+// the other commands of the same message have been carried out.
+func (s *Shard) reportRequest(m *machine, others []model.Command) (c model.Command, needed bool) {
+	if m.reportRequested || !m.launchWaits(others) {
 		return model.Command{}, false
 	}
 	m.reportRequested = true
@@ -25,12 +26,12 @@
 	return model.Command{Verb: model.Launch, Task: reportRequestTask, Attempt: s.lastAttempt}, true
 }
 
-// launchWaits reports whether a launch could be sent now in the answer to a report.
-func (m *machine) launchWaits() bool {
+// launchWaits reports whether a launch could be sent in the answer to a report after the commands.
+func (m *machine) launchWaits(cmds []model.Command) bool {
 	if !m.fenced || !m.usable || m.inboundLost {
 		return false
 	}
-	free := m.launchCapacity(nil)
+	free := m.launchCapacity(cmds)
 	for _, a := range m.attempts {
 		if a.state == starting && !a.launchSent && !a.stopping && a.resources.Fits(free) {
 			return true
--- a/internal/core/shard/shard_test.go
+++ b/internal/core/shard/shard_test.go
@@ -248,7 +248,7 @@
 		t.Errorf("the dispatcher is told of %+v", e)
 	}
 	h.report(1, 5, attemptStatus(1, 0, 1001, model.Running, 0))
-	if m := h.shard.machines[1]; len(m.attempts) != 1 || m.launchWaits() {
+	if m := h.shard.machines[1]; len(m.attempts) != 1 || m.launchWaits(nil) {
 		t.Errorf("%d attempts are left, or a launch waits", len(m.attempts))
 	}
 }
