--- a/internal/core/shard/direct.go
+++ b/internal/core/shard/direct.go
@@ -9,10 +9,10 @@
 // DirectCommand is a batch of commands that is sent to a worker on a new connection, instead of in
 // the answer to a report. Its outcome is passed to DirectCommandDone.
 //
-// It carries no launch but that of a report request. The network may deliver a direct command minutes later, or once more after it
-// was carried out, and a worker that has lost its tasks or its token since then would start the attempt
-// although its task was moved or cancelled. Kills and clears do no harm then: each names an attempt, whose
-// number is not used again.
+// It carries no launch but that of a report request. The network may deliver a direct command minutes
+// later, or once more after it was carried out, and a worker that has lost its tasks or its token since
+// then would start the attempt although its task was moved or cancelled. Kills and clears do no harm
+// then: each names an attempt, whose number is not used again.
 type DirectCommand struct {
 	ID       uint64
 	Machine  model.MachineID
