shard: return pinned tasks of an expedited job where no machine can hold them

Cause: a pinned task is returned to the dispatcher after 15 s, except while its job is expedited, for a machine may be kept free for it. The shard had given away its machines in that zone, the leader repeated the order, and the tasks stayed for ever.

The exception holds only where one of the shard's machines could hold such a task if it were empty.

--- a/internal/core/shard/expedite_test.go
+++ b/internal/core/shard/expedite_test.go
@@ -201,3 +201,29 @@
 		t.Error("the machine is still reserved")
 	}
 }
+
+// An expedited job whose tasks are pinned to a zone waited for ever at a shard that had lost its machines there:
+// nothing can be kept free for it, so its tasks are returned like those of other jobs.
+func TestPinnedTaskOfExpeditedJobIsReturnedWithoutMachine(t *testing.T) {
+	for name, zone := range map[string]model.Name{"no machine in its zone": 1, "a machine in its zone": 0} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.ownMachine(1, 5, 8)
+			h.report(1, 5)
+			h.assign(h.spec(1, model.Urgent, 8), 0, 100) // fills the machine
+			attempt := h.report(1, 5)[0]
+			running := attemptStatus(1, 0, attempt.Attempt, model.Running, 0)
+			h.shard.HandleOrder(h.now, model.Order{Kind: model.AssignTask, Assignment: model.Assignment{
+				Task: model.Task{Job: 2}, Spec: h.spec(2, model.Idle, 8), Price: 1, Zone: zone, WaitingSince: h.now}})
+			h.shard.HandleOrder(h.now, model.Order{Kind: model.ExpediteJob, Job: 2})
+			for end := h.now + maxPinnedWait + 3*time.Second; h.now < end; h.now += time.Second {
+				h.report(1, 5, running)
+				h.shard.Tick(h.now)
+			}
+			returned := len(h.takeEvents(model.TaskReturned))
+			if wanted := int(zone); returned != wanted {
+				t.Errorf("%d tasks returned, want %d", returned, wanted)
+			}
+		})
+	}
+}
--- a/internal/core/shard/tick.go
+++ b/internal/core/shard/tick.go
@@ -30,13 +30,13 @@
 		s.Place(now)
 	}
 	// A task pinned to a zone without capacity is returned, so that the dispatcher can pin it to
-	// another zone.
+	// another zone, or assign it to a shard with machines there.
 	for _, g := range s.waiting {
 		if g.zone == model.None {
 			continue
 		}
 		for _, t := range slices.Clone(g.tasks) {
-			if now-t.queuedAt > maxPinnedWait && !s.isExpedited(now, g.job) {
+			if now-t.queuedAt > maxPinnedWait && !(s.isExpedited(now, g.job) && s.mayHold(g)) {
 				s.dequeue(t)
 				s.returnTask(t, model.CauseStopped)
 			}
@@ -44,6 +44,14 @@
 	}
 }
 
+// mayHold reports whether the group's tasks would fit on one of the shard's machines if it were empty. A
+// machine is kept free for an expedited job only if so.
+func (s *Shard) mayHold(g *waitingGroup) bool {
+	return slices.ContainsFunc(s.sortedMachines, func(m *machine) bool {
+		return (g.zone == model.None || g.zone == m.Zone) && g.spec.Allows(&m.Machine) && g.spec.PerTask.Fits(m.Cap)
+	})
+}
+
 // maxPinnedWait is how long a task pinned to a zone may wait before it is returned.
 const maxPinnedWait = 15 * time.Second
 
