sim: launch directly in place of answers when that guard is broken; new tokens during handovers

In handovers nothing asked for a token while its machine was released; machines that begin anew are drawn there now, which do.

--- a/internal/core/sim/controller_test.go
+++ b/internal/core/sim/controller_test.go
@@ -320,17 +320,21 @@
 	})
 }
 
-// launchDirectly sends the launches of an answer in a direct command as well; see params.launchDirectly.
-func (c *controller) launchDirectly(r *model.Report, a shard.Answer) {
+// launchDirectly sends the launches of an answer in a direct command instead, and returns the other commands;
+// see params.launchDirectly.
+func (c *controller) launchDirectly(r *model.Report, a shard.Answer) (others []model.Command) {
 	d := shard.DirectCommand{Machine: r.Machine.ID, Token: a.Token, Session: r.Session}
 	for _, command := range a.Commands {
 		if command.Verb == model.Launch {
 			d.Commands = append(d.Commands, command)
+		} else {
+			others = append(others, command)
 		}
 	}
 	if len(d.Commands) > 0 {
 		c.sendDirect(d, func(*model.Report, bool) {})
 	}
+	return others
 }
 
 // sendToLeader runs deliver on the leader, if the connection still exists when the message arrives.
@@ -460,10 +464,10 @@
 		a := s.Answer(now, r)
 		c.runCycle()
 		if a.OK {
-			answer(true, a.Token, a.Commands, "")
 			if c.w.params.launchDirectly {
-				c.launchDirectly(r, a)
+				a.Commands = c.launchDirectly(r, a)
 			}
+			answer(true, a.Token, a.Commands, "")
 		}
 		return a.OK
 	}
--- a/internal/core/sim/handover_test.go
+++ b/internal/core/sim/handover_test.go
@@ -27,6 +27,7 @@
 func handoverParams() params {
 	p := shortLeaseParams()
 	p.faults, p.handovers = false, true
+	p.machineRestarts = []machineRestart{nothingLost, identityLost} // the latter need a new token
 	p.jobs, p.machines, p.duration, p.quietPeriod = 40, 12, 2*time.Minute, 160*time.Second
 	return p
 }
--- a/internal/core/sim/world_test.go
+++ b/internal/core/sim/world_test.go
@@ -77,7 +77,7 @@
 	machineRestarts []machineRestart
 	// Direct commands that a machine has carried out reach it again after it has restarted within a second.
 	repeatedCommands bool
-	// Broken guard: launches are sent in direct commands too, which may arrive late or once more.
+	// Broken guard: launches are sent in direct commands, which may arrive late or once more.
 	launchDirectly bool
 	// Broken guard: a lost shard's machines count as accounted for at once.
 	freeMachinesOnLoss bool
@@ -487,6 +487,7 @@
 	if w.params.handovers {
 		w.after(10*time.Second, w.moveMachines)
 		w.after(15*time.Second, w.handoverFaults)
+		w.after(12*time.Second, w.machineQuickRestarts)
 	}
 	if w.params.drains {
 		w.after(5*time.Second, func() { w.runOperator(0) })
